--- /dev/null
+++ b/src/admission/cost_table.c
@@ -0,0 +1,158 @@
+#include "admission/cost_table.h"
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stddef.h>
+
+/* Entries share a set of WAYS; the least recently used one of a set is
+   replaced, so a lookup costs the same however many fingerprints exist. */
+#define WAYS 4
+/* Weight of one sample is 1 / 2^MEAN_SHIFT: the mean follows a change of
+   cost within about ten statements. */
+#define MEAN_SHIFT 3
+
+struct entry {
+    uint64_t fingerprint; /* 0 when unused */
+    int64_t mean_us;
+    uint64_t used;
+};
+
+struct cost_table {
+    struct entry *entries;
+    uint32_t sets; /* a power of two */
+    uint64_t uses;
+};
+
+/* Returns the first entry of the set to which a fingerprint belongs. */
+static struct entry *
+set_of(const struct cost_table *t, uint64_t fingerprint)
+{
+    uint64_t hash = fingerprint * 0x9e3779b97f4a7c15ULL;
+
+    return &t->entries[((hash >> 32) & (t->sets - 1)) * WAYS];
+}
+
+/* Returns the entry of a fingerprint, or NULL. */
+static struct entry *
+find(struct cost_table *t, uint64_t fingerprint)
+{
+    struct entry *set = set_of(t, fingerprint);
+
+    if (fingerprint == 0) {
+        return NULL;
+    }
+    for (int i = 0; i < WAYS; i++) {
+        if (set[i].fingerprint == fingerprint) {
+            set[i].used = ++t->uses;
+            return &set[i];
+        }
+    }
+    return NULL;
+}
+
+/* Returns the entry of a fingerprint; replaces the least recently used one
+   of its set when it is new. */
+static struct entry *
+find_or_add(struct cost_table *t, uint64_t fingerprint, bool *added)
+{
+    struct entry *e = find(t, fingerprint);
+    struct entry *set = set_of(t, fingerprint);
+
+    *added = e == NULL;
+    if (e != NULL) {
+        return e;
+    }
+    e = &set[0];
+    for (int i = 1; i < WAYS; i++) {
+        if (set[i].used < e->used) {
+            e = &set[i];
+        }
+    }
+    *e = (struct entry){.fingerprint = fingerprint, .used = ++t->uses};
+    return e;
+}
+
+/* Creates a table of at least the given number of entries. */
+struct cost_table *
+cost_table_create(uint32_t entries)
+{
+    struct cost_table *t = g_new0(struct cost_table, 1);
+
+    t->sets = 1;
+    while (t->sets * WAYS < entries) {
+        t->sets *= 2;
+    }
+    t->entries = g_new0(struct entry, (size_t)t->sets * WAYS);
+    return t;
+}
+
+/* Frees the table; NULL is allowed. */
+void
+cost_table_destroy(struct cost_table *t)
+{
+    if (t != NULL) {
+        g_free(t->entries);
+        g_free(t);
+    }
+}
+
+/* Returns the mean cost of a fingerprint in microseconds, or fallback_us when
+   it is not in the table. Fingerprint 0 means unknown. */
+int64_t
+cost_table_mean(struct cost_table *t, uint64_t fingerprint,
+                int64_t fallback_us)
+{
+    struct entry *e = find(t, fingerprint);
+
+    return e == NULL ? fallback_us : e->mean_us;
+}
+
+/* Adds one measured cost to the exponential mean of a fingerprint. */
+void
+cost_table_add(struct cost_table *t, uint64_t fingerprint, int64_t cost_us)
+{
+    bool added;
+    struct entry *e;
+
+    if (fingerprint == 0) {
+        return;
+    }
+    e = find_or_add(t, fingerprint, &added);
+    if (added) {
+        e->mean_us = cost_us;
+    }
+    else {
+        e->mean_us += (cost_us - e->mean_us) / (1 << MEAN_SHIFT);
+    }
+}
+
+/* Raises the mean of a fingerprint to at least the given cost. Used while a
+   statement is still running past its limit. */
+void
+cost_table_raise(struct cost_table *t, uint64_t fingerprint,
+                 int64_t at_least_us)
+{
+    bool added;
+    struct entry *e;
+
+    if (fingerprint == 0) {
+        return;
+    }
+    e = find_or_add(t, fingerprint, &added);
+    if (e->mean_us < at_least_us) {
+        e->mean_us = at_least_us;
+    }
+}
+
+/* Lowers the mean by an eighth. Called when a request was refused for its
+   cost alone: a refused fingerprint is never measured again, so without this
+   one slow period would refuse it for good. */
+void
+cost_table_decay(struct cost_table *t, uint64_t fingerprint)
+{
+    struct entry *e = find(t, fingerprint);
+
+    if (e != NULL) {
+        e->mean_us -= e->mean_us / (1 << MEAN_SHIFT);
+    }
+}
--- /dev/null
+++ b/src/admission/pressure.c
@@ -0,0 +1,65 @@
+#include "admission/pressure.h"
+
+/* At most one more rank is shed in this time, so that the effect of a step
+   shows before the next. */
+#define STEP_MS 20
+/* A rank is admitted again after this time without a signal. Longer than a
+   step, so that shedding starts fast and ends slowly. */
+#define HOLD_MS 300
+
+/* Starts with nothing shed. */
+void
+pressure_init(struct pressure *p, int ranks)
+{
+    *p = (struct pressure){
+        .ranks = ranks,
+        .level = ranks,
+        .changed_at = -STEP_MS,
+    };
+}
+
+/* Notes that work of the given rank waits longer than the target. Sheds one
+   more rank, the least important first and never the delayed one. Returns
+   true when the level changed. */
+bool
+pressure_signal(struct pressure *p, clock_ms now, int rank)
+{
+    if (rank >= p->ranks - 1) {
+        return false;
+    }
+    p->signalled_at = now;
+    if (p->level - 1 <= rank || now - p->changed_at < STEP_MS) {
+        return false;
+    }
+    p->level--;
+    p->changed_at = now;
+    return true;
+}
+
+/* Admits one more rank when no signal came for the hold time. Returns true
+   when the level changed. */
+bool
+pressure_relax(struct pressure *p, clock_ms now)
+{
+    if (now < pressure_due(p)) {
+        return false;
+    }
+    p->level++;
+    p->changed_at = now;
+    p->signalled_at = now;
+    return true;
+}
+
+/* Returns true when work of the rank is shed on this member. */
+bool
+pressure_sheds(const struct pressure *p, int rank)
+{
+    return rank >= p->level;
+}
+
+/* Returns the time of the next call of pressure_relax that has an effect. */
+clock_ms
+pressure_due(const struct pressure *p)
+{
+    return p->level == p->ranks ? CLOCK_NEVER : p->signalled_at + HOLD_MS;
+}
