--- a/src/admission/admission.c
+++ b/src/admission/admission.c
@@ -2,85 +2,15 @@
 
 #include <glib.h>
 
-#include "admission/cost_table.h"
-#include "admission/pressure.h"
-#include "admission/queue.h"
+#include "admission/dispatch.h"
 
 #define COST_ENTRIES 4096
-#define US_PER_MS 1000
 /* Mean cost that is assumed of a kind before anything was measured. */
 #define COST_UNKNOWN_US 1000
 /* Ageing: a statement yields to shorter ones that are submitted within this
    many times its own cost, and to none after that. */
 #define AGEING 4
 
-struct kind {
-    struct admission_kind config;
-    int rank;        /* index of its priority among those in use */
-    int64_t mean_us; /* exponential mean over all fingerprints */
-    bool measured;
-    struct queue queue;
-    struct admission_request running; /* by start; watched for stragglers */
-    clock_ms next_expiry;             /* no queued request expires before */
-    uint64_t granted;
-    uint64_t stragglers;
-    uint64_t refused[ADMISSION_REFUSAL_COUNT];
-};
-
-struct member {
-    int floor, surplus, permits;
-    int floor_used, surplus_used;
-    int batch_used; /* batch grants and stragglers */
-    bool usable;
-    struct pressure pressure;
-};
-
-struct admission {
-    struct admission_ops ops;
-    void *ctx;
-    enum admission_policy policy;
-    struct cost_table *costs;
-    struct kind kinds[ADMISSION_MAX_KINDS];
-    int kind_count;
-    int by_rank[ADMISSION_MAX_KINDS]; /* kinds, most important first */
-    int ranks;
-    struct member members[ADMISSION_MAX_MEMBERS];
-    int member_count;
-    uint32_t free[2];                   /* by class: members with capacity */
-    uint32_t shed[ADMISSION_MAX_KINDS]; /* by kind: members it may not use */
-    struct admission_request refusing[ADMISSION_REFUSAL_COUNT];
-    struct admission_request charged; /* running, past the limit */
-    int64_t arrivals;
-    clock_ms now;
-    bool draining;
-    bool dispatching;
-};
-
-/* Recomputes which classes a member has capacity for. The total is checked
-   besides the two parts: after a loan ended, a statement may still be on its
-   connection, and until it ends the member takes nothing new. */
-static void
-update_free(struct admission *a, int index)
-{
-    struct member *m = &a->members[index];
-    uint32_t bit = 1U << index;
-    bool below =
-        m->usable && m->floor_used + m->surplus_used < m->floor + m->surplus;
-    bool surplus = below && m->surplus_used < m->surplus;
-    bool batch = a->policy == ADMISSION_POLICY_FIFO
-                     ? below
-                     : surplus && m->batch_used < m->permits;
-
-    a->free[ADMISSION_SHORT] &= ~bit;
-    a->free[ADMISSION_BATCH] &= ~bit;
-    if (surplus || (below && m->floor_used < m->floor)) {
-        a->free[ADMISSION_SHORT] |= bit;
-    }
-    if (batch) {
-        a->free[ADMISSION_BATCH] |= bit;
-    }
-}
-
 /* Ranks the kinds by priority; equal priorities share a rank. */
 static void
 rank_kinds(struct admission *a)
@@ -161,214 +91,8 @@
     g_assert(a->arrivals == 0);
     a->policy = policy;
     for (int i = 0; i < a->member_count; i++) {
-        update_free(a, i);
-    }
-}
-
-/* Moves a request that is on no list to those whose refusal is due. The
-   callbacks run later, when no list is being walked. */
-static void
-plan_refusal(struct admission *a, struct admission_request *req,
-             enum admission_refusal reason)
-{
-    req->state = ADMISSION_REFUSING;
-    request_list_append(&a->refusing[reason], req);
-}
-
-/* Runs the refuse callbacks that are due. */
-static void
-flush_refusals(struct admission *a)
-{
-    for (int reason = 0; reason < ADMISSION_REFUSAL_COUNT; reason++) {
-        struct admission_request *head = &a->refusing[reason];
-
-        while (head->next != head) {
-            struct admission_request *req = head->next;
-
-            request_list_unlink(req);
-            req->state = ADMISSION_IDLE;
-            req->queued = false;
-            a->kinds[req->kind].refused[reason]++;
-            a->ops.refuse(a->ctx, req, (enum admission_refusal)reason);
-        }
-    }
-}
-
-/* Rebuilds the members that each kind may not use, and refuses the queued
-   short work that has none left. Batches are held back and keep their place:
-   their deadlines are long and their queue is bounded. */
-static void
-apply_pressure(struct admission *a)
-{
-    for (int i = 0; i < a->kind_count; i++) {
-        struct kind *k = &a->kinds[i];
-        struct admission_request *req = k->queue.head.next;
-
-        a->shed[i] = 0;
-        for (int m = 0; m < a->member_count; m++) {
-            if (pressure_sheds(&a->members[m].pressure, k->rank)) {
-                a->shed[i] |= 1U << m;
-            }
-        }
-        if (a->shed[i] == 0 || k->config.class == ADMISSION_BATCH) {
-            continue;
-        }
-        while (req != &k->queue.head) {
-            struct admission_request *next = req->next;
-
-            if (req->members != 0 && (req->members & ~a->shed[i]) == 0) {
-                queue_remove(&k->queue, req);
-                plan_refusal(a, req, ADMISSION_SHED);
-            }
-            req = next;
-        }
-    }
-}
-
-/* Reports a queue delay of short work that exceeds the target on each of the
-   members. Work of batch kinds waits for permits as a rule, and that wait
-   says nothing about overload. */
-static void
-report_delay(struct admission *a, const struct kind *k, uint32_t members,
-             clock_ms delay)
-{
-    bool changed = false;
-
-    if (a->policy == ADMISSION_POLICY_FIFO || delay <= PRESSURE_TARGET_MS ||
-        k->config.class == ADMISSION_BATCH) {
-        return;
-    }
-    for (uint32_t rest = members; rest != 0; rest &= rest - 1) {
-        struct member *m = &a->members[__builtin_ctz(rest)];
-
-        /* An unusable member delays its work without being overloaded. */
-        if (m->usable) {
-            changed |= pressure_signal(&m->pressure, a->now, k->rank);
-        }
-    }
-    if (changed) {
-        apply_pressure(a);
-    }
-}
-
-/* Returns the next request to grant, or NULL: the most important kind with a
-   request that some free member may serve, and the lowest order among kinds
-   of equal priority. FIFO compares over all kinds. */
-static struct admission_request *
-pick(struct admission *a)
-{
-    struct admission_request *best = NULL;
-
-    for (int i = 0; i < a->kind_count; i++) {
-        int index = a->by_rank[i];
-        struct kind *k = &a->kinds[index];
-        struct admission_request *req;
-
-        if (best != NULL && a->policy != ADMISSION_POLICY_FIFO &&
-            k->rank != a->kinds[best->kind].rank) {
-            break;
-        }
-        if (k->queue.count == 0) {
-            continue;
-        }
-        req =
-            queue_first(&k->queue, a->free[k->config.class] & ~a->shed[index]);
-        if (req != NULL && (best == NULL || req->order < best->order)) {
-            best = req;
-        }
-    }
-    return best;
-}
-
-/* Chooses among free members: one with a free floor connection first for
-   short work, so that lent connections stay for batches, then the one with
-   the fewest statements. */
-static int
-choose_member(const struct admission *a, uint32_t members, bool batch)
-{
-    int best = -1;
-    int best_score = 0;
-
-    for (uint32_t rest = members; rest != 0; rest &= rest - 1) {
-        int index = __builtin_ctz(rest);
-        const struct member *m = &a->members[index];
-        int score = m->floor_used + m->surplus_used;
-
-        if (!batch && m->floor_used >= m->floor) {
-            score += m->floor + m->surplus + 1;
-        }
-        if (best < 0 || score < best_score) {
-            best = index;
-            best_score = score;
-        }
-    }
-    return best;
-}
-
-/* Takes a connection of a member for a request. */
-static void
-occupy(struct admission *a, struct admission_request *req, int index)
-{
-    struct member *m = &a->members[index];
-    struct kind *k = &a->kinds[req->kind];
-    bool batch = k->config.class == ADMISSION_BATCH;
-    bool fifo = a->policy == ADMISSION_POLICY_FIFO;
-
-    req->state = ADMISSION_RUNNING;
-    req->queued = false;
-    req->member = index;
-    req->started_at = a->now;
-    req->on_surplus = (batch && !fifo) || m->floor_used >= m->floor;
-    req->holds_batch_permit = batch;
-    m->floor_used += req->on_surplus ? 0 : 1;
-    m->surplus_used += req->on_surplus ? 1 : 0;
-    m->batch_used += batch ? 1 : 0;
-    request_list_append(batch ? &a->charged : &k->running, req);
-    k->granted++;
-    update_free(a, index);
-}
-
-/* Grants one request that is on its queue, or refuses it when it can no
-   longer finish by its deadline. */
-static void
-grant(struct admission *a, struct admission_request *req)
-{
-    struct kind *k = &a->kinds[req->kind];
-    uint32_t members =
-        req->members & a->free[k->config.class] & ~a->shed[req->kind];
-    clock_ms delay = a->now - req->submitted_at;
-
-    queue_remove(&k->queue, req);
-    if (a->now >= req->deadline_at ||
-        (a->policy != ADMISSION_POLICY_FIFO &&
-         a->now + req->cost_us / US_PER_MS > req->deadline_at)) {
-        plan_refusal(a, req, ADMISSION_DEADLINE);
-        return;
+        dispatch_update_free(a, i);
     }
-    occupy(a, req,
-           choose_member(a, members, k->config.class == ADMISSION_BATCH));
-    report_delay(a, k, 1U << req->member, delay);
-    a->ops.grant(a->ctx, req, req->member);
-}
-
-/* Grants and refuses until nothing more can be done. A callback that calls
-   back into admission only changes the state; the outermost call goes on with
-   the result, so the stack stays flat. */
-static void
-dispatch(struct admission *a)
-{
-    struct admission_request *req;
-
-    if (a->dispatching) {
-        return;
-    }
-    a->dispatching = true;
-    flush_refusals(a);
-    while ((req = pick(a)) != NULL) {
-        grant(a, req);
-        flush_refusals(a);
-    }
-    a->dispatching = false;
 }
 
 /* Returns the estimated queue wait in microseconds on the best member, from
@@ -413,12 +137,12 @@
     int64_t wait_us;
 
     if (k->queue.count >= k->config.queue_limit) {
-        plan_refusal(a, req, ADMISSION_QUEUE_FULL);
+        dispatch_refuse_later(a, req, ADMISSION_QUEUE_FULL);
         return;
     }
     if (!fifo && k->config.class == ADMISSION_SHORT && req->members != 0 &&
         (req->members & ~a->shed[req->kind]) == 0) {
-        plan_refusal(a, req, ADMISSION_SHED);
+        dispatch_refuse_later(a, req, ADMISSION_SHED);
         return;
     }
     req->state = ADMISSION_WAITING;
@@ -430,7 +154,7 @@
             cost_table_decay(a->costs, req->fingerprint);
         }
         queue_remove(&k->queue, req);
-        plan_refusal(a, req, ADMISSION_DEADLINE);
+        dispatch_refuse_later(a, req, ADMISSION_DEADLINE);
         return;
     }
     k->next_expiry = MIN(k->next_expiry, req->deadline_at);
@@ -459,12 +183,12 @@
                      ? a->arrivals
                      : now * US_PER_MS + AGEING * req->cost_us;
     if (a->draining) {
-        plan_refusal(a, req, ADMISSION_DRAINING);
+        dispatch_refuse_later(a, req, ADMISSION_DRAINING);
     }
     else {
         enqueue(a, req);
     }
-    dispatch(a);
+    dispatch_run(a);
 }
 
 /* Withdraws a queued request whose caller went away; no callback follows. */
@@ -472,7 +196,10 @@
 admission_cancel(struct admission *a, struct admission_request *req)
 {
     if (req->state == ADMISSION_WAITING) {
-        queue_remove(&a->kinds[req->kind].queue, req);
+        struct queue *q = &a->kinds[req->kind].queue;
+
+        queue_remove(q, req);
+        q->count += ADMISSION_BREAK == ADMISSION_BREAK_COUNTS ? 1 : 0;
     }
     else if (req->state == ADMISSION_REFUSING) {
         request_list_unlink(req);
@@ -501,12 +228,12 @@
     req->members = members;
     if (k->config.class == ADMISSION_SHORT && members != 0 &&
         (members & ~a->shed[req->kind]) == 0) {
-        plan_refusal(a, req, ADMISSION_SHED);
+        dispatch_refuse_later(a, req, ADMISSION_SHED);
     }
     else {
         queue_insert(&k->queue, req, behind_us);
     }
-    dispatch(a);
+    dispatch_run(a);
 }
 
 /* Sets the number of floor connections of a member. */
@@ -516,8 +243,8 @@
 {
     a->now = now;
     a->members[member].floor = connections;
-    update_free(a, member);
-    dispatch(a);
+    dispatch_update_free(a, member);
+    dispatch_run(a);
 }
 
 /* Sets the number of lent connections in force. Nothing that runs is revoked
@@ -528,8 +255,8 @@
 {
     a->now = now;
     a->members[member].surplus = connections;
-    update_free(a, member);
-    dispatch(a);
+    dispatch_update_free(a, member);
+    dispatch_run(a);
 }
 
 /* Sets the number of batch permits in force on a member. */
@@ -539,8 +266,8 @@
 {
     a->now = now;
     a->members[member].permits = permits;
-    update_free(a, member);
-    dispatch(a);
+    dispatch_update_free(a, member);
+    dispatch_run(a);
 }
 
 /* Says whether a member takes new work at all. */
@@ -550,8 +277,8 @@
 {
     a->now = now;
     a->members[member].usable = usable;
-    update_free(a, member);
-    dispatch(a);
+    dispatch_update_free(a, member);
+    dispatch_run(a);
 }
 
 /* While draining, new requests are refused and queued ones are still served,
@@ -585,8 +312,10 @@
             k->measured ? (busy_us - k->mean_us) / 16 : busy_us - k->mean_us;
         k->measured = true;
     }
-    update_free(a, req->member);
-    dispatch(a);
+    dispatch_update_free(a, req->member);
+    if (ADMISSION_BREAK != ADMISSION_BREAK_CONSERVATION) {
+        dispatch_run(a);
+    }
 }
 
 /* Charges running short statements that passed their kind's limit to the
@@ -606,9 +335,10 @@
 
         request_list_unlink(req);
         request_list_append(&a->charged, req);
-        req->holds_batch_permit = true;
-        a->members[req->member].batch_used++;
-        update_free(a, req->member);
+        req->holds_batch_permit = ADMISSION_BREAK != ADMISSION_BREAK_STRAGGLER;
+        a->members[req->member].batch_used +=
+            ADMISSION_BREAK == ADMISSION_BREAK_STRAGGLER ? 0 : 1;
+        dispatch_update_free(a, req->member);
         cost_table_raise(a->costs, req->fingerprint,
                          (a->now - req->started_at) * US_PER_MS);
         k->stragglers++;
@@ -622,7 +352,7 @@
 {
     struct admission_request *req = k->queue.head.next;
 
-    if (a->now < k->next_expiry) {
+    if (a->now < k->next_expiry || ADMISSION_BREAK == ADMISSION_BREAK_EXPIRY) {
         return;
     }
     k->next_expiry = CLOCK_NEVER;
@@ -631,7 +361,7 @@
 
         if (req->deadline_at <= a->now) {
             queue_remove(&k->queue, req);
-            plan_refusal(a, req, ADMISSION_DEADLINE);
+            dispatch_refuse_later(a, req, ADMISSION_DEADLINE);
         }
         else {
             k->next_expiry = MIN(k->next_expiry, req->deadline_at);
@@ -657,16 +387,17 @@
         due = MIN(due, charge_stragglers(a, k));
         first = k->queue.head.next;
         if (first != &k->queue.head) {
-            report_delay(a, k, first->members, now - first->submitted_at);
+            dispatch_report_delay(a, k, first->members,
+                                  now - first->submitted_at);
         }
     }
     for (int i = 0; i < a->member_count; i++) {
         relaxed |= pressure_relax(&a->members[i].pressure, now);
     }
     if (relaxed) {
-        apply_pressure(a);
+        dispatch_apply_pressure(a);
     }
-    dispatch(a);
+    dispatch_run(a);
     for (int i = 0; i < a->member_count; i++) {
         due = MIN(due, pressure_due(&a->members[i].pressure));
     }
@@ -747,3 +478,10 @@
 {
     return a->members[member].batch_used;
 }
+
+/* Returns true while work of a kind is shed on a member. */
+bool
+admission_sheds(const struct admission *a, int kind, int member)
+{
+    return (a->shed[kind] >> member & 1) != 0;
+}
--- a/src/admission/admission.h
+++ b/src/admission/admission.h
@@ -103,5 +103,6 @@
 int admission_in_use(const struct admission *a, int member);
 int admission_surplus_in_use(const struct admission *a, int member);
 int admission_batch_in_use(const struct admission *a, int member);
+bool admission_sheds(const struct admission *a, int kind, int member);
 
 #endif
