Add the stand-in for database groups

Cause: the daemon and the load tool need groups with terms, sealing and majority commits, and no such server may be installed for tests.

Change: galenastep-fake hosts databases as groups of members, each member on its own loopback port, in one libev process.

A psql session over three members (writes, a request key, seal, promote, follow) gave the expected answers.

--- /dev/null
+++ b/fakes/answer.c
@@ -0,0 +1,111 @@
+#include "fakes/answer.h"
+
+#include "wire/frame.h"
+
+#define TEXT_OID 25
+
+/* Appends a message without a body. */
+void
+answer_simple(struct conn *c, char type)
+{
+    frame_end(c->out, frame_begin(c->out, type));
+}
+
+/* Appends RowDescription, or NoData for a statement without rows. */
+void
+answer_columns(struct conn *c, const struct sql_statement *st)
+{
+    const unsigned n = st->kind == SQL_SELECT_ROW ? 2 : 1;
+
+    if (!sql_returns_rows(st)) {
+        answer_simple(c, 'n');
+        return;
+    }
+    const size_t at = frame_begin(c->out, 'T');
+    frame_put_u16(c->out, (uint16_t)n);
+    for (unsigned i = 0; i < n; i++) {
+        frame_put_cstring(c->out, i + 1 < n ? "id" : sql_column(st));
+        frame_put_u32(c->out, 0);
+        frame_put_u16(c->out, 0);
+        frame_put_u32(c->out, TEXT_OID);
+        frame_put_u16(c->out, UINT16_MAX); /* variable size */
+        frame_put_u32(c->out, UINT32_MAX); /* no type modifier */
+        frame_put_u16(c->out, 0);          /* text format */
+    }
+    frame_end(c->out, at);
+}
+
+/* Appends an error. */
+void
+answer_error(struct conn *c, const struct result *r)
+{
+    frame_put_error(c->out, "ERROR", r->sqlstate, r->message, r->detail, NULL);
+}
+
+/* Appends one generated row: its number, then filling. */
+static void
+put_generated(struct conn *c, const struct result *r)
+{
+    char number[24];
+    GString *out = c->out;
+
+    g_snprintf(number, sizeof number, "%" PRIu64 " ", r->next);
+    const size_t at = frame_begin(out, 'D');
+    frame_put_u16(out, 1);
+    frame_put_u32(out, (uint32_t)r->row_bytes);
+    const size_t n = MIN(strlen(number), r->row_bytes);
+    g_string_append_len(out, number, (gssize)n);
+    const size_t from = out->len;
+    g_string_set_size(out, from + r->row_bytes - n);
+    memset(out->str + from, '.', r->row_bytes - n);
+    frame_end(out, at);
+}
+
+/* Appends the only row of a result. */
+static void
+put_row(struct conn *c, const struct result *r)
+{
+    const size_t at = frame_begin(c->out, 'D');
+
+    frame_put_u16(c->out, (uint16_t)r->n_columns);
+    for (unsigned i = 0; i < r->n_columns; i++) {
+        const size_t n = strlen(r->columns[i]);
+        frame_put_u32(c->out, (uint32_t)n);
+        g_string_append_len(c->out, r->columns[i], (gssize)n);
+    }
+    frame_end(c->out, at);
+}
+
+/* Appends rows until all are sent, or limit of them (0: no limit) are.
+   Returns false when the socket has to take some output first. */
+bool
+answer_rows(struct conn *c, struct result *r, uint32_t limit, uint32_t *sent)
+{
+    while (r->next < r->total && (limit == 0 || *sent < limit)) {
+        if (c->out->len - c->out_pos >= CONN_OUT_HIGH_BYTES) {
+            return false;
+        }
+        if (r->row_bytes > 0) {
+            put_generated(c, r);
+        }
+        else {
+            put_row(c, r);
+        }
+        r->next++;
+        (*sent)++;
+    }
+    return true;
+}
+
+/* Appends CommandComplete, or EmptyQueryResponse. */
+void
+answer_complete(struct conn *c, const struct result *r)
+{
+    if (r->tag[0] == '\0') {
+        answer_simple(c, 'I');
+        return;
+    }
+    const size_t at = frame_begin(c->out, 'C');
+    frame_put_cstring(c->out, r->tag);
+    frame_end(c->out, at);
+}
--- /dev/null
+++ b/fakes/calls.c
@@ -0,0 +1,196 @@
+#include "fakes/calls.h"
+
+#include <stdio.h>
+
+/* Answers with the member's state. */
+static void
+answer_state(struct conn *c)
+{
+    char *text = g_malloc(GROUP_STATE_BYTES);
+
+    group_state(c->member->db->group, c->member->index, clock_now(), text);
+    exec_text(c, text);
+}
+
+/* Answers a call that seals, promotes or follows. */
+static void
+run_term_call(struct conn *c)
+{
+    struct host_database *db = c->member->db;
+    const unsigned self = c->member->index;
+    const uint64_t term = g_ascii_strtoull(c->run.args[0], NULL, 10);
+    enum group_status status = GROUP_REFUSED;
+    unsigned primary = 0;
+
+    switch (c->run.st->function) {
+    case SQL_GROUP_SEAL: {
+        char *text = g_malloc(GROUP_STATE_BYTES);
+        group_seal(db->group, self, term, text);
+        exec_text(c, text);
+        return;
+    }
+    case SQL_GROUP_PROMOTE:
+        status = group_promote(db->group, self, term, clock_now());
+        break;
+    default:
+        for (primary = 0; primary < db->n; primary++) {
+            if (db->members[primary].port ==
+                (int)g_ascii_strtoll(c->run.args[2], NULL, 10)) {
+                status =
+                    group_follow(db->group, self, term, primary, clock_now());
+            }
+        }
+        break;
+    }
+    if (status != GROUP_OK) {
+        exec_error(c, "55000", "the member's sealed term forbids this");
+        return;
+    }
+    answer_state(c);
+}
+
+/* Stores a result beside a request key in the same transaction. */
+static void
+run_store(struct conn *c)
+{
+    g_autofree char *key =
+        g_strdup_printf("%c%s", STORE_REQUESTS, c->run.args[0]);
+
+    session_add_op(&c->session, OP_PUT, key, c->run.args[1]);
+    exec_text(c, g_strdup("stored"));
+}
+
+/* Claims a request key. */
+static void
+run_claim(struct conn *c)
+{
+    g_autofree char *key =
+        g_strdup_printf("%c%s", STORE_REQUESTS, c->run.args[0]);
+
+    exec_insert(c, key, "");
+    if (c->wait == CONN_WAIT_NONE && c->run.result.sqlstate == NULL &&
+        c->run.stage == EXEC_DONE) {
+        exec_text(c, g_strdup("claimed"));
+    }
+}
+
+/* Prepares rows that are made while the socket takes them. */
+static void
+run_rows(struct conn *c)
+{
+    struct result *r = &c->run.result;
+
+    exec_text(c, NULL);
+    r->total = g_ascii_strtoull(c->run.args[0], NULL, 10);
+    r->row_bytes = (size_t)g_ascii_strtoull(c->run.args[1], NULL, 10);
+    if (r->row_bytes == 0 || r->row_bytes > CONN_MESSAGE_MAX_BYTES) {
+        exec_error(c, "22023", "row size is out of range");
+        return;
+    }
+    snprintf(r->tag, sizeof r->tag, "SELECT %" PRIu64, r->total);
+}
+
+/* Answers with the settings and prepared statements of the connection. */
+static void
+run_session(struct conn *c)
+{
+    GString *out = g_string_new(NULL);
+
+    session_describe(&c->session, out);
+    g_string_append_printf(out, "prepared=%u", g_hash_table_size(c->prepared));
+    exec_text(c, g_string_free(out, FALSE));
+}
+
+/* Injects a fault or answers the counters. */
+static void
+run_fake(struct conn *c)
+{
+    GString *out = g_string_new(NULL);
+
+    if (c->run.st->function == SQL_FAKE_STATS) {
+        host_stats(c->member->db, out);
+        exec_text(c, g_string_free(out, FALSE));
+        return;
+    }
+    if (!c->control) {
+        exec_error(c, "42501", "only " HOST_CONTROL_USER " may do this");
+    }
+    else if (!host_fault(c, c->run.args[0], c->run.args[1], out)) {
+        exec_error(c, "22023", "unknown fault or member");
+    }
+    else {
+        exec_text(c, g_string_free(out, FALSE));
+        return;
+    }
+    g_string_free(out, TRUE);
+}
+
+/* Runs a function call; it may start to wait instead. */
+void
+calls_run(struct conn *c)
+{
+    const char *v = NULL;
+
+    switch (c->run.st->function) {
+    case SQL_GROUP_STATE:
+        answer_state(c);
+        return;
+    case SQL_GROUP_CONFIRM:
+    case SQL_REQUEST_LOOKUP:
+        exec_confirm(c);
+        return;
+    case SQL_GROUP_SEAL:
+    case SQL_GROUP_PROMOTE:
+    case SQL_GROUP_FOLLOW:
+        run_term_call(c);
+        return;
+    case SQL_REQUEST_CLAIM:
+        run_claim(c);
+        return;
+    case SQL_REQUEST_STORE:
+        run_store(c);
+        return;
+    case SQL_CURRENT_SETTING:
+        v = session_setting(&c->session, c->run.args[0]);
+        if (v == NULL) {
+            exec_error(c, "42704", "unrecognized configuration parameter");
+            return;
+        }
+        exec_text(c, g_strdup(v));
+        return;
+    case SQL_FAKE_ROWS:
+        run_rows(c);
+        return;
+    case SQL_FAKE_SLEEP:
+        exec_text(c, g_strdup(""));
+        return;
+    case SQL_FAKE_FAULT:
+    case SQL_FAKE_STATS:
+        run_fake(c);
+        return;
+    case SQL_FAKE_SESSION:
+        run_session(c);
+        return;
+    }
+}
+
+/* Answers group_confirm() and lookups once a majority has confirmed. */
+void
+calls_confirmed(struct conn *c)
+{
+    if (c->wake_status != GROUP_OK) {
+        exec_error(c, "25006", "this member is no longer the primary");
+        return;
+    }
+    if (c->run.st->function == SQL_GROUP_CONFIRM) {
+        answer_state(c);
+    }
+    else {
+        g_autofree char *key =
+            g_strdup_printf("%c%s", STORE_REQUESTS, c->run.args[0]);
+        const char *v = store_get(
+            group_visible(c->member->db->group, c->member->index), key);
+        exec_text(c, g_strdup(v != NULL ? v : "absent"));
+    }
+    c->run.stage = EXEC_COMMIT;
+}
--- /dev/null
+++ b/fakes/host.c
@@ -0,0 +1,492 @@
+#define _GNU_SOURCE /* accept4 */
+#define LOG_MODULE "host"
+
+#include "fakes/conn.h"
+
+#include "base/log.h"
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <fcntl.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#define LISTEN_BACKLOG 4096
+
+/* Accepts the connections that wait on a member's port. */
+static void
+on_accept(struct ev_loop *loop, ev_io *w, int events)
+{
+    struct host_member *m = w->data;
+
+    (void)loop;
+    (void)events;
+    for (;;) {
+        const int fd =
+            accept4(m->listen_fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
+        if (fd < 0) {
+            return;
+        }
+        conn_accept(m, fd);
+    }
+}
+
+/* Opens a member's port on loopback. */
+static bool
+open_port(struct host_member *m)
+{
+    const struct sockaddr_in address = {
+        .sin_family = AF_INET,
+        .sin_port = htons((uint16_t)m->port),
+        .sin_addr.s_addr = htonl(INADDR_LOOPBACK),
+    };
+    const int on = 1;
+    const int fd =
+        socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+
+    if (fd < 0) {
+        return false;
+    }
+    setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+    if (bind(fd, (const struct sockaddr *)&address, sizeof address) != 0 ||
+        listen(fd, LISTEN_BACKLOG) != 0) {
+        LOG_ERROR("listen", m->db->name, "port %d: %s", m->port,
+                  g_strerror(errno));
+        close(fd);
+        return false;
+    }
+    m->listen_fd = fd;
+    ev_io_init(&m->listener, on_accept, fd, EV_READ);
+    m->listener.data = m;
+    ev_io_start(m->db->host->loop, &m->listener);
+    return true;
+}
+
+/* Closes a member's port, so that new connections are refused. */
+static void
+close_port(struct host_member *m)
+{
+    if (m->listen_fd >= 0) {
+        ev_io_stop(m->db->host->loop, &m->listener);
+        close(m->listen_fd);
+        m->listen_fd = -1;
+    }
+}
+
+/* Does nothing; the prepare watcher that follows runs the groups. */
+static void
+on_wake(struct ev_loop *loop, ev_timer *w, int events)
+{
+    (void)loop;
+    (void)w;
+    (void)events;
+}
+
+/* Runs groups and the connections that they woke until nothing is left, then
+   sets the timer for the next message or heartbeat. */
+static void
+on_pump(struct ev_loop *loop, ev_prepare *w, int events)
+{
+    struct host *h = w->data;
+    const clock_ms now = clock_now();
+    clock_ms due = CLOCK_NEVER;
+
+    (void)events;
+    do {
+        struct conn *c = NULL;
+        due = CLOCK_NEVER;
+        for (guint i = 0; i < h->databases->len; i++) {
+            struct host_database *db = g_ptr_array_index(h->databases, i);
+            group_run(db->group, now);
+        }
+        while ((c = g_queue_pop_head(&h->ready)) != NULL) {
+            c->is_ready = false;
+            conn_resume(c);
+        }
+        for (guint i = 0; i < h->databases->len; i++) {
+            struct host_database *db = g_ptr_array_index(h->databases, i);
+            due = MIN(due, group_next_due(db->group, now));
+        }
+    } while (due <= now);
+    ev_timer_stop(loop, &h->wake);
+    ev_timer_set(&h->wake, (double)(due - now) / 1000, 0);
+    ev_timer_start(loop, &h->wake);
+}
+
+/* Creates a host without databases. */
+struct host *
+host_create(struct ev_loop *loop, const struct host_options *options)
+{
+    struct host *h = g_new0(struct host, 1);
+
+    h->loop = loop;
+    h->options = *options;
+    h->databases = g_ptr_array_new();
+    h->by_pid = g_hash_table_new(g_direct_hash, g_direct_equal);
+    ev_prepare_init(&h->pump, on_pump);
+    h->pump.data = h;
+    ev_prepare_start(loop, &h->pump);
+    ev_timer_init(&h->wake, on_wake, 0, 0);
+    return h;
+}
+
+/* Adds a database from `NAME=port,port,port` and opens its ports. */
+bool
+host_add_database(struct host *h, const char *spec, GError **error)
+{
+    g_auto(GStrv) halves = g_strsplit(spec, "=", 2);
+    g_auto(GStrv) ports = g_strsplit(
+        halves[0] != NULL && halves[1] != NULL ? halves[1] : "", ",", -1);
+    const unsigned n = g_strv_length(ports);
+
+    if (n == 0 || n > GROUP_MEMBERS_MAX) {
+        g_set_error(error, G_OPTION_ERROR, G_OPTION_ERROR_BAD_VALUE,
+                    "--database %s: expected NAME=port,port,port", spec);
+        return false;
+    }
+    const struct group_options options = {
+        .members = n,
+        .delay_ms = h->options.replication_delay_ms,
+        .auto_follow = h->options.auto_follow,
+    };
+    struct host_database *db = g_new0(struct host_database, 1);
+    db->host = h;
+    db->name = g_strdup(halves[0]);
+    db->n = n;
+    db->group = group_create(&options, clock_now());
+    g_ptr_array_add(h->databases, db);
+    for (unsigned i = 0; i < n; i++) {
+        struct host_member *m = &db->members[i];
+        m->db = db;
+        m->index = i;
+        m->port = (int)g_ascii_strtoll(ports[i], NULL, 10);
+        m->listen_fd = -1;
+        m->slow = 1;
+        m->locks =
+            g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+        if (m->port <= 0 || m->port > 65535 || !open_port(m)) {
+            g_set_error(error, G_OPTION_ERROR, G_OPTION_ERROR_BAD_VALUE,
+                        "--database %s: cannot listen on port %s", spec,
+                        ports[i]);
+            return false;
+        }
+    }
+    return true;
+}
+
+/* Closes all connections and ports and frees the host. */
+void
+host_destroy(struct host *h)
+{
+    for (guint i = 0; i < h->databases->len; i++) {
+        struct host_database *db = g_ptr_array_index(h->databases, i);
+        for (unsigned k = 0; k < db->n; k++) {
+            struct host_member *m = &db->members[k];
+            while (m->conns.head != NULL) {
+                conn_close(m->conns.head->data);
+            }
+            if (m->locks != NULL) {
+                close_port(m);
+                g_hash_table_destroy(m->locks);
+            }
+        }
+        group_destroy(db->group);
+        g_free(db->name);
+        g_free(db);
+    }
+    ev_prepare_stop(h->loop, &h->pump);
+    ev_timer_stop(h->loop, &h->wake);
+    g_ptr_array_free(h->databases, TRUE);
+    g_hash_table_destroy(h->by_pid);
+    g_free(h);
+}
+
+/* Closes connections whose other end has left but whose end of file is not
+   read yet, so that a close followed by a connect is not refused. */
+static void
+sweep(struct host_database *db)
+{
+    for (unsigned i = 0; i < db->n; i++) {
+        GList *next = NULL;
+        for (GList *l = db->members[i].conns.head; l != NULL; l = next) {
+            struct conn *c = l->data;
+            next = l->next;
+            if (c->admitted && conn_peer_left(c)) {
+                conn_close(c);
+            }
+        }
+    }
+}
+
+/* Counts a connection when there is room for it; else returns false. */
+bool
+host_admit(struct conn *c)
+{
+    struct host_member *m = c->member;
+    struct host_database *db = m->db;
+    const int limit = c->host->options.connections;
+
+    if ((c->control && m->control_connections >= HOST_CONTROL_CONNECTIONS) ||
+        (!c->control && db->connections >= limit)) {
+        sweep(db);
+    }
+    if (c->control) {
+        if (m->control_connections >= HOST_CONTROL_CONNECTIONS) {
+            db->refused_control++;
+            return false;
+        }
+        m->control_connections++;
+    }
+    else {
+        if (db->connections >= limit) {
+            db->refused++;
+            return false;
+        }
+        db->connections++;
+        db->max_connections = MAX(db->max_connections, db->connections);
+    }
+    c->admitted = true;
+    return true;
+}
+
+/* Ends the counting of a connection. */
+void
+host_leave(struct conn *c)
+{
+    if (c->admitted) {
+        c->admitted = false;
+        if (c->control) {
+            c->member->control_connections--;
+        }
+        else {
+            c->member->db->connections--;
+        }
+    }
+}
+
+/* Puts a connection into the queue of those whose wait is over. */
+void
+host_ready(struct host *h, struct conn *c)
+{
+    if (!c->is_ready) {
+        c->is_ready = true;
+        g_queue_push_tail(&h->ready, c);
+    }
+}
+
+/* Counts a statement that begins to execute. */
+static void
+occupy(struct host_member *m, struct conn *c, bool is_long)
+{
+    c->run.has_slot = true;
+    m->running++;
+    if (is_long) {
+        m->running_long++;
+        m->max_running_long = MAX(m->max_running_long, m->running_long);
+        m->db->slots_full_of_long +=
+            m->running_long == m->db->host->options.slots;
+    }
+}
+
+/* Takes a slot, or queues the connection and returns false. */
+bool
+host_take_slot(struct host_member *m, struct conn *c, bool is_long)
+{
+    if (m->running >= m->db->host->options.slots ||
+        m->slot_queue.head != NULL) {
+        g_queue_push_tail(&m->slot_queue, c);
+        return false;
+    }
+    occupy(m, c, is_long);
+    return true;
+}
+
+/* Gives a slot back and lets the first waiting statement have it. */
+void
+host_give_slot(struct host_member *m, bool is_long)
+{
+    m->running--;
+    m->running_long -= is_long;
+    struct conn *next = g_queue_pop_head(&m->slot_queue);
+    if (next != NULL) {
+        occupy(m, next, next->run.is_long);
+        host_ready(m->db->host, next);
+    }
+}
+
+/* Locks a key for a connection's transaction. Returns false when another one
+   holds it; *deadlock tells that it waits for this connection in turn. */
+bool
+host_lock(struct host_member *m, struct conn *c, const char *key,
+          bool *deadlock)
+{
+    struct conn *owner = g_hash_table_lookup(m->locks, key);
+
+    if (owner == NULL || owner == c) {
+        if (owner == NULL) {
+            g_hash_table_insert(m->locks, g_strdup(key), c);
+            c->locks++;
+        }
+        return true;
+    }
+    while (owner != NULL && owner != c && owner->lock_key != NULL) {
+        owner = g_hash_table_lookup(m->locks, owner->lock_key);
+    }
+    *deadlock = owner == c;
+    if (!*deadlock) {
+        g_queue_push_tail(&m->lock_queue, c);
+    }
+    return false;
+}
+
+/* Tells whether a lock belongs to a connection. */
+static gboolean
+lock_is_of(gpointer key, gpointer owner, gpointer c)
+{
+    (void)key;
+    return owner == c;
+}
+
+/* Lets go of a connection's locks; everyone who waits tries again. */
+void
+host_unlock_all(struct host_member *m, struct conn *c)
+{
+    struct conn *waiting = NULL;
+
+    if (c->locks == 0) {
+        return;
+    }
+    c->locks = 0;
+    g_hash_table_foreach_remove(m->locks, lock_is_of, c);
+    while ((waiting = g_queue_pop_head(&m->lock_queue)) != NULL) {
+        g_clear_pointer(&waiting->lock_key, g_free);
+        host_ready(m->db->host, waiting);
+    }
+}
+
+/* Closes all connections of a member but one, which is closed as soon as its
+   answer is sent. */
+static void
+close_all(struct host_member *m, struct conn *last)
+{
+    GList *next = NULL;
+
+    for (GList *l = m->conns.head; l != NULL; l = next) {
+        struct conn *c = l->data;
+        next = l->next;
+        if (c != last) {
+            conn_close(c);
+        }
+        else {
+            c->close_after_flush = true;
+        }
+    }
+}
+
+/* Finds a member by index or port. */
+static struct host_member *
+find_member(struct host_database *db, const char *text)
+{
+    char *end = NULL;
+    const uint64_t n = g_ascii_strtoull(text, &end, 10);
+
+    if (end == text) {
+        return NULL;
+    }
+    for (unsigned i = 0; i < db->n; i++) {
+        if (n == i || n == (uint64_t)db->members[i].port) {
+            return &db->members[i];
+        }
+    }
+    return NULL;
+}
+
+/* Injects a fault. args are the member (index or port) and, for lag and
+   slow, a number. Writes what was done; returns false for unknown faults. */
+bool
+host_fault(struct conn *c, const char *kind, const char *args, GString *answer)
+{
+    struct host_database *db = c->member->db;
+    g_auto(GStrv) words = g_strsplit(args, " ", 2);
+    struct host_member *m =
+        words[0] != NULL ? find_member(db, words[0]) : NULL;
+    const clock_ms now = clock_now();
+
+    if (m == NULL) {
+        return false;
+    }
+    const int64_t number =
+        words[1] != NULL ? g_ascii_strtoll(words[1], NULL, 10) : 0;
+    if (strcmp(kind, "kill") == 0) {
+        group_set_alive(db->group, m->index, false, now);
+        close_port(m);
+        close_all(m, c);
+    }
+    else if (strcmp(kind, "revive") == 0) {
+        group_set_alive(db->group, m->index, true, now);
+        if (m->listen_fd < 0 && !open_port(m)) {
+            return false;
+        }
+    }
+    else if (strcmp(kind, "isolate") == 0) {
+        group_set_isolated(db->group, m->index, true);
+    }
+    else if (strcmp(kind, "heal") == 0) {
+        group_set_isolated(db->group, m->index, false);
+        group_set_lag(db->group, m->index, 0);
+        m->slow = 1;
+    }
+    else if (strcmp(kind, "silent") == 0) {
+        for (GList *l = m->conns.head; l != NULL; l = l->next) {
+            if (l->data != c) {
+                conn_silence(l->data);
+            }
+        }
+    }
+    else if (strcmp(kind, "lag") == 0) {
+        group_set_lag(db->group, m->index, number);
+    }
+    else if (strcmp(kind, "slow") == 0) {
+        m->slow = (unsigned)MAX(number, 1);
+    }
+    else {
+        return false;
+    }
+    g_string_append_printf(answer, "%s %u", kind, m->index);
+    return true;
+}
+
+/* Writes the counters of a database as `key=value ...`. */
+void
+host_stats(const struct host_database *db, GString *out)
+{
+    const struct group_violations *v = group_get_violations(db->group);
+    const int primary = group_current_primary(db->group);
+    int max_long = 0;
+
+    for (unsigned i = 0; i < db->n; i++) {
+        max_long = MAX(max_long, db->members[i].max_running_long);
+    }
+    g_string_append_printf(
+        out,
+        "database=%s statements=%" PRIu64 " connections=%d "
+        "max_connections=%d refused_connections=%" PRIu64
+        " connection_cap_violations=%" PRIu64
+        " refused_control_connections=%" PRIu64
+        " max_running_long=%d slots_full_of_long=%" PRIu64
+        " mixed_statements=%" PRIu64 " primary=%d term=%" PRIu64
+        " position=%" PRIu64 " lost_acknowledged=%" PRIu64 " diverged=%" PRIu64
+        " double_promotion=%" PRIu64 " replaced_acks=%" PRIu64,
+        db->name, db->statements, db->connections, db->max_connections,
+        db->refused, db->refused, db->refused_control, max_long,
+        db->slots_full_of_long, db->mixed_statements, primary,
+        primary < 0 ? 0 : group_sealed_term(db->group, (unsigned)primary),
+        primary < 0 ? 0 : group_position(db->group, (unsigned)primary),
+        v->lost_acknowledged, v->diverged, v->double_promotion,
+        v->replaced_acks);
+    for (unsigned i = 0; i < db->n; i++) {
+        g_string_append_printf(out, " max_running_long_%u=%d", i,
+                               db->members[i].max_running_long);
+    }
+}
--- /dev/null
+++ b/fakes/protocol.c
@@ -0,0 +1,311 @@
+#include "fakes/protocol.h"
+
+#include "fakes/answer.h"
+#include "fakes/exec.h"
+#include "fakes/extended.h"
+#include "wire/frame.h"
+
+/* Prepares the protocol state of a new connection. */
+void
+protocol_init(struct conn *c)
+{
+    c->prepared = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+                                        extended_prepared_free);
+    c->portals = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+                                       extended_portal_free);
+}
+
+/* Frees the protocol state. */
+void
+protocol_clear(struct conn *c)
+{
+    g_hash_table_destroy(c->portals);
+    g_hash_table_destroy(c->prepared);
+    sql_clear(&c->query_st);
+    g_free(c->query);
+}
+
+/* Sends the authentication answer and what follows it. */
+void
+protocol_open(struct conn *c)
+{
+    static const char *const reported[] = {
+        "server_version",   "client_encoding", "standard_conforming_strings",
+        "datestyle",        "timezone",        "integer_datetimes",
+        "application_name",
+    };
+
+    c->phase = CONN_OPEN;
+    size_t at = frame_begin(c->out, 'R');
+    frame_put_u32(c->out, 0);
+    frame_end(c->out, at);
+    for (size_t i = 0; i < G_N_ELEMENTS(reported); i++) {
+        frame_put_parameter(c->out, session_canonical_name(reported[i]),
+                            session_setting(&c->session, reported[i]));
+    }
+    at = frame_begin(c->out, 'K');
+    frame_put_u32(c->out, c->pid);
+    frame_put_u32(c->out, c->key);
+    frame_end(c->out, at);
+    frame_put_ready(c->out, 'I');
+}
+
+/* Reads `-c name=value` pairs of the start-up parameter options. */
+static void
+read_options(struct conn *c, const char *text)
+{
+    g_auto(GStrv) words = g_strsplit(text, " ", -1);
+
+    for (unsigned i = 0; words[i] != NULL; i++) {
+        const char *w = words[i];
+        if (strcmp(w, "-c") == 0 && words[i + 1] != NULL) {
+            w = words[++i];
+        }
+        else if (g_str_has_prefix(w, "-c") || g_str_has_prefix(w, "--")) {
+            w += 2;
+        }
+        g_auto(GStrv) pair = g_strsplit(w, "=", 2);
+        if (pair[0] != NULL && pair[1] != NULL) {
+            session_set_startup(&c->session, pair[0], pair[1]);
+        }
+    }
+}
+
+/* Reads the start-up parameters. */
+static bool
+read_startup(struct conn *c, struct frame_reader r)
+{
+    while (r.rest.n > 1) {
+        const char *name = frame_read_cstring(&r).p;
+        const char *value = frame_read_cstring(&r).p;
+        if (r.failed) {
+            return false;
+        }
+        if (strcmp(name, "user") == 0) {
+            c->control = strcmp(value, HOST_CONTROL_USER) == 0;
+        }
+        else if (strcmp(name, "options") == 0) {
+            read_options(c, value);
+        }
+        else if (strcmp(name, "database") != 0) {
+            session_set_startup(&c->session, name, value);
+        }
+    }
+    return true;
+}
+
+/* Handles one start-up packet. */
+static bool
+next_startup(struct conn *c)
+{
+    const struct sview in = {c->in->str + c->in_pos, c->in->len - c->in_pos};
+    struct frame f;
+    const enum frame_status status = frame_next_startup(in, &f);
+
+    if (status == FRAME_INCOMPLETE) {
+        return false;
+    }
+    if (status != FRAME_COMPLETE) {
+        c->close_after_flush = true;
+        return false;
+    }
+    c->in_pos += f.total_bytes;
+    struct frame_reader r = {.rest = f.body};
+    const uint32_t code = frame_read_u32(&r);
+    if (code == FRAME_SSL_CODE || code == FRAME_GSS_CODE) {
+        g_string_append_c(c->out, 'N');
+        return true;
+    }
+    if (code == FRAME_CANCEL_CODE) {
+        const uint32_t pid = frame_read_u32(&r);
+        conn_cancel(c->host, pid, frame_read_u32(&r));
+        c->close_after_flush = true;
+        return false;
+    }
+    if (code >> 16 != FRAME_STARTUP_VERSION >> 16 || !read_startup(c, r)) {
+        conn_fatal(c, "08P01", "unsupported or malformed start-up packet");
+        return false;
+    }
+    if (!host_admit(c)) {
+        conn_fatal(c, "53300", "too many connections");
+        return false;
+    }
+    const int delay = c->host->options.connect_delay_ms;
+    if (delay > 0) {
+        c->phase = CONN_AUTH_DELAY;
+        ev_timer_set(&c->cost, (double)delay / 1000, 0);
+        ev_timer_start(c->host->loop, &c->cost);
+        return false;
+    }
+    protocol_open(c);
+    return true;
+}
+
+/* Ends a simple Query. */
+static void
+end_query(struct conn *c)
+{
+    c->in_query = false;
+    g_clear_pointer(&c->query, g_free);
+    frame_put_ready(c->out, session_status(&c->session));
+}
+
+/* Ends a Query with an error outside a statement. */
+static void
+query_error(struct conn *c, const char *code, const char *message)
+{
+    frame_put_error(c->out, "ERROR", code, message, NULL, NULL);
+    exec_fail_transaction(c);
+    end_query(c);
+}
+
+/* Tells whether only white space and semicolons are left of a Query. */
+static bool
+query_is_empty(const struct conn *c)
+{
+    return sview_trim(c->query_rest).n == 0;
+}
+
+/* Reports a changed setting that clients are told about. */
+static void
+report_setting(struct conn *c, const struct sql_statement *st)
+{
+    const char *name = NULL;
+
+    if (st->kind == SQL_SET || st->kind == SQL_SET_LOCAL ||
+        st->kind == SQL_RESET) {
+        name = session_canonical_name(st->args[0].text);
+    }
+    if (name != NULL) {
+        frame_put_parameter(c->out, name,
+                            session_setting(&c->session, st->args[0].text));
+    }
+}
+
+/* Sends the result of a Query's statement. Returns false while rows wait for
+   the socket. */
+static bool
+send_query_result(struct conn *c)
+{
+    struct result *r = &c->run.result;
+
+    if (r->sqlstate != NULL) {
+        answer_error(c, r);
+        exec_drop(c);
+        sql_clear(&c->query_st);
+        end_query(c);
+        return true;
+    }
+    if (!c->result_begun) {
+        c->result_begun = true;
+        c->execute_sent = 0;
+        if (sql_returns_rows(&c->query_st)) {
+            answer_columns(c, &c->query_st);
+        }
+    }
+    if (!answer_rows(c, r, 0, &c->execute_sent)) {
+        conn_wait(c, CONN_WAIT_DRAIN);
+        return false;
+    }
+    report_setting(c, &c->query_st);
+    if (c->query_st.kind != SQL_EMPTY || c->query_empty) {
+        answer_complete(c, r);
+    }
+    exec_drop(c);
+    sql_clear(&c->query_st);
+    return true;
+}
+
+/* Runs the statements of a Query as far as nothing has to be waited for. */
+static void
+run_query(struct conn *c, bool stepping)
+{
+    for (;;) {
+        if (stepping) {
+            if (!exec_step(c) || !send_query_result(c) || !c->in_query) {
+                return;
+            }
+            if (query_is_empty(c)) {
+                end_query(c);
+                return;
+            }
+        }
+        char *args[SQL_ARGS_MAX];
+        if (!sql_parse(&c->query_rest, &c->query_st)) {
+            query_error(c, "42601", "syntax error or unknown statement");
+            return;
+        }
+        if (c->query_st.n_params > 0) {
+            sql_clear(&c->query_st);
+            query_error(c, "42P02", "there is no parameter $1");
+            return;
+        }
+        for (unsigned i = 0; i < c->query_st.n_args; i++) {
+            args[i] = c->query_st.args[i].text;
+        }
+        c->result_begun = false;
+        exec_start(c, &c->query_st, args, query_is_empty(c));
+        stepping = true;
+    }
+}
+
+/* Handles a simple Query. */
+static void
+start_query(struct conn *c, struct sview body)
+{
+    if (body.n == 0 || body.p[body.n - 1] != '\0') {
+        conn_fatal(c, "08P01", "malformed Query message");
+        return;
+    }
+    c->in_query = true;
+    c->query = g_strndup(body.p, body.n);
+    c->query_rest = (struct sview){c->query, strlen(c->query)};
+    c->query_empty = query_is_empty(c);
+    run_query(c, false);
+}
+
+/* Handles the next buffered message. Returns false when none is whole or the
+   connection has to wait. */
+bool
+protocol_next(struct conn *c)
+{
+    if (c->phase != CONN_OPEN) {
+        return c->phase == CONN_STARTUP && next_startup(c);
+    }
+    const struct sview in = {c->in->str + c->in_pos, c->in->len - c->in_pos};
+    struct frame f;
+    const enum frame_status status =
+        frame_next(in, CONN_MESSAGE_MAX_BYTES, &f);
+    if (status == FRAME_INCOMPLETE) {
+        return false;
+    }
+    if (status != FRAME_COMPLETE) {
+        conn_fatal(c, "08P01", "malformed message");
+        return false;
+    }
+    c->in_pos += f.total_bytes;
+    if (f.type == 'X') {
+        c->close_after_flush = true;
+        return false;
+    }
+    if (f.type == 'Q' && !c->skip_to_sync) {
+        start_query(c, f.body);
+        return true;
+    }
+    extended_message(c, f.type, f.body);
+    return true;
+}
+
+/* Goes on with the statement whose wait is over. Returns true when the next
+   message can be handled. */
+bool
+protocol_continue(struct conn *c)
+{
+    if (c->in_query) {
+        run_query(c, true);
+    }
+    else {
+        extended_continue(c);
+    }
+    return c->wait == CONN_WAIT_NONE;
+}
--- /dev/null
+++ b/fakes/store.c
@@ -0,0 +1,97 @@
+#include "fakes/store.h"
+
+#include <errno.h>
+#include <stdlib.h>
+
+struct store {
+    GHashTable *rows;
+    uint64_t counts[256];
+};
+
+/* Creates an empty store. */
+struct store *
+store_create(void)
+{
+    struct store *s = g_new0(struct store, 1);
+
+    s->rows = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    return s;
+}
+
+/* Frees the store and its rows. */
+void
+store_destroy(struct store *s)
+{
+    if (s != NULL) {
+        g_hash_table_destroy(s->rows);
+        g_free(s);
+    }
+}
+
+/* Returns the value of a row, NULL when it is absent. */
+const char *
+store_get(const struct store *s, const char *key)
+{
+    return g_hash_table_lookup(s->rows, key);
+}
+
+/* Sets the value of a row, which need not exist. */
+void
+store_put(struct store *s, const char *key, const char *value)
+{
+    if (g_hash_table_replace(s->rows, g_strdup(key), g_strdup(value))) {
+        s->counts[(unsigned char)key[0]]++;
+    }
+}
+
+/* Returns the number of rows of one table. */
+uint64_t
+store_count(const struct store *s, enum store_table table)
+{
+    return s->counts[(unsigned char)table];
+}
+
+/* Frees what an operation owns. */
+void
+op_clear(struct op *o)
+{
+    g_free(o->key);
+    g_free(o->value);
+}
+
+/* Reads a whole decimal number. */
+static bool
+parse_number(const char *s, int64_t *out)
+{
+    char *end = NULL;
+
+    errno = 0;
+    *out = g_ascii_strtoll(s, &end, 10);
+    return errno == 0 && end != s && *end == '\0';
+}
+
+/* Computes the value of a row after an operation. *next stays NULL when the
+   row does not change. Returns false for arithmetic on text that is no
+   number or leaves the range of 64 bits. */
+bool
+op_apply(const struct op *o, const char *current, char **next)
+{
+    int64_t a = 0;
+    int64_t b = 0;
+    int64_t sum = 0;
+
+    *next = NULL;
+    if (o->kind == OP_ADD) {
+        if (!parse_number(o->value, &b) ||
+            (current != NULL && !parse_number(current, &a)) ||
+            __builtin_add_overflow(a, b, &sum)) {
+            return false;
+        }
+        *next = g_strdup_printf("%" G_GINT64_FORMAT, sum);
+        return true;
+    }
+    if (o->kind != OP_SET || current != NULL) {
+        *next = g_strdup(o->value);
+    }
+    return true;
+}
