Correct timeouts, cancels and setting reports of the fake group

A statement timeout began anew with each wait; rows in transfer ignored a cancel request; a Query with a syntax error ran its earlier statements; a rollback or RESET did not report the restored setting; a client that sent Terminate and closed still counted against the connection limit for one loop iteration.

Conclusion: behaviour follows PostgreSQL in these points.

--- a/fakes/answer.c
+++ b/fakes/answer.c
@@ -109,3 +109,30 @@
     frame_put_cstring(c->out, r->tag);
     frame_end(c->out, at);
 }
+
+/* Reports the settings that changed since the last report. */
+static void
+report_settings(struct conn *c)
+{
+    c->session.changed = false;
+    for (unsigned i = 0; i < SESSION_REPORTED; i++) {
+        const char *name = session_reported(i);
+        g_autofree char *lower = g_ascii_strdown(name, -1);
+        const char *value = session_setting(&c->session, lower);
+        if (g_strcmp0(c->reported[i], value) != 0) {
+            g_free(c->reported[i]);
+            c->reported[i] = g_strdup(value);
+            frame_put_parameter(c->out, name, value);
+        }
+    }
+}
+
+/* Appends ReadyForQuery behind the changed settings. */
+void
+answer_ready(struct conn *c)
+{
+    if (c->session.changed) {
+        report_settings(c);
+    }
+    frame_put_ready(c->out, session_status(&c->session));
+}
--- a/fakes/answer.h
+++ b/fakes/answer.h
@@ -10,6 +10,7 @@
 bool answer_rows(struct conn *c, struct result *r, uint32_t limit,
                  uint32_t *sent);
 void answer_complete(struct conn *c, const struct result *r);
+void answer_ready(struct conn *c);
 void answer_simple(struct conn *c, char type);
 
 #endif
--- a/fakes/calls.c
+++ b/fakes/calls.c
@@ -1,5 +1,7 @@
 #include "fakes/calls.h"
 
+#include "fakes/tables.h"
+
 #include <stdio.h>
 
 /* Answers with the member's state. */
@@ -67,7 +69,7 @@
     g_autofree char *key =
         g_strdup_printf("%c%s", STORE_REQUESTS, c->run.args[0]);
 
-    exec_insert(c, key, "");
+    tables_insert(c, key, "");
     if (c->wait == CONN_WAIT_NONE && c->run.result.sqlstate == NULL &&
         c->run.stage == EXEC_DONE) {
         exec_text(c, g_strdup("claimed"));
--- a/fakes/calls.h
+++ b/fakes/calls.h
@@ -13,6 +13,6 @@
 void exec_text(struct conn *c, char *text);
 void exec_barrier(struct conn *c);
 void exec_confirm(struct conn *c);
-void exec_insert(struct conn *c, const char *key, const char *value);
+void exec_finish(struct conn *c, const char *tag);
 
 #endif
--- a/fakes/conn.c
+++ b/fakes/conn.c
@@ -146,26 +146,33 @@
     }
 }
 
-/* Marks what the connection waits for and starts the statement timeout. */
+/* Marks what the connection waits for and arms the rest of the statement
+   timeout, which covers all waits of one statement together. */
 void
 conn_wait(struct conn *c, enum conn_wait wait)
 {
     c->wait = wait;
     if (wait != CONN_WAIT_DRAIN && c->session.statement_timeout_ms > 0) {
+        const double left = c->started_at +
+                            (double)c->session.statement_timeout_ms / 1000 -
+                            ev_now(c->host->loop);
         ev_timer_stop(c->host->loop, &c->limit);
-        ev_timer_set(&c->limit, (double)c->session.statement_timeout_ms / 1000,
-                     0);
+        ev_timer_set(&c->limit, MAX(left, 0), 0);
         ev_timer_start(c->host->loop, &c->limit);
     }
 }
 
 /* Cuts a wait short; the statement ends with an error. Rows that are being
-   sent are not interrupted. */
+   sent end as soon as the socket has taken what is buffered. */
 void
 conn_abort(struct conn *c, const char *code, const char *message)
 {
-    if (c->wait == CONN_WAIT_NONE || c->wait == CONN_WAIT_DRAIN ||
-        c->is_ready) {
+    if (c->wait == CONN_WAIT_NONE || c->is_ready) {
+        return;
+    }
+    if (c->wait == CONN_WAIT_DRAIN) {
+        c->abort_code = code;
+        c->abort_message = message;
         return;
     }
     ev_timer_stop(c->host->loop, &c->cost);
@@ -207,29 +214,41 @@
     ev_io_start(c->host->loop, &c->rd);
 }
 
-/* Tells whether the other end closed an idle connection. */
+/* Tells whether the connection can be closed as soon as its client left. A
+   statement that executes or waits for a slot goes on, as its client cannot
+   take it back; one that waits for a lock or a majority needs no connection
+   any more. */
+static bool
+may_close(const struct conn *c)
+{
+    return c->silent || c->phase != CONN_OPEN ||
+           (c->wait != CONN_WAIT_SLOT && c->wait != CONN_WAIT_COST);
+}
+
+/* Tells whether the other end closed the connection or is about to: clients
+   send Terminate first. */
 bool
 conn_peer_left(struct conn *c)
 {
     char byte = 0;
 
-    if (c->wait != CONN_WAIT_NONE || c->is_ready) {
+    if (!may_close(c) || c->is_ready) {
         return false;
     }
-    return recv(c->fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
+    const ssize_t n = recv(c->fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    if (n == 1) {
+        return byte == 'X' && c->in->len == 0;
+    }
+    return n == 0 || (errno != EAGAIN && errno != EINTR);
 }
 
-/* Handles the end of the input. A statement that executes goes on, as its
-   client cannot take it back; one that waits for a lock or a majority needs
-   no connection any more. */
+/* Handles the end of the input. */
 static void
 handle_eof(struct conn *c)
 {
     c->eof = true;
     ev_io_stop(c->host->loop, &c->rd);
-    if (c->silent || c->wait == CONN_WAIT_NONE || c->phase != CONN_OPEN ||
-        c->wait == CONN_WAIT_LOCK || c->wait == CONN_WAIT_COMMIT ||
-        c->wait == CONN_WAIT_CONFIRM || c->wait == CONN_WAIT_DRAIN) {
+    if (may_close(c)) {
         conn_close(c);
     }
 }
--- a/fakes/conn.h
+++ b/fakes/conn.h
@@ -87,6 +87,7 @@
     ev_timer limit;
     ev_timer idle;
     int64_t idle_armed_ms;
+    ev_tstamp started_at; /* of the statement */
     ev_tstamp active_at;
     GString *in;
     size_t in_pos;
@@ -109,6 +110,7 @@
     char *lock_key; /* waited for */
     unsigned locks;
     struct session session;
+    char *reported[SESSION_REPORTED]; /* values that the client knows */
 
     struct run run;
     bool in_query;
--- a/fakes/exec.c
+++ b/fakes/exec.c
@@ -1,6 +1,7 @@
 #include "fakes/exec.h"
 
 #include "fakes/calls.h"
+#include "fakes/tables.h"
 
 #include <stdio.h>
 
@@ -41,8 +42,8 @@
 }
 
 /* Finishes a statement without rows. */
-static void
-finish(struct conn *c, const char *tag)
+void
+exec_finish(struct conn *c, const char *tag)
 {
     g_strlcpy(c->run.result.tag, tag, sizeof c->run.result.tag);
     c->run.stage = EXEC_DONE;
@@ -143,128 +144,6 @@
     host_unlock_all(c->member, c);
 }
 
-/* Reads a row as the transaction sees it. */
-static bool
-read_row(struct conn *c, const char *key, char **out)
-{
-    const struct store *rows =
-        group_visible(c->member->db->group, c->member->index);
-
-    return session_overlay(&c->session, key, store_get(rows, key), out);
-}
-
-/* Runs a SELECT on a table. */
-static void
-run_select(struct conn *c)
-{
-    const struct sql_statement *st = c->run.st;
-    struct result *r = &c->run.result;
-    g_autofree char *key = NULL;
-    char *value = NULL;
-
-    if (st->kind == SQL_SELECT_COUNT) {
-        const struct store *rows =
-            group_visible(c->member->db->group, c->member->index);
-        uint64_t n = store_count(rows, st->table);
-        GHashTable *seen = g_hash_table_new(g_str_hash, g_str_equal);
-        for (unsigned i = 0; i < c->session.ops->len; i++) {
-            const struct op *o = &g_array_index(c->session.ops, struct op, i);
-            n += o->key[0] == (char)st->table && o->kind != OP_SET &&
-                 store_get(rows, o->key) == NULL &&
-                 g_hash_table_add(seen, o->key);
-        }
-        g_hash_table_destroy(seen);
-        exec_text(c, g_strdup_printf("%" PRIu64, n));
-        return;
-    }
-    key = g_strdup_printf("%c%s", st->table, c->run.args[0]);
-    if (!read_row(c, key, &value)) {
-        exec_error(c, "22P02", "value is not a number in range");
-        return;
-    }
-    if (value == NULL) {
-        finish(c, "SELECT 0");
-        return;
-    }
-    if (st->kind == SQL_SELECT_ROW) {
-        r->columns[1] = value;
-        value = g_strdup(c->run.args[0]);
-    }
-    exec_text(c, value);
-    r->n_columns = r->columns[1] != NULL ? 2 : 1;
-}
-
-/* Takes the lock of a key that must not exist yet. Returns false when the
-   statement has to wait or failed. */
-static bool
-lock_key(struct conn *c, const char *key)
-{
-    bool deadlock = false;
-
-    if (host_lock(c->member, c, key, &deadlock)) {
-        return true;
-    }
-    if (deadlock) {
-        exec_error(c, "40P01", "deadlock detected");
-    }
-    else {
-        c->lock_key = g_strdup(key);
-        conn_wait(c, CONN_WAIT_LOCK);
-    }
-    return false;
-}
-
-/* Buffers an INSERT. A row that exists, committed or not, is an error that
-   is given only after the row's own commit. */
-void
-exec_insert(struct conn *c, const char *key, const char *value)
-{
-    struct session *s = &c->session;
-    char *current = NULL;
-
-    if (!lock_key(c, key)) {
-        return;
-    }
-    const char *tip =
-        group_tip_value(c->member->db->group, c->member->index, key);
-    if (!session_overlay(s, key, tip, &current)) {
-        exec_error(c, "22P02", "value is not a number in range");
-        return;
-    }
-    if (current != NULL) {
-        c->run.result.detail = current;
-        exec_barrier(c);
-        return;
-    }
-    session_add_op(s, OP_INSERT, key, value);
-    finish(c, "INSERT 0 1");
-}
-
-/* Buffers an UPDATE. */
-static void
-run_update(struct conn *c)
-{
-    const struct sql_statement *st = c->run.st;
-    g_autofree char *key = g_strdup_printf("%c%s", st->table, c->run.args[1]);
-    g_autofree char *operand =
-        g_strdup_printf("%s%s", st->subtract ? "-" : "", c->run.args[0]);
-    g_autofree char *current = NULL;
-    g_autofree char *next = NULL;
-    const struct op o = {.kind = st->kind == SQL_UPDATE_ADD ? OP_ADD : OP_SET,
-                         .key = key,
-                         .value = operand};
-    const char *tip =
-        group_tip_value(c->member->db->group, c->member->index, key);
-
-    if (!session_overlay(&c->session, key, tip, &current) ||
-        !op_apply(&o, current, &next)) {
-        exec_error(c, "22P02", "value is not a number in range");
-        return;
-    }
-    session_add_op(&c->session, o.kind, key, operand);
-    finish(c, next != NULL ? "UPDATE 1" : "UPDATE 0");
-}
-
 /* Runs BEGIN, COMMIT and the like. */
 static void
 run_transaction(struct conn *c)
@@ -276,27 +155,27 @@
     case SQL_BEGIN:
         s->tx = SESSION_BLOCK;
         s->read_only = st->read_only;
-        finish(c, "BEGIN");
+        exec_finish(c, "BEGIN");
         return;
     case SQL_COMMIT:
         if (s->failed) {
             exec_end_transaction(c, false);
-            finish(c, "ROLLBACK");
+            exec_finish(c, "ROLLBACK");
             return;
         }
-        finish(c, "COMMIT");
+        exec_finish(c, "COMMIT");
         c->run.stage = EXEC_COMMIT;
         return;
     case SQL_ROLLBACK:
         exec_end_transaction(c, false);
-        finish(c, "ROLLBACK");
+        exec_finish(c, "ROLLBACK");
         return;
     default:
         if (s->tx != SESSION_BLOCK) {
             exec_error(c, "25P01", "there is no transaction in progress");
             return;
         }
-        finish(c, st->kind == SQL_RELEASE ? "RELEASE" : "SAVEPOINT");
+        exec_finish(c, st->kind == SQL_RELEASE ? "RELEASE" : "SAVEPOINT");
         return;
     }
 }
@@ -314,15 +193,15 @@
     case SQL_SET_LOCAL:
         session_set(s, c->run.args[0], c->run.args[1],
                     st->kind == SQL_SET_LOCAL);
-        finish(c, "SET");
+        exec_finish(c, "SET");
         return;
     case SQL_RESET:
         session_reset(s, c->run.args[0]);
-        finish(c, "RESET");
+        exec_finish(c, "RESET");
         return;
     case SQL_RESET_ALL:
         session_reset_all(s);
-        finish(c, "RESET");
+        exec_finish(c, "RESET");
         return;
     case SQL_DISCARD_ALL:
         if (s->tx == SESSION_BLOCK) {
@@ -333,7 +212,7 @@
         }
         session_reset_all(s);
         g_hash_table_remove_all(c->prepared);
-        finish(c, "DISCARD ALL");
+        exec_finish(c, "DISCARD ALL");
         return;
     default:
         v = session_setting(s, c->run.args[0]);
@@ -364,15 +243,15 @@
     case SQL_SELECT_VALUE:
     case SQL_SELECT_ROW:
     case SQL_SELECT_COUNT:
-        run_select(c);
+        tables_select(c);
         return;
     case SQL_INSERT:
         key = g_strdup_printf("%c%s", st->table, c->run.args[0]);
-        exec_insert(c, key, c->run.args[1]);
+        tables_insert(c, key, c->run.args[1]);
         return;
     case SQL_UPDATE_SET:
     case SQL_UPDATE_ADD:
-        run_update(c);
+        tables_update(c);
         return;
     case SQL_CALL:
         calls_run(c);
@@ -560,6 +439,7 @@
            bool final)
 {
     c->run = (struct run){.st = st, .final = final};
+    c->started_at = ev_now(c->host->loop);
     for (unsigned i = 0; i < st->n_args; i++) {
         c->run.args[i] = g_strdup(args[i]);
     }
@@ -570,6 +450,7 @@
 exec_start_commit(struct conn *c)
 {
     c->run = (struct run){.final = true, .stage = EXEC_COMMIT};
+    c->started_at = ev_now(c->host->loop);
 }
 
 /* Takes the statement as far as it goes. Returns true when its result is
@@ -622,6 +503,20 @@
     return false;
 }
 
+/* Turns a result whose rows are being sent into an error when the statement
+   was canceled meanwhile. */
+void
+exec_check_cancel(struct conn *c, struct result *r)
+{
+    if (c->abort_code != NULL) {
+        result_clear(r);
+        r->sqlstate = c->abort_code;
+        r->message = g_strdup(c->abort_message);
+        c->abort_code = NULL;
+        exec_fail_transaction(c);
+    }
+}
+
 /* Frees the running statement's arguments and result. */
 void
 exec_drop(struct conn *c)
--- a/fakes/exec.h
+++ b/fakes/exec.h
@@ -12,6 +12,7 @@
 void exec_drop(struct conn *c);
 void exec_end_transaction(struct conn *c, bool committed);
 void exec_fail_transaction(struct conn *c);
+void exec_check_cancel(struct conn *c, struct result *r);
 void result_clear(struct result *r);
 
 #endif
--- a/fakes/extended.c
+++ b/fakes/extended.c
@@ -180,6 +180,13 @@
     struct portal *portal = c->executing;
     struct result *r = &portal->result;
 
+    exec_check_cancel(c, r);
+    if (r->sqlstate != NULL) {
+        answer_error(c, r);
+        c->executing = NULL;
+        c->skip_to_sync = true;
+        return;
+    }
     if (!answer_rows(c, r, c->execute_limit, &c->execute_sent)) {
         conn_wait(c, CONN_WAIT_DRAIN);
         return;
@@ -266,7 +273,7 @@
     if (c->session.tx != SESSION_BLOCK) {
         g_hash_table_remove_all(c->portals);
     }
-    frame_put_ready(c->out, session_status(&c->session));
+    answer_ready(c);
 }
 
 /* Handles Sync. */
--- a/fakes/protocol.c
+++ b/fakes/protocol.c
@@ -23,31 +23,25 @@
     g_hash_table_destroy(c->prepared);
     sql_clear(&c->query_st);
     g_free(c->query);
+    for (unsigned i = 0; i < SESSION_REPORTED; i++) {
+        g_free(c->reported[i]);
+    }
 }
 
 /* Sends the authentication answer and what follows it. */
 void
 protocol_open(struct conn *c)
 {
-    static const char *const reported[] = {
-        "server_version",   "client_encoding", "standard_conforming_strings",
-        "datestyle",        "timezone",        "integer_datetimes",
-        "application_name",
-    };
-
     c->phase = CONN_OPEN;
     size_t at = frame_begin(c->out, 'R');
     frame_put_u32(c->out, 0);
     frame_end(c->out, at);
-    for (size_t i = 0; i < G_N_ELEMENTS(reported); i++) {
-        frame_put_parameter(c->out, session_canonical_name(reported[i]),
-                            session_setting(&c->session, reported[i]));
-    }
     at = frame_begin(c->out, 'K');
     frame_put_u32(c->out, c->pid);
     frame_put_u32(c->out, c->key);
     frame_end(c->out, at);
-    frame_put_ready(c->out, 'I');
+    c->session.changed = true;
+    answer_ready(c);
 }
 
 /* Reads `-c name=value` pairs of the start-up parameter options. */
@@ -147,7 +141,7 @@
 {
     c->in_query = false;
     g_clear_pointer(&c->query, g_free);
-    frame_put_ready(c->out, session_status(&c->session));
+    answer_ready(c);
 }
 
 /* Ends a Query with an error outside a statement. */
@@ -166,22 +160,6 @@
     return sview_trim(c->query_rest).n == 0;
 }
 
-/* Reports a changed setting that clients are told about. */
-static void
-report_setting(struct conn *c, const struct sql_statement *st)
-{
-    const char *name = NULL;
-
-    if (st->kind == SQL_SET || st->kind == SQL_SET_LOCAL ||
-        st->kind == SQL_RESET) {
-        name = session_canonical_name(st->args[0].text);
-    }
-    if (name != NULL) {
-        frame_put_parameter(c->out, name,
-                            session_setting(&c->session, st->args[0].text));
-    }
-}
-
 /* Sends the result of a Query's statement. Returns false while rows wait for
    the socket. */
 static bool
@@ -189,6 +167,7 @@
 {
     struct result *r = &c->run.result;
 
+    exec_check_cancel(c, r);
     if (r->sqlstate != NULL) {
         answer_error(c, r);
         exec_drop(c);
@@ -207,7 +186,6 @@
         conn_wait(c, CONN_WAIT_DRAIN);
         return false;
     }
-    report_setting(c, &c->query_st);
     if (c->query_st.kind != SQL_EMPTY || c->query_empty) {
         answer_complete(c, r);
     }
@@ -249,6 +227,25 @@
     }
 }
 
+/* Tells whether a Query with more than one statement can be parsed as a
+   whole; otherwise none of its statements may run. */
+static bool
+query_is_valid(struct sview rest)
+{
+    struct sql_statement st;
+
+    if (memchr(sview_trim(rest).p, ';', sview_trim(rest).n) == NULL) {
+        return true;
+    }
+    while (sview_trim(rest).n > 0) {
+        if (!sql_parse(&rest, &st)) {
+            return false;
+        }
+        sql_clear(&st);
+    }
+    return true;
+}
+
 /* Handles a simple Query. */
 static void
 start_query(struct conn *c, struct sview body)
@@ -261,6 +258,10 @@
     c->query = g_strndup(body.p, body.n);
     c->query_rest = (struct sview){c->query, strlen(c->query)};
     c->query_empty = query_is_empty(c);
+    if (!query_is_valid(c->query_rest)) {
+        query_error(c, "42601", "syntax error or unknown statement");
+        return;
+    }
     run_query(c, false);
 }
 
--- a/fakes/session.c
+++ b/fakes/session.c
@@ -3,7 +3,8 @@
 #include <stdlib.h>
 #include <string.h>
 
-/* Settings known without SET; names of the reported ones keep their case. */
+/* Settings known without SET; the first SESSION_REPORTED are reported to
+   clients. */
 static const struct {
     const char *name;
     const char *value;
@@ -69,18 +70,11 @@
     g_hash_table_destroy(s->startup);
 }
 
-/* Returns a reported setting's name in its usual case, NULL for others. */
+/* Returns the name of a setting that is reported to clients. */
 const char *
-session_canonical_name(const char *name)
+session_reported(unsigned i)
 {
-    const size_t reported = 7; /* the first rows of defaults */
-
-    for (size_t i = 0; i < reported; i++) {
-        if (g_ascii_strcasecmp(defaults[i].name, name) == 0) {
-            return defaults[i].name;
-        }
-    }
-    return NULL;
+    return defaults[i].name;
 }
 
 /* Returns the value of a setting (name in lower case), NULL when unknown. */
@@ -124,6 +118,7 @@
 static void
 refresh(struct session *s)
 {
+    s->changed = true;
     s->statement_timeout_ms = read_ms(s, "statement_timeout");
     s->idle_timeout_ms = read_ms(s, "idle_session_timeout");
 }
@@ -207,12 +202,14 @@
             s->set = g_steal_pointer(&s->saved);
         }
         else {
-            g_clear_pointer(&s->saved, g_hash_table_destroy);
+            g_hash_table_destroy(s->saved);
+            s->saved = NULL;
         }
         refresh(s);
     }
     if (s->local != NULL) {
-        g_clear_pointer(&s->local, g_hash_table_destroy);
+        g_hash_table_destroy(s->local);
+        s->local = NULL;
         refresh(s);
     }
     g_clear_pointer(&s->tx_owner, g_free);
--- a/fakes/session.h
+++ b/fakes/session.h
@@ -13,6 +13,9 @@
     SESSION_BLOCK,    /* after BEGIN */
 };
 
+/* Settings that are reported to clients. */
+#define SESSION_REPORTED 7
+
 struct session {
     enum session_tx tx;
     bool failed;
@@ -24,6 +27,7 @@
     GHashTable *saved;   /* set as it was at the transaction's start */
     GHashTable *local;   /* SET LOCAL; NULL without any */
     char *tx_owner;      /* owner of the transaction's first statement */
+    bool changed;        /* a setting changed since the last report */
     int64_t statement_timeout_ms;
     int64_t idle_timeout_ms;
 };
@@ -39,7 +43,7 @@
 void session_reset(struct session *s, const char *name);
 void session_reset_all(struct session *s);
 void session_describe(const struct session *s, GString *out);
-const char *session_canonical_name(const char *name);
+const char *session_reported(unsigned i);
 
 void session_end(struct session *s, bool committed);
 void session_add_op(struct session *s, enum op_kind kind, const char *key,
--- a/fakes/sql.c
+++ b/fakes/sql.c
@@ -373,6 +373,10 @@
     if (!take_name(p) || (!accept_sign(p, '=') && !accept_word(p, "to"))) {
         return false;
     }
+    if (accept_word(p, "default")) {
+        p->out->kind = SQL_RESET;
+        return true;
+    }
     if (p->now.kind != TOKEN_WORD) {
         return p->now.kind != TOKEN_PARAM && take_arg(p);
     }
--- /dev/null
+++ b/fakes/tables.c
@@ -0,0 +1,125 @@
+#include "fakes/tables.h"
+
+#include "fakes/calls.h"
+
+/* Reads a row as the transaction sees it. */
+static bool
+read_row(struct conn *c, const char *key, char **out)
+{
+    const struct store *rows =
+        group_visible(c->member->db->group, c->member->index);
+
+    return session_overlay(&c->session, key, store_get(rows, key), out);
+}
+
+/* Runs a SELECT on a table. */
+void
+tables_select(struct conn *c)
+{
+    const struct sql_statement *st = c->run.st;
+    struct result *r = &c->run.result;
+    g_autofree char *key = NULL;
+    char *value = NULL;
+
+    if (st->kind == SQL_SELECT_COUNT) {
+        const struct store *rows =
+            group_visible(c->member->db->group, c->member->index);
+        uint64_t n = store_count(rows, st->table);
+        GHashTable *seen = g_hash_table_new(g_str_hash, g_str_equal);
+        for (unsigned i = 0; i < c->session.ops->len; i++) {
+            const struct op *o = &g_array_index(c->session.ops, struct op, i);
+            n += o->key[0] == (char)st->table && o->kind != OP_SET &&
+                 store_get(rows, o->key) == NULL &&
+                 g_hash_table_add(seen, o->key);
+        }
+        g_hash_table_destroy(seen);
+        exec_text(c, g_strdup_printf("%" PRIu64, n));
+        return;
+    }
+    key = g_strdup_printf("%c%s", st->table, c->run.args[0]);
+    if (!read_row(c, key, &value)) {
+        exec_error(c, "22P02", "value is not a number in range");
+        return;
+    }
+    if (value == NULL) {
+        exec_finish(c, "SELECT 0");
+        return;
+    }
+    if (st->kind == SQL_SELECT_ROW) {
+        r->columns[1] = value;
+        value = g_strdup(c->run.args[0]);
+    }
+    exec_text(c, value);
+    r->n_columns = r->columns[1] != NULL ? 2 : 1;
+}
+
+/* Takes the lock of a key that must not exist yet. Returns false when the
+   statement has to wait or failed. */
+static bool
+lock_key(struct conn *c, const char *key)
+{
+    bool deadlock = false;
+
+    if (host_lock(c->member, c, key, &deadlock)) {
+        return true;
+    }
+    if (deadlock) {
+        exec_error(c, "40P01", "deadlock detected");
+    }
+    else {
+        c->lock_key = g_strdup(key);
+        conn_wait(c, CONN_WAIT_LOCK);
+    }
+    return false;
+}
+
+/* Buffers an INSERT. A row that exists, committed or not, is an error that
+   is given only after the row's own commit. */
+void
+tables_insert(struct conn *c, const char *key, const char *value)
+{
+    struct session *s = &c->session;
+    char *current = NULL;
+
+    if (!lock_key(c, key)) {
+        return;
+    }
+    const char *tip =
+        group_tip_value(c->member->db->group, c->member->index, key);
+    if (!session_overlay(s, key, tip, &current)) {
+        exec_error(c, "22P02", "value is not a number in range");
+        return;
+    }
+    if (current != NULL) {
+        c->run.result.detail = current;
+        exec_barrier(c);
+        return;
+    }
+    session_add_op(s, OP_INSERT, key, value);
+    exec_finish(c, "INSERT 0 1");
+}
+
+/* Buffers an UPDATE. */
+void
+tables_update(struct conn *c)
+{
+    const struct sql_statement *st = c->run.st;
+    g_autofree char *key = g_strdup_printf("%c%s", st->table, c->run.args[1]);
+    g_autofree char *operand =
+        g_strdup_printf("%s%s", st->subtract ? "-" : "", c->run.args[0]);
+    g_autofree char *current = NULL;
+    g_autofree char *next = NULL;
+    const struct op o = {.kind = st->kind == SQL_UPDATE_ADD ? OP_ADD : OP_SET,
+                         .key = key,
+                         .value = operand};
+    const char *tip =
+        group_tip_value(c->member->db->group, c->member->index, key);
+
+    if (!session_overlay(&c->session, key, tip, &current) ||
+        !op_apply(&o, current, &next)) {
+        exec_error(c, "22P02", "value is not a number in range");
+        return;
+    }
+    session_add_op(&c->session, o.kind, key, operand);
+    exec_finish(c, next != NULL ? "UPDATE 1" : "UPDATE 0");
+}
