--- a/fakes/host.c
+++ b/fakes/host.c
@@ -1,4 +1,3 @@
-#define _GNU_SOURCE /* accept4 */
 #define LOG_MODULE "host"
 
 #include "fakes/conn.h"
--- /dev/null
+++ b/src/caller/batch.c
@@ -0,0 +1,340 @@
+#include "caller/caller.h"
+
+#include <string.h>
+
+/* A request of many extended messages may take this many times the space of
+   one message. */
+#define BATCH_MAX_MESSAGES_BYTES_FACTOR 2
+
+/* Frees what a batch owns and empties it. */
+void
+batch_clear(struct batch *b)
+{
+    g_free(b->set_name);
+    g_free(b->set_value);
+    g_free(b->set_text);
+    if (b->references != NULL) {
+        g_ptr_array_free(b->references, TRUE);
+    }
+    memset(b, 0, sizeof(*b));
+}
+
+/* Notes which statement the next message of the batch refers to; NULL when
+   the caller has none of that name. The name may mean another statement by
+   the time the batch is sent, or sent again. */
+static void
+batch_refer(struct batch *b, struct prepared *p)
+{
+    if (b->references == NULL) {
+        b->references = g_ptr_array_new_with_free_func(prepared_unref);
+    }
+    g_ptr_array_add(b->references, p == NULL ? NULL : prepared_ref(p));
+}
+
+/* Refuses the batch; the first reason stays. */
+static void
+batch_refuse(struct batch *b, const char *sqlstate, const char *why,
+             enum counter counter)
+{
+    if (b->refusal_state == NULL) {
+        b->refusal_state = sqlstate;
+        b->refusal = why;
+        b->refusal_counter = counter;
+    }
+}
+
+/* Adds one executed statement to what the batch does. */
+static void
+batch_add(struct batch *b, enum statement_class class, bool multiple,
+          bool ends, uint64_t fingerprint)
+{
+    if (class == STATEMENT_COPY) {
+        batch_refuse(b, "0A000", "COPY is not supported through the proxy",
+                     COUNTER_REFUSED_COPY);
+    }
+    else if (class == STATEMENT_SESSION_STATE) {
+        batch_refuse(b, "0A000",
+                     "statement needs state that stays with a connection, "
+                     "which transaction pooling does not keep",
+                     COUNTER_REFUSED_SESSION_STATE);
+    }
+    if (!b->executes) {
+        b->class = class;
+        b->fingerprint = fingerprint;
+    }
+    else {
+        b->multiple = true;
+        b->class = b->class == STATEMENT_READ && class == STATEMENT_READ
+                       ? STATEMENT_READ
+                       : STATEMENT_WRITE;
+    }
+    b->executes = true;
+    b->multiple = b->multiple || multiple;
+    b->ends = b->ends || ends;
+}
+
+/* Keeps the parts of a SET, which the statement cache may drop. */
+static void
+batch_keep_set(struct batch *b, const char *name, const char *value,
+               const char *text, size_t text_bytes, bool is_reset)
+{
+    g_free(b->set_name);
+    g_free(b->set_value);
+    g_free(b->set_text);
+    b->set_name = g_strdup(name);
+    b->set_value = g_strdup(value);
+    b->set_text = g_strndup(text, text_bytes);
+    b->set_is_reset = is_reset;
+}
+
+/* Reads a simple Query message. */
+static bool
+scan_query(struct caller *c, struct sview body)
+{
+    struct batch *b = &c->batch;
+    struct frame_reader r = {.rest = body};
+    const struct sview text = frame_read_cstring(&r);
+
+    if (r.failed) {
+        return false;
+    }
+    const struct statement_info *s =
+        statement_lookup(c->front->statements, text);
+    batch_add(b, s->class, s->multiple, s->ends, s->fingerprint);
+    if (s->class == STATEMENT_SET || s->class == STATEMENT_SHOW) {
+        const struct sview trimmed = sview_trim(text);
+        batch_keep_set(b, s->set_name, s->set_value, trimmed.p, trimmed.n,
+                       s->is_reset);
+    }
+    return true;
+}
+
+/* Returns a caller's table of statements or portals, making it at the first
+   use. */
+static GHashTable *
+table_of(GHashTable **t)
+{
+    if (*t == NULL) {
+        *t = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+                                   prepared_unref);
+    }
+    return *t;
+}
+
+/* Reads Parse: remembers the statement for the caller. */
+static bool
+scan_parse(struct caller *c, struct sview body)
+{
+    struct frame_reader r = {.rest = body};
+    const struct sview name = frame_read_cstring(&r);
+    const struct sview definition = r.rest;
+    const struct sview text = frame_read_cstring(&r);
+    const uint16_t types = frame_read_u16(&r);
+    frame_read_bytes(&r, (size_t)types * 4);
+
+    if (r.failed) {
+        return false;
+    }
+    GHashTable *t = table_of(&c->statements);
+    char *key = g_strndup(name.p, name.n);
+    if (name.n > 0 && g_hash_table_contains(t, key)) {
+        batch_refuse(&c->batch, "42P05", "prepared statement already exists",
+                     COUNTER_REFUSED_PROTOCOL);
+        g_free(key);
+        return true;
+    }
+    struct prepared *p = prepared_create(
+        text, definition, statement_lookup(c->front->statements, text));
+    batch_refer(&c->batch, p);
+    g_hash_table_replace(t, key, p);
+    return true;
+}
+
+/* Looks a name up in a table of the caller. */
+static struct prepared *
+lookup(GHashTable *t, struct sview name)
+{
+    char *key = g_strndup(name.p, name.n);
+    struct prepared *p = t == NULL ? NULL : g_hash_table_lookup(t, key);
+
+    g_free(key);
+    return p;
+}
+
+/* Reads Bind: the portal stands for the statement from now on. */
+static bool
+scan_bind(struct caller *c, struct sview body)
+{
+    struct frame_reader r = {.rest = body};
+    const struct sview portal = frame_read_cstring(&r);
+    const struct sview name = frame_read_cstring(&r);
+
+    if (r.failed) {
+        return false;
+    }
+    struct prepared *p = lookup(c->statements, name);
+    if (p == NULL) {
+        batch_refuse(&c->batch, "26000", "prepared statement does not exist",
+                     COUNTER_REFUSED_PROTOCOL);
+        return true;
+    }
+    batch_refer(&c->batch, p);
+    g_hash_table_replace(table_of(&c->portals), g_strndup(portal.p, portal.n),
+                         prepared_ref(p));
+    return true;
+}
+
+/* Reads Execute: the portal's statement counts towards the batch. */
+static bool
+scan_execute(struct caller *c, struct sview body)
+{
+    struct frame_reader r = {.rest = body};
+    const struct sview portal = frame_read_cstring(&r);
+    frame_read_u32(&r);
+
+    if (r.failed) {
+        return false;
+    }
+    const struct prepared *p = lookup(c->portals, portal);
+    if (p == NULL) {
+        /* A cursor of the open transaction, or nothing; the member knows. */
+        batch_add(&c->batch, STATEMENT_TX_CONTROL, false, false, 0);
+        return true;
+    }
+    batch_add(&c->batch, p->class, p->multiple, p->ends, p->fingerprint);
+    if (p->class == STATEMENT_SET) {
+        batch_keep_set(&c->batch, p->set_name, p->set_value, p->text,
+                       strlen(p->text), p->set_is_reset);
+    }
+    return true;
+}
+
+/* Reads Describe or Close of a statement or portal. */
+static bool
+scan_describe(struct caller *c, struct sview body, bool close)
+{
+    struct frame_reader r = {.rest = body};
+    const struct sview what = frame_read_bytes(&r, 1);
+    const struct sview name = frame_read_cstring(&r);
+
+    if (r.failed || (what.p[0] != 'S' && what.p[0] != 'P')) {
+        return false;
+    }
+    if (what.p[0] == 'P') {
+        return true;
+    }
+    struct prepared *p = lookup(c->statements, name);
+    batch_refer(&c->batch, p);
+    if (close && p != NULL) {
+        char *key = g_strndup(name.p, name.n);
+        g_hash_table_remove(c->statements, key);
+        g_free(key);
+    }
+    if (!close && p == NULL) {
+        batch_refuse(&c->batch, "26000", "prepared statement does not exist",
+                     COUNTER_REFUSED_PROTOCOL);
+    }
+    return true;
+}
+
+/* Reads one message into the batch. Returns false when it is malformed; sets
+   end when the batch is complete. */
+static bool
+scan_frame(struct caller *c, const struct frame *f, bool *end)
+{
+    struct batch *b = &c->batch;
+
+    *end = false;
+    if (f->type == 'Q') {
+        *end = true;
+        return !b->extended && scan_query(c, f->body);
+    }
+    b->extended = true;
+    switch (f->type) {
+    case 'P':
+        return scan_parse(c, f->body);
+    case 'B':
+        return scan_bind(c, f->body);
+    case 'E':
+        return scan_execute(c, f->body);
+    case 'D':
+        return scan_describe(c, f->body, false);
+    case 'C':
+        return scan_describe(c, f->body, true);
+    case 'H':
+        b->flushed = true;
+        *end = true;
+        return true;
+    case 'S':
+        *end = true;
+        return true;
+    case 'F':
+        batch_refuse(b, "0A000", "function call messages are not supported",
+                     COUNTER_REFUSED_PROTOCOL);
+        *end = true;
+        return true;
+    default:
+        return false;
+    }
+}
+
+/* Skips one message that does not belong to a batch: leftovers of a refused
+   COPY, and everything up to Sync after an error. Returns true when it was
+   skipped. */
+static bool
+skip_frame(struct caller *c, const struct frame *f)
+{
+    const bool copy = f->type == 'd' || f->type == 'c' || f->type == 'f';
+
+    if (!copy && !c->skip_to_sync) {
+        return false;
+    }
+    if (f->type == 'S') {
+        c->skip_to_sync = false;
+        frame_put_ready(c->out, c->holds ? 'E' : 'I');
+    }
+    c->in_used += f->total_bytes;
+    return true;
+}
+
+/* Collects the next request from the input. Returns FRAME_COMPLETE when
+   c->batch holds a whole one. */
+enum frame_status
+batch_scan(struct caller *c)
+{
+    const size_t max = (size_t)c->front->settings->max_message_bytes;
+    struct frame f;
+
+    if (c->scanned == 0) {
+        batch_clear(&c->batch);
+    }
+    for (;;) {
+        struct sview in = caller_input(c);
+        in.p += c->scanned;
+        in.n -= c->scanned;
+        const enum frame_status s = frame_next(in, max, &f);
+        if (s != FRAME_COMPLETE) {
+            return s;
+        }
+        if (f.type == 'X') {
+            caller_end_after_flush(c);
+            return FRAME_INCOMPLETE;
+        }
+        if (c->scanned == 0 && skip_frame(c, &f)) {
+            continue;
+        }
+        bool end;
+        if (!scan_frame(c, &f, &end)) {
+            return FRAME_MALFORMED;
+        }
+        c->scanned += f.total_bytes;
+        if (end) {
+            c->batch.bytes = c->scanned;
+            c->scanned = 0;
+            return FRAME_COMPLETE;
+        }
+        if (c->scanned > max * BATCH_MAX_MESSAGES_BYTES_FACTOR) {
+            return FRAME_TOO_LARGE;
+        }
+    }
+}
--- /dev/null
+++ b/src/caller/caller.c
@@ -0,0 +1,259 @@
+#include "caller/caller.h"
+
+#define LOG_MODULE "caller"
+#include "base/log.h"
+
+#include <errno.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#define CALLER_READ_BYTES 65536
+#define CALLER_KEPT_BUFFER_BYTES 1024
+
+static char read_buffer[CALLER_READ_BYTES];
+
+/* Returns what was received and not consumed yet. */
+struct sview
+caller_input(const struct caller *c)
+{
+    return (struct sview){.p = c->in->str + c->in_used,
+                          .n = c->in->len - c->in_used};
+}
+
+/* Adds one to a counter of the caller's database and kind. */
+void
+caller_count(struct caller *c, enum counter which)
+{
+    c->front->counters.value[c->database][c->kind][which]++;
+}
+
+/* Gives the memory of an empty buffer back, so that idle callers stay small.
+ */
+static void
+shrink_buffer(GString **buffer)
+{
+    if ((*buffer)->len == 0 &&
+        (*buffer)->allocated_len > CALLER_KEPT_BUFFER_BYTES) {
+        g_string_free(*buffer, TRUE);
+        *buffer = g_string_new(NULL);
+    }
+}
+
+/* Writes what is queued; the rest waits for the socket. When the caller reads
+   slowly, reading from the member stops until half of it is gone. */
+void
+caller_flush(struct caller *c)
+{
+    while (c->out_sent < c->out->len) {
+        const ssize_t n = send(c->fd, c->out->str + c->out_sent,
+                               c->out->len - c->out_sent, MSG_NOSIGNAL);
+        if (n < 0 && errno == EINTR) {
+            continue;
+        }
+        if (n < 0 && errno == EAGAIN) {
+            ev_io_start(c->front->loop, &c->wr);
+            break;
+        }
+        if (n < 0) {
+            /* The reader sees the end of the connection from the loop. */
+            shutdown(c->fd, SHUT_RDWR);
+            g_string_truncate(c->out, 0);
+            c->out_sent = 0;
+            break;
+        }
+        c->out_sent += (size_t)n;
+    }
+    const size_t queued = c->out->len - c->out_sent;
+    if (queued == 0) {
+        ev_io_stop(c->front->loop, &c->wr);
+        g_string_truncate(c->out, 0);
+        c->out_sent = 0;
+        shrink_buffer(&c->out);
+    }
+    else if (c->out_sent > (size_t)c->front->settings->caller_buffer_bytes) {
+        g_string_erase(c->out, 0, (gssize)c->out_sent);
+        c->out_sent = 0;
+    }
+    if (c->holds && c->request.conn != NULL) {
+        const size_t limit = (size_t)c->front->settings->caller_buffer_bytes;
+        if (queued > limit) {
+            upstream_conn_pause(c->request.conn, true);
+        }
+        else if (queued <= limit / 2) {
+            upstream_conn_pause(c->request.conn, false);
+        }
+    }
+}
+
+/* Continues to write when the socket has room. */
+static void
+on_writable(struct ev_loop *loop, ev_io *w, int revents)
+{
+    struct caller *c = w->data;
+
+    (void)loop;
+    (void)revents;
+    caller_flush(c);
+    if (c->state == CALLER_CLOSING && c->out->len == 0) {
+        caller_close(c);
+    }
+}
+
+/* Closes the connection once everything queued was written. */
+void
+caller_end_after_flush(struct caller *c)
+{
+    c->state = CALLER_CLOSING;
+    caller_flush(c);
+    if (c->out->len == 0) {
+        /* A zero-length event closes from the loop, since callers of this
+           function still use the record. */
+        ev_io_stop(c->front->loop, &c->rd);
+        ev_feed_event(c->front->loop, &c->wr, EV_WRITE);
+    }
+}
+
+/* Handles whole requests from the input while the caller is ready. */
+void
+caller_process(struct caller *c)
+{
+    while (c->state == CALLER_STARTUP && startup_process(c)) {
+    }
+    if (c->state == CALLER_RUNNING && c->batch.flushed) {
+        request_continue(c);
+    }
+    while (c->state == CALLER_READY) {
+        const enum frame_status s = batch_scan(c);
+        if (s == FRAME_INCOMPLETE) {
+            break;
+        }
+        if (s == FRAME_COMPLETE) {
+            request_begin(c);
+            continue;
+        }
+        caller_count(c, COUNTER_REFUSED_PROTOCOL);
+        frame_put_error(
+            c->out, "FATAL", s == FRAME_TOO_LARGE ? "54000" : "08P01",
+            s == FRAME_TOO_LARGE ? "message is larger than max_message_bytes"
+                                 : "malformed protocol message",
+            NULL, "outcome=not_run");
+        LOG_INFO("read", c->peer, "connection refused: %s message",
+                 s == FRAME_TOO_LARGE ? "oversized" : "malformed");
+        caller_end_after_flush(c);
+        return;
+    }
+    if (c->in_used == c->in->len) {
+        c->in_used = 0;
+        g_string_truncate(c->in, 0);
+        shrink_buffer(&c->in);
+    }
+    if (c->state != CALLER_CLOSING) {
+        caller_flush(c);
+    }
+}
+
+/* Tells how much input may wait before reading stops. */
+static size_t
+input_limit(const struct caller *c)
+{
+    if (c->state == CALLER_READY || c->state == CALLER_STARTUP) {
+        return SIZE_MAX; /* batch_scan bounds what is being collected */
+    }
+    return c->batch.bytes + CALLER_READ_BYTES;
+}
+
+/* Reads once and handles what came. */
+static void
+on_readable(struct ev_loop *loop, ev_io *w, int revents)
+{
+    struct caller *c = w->data;
+
+    if ((revents & EV_CUSTOM) != 0) {
+        /* A request ended outside the input's handling; go on with what is
+           already here. */
+        caller_process(c);
+        return;
+    }
+    if (c->in->len - c->in_used >= input_limit(c)) {
+        /* Pipelined requests beyond this wait in the socket. */
+        ev_io_stop(loop, &c->rd);
+        return;
+    }
+    const ssize_t n = recv(c->fd, read_buffer, sizeof(read_buffer), 0);
+    if (n < 0 && (errno == EAGAIN || errno == EINTR)) {
+        return;
+    }
+    if (n <= 0) {
+        caller_close(c);
+        return;
+    }
+    if (c->in_used > 0 && c->state == CALLER_READY) {
+        g_string_erase(c->in, 0, (gssize)c->in_used);
+        c->in_used = 0;
+    }
+    g_string_append_len(c->in, read_buffer, n);
+    if (c->state == CALLER_CLOSING) {
+        g_string_truncate(c->in, 0);
+        c->in_used = 0;
+        return;
+    }
+    caller_process(c);
+}
+
+/* Creates the record of a new connection. */
+struct caller *
+caller_create(struct front *f, int fd, const char *peer)
+{
+    struct caller *c = g_new0(struct caller, 1);
+
+    c->front = f;
+    c->fd = fd;
+    c->state = CALLER_STARTUP;
+    c->in = g_string_new(NULL);
+    c->out = g_string_new(NULL);
+    c->running_link.data = c;
+    g_strlcpy(c->peer, peer, sizeof(c->peer));
+    ev_io_init(&c->rd, on_readable, fd, EV_READ);
+    ev_io_init(&c->wr, on_writable, fd, EV_WRITE);
+    c->rd.data = c;
+    c->wr.data = c;
+    ev_io_start(f->loop, &c->rd);
+    return c;
+}
+
+/* Closes the connection and frees its record. Work that waits is withdrawn;
+   work that runs is cancelled. */
+void
+caller_close(struct caller *c)
+{
+    struct front *f = c->front;
+
+    request_abandon(c);
+    ev_io_stop(f->loop, &c->rd);
+    ev_io_stop(f->loop, &c->wr);
+    ev_clear_pending(f->loop, &c->wr);
+    close(c->fd);
+    g_hash_table_remove(f->callers, GUINT_TO_POINTER(c->pid));
+    g_string_free(c->in, TRUE);
+    g_string_free(c->out, TRUE);
+    g_free(c->session);
+    g_free(c->request_key);
+    session_settings_clear(&c->settings);
+    session_settings_clear(&c->pending);
+    batch_clear(&c->batch);
+    if (c->statements != NULL) {
+        g_hash_table_destroy(c->statements);
+    }
+    if (c->portals != NULL) {
+        g_hash_table_destroy(c->portals);
+    }
+    if (c->exchange.acks != NULL) {
+        g_array_free(c->exchange.acks, TRUE);
+    }
+    g_free(c);
+    if (f->draining && g_hash_table_size(f->callers) == 0 &&
+        f->drained != NULL) {
+        f->drained(f->drained_ctx);
+    }
+}
--- /dev/null
+++ b/src/caller/exchange.c
@@ -0,0 +1,481 @@
+#include "caller/caller.h"
+
+#include <stdio.h>
+#include <string.h>
+
+#define LOG_MODULE "exchange"
+#include "base/log.h"
+
+#define EXCHANGE_MAX_INTERNAL_BYTES 65536
+
+/* Messages larger than this are relayed in pieces instead of being collected.
+ */
+#define EXCHANGE_WHOLE_MESSAGE_BYTES 32768
+
+/* Adds a part that ends with ReadyForQuery. */
+static void
+add_section(struct exchange *e, enum section s)
+{
+    e->sections[e->count++] = s;
+}
+
+/* Returns the part whose answer is arriving. */
+static enum section
+current_section(const struct exchange *e)
+{
+    return e->sections[e->current];
+}
+
+/* Tells whether a class may run before its member proved to be current:
+   nothing that it does can be seen if the answer is dropped. */
+static bool needs_guard(enum statement_class class)
+{
+    return class == STATEMENT_READ || class == STATEMENT_BEGIN ||
+           class == STATEMENT_BEGIN_READ_ONLY || class == STATEMENT_SHOW;
+}
+
+/* Tells whether the session's token must be raised after the batch. */
+static bool
+needs_state(const struct batch *b, bool in_transaction)
+{
+    if (in_transaction) {
+        return b->ends;
+    }
+    return b->class == STATEMENT_READ || b->class == STATEMENT_WRITE ||
+           b->class == STATEMENT_INVALID;
+}
+
+/* Sends a batch on a connection, with what must go before and after it, in
+   one write. */
+void
+exchange_begin(struct caller *c, struct upstream_conn *u)
+{
+    struct exchange *e = &c->exchange;
+    struct batch *b = &c->batch;
+    const bool in_transaction = e->tx_status == 'T' || e->tx_status == 'E';
+    GArray *acks = e->acks;
+    const char tx_status = e->tx_status;
+
+    *e = (struct exchange){.acks = acks, .tx_status = tx_status};
+    e->guard_passed = true;
+    upstream_conn_attach(u, &exchange_ops, c);
+    if (!in_transaction && u->settings_hash != c->settings.hash) {
+        GString *sql = g_string_new(NULL);
+        session_settings_append_sql(&c->settings, sql);
+        frame_put_query(u->out, sql->str);
+        g_string_free(sql, TRUE);
+        u->settings_hash = c->settings.hash;
+        add_section(e, SECTION_SETTINGS);
+    }
+    if (!in_transaction && needs_guard(b->class)) {
+        frame_put_query(u->out,
+                        c->token.known ? GROUP_SQL_STATE : GROUP_SQL_CONFIRM);
+        add_section(e, SECTION_GUARD);
+        e->guard_passed = false;
+    }
+    if (b->refusal_state != NULL) {
+        /* An undefined function fails the open transaction, as the refused
+           statement would have; its error is replaced. */
+        frame_put_query(u->out, "SELECT galenastep_refused()");
+    }
+    else {
+        body_write(c, u);
+    }
+    add_section(e, SECTION_BODY);
+    if (needs_state(b, in_transaction) && !b->flushed) {
+        frame_put_query(u->out, GROUP_SQL_STATE);
+        add_section(e, SECTION_STATE);
+    }
+    e->deadline = clock_now() + c->front->settings->kinds[c->kind].deadline_ms;
+    upstream_conn_flush(u);
+}
+
+/* Notes the connection's first answer, before which nothing may go to the
+   caller. */
+static void
+take_guard(struct caller *c, const struct frame *f)
+{
+    struct exchange *e = &c->exchange;
+    const int member = c->request.conn->member;
+    const int64_t bound = c->front->settings->kinds[c->kind].max_staleness_ms;
+    struct group_state s;
+
+    if (f->type == 'E') {
+        e->discarding = true;
+        return;
+    }
+    if (f->type != 'D') {
+        return;
+    }
+    if (!group_state_parse(frame_first_column(f->body), &s)) {
+        e->discarding = true;
+        return;
+    }
+    group_note_state(c->group, member, &s);
+    const bool primary = s.role == GROUP_ROLE_PRIMARY;
+    const bool confirmed = !c->token.known && primary;
+    const bool current = token_is_met(&c->token, s.term, s.position);
+    const bool fresh = primary || s.staleness_ms <= bound;
+    if (confirmed || (current && fresh)) {
+        e->guard_passed = true;
+        if (confirmed) {
+            token_raise(&c->token, s.term, s.position);
+            caller_count(c, COUNTER_READS_CONFIRMED);
+        }
+        return;
+    }
+    e->discarding = true;
+}
+
+/* Raises the session's token to what the member shows after the batch. */
+static void
+take_state(struct caller *c, const struct frame *f)
+{
+    struct group_state s;
+
+    if (f->type == 'D' && group_state_parse(frame_first_column(f->body), &s)) {
+        group_note_state(c->group, c->request.conn->member, &s);
+        if (!c->exchange.discarding) {
+            token_raise(&c->token, s.term, s.position);
+        }
+    }
+}
+
+/* Passes a message on to the caller. */
+static void
+forward(struct caller *c, struct sview bytes)
+{
+    if (!c->exchange.discarding) {
+        g_string_append_len(c->out, bytes.p, (gssize)bytes.n);
+        c->exchange.forwarded = true;
+    }
+}
+
+/* Passes a database's error on, with the outcome in its hint. */
+static void
+forward_error(struct caller *c, const struct frame *f)
+{
+    struct exchange *e = &c->exchange;
+    const struct batch *b = &c->batch;
+    struct frame_reader r = {.rest = f->body};
+
+    e->body_failed = true;
+    body_drop_acks(c, c->request.conn);
+    if (e->discarding) {
+        return;
+    }
+    e->forwarded = true;
+    if (b->refusal_state != NULL) {
+        frame_put_error(c->out, "ERROR", b->refusal_state, b->refusal, NULL,
+                        "outcome=not_run");
+        return;
+    }
+    caller_count(c, COUNTER_FAILED_BY_DATABASE);
+    const bool unknown =
+        sview_equal(frame_error_field(f->body, 'C'), SVIEW("08007"));
+    const char *outcome = unknown ? "outcome=unknown" : "outcome=failed";
+    const size_t at = frame_begin(c->out, 'E');
+    bool hinted = false;
+    while (!r.failed && r.rest.n > 0 && r.rest.p[0] != '\0') {
+        const char field = frame_read_bytes(&r, 1).p[0];
+        const struct sview v = frame_read_cstring(&r);
+        g_string_append_c(c->out, field);
+        g_string_append_len(c->out, v.p, (gssize)v.n);
+        if (field == 'H') {
+            g_string_append_printf(c->out, "; %s", outcome);
+            hinted = true;
+        }
+        g_string_append_c(c->out, '\0');
+    }
+    if (!hinted) {
+        g_string_append_c(c->out, 'H');
+        frame_put_cstring(c->out, outcome);
+    }
+    g_string_append_c(c->out, '\0');
+    frame_end(c->out, at);
+}
+
+/* Takes one message of the answer to the caller's own messages. */
+static void
+take_body(struct caller *c, const struct frame *f, struct sview whole)
+{
+    struct exchange *e = &c->exchange;
+
+    if (f->type == 'E') {
+        forward_error(c, f);
+        return;
+    }
+    if (f->type == 'C') {
+        const struct sview tag = {.p = f->body.p,
+                                  .n = strnlen(f->body.p, f->body.n)};
+        g_snprintf(e->tag, sizeof(e->tag), "%.*s", (int)tag.n, tag.p);
+    }
+    if (f->type == 'A') {
+        return;
+    }
+    body_emit_local(c);
+    if (body_take_ack(c, f->type)) {
+        forward(c, whole);
+    }
+    body_emit_local(c);
+}
+
+/* Ends the part whose ReadyForQuery arrived. */
+static void
+end_section(struct caller *c, const struct frame *f)
+{
+    struct exchange *e = &c->exchange;
+
+    if (current_section(e) == SECTION_BODY) {
+        body_emit_local(c);
+        e->body_done = true;
+        e->tx_status = f->body.n == 1 ? f->body.p[0] : 'E';
+    }
+    e->current++;
+    if (e->current < e->count) {
+        return;
+    }
+    if (e->discarding && e->tx_status != 'I') {
+        frame_put_query(c->request.conn->out, "ROLLBACK");
+        upstream_conn_flush(c->request.conn);
+        e->tx_status = 'I';
+        add_section(e, SECTION_ROLLBACK);
+        return;
+    }
+    if (!e->discarding) {
+        request_end(c);
+        return;
+    }
+    const struct upstream_conn *u = c->request.conn;
+    const int member = u->member;
+    const bool primary = member == group_primary(c->group);
+    c->request.route.excluded |= 1U << member;
+    if (primary) {
+        group_distrust(c->group, member);
+    }
+    e->tx_status = 'I';
+    group_finish(c->group, &c->request, GROUP_RETURN_CLEAN);
+    c->holds = false;
+    request_retry(c, primary ? COUNTER_RETRY_PRIMARY_BEHIND
+                             : COUNTER_RETRY_BEHIND);
+}
+
+/* Takes one whole message from the member. */
+static void
+take_frame(struct caller *c, const struct frame *f, struct sview whole)
+{
+    const enum section s = current_section(&c->exchange);
+
+    if (f->type == 'Z') {
+        end_section(c, f);
+        return;
+    }
+    if (s == SECTION_BODY) {
+        take_body(c, f, whole);
+    }
+    else if (s == SECTION_GUARD) {
+        take_guard(c, f);
+    }
+    else if (s == SECTION_STATE) {
+        take_state(c, f);
+    }
+    else if (s == SECTION_SETTINGS && f->type == 'E') {
+        /* A setting that the member refuses must not silently be left out. */
+        c->request.conn->settings_hash = CONN_SETTINGS_UNKNOWN;
+    }
+}
+
+/* Relays the rest of a large message in pieces. */
+static void
+relay_piece(struct caller *c, struct upstream_conn *u)
+{
+    struct exchange *e = &c->exchange;
+    struct sview in = upstream_conn_input(u);
+
+    in.n = MIN(in.n, e->passthrough);
+    forward(c, in);
+    e->passthrough -= in.n;
+    upstream_conn_consume(u, in.n);
+}
+
+/* Begins to relay a large row in pieces. */
+static void
+relay_begin(struct caller *c, const struct frame *f)
+{
+    body_emit_local(c);
+    c->exchange.passthrough = f->total_bytes;
+}
+
+/* Sends what follows a Flush on the connection that already has the first
+   part of the request. It cannot be sent again elsewhere any more. */
+void
+exchange_continue(struct caller *c)
+{
+    struct exchange *e = &c->exchange;
+    struct upstream_conn *u = c->request.conn;
+    const bool in_transaction = e->tx_status == 'T' || e->tx_status == 'E';
+
+    e->forwarded = true;
+    body_write(c, u);
+    if (!c->batch.flushed && needs_state(&c->batch, in_transaction)) {
+        frame_put_query(u->out, GROUP_SQL_STATE);
+        add_section(e, SECTION_STATE);
+    }
+    upstream_conn_flush(u);
+}
+
+/* Ends an exchange with a member that breaks the protocol. */
+static void
+protocol_failure(struct upstream_conn *u)
+{
+    LOG_WARNING("answer", u->peer, "malformed message from the member");
+    upstream_conn_abort(u, "malformed message");
+}
+
+/* Takes what the member sent. The caller's request may end inside the loop,
+   so the connection is looked up again after each message; the caller itself
+   is only freed from its own socket's events. */
+static void
+on_readable(void *ctx, struct upstream_conn *u)
+{
+    struct caller *c = ctx;
+    struct front *front = c->front;
+    const size_t max = INT32_MAX;
+    struct frame f = {0};
+
+    c->exchange.deadline =
+        clock_now() + front->settings->kinds[c->kind].deadline_ms;
+    while (c->state == CALLER_RUNNING && c->request.conn == u) {
+        if (c->exchange.passthrough > 0) {
+            if (upstream_conn_input(u).n == 0) {
+                break;
+            }
+            relay_piece(c, u);
+            continue;
+        }
+        const struct sview in = upstream_conn_input(u);
+        const enum frame_status s = frame_next(in, max, &f);
+        const bool row = in.n >= FRAME_HEADER_BYTES && in.p[0] == 'D' &&
+                         current_section(&c->exchange) == SECTION_BODY;
+        if (s == FRAME_INCOMPLETE) {
+            if (row && f.total_bytes > EXCHANGE_WHOLE_MESSAGE_BYTES) {
+                relay_begin(c, &f);
+                continue;
+            }
+            break;
+        }
+        if (s != FRAME_COMPLETE) {
+            protocol_failure(u);
+            break;
+        }
+        const struct sview whole = {.p = in.p, .n = f.total_bytes};
+        const bool last =
+            f.type == 'Z' && c->exchange.current + 1 == c->exchange.count;
+        if (last) {
+            /* The connection may be released by the last message. */
+            char status = f.body.n == 1 ? f.body.p[0] : 'E';
+            upstream_conn_consume(u, f.total_bytes);
+            f.body = (struct sview){.p = &status, .n = 1};
+            take_frame(c, &f, whole);
+        }
+        else {
+            take_frame(c, &f, whole);
+            upstream_conn_consume(u, f.total_bytes);
+        }
+    }
+    if (c->state != CALLER_CLOSING) {
+        caller_flush(c);
+    }
+    if (c->state == CALLER_READY && caller_input(c).n > 0) {
+        caller_process(c);
+    }
+}
+
+/* The connection ended while the caller had it. */
+static void
+on_closed(void *ctx, struct upstream_conn *u, const char *why)
+{
+    struct caller *c = ctx;
+    struct exchange *e = &c->exchange;
+    struct batch *b = &c->batch;
+    const bool touched = u->touched;
+    const char status = e->tx_status;
+    const bool running = c->state == CALLER_RUNNING;
+    const bool in_transaction = status == 'T' || status == 'E';
+
+    LOG_INFO("exchange", u->peer, "connection lost: %s", why);
+    body_drop_acks(c, NULL);
+    e->tx_status = 'I';
+    c->holds = false;
+    group_finish(c->group, &c->request, GROUP_RETURN_CLOSED);
+    if (!running || in_transaction) {
+        const bool commit = running && b->ends;
+        caller_count(c, commit ? COUNTER_UNKNOWN_OUTCOME
+                               : COUNTER_TRANSACTION_LOST);
+        frame_put_error(c->out, "FATAL", commit ? "08007" : "08006",
+                        commit ? "connection to the database was lost while "
+                                 "the transaction was being committed"
+                               : "connection to the database was lost; the "
+                                 "transaction was rolled back",
+                        u->peer,
+                        commit ? "outcome=unknown" : "outcome=failed");
+        caller_end_after_flush(c);
+        return;
+    }
+    if (!touched) {
+        request_retry(c, COUNTER_RETRY_NOT_SENT);
+        return;
+    }
+    if (needs_guard(b->class) && !e->forwarded) {
+        request_retry(c, COUNTER_RETRY_READ_LOST);
+        return;
+    }
+    if (e->body_done) {
+        /* The whole answer has arrived, only the position behind it has not:
+           the history is unknown until the next confirmed read. */
+        c->token.known = false;
+        c->state = CALLER_RUNNING;
+        request_end(c);
+        caller_process(c);
+        return;
+    }
+    if (e->forwarded) {
+        /* Part of an answer was passed on; only the end of the connection
+           keeps it from being taken for the whole. */
+        caller_count(c, COUNTER_UNKNOWN_OUTCOME);
+        frame_put_error(c->out, "FATAL", "08007",
+                        "connection to the database was lost within an answer",
+                        u->peer, "outcome=unknown");
+        caller_end_after_flush(c);
+        return;
+    }
+    caller_count(c, COUNTER_UNKNOWN_OUTCOME);
+    request_fail(c, "08007",
+                 "connection to the database was lost before its answer",
+                 "outcome=unknown");
+    caller_process(c);
+}
+
+const struct upstream_conn_ops exchange_ops = {
+    .readable = on_readable,
+    .closed = on_closed,
+};
+
+/* Gives up a connection that has shown no sign of life for the kind's
+   deadline. A caller that reads slowly is not the member's silence. */
+void
+exchange_check_deadline(struct caller *c, clock_ms now)
+{
+    struct upstream_conn *u = c->request.conn;
+
+    if (now < c->exchange.deadline) {
+        return;
+    }
+    if (c->out->len > c->out_sent) {
+        c->exchange.deadline =
+            now + c->front->settings->kinds[c->kind].deadline_ms;
+        return;
+    }
+    LOG_WARNING("exchange", u->peer, "no answer within the deadline");
+    upstream_conn_abort(u, "no answer within the deadline");
+}
--- /dev/null
+++ b/src/caller/prepared.h
@@ -0,0 +1,30 @@
+#ifndef CALLER_PREPARED_H
+#define CALLER_PREPARED_H
+
+#include "statement/statement.h"
+
+#include <glib.h>
+
+/* A prepared statement of a caller. The name on upstream connections depends
+   on the text and the parameter types alone, so callers share it there. */
+struct prepared {
+    int refs;
+    bool confirmed;     /* a member has accepted the text once */
+    GBytes *definition; /* Parse body behind the name: text, types */
+    char upstream_name[40];
+    enum statement_class class;
+    bool multiple;
+    bool ends;
+    uint64_t fingerprint;
+    char *set_name;
+    char *set_value;
+    bool set_is_reset;
+    char *text;
+};
+
+struct prepared *prepared_create(struct sview text, struct sview definition,
+                                 const struct statement_info *info);
+struct prepared *prepared_ref(struct prepared *p);
+void prepared_unref(void *p);
+
+#endif
--- /dev/null
+++ b/src/caller/request.c
@@ -0,0 +1,456 @@
+#include "caller/caller.h"
+
+#include <string.h>
+
+#define LOG_MODULE "request"
+#include "base/log.h"
+
+/* A connection that holds more prepared statements is reset after use. */
+#define REQUEST_MAX_PREPARED 512
+
+/* Takes the caller off the list of those with an exchange in flight; false
+   when it was not on it. */
+static bool
+leave_running(struct caller *c)
+{
+    if (!c->on_running) {
+        return false;
+    }
+    g_queue_unlink(&c->front->running, &c->running_link);
+    c->on_running = false;
+    return true;
+}
+
+/* Removes the batch from the input and makes the caller ready again. */
+static void
+finish_batch(struct caller *c)
+{
+    c->in_used += c->batch.bytes;
+    c->state = CALLER_READY;
+    batch_clear(&c->batch);
+    leave_running(c);
+    ev_io_start(c->front->loop, &c->rd);
+}
+
+/* Returns the transaction status for ReadyForQuery. */
+static char
+ready_status(const struct caller *c)
+{
+    return c->holds ? c->exchange.tx_status : 'I';
+}
+
+/* Ends a request that the proxy answered itself. */
+static void
+finish_local(struct caller *c)
+{
+    if (c->batch.flushed) {
+        c->skip_to_sync = true;
+    }
+    else {
+        frame_put_ready(c->out, ready_status(c));
+    }
+    finish_batch(c);
+}
+
+/* Ends a request with an error of the proxy. */
+void
+request_fail(struct caller *c, const char *sqlstate, const char *message,
+             const char *outcome)
+{
+    frame_put_error(c->out, "ERROR", sqlstate, message, NULL, outcome);
+    finish_local(c);
+}
+
+/* Answers a simple command without a member. */
+static void
+answer_tag(struct caller *c, const char *tag)
+{
+    const size_t at = frame_begin(c->out, 'C');
+
+    frame_put_cstring(c->out, tag);
+    frame_end(c->out, at);
+    finish_local(c);
+}
+
+/* Answers SHOW of one of the proxy's own settings. */
+static void
+answer_show(struct caller *c)
+{
+    const char *name = c->batch.set_name;
+    char token[TOKEN_TEXT_BYTES];
+    const char *value = "";
+
+    token_format(&c->token, group_name(c->group), token);
+    if (strcmp(name, "galenastep.token") == 0) {
+        value = token;
+    }
+    else if (strcmp(name, "galenastep.kind") == 0) {
+        value = c->front->settings->kinds[c->kind].name;
+    }
+    else if (strcmp(name, "galenastep.session") == 0) {
+        value = c->session == NULL ? "" : c->session;
+    }
+    else if (strcmp(name, "galenastep.request_key") == 0) {
+        value = c->request_key == NULL ? "" : c->request_key;
+    }
+    size_t at = frame_begin(c->out, 'T');
+    frame_put_u16(c->out, 1);
+    frame_put_cstring(c->out, name);
+    frame_put_u32(c->out, 0);
+    frame_put_u16(c->out, 0);
+    frame_put_u32(c->out, 25); /* type oid of text */
+    frame_put_u16(c->out, UINT16_MAX);
+    frame_put_u32(c->out, UINT32_MAX);
+    frame_put_u16(c->out, 0);
+    frame_end(c->out, at);
+    at = frame_begin(c->out, 'D');
+    frame_put_u16(c->out, 1);
+    frame_put_u32(c->out, (uint32_t)strlen(value));
+    g_string_append(c->out, value);
+    frame_end(c->out, at);
+    answer_tag(c, "SHOW");
+}
+
+/* Applies SET of one of the proxy's own settings. */
+static void
+answer_own_set(struct caller *c)
+{
+    const char *error;
+    const char *value = c->batch.set_is_reset ? "" : c->batch.set_value;
+
+    if (!startup_apply_setting(c, sview_from(c->batch.set_name),
+                               sview_from(value), &error)) {
+        request_fail(c, error == NULL ? "42704" : "22023",
+                     error == NULL ? "unknown galenastep setting" : error,
+                     "outcome=not_run");
+        return;
+    }
+    startup_report_token(c);
+    answer_tag(c, c->batch.set_is_reset ? "RESET" : "SET");
+}
+
+/* Answers what the proxy can answer itself. Returns false when the request
+   must go to a member. */
+static bool
+answer_locally(struct caller *c)
+{
+    struct batch *b = &c->batch;
+    const bool own =
+        b->set_name != NULL && g_str_has_prefix(b->set_name, "galenastep.");
+
+    if (b->refusal_state != NULL && !c->holds) {
+        caller_count(c, b->refusal_counter);
+        request_fail(c, b->refusal_state, b->refusal, "outcome=not_run");
+        return true;
+    }
+    if (b->extended) {
+        return false;
+    }
+    if (b->class == STATEMENT_EMPTY && !c->holds) {
+        frame_end(c->out, frame_begin(c->out, 'I'));
+        finish_local(c);
+        return true;
+    }
+    if (b->class == STATEMENT_SHOW && own) {
+        answer_show(c);
+        return true;
+    }
+    if (b->class == STATEMENT_SET && own) {
+        answer_own_set(c);
+        return true;
+    }
+    if (b->class == STATEMENT_RESET_ALL && !c->holds) {
+        session_settings_clear(&c->settings);
+        answer_tag(c, "RESET");
+        return true;
+    }
+    return false;
+}
+
+/* Starts an exchange on the connection that the caller holds. */
+static void
+run(struct caller *c)
+{
+    c->state = CALLER_RUNNING;
+    c->batch.sent = true;
+    if (c->batch.refusal_state != NULL) {
+        caller_count(c, c->batch.refusal_counter);
+    }
+    g_queue_push_tail_link(&c->front->running, &c->running_link);
+    c->on_running = true;
+    exchange_begin(c, c->request.conn);
+}
+
+/* A connection was granted. */
+static void
+on_granted(void *ctx, struct upstream_conn *u)
+{
+    struct caller *c = ctx;
+
+    (void)u;
+    c->holds = true;
+    c->exchange.tx_status = 'I';
+    run(c);
+}
+
+/* The request was refused. It was not run, unless an earlier attempt was
+   handed to a member. */
+static void
+on_refused(void *ctx, enum admission_refusal reason)
+{
+    static const struct {
+        const char *sqlstate;
+        const char *message;
+        enum counter counter;
+    } reasons[ADMISSION_REFUSAL_COUNT] = {
+        [ADMISSION_QUEUE_FULL] = {"53300", "too many requests are waiting",
+                                  COUNTER_REFUSED_QUEUE_FULL},
+        [ADMISSION_DEADLINE] = {"53400",
+                                "the request cannot run before its deadline",
+                                COUNTER_REFUSED_DEADLINE},
+        [ADMISSION_SHED] = {"53400",
+                            "refused in favour of more important requests",
+                            COUNTER_REFUSED_SHED},
+        [ADMISSION_DRAINING] = {"57P03", "the proxy is shutting down",
+                                COUNTER_REFUSED_DRAINING},
+    };
+    struct caller *c = ctx;
+
+    caller_count(c, reasons[reason].counter);
+    request_fail(c, reasons[reason].sqlstate, reasons[reason].message,
+                 c->batch.sent ? "outcome=unknown" : "outcome=not_run");
+    if (c->front->draining) {
+        frame_put_error(c->out, "FATAL", "57P01", "the proxy is shutting down",
+                        NULL, "outcome=not_run");
+        caller_end_after_flush(c);
+        return;
+    }
+    /* Refusals also arrive outside the caller's own input handling. */
+    caller_flush(c);
+    ev_feed_event(c->front->loop, &c->rd, EV_CUSTOM);
+}
+
+/* Puts the request into the group's queue. */
+static void
+submit(struct caller *c)
+{
+    c->state = CALLER_QUEUED;
+    c->request.admission.kind = c->kind;
+    c->request.admission.fingerprint = c->batch.fingerprint;
+    c->request.route.token = c->token;
+    c->request.granted = on_granted;
+    c->request.refused = on_refused;
+    c->request.ctx = c;
+    group_submit(c->group, &c->request);
+}
+
+/* Tells whether a class may be served by a replica. */
+static bool
+may_use_replica(const struct batch *b)
+{
+    switch (b->class) {
+    case STATEMENT_READ:
+    case STATEMENT_BEGIN_READ_ONLY:
+    case STATEMENT_SHOW:
+        return true;
+    default:
+        return !b->executes; /* only prepares or describes */
+    }
+}
+
+/* Begins the request that batch_scan() has collected. */
+void
+request_begin(struct caller *c)
+{
+    caller_count(c, COUNTER_STATEMENTS);
+    if (answer_locally(c)) {
+        return;
+    }
+    if (!c->batch.executes) {
+        c->batch.class = STATEMENT_READ;
+    }
+    if (c->holds) {
+        run(c);
+        return;
+    }
+    c->request.route = (struct route_query){
+        .need =
+            may_use_replica(&c->batch) ? ROUTE_NEED_READ : ROUTE_NEED_PRIMARY,
+        .max_staleness_ms =
+            c->front->settings->kinds[c->kind].max_staleness_ms,
+    };
+    c->request.admission.deadline_at = 0;
+    submit(c);
+}
+
+/* Sends the part of a request that follows a Flush. */
+void
+request_continue(struct caller *c)
+{
+    const enum statement_class class = c->batch.class;
+    const bool ends = c->batch.ends;
+
+    if (c->batch.bytes > 0) {
+        c->in_used += c->batch.bytes;
+        c->batch.bytes = 0;
+        c->scanned = 0;
+    }
+    const enum frame_status s = batch_scan(c);
+    c->batch.sent = true;
+    if (s == FRAME_INCOMPLETE) {
+        c->batch.flushed = true;
+        return;
+    }
+    if (s != FRAME_COMPLETE || c->batch.refusal_state != NULL) {
+        caller_count(c, COUNTER_REFUSED_PROTOCOL);
+        frame_put_error(c->out, "FATAL", "08P01",
+                        "message cannot follow a Flush", NULL,
+                        "outcome=unknown");
+        caller_end_after_flush(c);
+        return;
+    }
+    c->batch.ends = c->batch.ends || ends;
+    if (!c->batch.executes || class == STATEMENT_WRITE) {
+        c->batch.class = class;
+    }
+    exchange_continue(c);
+}
+
+/* Sends the request again: it was not run, or only reads. */
+void
+request_retry(struct caller *c, enum counter why)
+{
+    caller_count(c, why);
+    leave_running(c);
+    submit(c);
+}
+
+/* Withdraws or cancels the request of a caller that goes away. */
+void
+request_abandon(struct caller *c)
+{
+    if (c->state == CALLER_QUEUED) {
+        group_cancel(c->group, &c->request);
+        return;
+    }
+    if (!c->holds) {
+        return;
+    }
+    body_drop_acks(c, NULL);
+    if (leave_running(c)) {
+        group_cancel_statement(c->group, c->request.conn);
+    }
+    c->holds = false;
+    group_finish(c->group, &c->request, GROUP_RETURN_DISCARD);
+}
+
+/* Removes prepared statements that no member has accepted. */
+static gboolean
+is_unconfirmed(void *key, void *value, void *ctx)
+{
+    (void)key;
+    (void)ctx;
+    return !((struct prepared *)value)->confirmed;
+}
+
+/* Keeps what a SET of this batch has changed for the session. */
+static void
+keep_settings(struct caller *c, struct upstream_conn *u, bool in_transaction)
+{
+    struct batch *b = &c->batch;
+
+    if (b->class == STATEMENT_RESET_ALL) {
+        session_settings_clear(&c->settings);
+        u->dirty = true;
+        return;
+    }
+    if (b->class != STATEMENT_SET) {
+        return;
+    }
+    const char *text = b->set_is_reset ? NULL : b->set_text;
+    bool ok;
+    if (in_transaction) {
+        ok = session_settings_put(&c->pending, b->set_name, text);
+    }
+    else if (text == NULL) {
+        session_settings_remove(&c->settings, b->set_name);
+        ok = true;
+    }
+    else {
+        ok = session_settings_put(&c->settings, b->set_name, text);
+    }
+    u->settings_hash =
+        in_transaction || !ok ? CONN_SETTINGS_UNKNOWN : c->settings.hash;
+}
+
+/* Ends the transaction: its settings are kept when it was committed, its
+   portals are gone, and the connection goes back. */
+static void
+end_transaction(struct caller *c, struct upstream_conn *u)
+{
+    if (c->pending.items != NULL) {
+        u->settings_hash = CONN_SETTINGS_UNKNOWN;
+        if (strcmp(c->exchange.tag, "COMMIT") == 0) {
+            session_settings_merge(&c->settings, &c->pending);
+        }
+        session_settings_clear(&c->pending);
+    }
+    if (c->portals != NULL) {
+        g_hash_table_remove_all(c->portals);
+    }
+    if (g_hash_table_size(u->prepared) > REQUEST_MAX_PREPARED) {
+        u->dirty = true;
+    }
+    c->holds = false;
+    group_finish(c->group, &c->request, GROUP_RETURN_CLEAN);
+}
+
+/* Counts a finished request by where it ran. */
+static void
+count_end(struct caller *c, const struct upstream_conn *u)
+{
+    switch (c->batch.class) {
+    case STATEMENT_READ:
+        caller_count(c, u->member == group_primary(c->group)
+                            ? COUNTER_READS_PRIMARY
+                            : COUNTER_READS_REPLICA);
+        break;
+    case STATEMENT_WRITE:
+        caller_count(c, COUNTER_WRITES);
+        break;
+    case STATEMENT_END:
+        caller_count(c, COUNTER_TRANSACTIONS);
+        break;
+    default:
+        break;
+    }
+}
+
+/* Ends a request whose whole answer has arrived. */
+void
+request_end(struct caller *c)
+{
+    struct upstream_conn *u = c->request.conn;
+    const char status = c->exchange.tx_status;
+
+    if (u != NULL) {
+        count_end(c, u);
+        if (!c->exchange.body_failed) {
+            keep_settings(c, u, status != 'I');
+        }
+        if (status == 'I') {
+            end_transaction(c, u);
+        }
+    }
+    if (c->exchange.body_failed && c->statements != NULL) {
+        g_hash_table_foreach_remove(c->statements, is_unconfirmed, NULL);
+    }
+    startup_report_token(c);
+    frame_put_ready(c->out, ready_status(c));
+    finish_batch(c);
+    if (c->front->draining && !c->holds) {
+        frame_put_error(c->out, "FATAL", "57P01", "the proxy is shutting down",
+                        NULL, "outcome=not_run");
+        caller_end_after_flush(c);
+    }
+}
--- /dev/null
+++ b/src/caller/session_settings.c
@@ -0,0 +1,132 @@
+#include "caller/session_settings.h"
+
+#include <string.h>
+#include <xxhash.h>
+
+/* One remembered SET; text is the whole statement. A text that is NULL stands
+   for RESET of the name. */
+struct session_setting {
+    char *name;
+    char *text;
+};
+
+/* Frees one setting. */
+static void
+setting_free(void *p)
+{
+    struct session_setting *s = p;
+
+    g_free(s->name);
+    g_free(s->text);
+    g_free(s);
+}
+
+/* Works out the hash by which connections with the same settings are
+   recognised. */
+static void
+update_hash(struct session_settings *s)
+{
+    s->hash = 0;
+    for (guint i = 0; s->items != NULL && i < s->items->len; i++) {
+        const struct session_setting *e = g_ptr_array_index(s->items, i);
+        if (e->text != NULL) {
+            s->hash =
+                XXH3_64bits_withSeed(e->text, strlen(e->text), s->hash + 1);
+        }
+    }
+}
+
+/* Finds a setting by name. */
+static struct session_setting *
+find(const struct session_settings *s, const char *name)
+{
+    for (guint i = 0; s->items != NULL && i < s->items->len; i++) {
+        struct session_setting *e = g_ptr_array_index(s->items, i);
+        if (strcmp(e->name, name) == 0) {
+            return e;
+        }
+    }
+    return NULL;
+}
+
+/* Remembers a SET, or with text NULL a RESET, of one name. Returns false when
+   the session has too many settings. */
+bool
+session_settings_put(struct session_settings *s, const char *name,
+                     const char *text)
+{
+    struct session_setting *e = find(s, name);
+
+    if (e == NULL) {
+        if (s->items == NULL) {
+            s->items = g_ptr_array_new_with_free_func(setting_free);
+        }
+        if (s->items->len >= SESSION_SETTINGS_MAX) {
+            return false;
+        }
+        e = g_new0(struct session_setting, 1);
+        e->name = g_strdup(name);
+        g_ptr_array_add(s->items, e);
+    }
+    g_free(e->text);
+    e->text = g_strdup(text);
+    update_hash(s);
+    return true;
+}
+
+/* Forgets one name. */
+void
+session_settings_remove(struct session_settings *s, const char *name)
+{
+    struct session_setting *e = find(s, name);
+
+    if (e != NULL) {
+        g_ptr_array_remove(s->items, e);
+        update_hash(s);
+    }
+}
+
+/* Forgets everything. */
+void
+session_settings_clear(struct session_settings *s)
+{
+    if (s->items != NULL) {
+        g_ptr_array_free(s->items, TRUE);
+    }
+    s->items = NULL;
+    s->hash = 0;
+}
+
+/* Moves the settings of a committed transaction into the session's. Returns
+   false when one did not fit. */
+bool
+session_settings_merge(struct session_settings *into,
+                       struct session_settings *from)
+{
+    bool ok = true;
+
+    for (guint i = 0; from->items != NULL && i < from->items->len; i++) {
+        const struct session_setting *e = g_ptr_array_index(from->items, i);
+        if (e->text == NULL) {
+            session_settings_remove(into, e->name);
+        }
+        else {
+            ok = session_settings_put(into, e->name, e->text) && ok;
+        }
+    }
+    session_settings_clear(from);
+    return ok;
+}
+
+/* Appends the statements that bring any connection to these settings. */
+void
+session_settings_append_sql(const struct session_settings *s, GString *out)
+{
+    g_string_append(out, "RESET ALL");
+    for (guint i = 0; s->items != NULL && i < s->items->len; i++) {
+        const struct session_setting *e = g_ptr_array_index(s->items, i);
+        if (e->text != NULL) {
+            g_string_append_printf(out, ";%s", e->text);
+        }
+    }
+}
--- /dev/null
+++ b/src/caller/startup.c
@@ -0,0 +1,296 @@
+#include "caller/caller.h"
+
+#include <stdio.h>
+#include <string.h>
+
+#define LOG_MODULE "caller"
+#include "base/log.h"
+
+#define STARTUP_SETTING_BYTES 256
+
+/* Ends a connection that cannot be served. */
+static void
+refuse(struct caller *c, const char *sqlstate, const char *message)
+{
+    LOG_INFO("startup", c->peer, "refused: %s", message);
+    frame_put_error(c->out, "FATAL", sqlstate, message, NULL,
+                    "outcome=not_run");
+    caller_end_after_flush(c);
+}
+
+/* Finds the index of a caller kind, or -1. */
+static int
+find_kind(const struct settings *s, struct sview name)
+{
+    for (int i = 0; i < s->kind_count; i++) {
+        if (sview_equal(sview_from(s->kinds[i].name), name)) {
+            return i;
+        }
+    }
+    return -1;
+}
+
+/* Finds the index of a database, or -1. */
+static int
+find_database(const struct settings *s, struct sview name)
+{
+    for (int i = 0; i < s->database_count; i++) {
+        if (sview_equal(sview_from(s->databases[i].name), name)) {
+            return i;
+        }
+    }
+    return -1;
+}
+
+/* Applies one of the settings by which a caller talks to the proxy:
+   galenastep.kind, .session, .token, .request_key. Returns false when the
+   name is none of them, or with error set when the value is refused. */
+bool
+startup_apply_setting(struct caller *c, struct sview name, struct sview value,
+                      const char **error)
+{
+    const struct settings *s = c->front->settings;
+
+    *error = NULL;
+    if (sview_equal(name, SVIEW("galenastep.kind"))) {
+        const int kind = find_kind(s, value);
+        if (kind < 0) {
+            *error = "unknown caller kind";
+            return false;
+        }
+        c->kind = kind;
+        return true;
+    }
+    if (sview_equal(name, SVIEW("galenastep.session"))) {
+        g_free(c->session);
+        c->session = g_strndup(value.p, value.n);
+        return true;
+    }
+    if (sview_equal(name, SVIEW("galenastep.request_key"))) {
+        g_free(c->request_key);
+        c->request_key = value.n == 0 ? NULL : g_strndup(value.p, value.n);
+        return true;
+    }
+    if (sview_equal(name, SVIEW("galenastep.token"))) {
+        struct token t;
+        if (!token_parse(value, s->databases[c->database].name, &t)) {
+            *error = "malformed token";
+            return false;
+        }
+        if (t.known && c->token.known) {
+            token_raise(&c->token, t.term, t.position);
+        }
+        else {
+            c->token = t;
+        }
+        return true;
+    }
+    return false;
+}
+
+/* Queues the session's token as a reported parameter when it has changed. */
+void
+startup_report_token(struct caller *c)
+{
+    char text[TOKEN_TEXT_BYTES];
+
+    token_format(&c->token, group_name(c->group), text);
+    if (strcmp(text, c->reported_token) != 0) {
+        memcpy(c->reported_token, text, sizeof(text));
+        frame_put_parameter(c->out, "galenastep.token", text);
+    }
+}
+
+/* Remembers a start-up parameter as a session setting. */
+static bool
+remember_parameter(struct caller *c, struct sview name, struct sview value)
+{
+    char *key = g_ascii_strdown(name.p, (gssize)name.n);
+    char *raw = g_strndup(value.p, value.n);
+    char **parts = g_strsplit(raw, "'", -1);
+    char *quoted = g_strjoinv("''", parts);
+    bool ok = true;
+
+    for (const char *p = key; *p != '\0'; p++) {
+        ok = ok && (g_ascii_isalnum(*p) || *p == '_' || *p == '.');
+    }
+    if (ok) {
+        char *sql = g_strdup_printf("SET %s = '%s'", key, quoted);
+        ok = session_settings_put(&c->settings, key, sql);
+        g_free(sql);
+    }
+    g_strfreev(parts);
+    g_free(quoted);
+    g_free(raw);
+    g_free(key);
+    return ok;
+}
+
+/* Applies one setting of the start-up packet. application_name is not kept:
+   it would make nearly every caller's settings differ, and each difference
+   costs a reset when a connection changes hands. */
+static bool
+apply_parameter(struct caller *c, struct sview name, struct sview value)
+{
+    const char *error;
+
+    if (startup_apply_setting(c, name, value, &error)) {
+        return true;
+    }
+    if (error != NULL) {
+        refuse(c, "22023", error);
+        return false;
+    }
+    if (sview_equal(name, SVIEW("application_name")) ||
+        sview_equal(name, SVIEW("replication")) ||
+        sview_starts_nocase(name, SVIEW("_pq_.")) ||
+        (sview_equal(name, SVIEW("client_encoding")) && value.n == 4 &&
+         sview_starts_nocase(value, SVIEW("UTF8")))) {
+        return true;
+    }
+    if (!remember_parameter(c, name, value)) {
+        refuse(c, "22023", "start-up parameter cannot be used");
+        return false;
+    }
+    return true;
+}
+
+/* Applies the "-c name=value" parts of the options parameter. */
+static bool
+apply_options(struct caller *c, struct sview options)
+{
+    char *text = g_strndup(options.p, options.n);
+    char **word = g_strsplit_set(text, " ", -1);
+    bool ok = true;
+
+    for (int i = 0; ok && word[i] != NULL; i++) {
+        const char *w = word[i];
+        if (strcmp(w, "-c") == 0 || w[0] == '\0') {
+            continue;
+        }
+        if (g_str_has_prefix(w, "-c") || g_str_has_prefix(w, "--")) {
+            w += 2;
+        }
+        const char *equal = strchr(w, '=');
+        if (equal == NULL) {
+            refuse(c, "22023",
+                   "options holds something else than -c settings");
+            ok = false;
+            break;
+        }
+        ok = apply_parameter(c,
+                             (struct sview){.p = w, .n = (size_t)(equal - w)},
+                             sview_from(equal + 1));
+    }
+    g_strfreev(word);
+    g_free(text);
+    return ok;
+}
+
+/* Welcomes a caller whose start-up packet was accepted. */
+static void
+welcome(struct caller *c)
+{
+    static const char *const parameters[][2] = {
+        {"server_version", "15.0"},    {"server_encoding", "UTF8"},
+        {"client_encoding", "UTF8"},   {"DateStyle", "ISO, MDY"},
+        {"integer_datetimes", "on"},   {"TimeZone", "UTC"},
+        {"IntervalStyle", "postgres"}, {"standard_conforming_strings", "on"},
+    };
+
+    size_t at = frame_begin(c->out, 'R');
+    frame_put_u32(c->out, 0);
+    frame_end(c->out, at);
+    for (size_t i = 0; i < G_N_ELEMENTS(parameters); i++) {
+        frame_put_parameter(c->out, parameters[i][0], parameters[i][1]);
+    }
+    at = frame_begin(c->out, 'K');
+    frame_put_u32(c->out, c->pid);
+    frame_put_u32(c->out, c->secret);
+    frame_end(c->out, at);
+    frame_put_ready(c->out, 'I');
+    c->state = CALLER_READY;
+}
+
+/* Reads the parameters of a start-up packet. The database comes first, since
+   a token belongs to one. */
+static void
+start_session(struct caller *c, struct frame_reader r)
+{
+    const struct settings *s = c->front->settings;
+    struct sview name;
+    struct sview user = {.p = "", .n = 0};
+    struct sview database = {.p = "", .n = 0};
+    struct frame_reader again = r;
+
+    while ((name = frame_read_cstring(&r)).n > 0) {
+        const struct sview value = frame_read_cstring(&r);
+        if (sview_equal(name, SVIEW("user"))) {
+            user = value;
+        }
+        if (sview_equal(name, SVIEW("database"))) {
+            database = value;
+        }
+    }
+    if (r.failed || user.n == 0) {
+        refuse(c, "08P01", "malformed start-up packet");
+        return;
+    }
+    c->database = find_database(s, database.n == 0 ? user : database);
+    if (c->database < 0) {
+        c->database = 0;
+        refuse(c, "3D000", "database is not known to this proxy");
+        return;
+    }
+    c->group = c->front->groups[c->database];
+    while ((name = frame_read_cstring(&again)).n > 0) {
+        const struct sview value = frame_read_cstring(&again);
+        if (sview_equal(name, SVIEW("user")) ||
+            sview_equal(name, SVIEW("database"))) {
+            continue;
+        }
+        const bool ok = sview_equal(name, SVIEW("options"))
+                            ? apply_options(c, value)
+                            : apply_parameter(c, name, value);
+        if (!ok) {
+            return;
+        }
+    }
+    welcome(c);
+}
+
+/* Handles one packet before the session exists. Returns true when more input
+   may follow. */
+bool
+startup_process(struct caller *c)
+{
+    struct frame f;
+    const enum frame_status status = frame_next_startup(caller_input(c), &f);
+
+    if (status == FRAME_INCOMPLETE) {
+        return false;
+    }
+    if (status != FRAME_COMPLETE) {
+        refuse(c, "08P01", "malformed start-up packet");
+        return false;
+    }
+    struct frame_reader r = {.rest = f.body};
+    const uint32_t code = frame_read_u32(&r);
+    if (code == FRAME_SSL_CODE || code == FRAME_GSS_CODE) {
+        g_string_append_c(c->out, 'N');
+    }
+    else if (code == FRAME_CANCEL_CODE) {
+        const uint32_t pid = frame_read_u32(&r);
+        const uint32_t secret = frame_read_u32(&r);
+        front_cancel(c->front, pid, secret);
+        caller_end_after_flush(c);
+    }
+    else if (code >> 16 != FRAME_STARTUP_VERSION >> 16) {
+        refuse(c, "0A000", "unsupported protocol version");
+    }
+    else {
+        start_session(c, r);
+    }
+    c->in_used += f.total_bytes;
+    return c->state == CALLER_STARTUP;
+}
--- /dev/null
+++ b/src/statement/statement.c
@@ -0,0 +1,203 @@
+#include "statement/statement.h"
+
+#include "statement/classify.h"
+
+#include <glib.h>
+#include <pg_query.h>
+#include <xxhash.h>
+
+/* Texts longer than this are classified each time: keeping them would let a
+   few callers fill the cache's memory. */
+#define STATEMENT_CACHED_TEXT_BYTES 8192
+
+/* Two generations bound the cache without a list of uses: when the young one
+   is full it becomes the old one, and the old one is dropped. */
+struct generations {
+    GHashTable *young;
+    GHashTable *old;
+    size_t limit;
+};
+
+struct text_entry {
+    char *text; /* checked on a hit, since hashes of hostile texts collide */
+    size_t text_bytes;
+    struct statement_info info;
+};
+
+struct statement_cache {
+    struct generations texts;        /* text hash -> text_entry */
+    struct generations fingerprints; /* fingerprint -> class + 1 */
+    GHashTable *functions;
+    struct statement_info uncached;
+};
+
+/* Frees a text entry. */
+static void
+text_entry_free(void *p)
+{
+    struct text_entry *e = p;
+
+    g_free(e->text);
+    g_free(e->info.set_name);
+    g_free(e->info.set_value);
+    g_free(e);
+}
+
+/* Makes an empty table keyed by 64-bit hashes. */
+static GHashTable *
+new_table(GDestroyNotify free_value)
+{
+    return g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
+                                 free_value);
+}
+
+/* Prepares a pair of generations that hold at most entries together. */
+static void
+generations_init(struct generations *g, size_t entries,
+                 GDestroyNotify free_value)
+{
+    g->young = new_table(free_value);
+    g->old = new_table(free_value);
+    g->limit = MAX(entries / 2, 1);
+}
+
+/* Frees both generations. */
+static void
+generations_clear(struct generations *g)
+{
+    g_hash_table_destroy(g->young);
+    g_hash_table_destroy(g->old);
+}
+
+/* Stores a value, dropping the old generation when the young one is full. */
+static void
+generations_put(struct generations *g, uint64_t key, void *value,
+                GDestroyNotify free_value)
+{
+    if (g_hash_table_size(g->young) >= g->limit) {
+        g_hash_table_destroy(g->old);
+        g->old = g->young;
+        g->young = new_table(free_value);
+    }
+    g_hash_table_replace(g->young, g_memdup2(&key, sizeof(key)), value);
+}
+
+/* Finds a value; one of the old generation moves to the young one. */
+static void *
+generations_get(struct generations *g, uint64_t key, GDestroyNotify free_value)
+{
+    void *value = g_hash_table_lookup(g->young, &key);
+    void *stolen_key;
+
+    if (value != NULL ||
+        !g_hash_table_steal_extended(g->old, &key, &stolen_key, &value)) {
+        return value;
+    }
+    g_free(stolen_key);
+    generations_put(g, key, value, free_value);
+    return value;
+}
+
+/* Creates a cache of at most entries texts and as many fingerprints.
+   functions lists further read-only functions, ends with NULL, and may be
+   NULL itself. */
+struct statement_cache *
+statement_cache_create(size_t entries, const char *const *functions)
+{
+    struct statement_cache *c = g_new0(struct statement_cache, 1);
+
+    generations_init(&c->texts, entries, text_entry_free);
+    generations_init(&c->fingerprints, entries, NULL);
+    c->functions =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    classify_add_default_functions(c->functions);
+    for (size_t i = 0; functions != NULL && functions[i] != NULL; i++) {
+        g_hash_table_add(c->functions, g_strdup(functions[i]));
+    }
+    return c;
+}
+
+/* Frees the cache and every result it gave out. */
+void
+statement_cache_destroy(struct statement_cache *c)
+{
+    if (c == NULL) {
+        return;
+    }
+    generations_clear(&c->texts);
+    generations_clear(&c->fingerprints);
+    g_hash_table_destroy(c->functions);
+    g_free(c->uncached.set_name);
+    g_free(c->uncached.set_value);
+    g_free(c);
+}
+
+/* Returns the number of texts held, at most the size given at creation. */
+size_t
+statement_cache_count(const struct statement_cache *c)
+{
+    return g_hash_table_size(c->texts.young) + g_hash_table_size(c->texts.old);
+}
+
+/* Classifies a text by its fingerprint, parsing it in full only when the
+   fingerprint is new. Settings carry their value in the text, so they are
+   always parsed. */
+static void
+classify_by_fingerprint(struct statement_cache *c, const char *text,
+                        struct statement_info *out)
+{
+    PgQueryFingerprintResult f = pg_query_fingerprint(text);
+
+    *out = (struct statement_info){.class = STATEMENT_INVALID};
+    if (f.error == NULL) {
+        out->fingerprint = f.fingerprint;
+        const int known = GPOINTER_TO_INT(
+            generations_get(&c->fingerprints, f.fingerprint, NULL));
+        if (known != 0) {
+            out->class = (enum statement_class)(known - 1);
+        }
+        else {
+            classify_text(text, c->functions, out);
+            if ((out->class == STATEMENT_READ ||
+                 out->class == STATEMENT_WRITE) &&
+                !out->multiple) {
+                generations_put(&c->fingerprints, f.fingerprint,
+                                GINT_TO_POINTER((int)out->class + 1), NULL);
+            }
+        }
+    }
+    pg_query_free_fingerprint_result(f);
+    if (out->set_name == NULL) {
+        out->set_name = g_strdup("");
+    }
+    if (out->set_value == NULL) {
+        out->set_value = g_strdup("");
+    }
+}
+
+/* Returns what the text does. The result is valid until the next call. */
+const struct statement_info *
+statement_lookup(struct statement_cache *c, struct sview text)
+{
+    const uint64_t key = XXH3_64bits(text.p, text.n);
+    struct text_entry *e = generations_get(&c->texts, key, text_entry_free);
+
+    if (e != NULL && e->text_bytes == text.n &&
+        memcmp(e->text, text.p, text.n) == 0) {
+        return &e->info;
+    }
+    char *copy = g_strndup(text.p, text.n);
+    if (text.n > STATEMENT_CACHED_TEXT_BYTES) {
+        g_free(c->uncached.set_name);
+        g_free(c->uncached.set_value);
+        classify_by_fingerprint(c, copy, &c->uncached);
+        g_free(copy);
+        return &c->uncached;
+    }
+    e = g_new0(struct text_entry, 1);
+    e->text = copy;
+    e->text_bytes = text.n;
+    classify_by_fingerprint(c, copy, &e->info);
+    generations_put(&c->texts, key, e, text_entry_free);
+    return &e->info;
+}
--- /dev/null
+++ b/src/upstream/group.h
@@ -0,0 +1,67 @@
+#ifndef UPSTREAM_GROUP_H
+#define UPSTREAM_GROUP_H
+
+#include "admission/admission.h"
+#include "route/route.h"
+#include "settings/settings.h"
+#include "upstream/conn.h"
+#include "upstream/control_conn.h"
+#include "upstream/group_sql.h"
+#include "upstream/pool.h"
+
+#include <ev.h>
+
+/* One database group as this proxy sees it: its members, its pool and the
+   queue in front of it. */
+struct group;
+
+/* Work that waits for, or has, a connection to a member. Embedded in the
+   record of the caller that sent it. granted() hands over the connection;
+   refused() says that the work was not run and will not be. */
+struct group_request {
+    struct admission_request admission;
+    struct pool_waiter waiter;
+    struct route_query route;
+    GList link; /* in the group's list of queued requests */
+    uint64_t route_epoch;
+    struct group *group;
+    struct upstream_conn *conn; /* while granted */
+    int64_t granted_us;
+    void (*granted)(void *ctx, struct upstream_conn *c);
+    void (*refused)(void *ctx, enum admission_refusal reason);
+    void *ctx;
+};
+
+struct group *group_create(struct ev_loop *loop,
+                           const struct settings_database *database,
+                           const struct settings_kind *kinds, int kind_count,
+                           int proxy_count);
+void group_destroy(struct group *g);
+const char *group_name(const struct group *g);
+int group_member_count(const struct group *g);
+const struct route_view *group_view(const struct group *g, int member);
+int group_primary(const struct group *g);
+uint64_t group_term(const struct group *g);
+struct admission *group_admission(struct group *g);
+const struct pool *group_pool(const struct group *g);
+
+void group_submit(struct group *g, struct group_request *r);
+void group_cancel(struct group *g, struct group_request *r);
+
+/* How a granted connection comes back. */
+enum group_return {
+    GROUP_RETURN_CLEAN,   /* the transaction has ended */
+    GROUP_RETURN_DISCARD, /* its state is in doubt: close it */
+    GROUP_RETURN_CLOSED,  /* closed() was called for it */
+};
+void group_finish(struct group *g, struct group_request *r,
+                  enum group_return how);
+
+void group_note_state(struct group *g, int member,
+                      const struct group_state *s);
+void group_distrust(struct group *g, int member);
+void group_set_leaving(struct group *g, int member, bool leaving);
+void group_set_draining(struct group *g);
+void group_cancel_statement(struct group *g, struct upstream_conn *c);
+
+#endif
