Add the in-memory model of a group and the soak program

Cause: the failover machine had no test. Change: tests/failover/ models members, network and proxies step by step and checks invariants; soak_failover runs random cases and prints figures.

--- a/src/failover/machine.h
+++ b/src/failover/machine.h
@@ -78,6 +78,7 @@
 void watch_lose_primary(struct failover *f, const char *why);
 void watch_answer(struct failover *f, int member);
 void watch_step(struct failover *f);
+bool watch_lost_quorum(const struct failover *f);
 void watch_suspect_step(struct failover *f);
 
 /* promote.c */
--- a/src/failover/members.c
+++ b/src/failover/members.c
@@ -209,8 +209,9 @@
         if (!members_fresh(m, i, since)) {
             unanswered = unanswered || p->sealed <= term;
         }
-        else if (p->role == FAILOVER_ROLE_REPLICA && p->term == term &&
-                 p->sealed <= term && p->silence_ms <= bound_ms) {
+        else if (p->term == term && p->sealed <= term &&
+                 (p->role == FAILOVER_ROLE_PRIMARY ||
+                  p->silence_ms <= bound_ms)) {
             hearing++;
         }
     }
--- a/src/failover/promote.c
+++ b/src/failover/promote.c
@@ -45,6 +45,9 @@
     round_start(&f->round, term, f->now, f->set.call_timeout_ms);
     f->round.preferred = preferred;
     f->round.lost = f->leader;
+    if (watch_lost_quorum(f)) {
+        f->round.excluded = f->leader;
+    }
     f->state = FAILOVER_SEALING;
     machine_note(f, LOG_LEVEL_NOTICE, "seal", FAILOVER_NOBODY,
                  "sealing term %llu", (unsigned long long)term);
--- a/src/failover/round.c
+++ b/src/failover/round.c
@@ -27,6 +27,7 @@
     r->preferred = FAILOVER_NOBODY;
     r->seal_first = FAILOVER_NOBODY;
     r->lost = FAILOVER_NOBODY;
+    r->excluded = FAILOVER_NOBODY;
     r->chosen = FAILOVER_NOBODY;
     r->started = now;
     r->deadline = now + timeout_ms;
@@ -67,10 +68,15 @@
 #endif
 }
 
-/* Stores a granted seal. */
+/* Stores a granted seal. A primary that its replicas do not hear is sealed but
+   not counted: its unacknowledged entries would make it the most advanced
+   member, and promoted again it could still acknowledge nothing. */
 void
 round_grant(struct round *r, int member, uint64_t term, uint64_t position)
 {
+    if (member == r->excluded) {
+        return;
+    }
     r->grants[member] = (struct grant){
         .granted = true,
         .term = term,
--- a/src/failover/round.h
+++ b/src/failover/round.h
@@ -23,6 +23,7 @@
     int preferred;  /* chosen among equals, or FAILOVER_NOBODY */
     int seal_first; /* sealed ahead of the others, or FAILOVER_NOBODY */
     int lost;       /* the primary being replaced, or FAILOVER_NOBODY */
+    int excluded;   /* sealed but neither counted nor chosen, or NOBODY */
     int chosen;     /* the only member ever promoted in this term */
     bool checking;  /* the answer of promote was lost; asking the member */
     int promotes;   /* promote calls sent */
--- a/src/failover/switch.c
+++ b/src/failover/switch.c
@@ -51,6 +51,7 @@
            members_fresh(m, f->primary, f->sw.started) &&
            m->view[i].last.term == f->term &&
            m->view[i].last.sealed <= f->term &&
+           m->view[i].last.silence_ms <= f->set.silence_bound_ms &&
            m->view[i].last.position >= m->view[f->primary].last.position;
 }
 
--- a/src/failover/watch.c
+++ b/src/failover/watch.c
@@ -128,6 +128,31 @@
                members_majority(&f->members);
 }
 
+/* Returns whether too few members can hear the known primary for it to
+   acknowledge anything, as after a partition that leaves it in contact with
+   this proxy only. A new primary gets time to be followed. */
+bool
+watch_lost_quorum(const struct failover *f)
+{
+    const clock_ms since =
+        f->now - f->set.probe_interval_ms - f->set.probe_timeout_ms;
+    int deaf = 0;
+
+    if (f->leader == FAILOVER_NOBODY ||
+        f->now < f->adopted_at + 2 * f->set.silence_bound_ms) {
+        return false;
+    }
+    for (int i = 0; i < f->members.count; i++) {
+        const struct failover_probe *p = &f->members.view[i].last;
+        if (i != f->leader && members_fresh(&f->members, i, since) &&
+            (p->term != f->term || p->sealed > f->term ||
+             p->silence_ms > f->set.silence_bound_ms)) {
+            deaf++;
+        }
+    }
+    return f->members.count - deaf < members_majority(&f->members);
+}
+
 /* Handles an answer of a working primary. */
 static void
 primary_answered(struct failover *f, int member)
@@ -147,7 +172,8 @@
         }
         break;
     case FAILOVER_SUSPECT:
-        if (v->answered_sent < f->suspect_since) {
+        if (v->answered_sent < f->suspect_since ||
+            (term == f->term && watch_lost_quorum(f))) {
             return;
         }
         break;
@@ -159,6 +185,9 @@
         break;
     case FAILOVER_WATCHING:
     case FAILOVER_FOLLOWING:
+        if (term == f->term && watch_lost_quorum(f)) {
+            return;
+        }
         break;
     }
     watch_adopt(f, member, term);
@@ -231,7 +260,8 @@
     if (f->set.policy == FAILOVER_POLICY_SIMPLE) {
         return f->now - f->primary_seen >= f->set.simple_timeout_ms;
     }
-    return f->members.view[f->leader].failures >= f->set.probe_failures;
+    return f->members.view[f->leader].failures >= f->set.probe_failures ||
+           watch_lost_quorum(f);
 }
 
 /* Watches while a primary is known. */
@@ -248,8 +278,10 @@
     if (primary_failing(f)) {
         f->counters.suspected++;
         machine_note(f, LOG_LEVEL_WARNING, "suspect", f->leader,
-                     "%lld probes failed in a row",
-                     (long long)f->members.view[f->leader].failures);
+                     "%lld probes failed in a row, %s",
+                     (long long)f->members.view[f->leader].failures,
+                     watch_lost_quorum(f) ? "its replicas do not hear it"
+                                          : "asking the replicas");
         watch_suspect(f, 0);
         return;
     }
--- /dev/null
+++ b/tests/failover/scenario.c
@@ -0,0 +1,200 @@
+#include "model.h"
+
+#define SETTLE_LIMIT_MS 4000
+#define FAULT_KINDS 12
+
+/* Draws the shape of a case from its seed. */
+struct model_options
+scenario_options(uint64_t seed)
+{
+    static const int members[] = {3, 3, 3, 5, 5, 7, 9};
+    struct rng r;
+
+    rng_seed(&r, seed ^ UINT64_C(0x6f7074696f6e73));
+    return (struct model_options){
+        .seed = seed,
+        .members = members[rng_below(&r, G_N_ELEMENTS(members))],
+        .proxies = 1 + (int)rng_below(&r, MODEL_PROXIES_MAX),
+        .refuse = rng_below(&r, 2) == 0,
+    };
+}
+
+/* Returns a random number below n. */
+static int
+draw(struct model *m, int n)
+{
+    return (int)rng_below(&m->rng, (uint64_t)n);
+}
+
+/* Returns the primary in half of the calls, else any member. */
+static int
+draw_member(struct model *m)
+{
+    const int acker = model_acker(m);
+
+    return acker != FAILOVER_NOBODY && draw(m, 2) == 0
+               ? acker
+               : draw(m, m->opt.members);
+}
+
+/* Injects one random fault. */
+static void
+inject(struct model *m)
+{
+    const int i = draw_member(m);
+    const int p = draw(m, m->opt.proxies);
+    const int first = model_node(0);
+    struct failover *f = m->proxy[p].f;
+
+    switch (draw(m, FAULT_KINDS)) {
+    case 0:
+        model_kill_member(m, i);
+        break;
+    case 1:
+        m->member[i].alive = true;
+        break;
+    case 2:
+        model_isolate(m, i, 0, m->opt.members, draw(m, 4) != 0);
+        break;
+    case 3:
+        model_isolate(m, i, first, first + 1 + p, draw(m, 4) != 0);
+        break;
+    case 4:
+        model_isolate(m, i, 0, MODEL_NODES, draw(m, 4) != 0);
+        break;
+    case 5:
+        model_pause_proxy(m, p, 50 + draw(m, 3000));
+        break;
+    case 6:
+        model_kill_proxy(m, p);
+        break;
+    case 7:
+        if (f == NULL) {
+            model_start_proxy(m, p);
+        }
+        break;
+    case 8:
+        m->loss_permille = draw(m, 300);
+        m->dup_permille = draw(m, 300);
+        break;
+    case 9:
+        m->slow_permille = draw(m, 400);
+        break;
+    case 10:
+        if (f != NULL && m->now >= m->proxy[p].paused_until) {
+            (void)failover_request_switch(
+                f, m->now, draw(m, 2) == 0 ? FAILOVER_NOBODY : i);
+        }
+        break;
+    default:
+        if (f != NULL && m->now >= m->proxy[p].paused_until) {
+            failover_set_leaving(f, m->now, i, draw(m, 2) == 0);
+        }
+        break;
+    }
+}
+
+/* Runs a case of several faults, ends them all and waits until the group has
+   settled. Returns the steps run; *settle_ms is the time from the end of the
+   faults. */
+int64_t
+scenario_random(struct model *m, int64_t *settle_ms)
+{
+    model_run(m, 1500);
+    for (int faults = 2 + draw(m, 8); faults > 0; faults--) {
+        inject(m);
+        if (draw(m, 3) == 0) {
+            inject(m);
+        }
+        model_run(m, 1 + draw(m, draw(m, 3) == 0 ? 2000 : 300));
+    }
+    model_heal(m);
+    for (int p = 0; p < m->opt.proxies; p++) {
+        for (int i = 0; i < m->opt.members; i++) {
+            failover_set_leaving(m->proxy[p].f, m->now, i, false);
+        }
+    }
+    const int64_t healed = m->now;
+    while (!model_settled(m) && m->violation == NULL &&
+           m->now < healed + SETTLE_LIMIT_MS) {
+        model_run(m, 1);
+    }
+    *settle_ms = m->now - healed;
+    if (!model_settled(m)) {
+        model_fail(m, "one_primary_known");
+    }
+    m->first_ack = -1;
+    m->ack_floor = 0;
+    model_run(m, 100);
+    if (m->first_ack < 0) {
+        model_fail(m, "writes_resume");
+    }
+    return m->now;
+}
+
+/* Loses the primary in one of four ways and returns the time until the first
+   client write is acknowledged in a later term, or -1 after 20 s. */
+int64_t
+scenario_gap(uint64_t seed, enum failover_policy policy,
+             const char **violation)
+{
+    struct model_options opt = scenario_options(seed);
+
+    opt.members = 3;
+    opt.policy = policy;
+    struct model *m = model_create(&opt);
+    model_run(m, 2000 + draw(m, 400));
+    m->ack_floor = MODEL_FIRST_TERM;
+    switch (draw(m, 4)) {
+    case 0:
+        model_isolate(m, 0, 0, MODEL_NODES, true);
+        break;
+    case 1:
+        model_isolate(m, 0, 0, m->opt.members, true);
+        break;
+    default:
+        model_kill_member(m, 0);
+        break;
+    }
+    const int64_t lost = m->now;
+    while (m->first_ack < 0 && m->violation == NULL && m->now < lost + 20000) {
+        model_run(m, 1);
+    }
+    *violation = m->violation;
+    const int64_t gap = m->first_ack < 0 ? -1 : m->first_ack - lost;
+    model_destroy(m);
+    return gap;
+}
+
+/* Requests a planned switch at a random proxy while transactions run for up
+   to 120 ms. Returns the time until the first client write in the new term,
+   or -1 when the switch did not take place within 1 s. */
+int64_t
+scenario_switch(uint64_t seed, enum failover_policy policy,
+                const char **violation)
+{
+    struct model_options opt = scenario_options(seed);
+
+    opt.members = 3;
+    opt.policy = policy;
+    struct model *m = model_create(&opt);
+    model_run(m, 2000 + draw(m, 400));
+    m->ack_floor = MODEL_FIRST_TERM;
+    struct failover *f = m->proxy[draw(m, opt.proxies)].f;
+    const int64_t start = m->now;
+    const int64_t ends = start + draw(m, 121);
+    failover_set_running(f, m->now, 3);
+    if (failover_request_switch(f, m->now, FAILOVER_NOBODY)) {
+        while (m->first_ack < 0 && m->violation == NULL &&
+               m->now < start + 1000) {
+            if (m->now == ends) {
+                failover_set_running(f, m->now, 0);
+            }
+            model_run(m, 1);
+        }
+    }
+    *violation = m->violation;
+    const int64_t took = m->first_ack < 0 ? -1 : m->first_ack - start;
+    model_destroy(m);
+    return took;
+}
