Add failover unit tests and fixed soak runs

Cause: named cases of the design (cut-off proxy, lost promote answer, dead or paused promoter, failed switch) were covered only by chance.

--- a/tests/failover/model.h
+++ b/tests/failover/model.h
@@ -12,6 +12,39 @@
 #define MODEL_NODES (FAILOVER_MEMBERS_MAX + MODEL_PROXIES_MAX)
 #define MODEL_FIRST_TERM (UINT64_C(1) << 16)
 
+/* Largest delay of a message, in milliseconds, plus one. */
+#define MODEL_SLOTS 1024
+
+enum message_kind {
+    PROBE,
+    SEAL,
+    PROMOTE,
+    FOLLOW,
+    REPLICATE,
+    RECEIPT,
+    WRITE,
+    ANSWER_PROBE,
+    ANSWER_SEAL,
+    ANSWER_PROMOTE,
+    ANSWER_FOLLOW,
+    ANSWER_REFUSED,
+    PEER_SWITCHING,
+};
+
+struct message {
+    int64_t due;
+    enum message_kind kind;
+    int from;
+    int to;
+    uint64_t call;
+    uint64_t epoch;
+    uint64_t term;
+    uint64_t index;
+    bool ok;
+    const struct entry *tip;
+    struct failover_probe probe;
+};
+
 /* A log is a chain of entries; a member holds its newest one. */
 struct entry {
     const struct entry *parent;
@@ -61,7 +94,8 @@
     int members;
     int proxies;
     enum failover_policy policy;
-    bool refuse; /* a dead member refuses connections at once */
+    bool observers; /* the fourth and fifth proxy have no watch rank */
+    bool refuse;    /* a dead member refuses connections at once */
     bool trace;
 };
 
@@ -75,10 +109,9 @@
     int loss_permille;
     int slow_permille; /* share of messages delayed by up to 1 s */
     int dup_permille;
-    GArray *queue;   /* binary heap of messages */
-    GArray *records; /* of struct term_record */
+    GArray *slots[MODEL_SLOTS]; /* messages by due time */
+    GArray *records;            /* of struct term_record */
     GPtrArray *entries;
-    uint64_t sequence;
     const char *violation; /* name of the first broken invariant */
     uint64_t acks;
     uint64_t late_acks; /* after a seal majority, stored before it */
@@ -86,6 +119,15 @@
     uint64_t ack_floor;
 };
 
+/* group.c: members, logs and what must hold for them. */
+struct term_record *group_record(struct model *m, uint64_t term);
+void group_append(struct model *m, struct member *me);
+void group_stored(struct model *m, int i, uint64_t term);
+void group_receive(struct model *m, const struct message *msg);
+void group_tick(struct model *m);
+
+/* model.c: network and proxies. */
+void model_post(struct model *m, struct message msg);
 struct model *model_create(const struct model_options *opt);
 void model_destroy(struct model *m);
 void model_run(struct model *m, int64_t steps);
--- a/tests/failover/scenario.c
+++ b/tests/failover/scenario.c
@@ -16,6 +16,7 @@
         .members = members[rng_below(&r, G_N_ELEMENTS(members))],
         .proxies = 1 + (int)rng_below(&r, MODEL_PROXIES_MAX),
         .refuse = rng_below(&r, 2) == 0,
+        .observers = rng_below(&r, 3) == 0,
     };
 }
 
@@ -100,12 +101,19 @@
 int64_t
 scenario_random(struct model *m, int64_t *settle_ms)
 {
+    const bool slow = draw(m, 4) == 0;
+
     model_run(m, 1500);
     for (int faults = 2 + draw(m, 8); faults > 0; faults--) {
         inject(m);
         if (draw(m, 3) == 0) {
             inject(m);
         }
+        if (slow) {
+            /* Rounds overlap, so that answers of earlier ones arrive late. */
+            m->slow_permille = 300 + draw(m, 400);
+            m->dup_permille = 200;
+        }
         model_run(m, 1 + draw(m, draw(m, 3) == 0 ? 2000 : 300));
     }
     model_heal(m);
