Wire failover decisions to the members' control connections

Cause: a lost primary left writes waiting until their deadline. Change: upstream/watch carries probes, seal, promote and follow of the failover slice over control connections; the group routes by its primary and holds new work for the primary during a planned switch. libpq's error texts are cut to their first line.

--- a/src/daemon/daemon.c
+++ b/src/daemon/daemon.c
@@ -82,6 +82,14 @@
     ev_signal_start(d->loop, &d->interrupt);
 }
 
+/* Returns this proxy's place among those that watch: its id's order among the
+   first three, the rest only observe. */
+static int
+watch_rank(const struct settings *s)
+{
+    return (int)((s->id - 1) % (s->peer_count + 1));
+}
+
 /* Creates the groups of every database. */
 static void
 create_groups(struct daemon *d)
@@ -89,8 +97,17 @@
     const struct settings *s = d->settings;
 
     for (int i = 0; i < s->database_count; i++) {
-        d->groups[i] = group_create(d->loop, &s->databases[i], s->kinds,
-                                    s->kind_count, s->peer_count + 1);
+        d->groups[i] = group_create(&(struct group_config){
+            .loop = d->loop,
+            .database = &s->databases[i],
+            .kinds = s->kinds,
+            .kind_count = s->kind_count,
+            .proxy_count = s->peer_count + 1,
+            .proxy_id = (uint32_t)s->id,
+            .watch_rank = watch_rank(s),
+            .policy = FAILOVER_POLICY_STAGGERED,
+            .seed = (uint64_t)clock_now_us() ^ (uint64_t)s->id << 48,
+        });
     }
 }
 
--- a/src/upstream/conn.c
+++ b/src/upstream/conn.c
@@ -168,6 +168,15 @@
     c->ops->ready(c->ctx, c);
 }
 
+/* Returns the first line of libpq's error text, which may have several. */
+static const char *
+first_line(struct upstream_conn *c)
+{
+    g_strlcpy(c->error, PQerrorMessage(c->pg), sizeof(c->error));
+    c->error[strcspn(c->error, "\n")] = '\0';
+    return c->error;
+}
+
 /* Advances libpq's connection state machine. */
 static void
 on_connecting(struct ev_loop *loop, ev_io *w, int revents)
@@ -181,7 +190,7 @@
         return;
     }
     if (s == PGRES_POLLING_FAILED) {
-        conn_fail(c, PQerrorMessage(c->pg));
+        conn_fail(c, first_line(c));
         return;
     }
     /* libpq may have changed the descriptor as well as the direction. */
@@ -201,7 +210,7 @@
     (void)loop;
     (void)revents;
     conn_fail(c, PQstatus(c->pg) == CONNECTION_BAD
-                     ? PQerrorMessage(c->pg)
+                     ? first_line(c)
                      : "connection attempt timed out");
 }
 
--- a/src/upstream/conn.h
+++ b/src/upstream/conn.h
@@ -59,6 +59,7 @@
     bool dirty;           /* must be reset with DISCARD ALL before reuse */
     bool cancel_pending;  /* a cancel request may still hit it */
     char peer[64];
+    char error[160];
 };
 
 struct upstream_conn *upstream_conn_open(struct ev_loop *loop,
--- a/src/upstream/control_conn.c
+++ b/src/upstream/control_conn.c
@@ -29,6 +29,7 @@
     ev_timer timer;
     GString *answer; /* of the call at the head */
     bool failed;     /* the call at the head got an error */
+    bool closing;    /* refuses further calls */
     char peer[64];
 };
 
@@ -183,19 +184,16 @@
     return k;
 }
 
-/* Closes the connection. Waiting calls get no answer. */
+/* Closes the connection. Waiting calls are answered with an error first. */
 void
 control_conn_destroy(struct control_conn *k)
 {
-    struct control_call *call;
-
     if (k->conn != NULL) {
         upstream_conn_close(k->conn);
+        k->conn = NULL;
     }
-    while ((call = g_queue_pop_head(&k->calls)) != NULL) {
-        g_free(call->sql);
-        g_free(call);
-    }
+    k->closing = true;
+    fail_calls(k, "shutting down");
     ev_timer_stop(k->loop, &k->timer);
     g_string_free(k->answer, TRUE);
     g_free(k);
@@ -208,8 +206,8 @@
 control_conn_call(struct control_conn *k, const char *sql, clock_ms timeout_ms,
                   control_reply reply, void *ctx)
 {
-    if (g_queue_get_length(&k->calls) >= CONTROL_MAX_CALLS) {
-        reply(ctx, false, SVIEW("too many calls wait for this member"));
+    if (k->closing || g_queue_get_length(&k->calls) >= CONTROL_MAX_CALLS) {
+        reply(ctx, false, SVIEW("shutting down, or too many calls wait"));
         return;
     }
     struct control_call *call = g_new0(struct control_call, 1);
--- a/src/upstream/group.c
+++ b/src/upstream/group.c
@@ -6,35 +6,23 @@
 #include "base/log.h"
 
 #define GROUP_TICK_S 0.01
-#define GROUP_PROBE_INTERVAL_MS 200
-#define GROUP_PROBE_TIMEOUT_MS 300
 #define GROUP_PROBE_FAILURES 3
-#define GROUP_CANCEL_TIMEOUT_MS 1000
-
-/* One member with its control connection. */
-struct group_member {
-    struct group *group;
-    int index;
-    struct control_conn *control;
-    enum group_role role;
-    int failures; /* probes without an answer in a row */
-    bool probing;
-};
 
 struct group {
     struct ev_loop *loop;
     const struct settings_database *database;
-    struct group_member members[SETTINGS_MAX_MEMBERS];
+    struct watch *watch;
     struct route_view views[SETTINGS_MAX_MEMBERS];
+    int failures[SETTINGS_MAX_MEMBERS]; /* probes in a row without answer */
     int primary;
     uint64_t term;
+    bool hold; /* new work for the primary waits during a planned switch */
     struct pool *pool;
     struct admission *admission;
     GQueue queued; /* of struct group_request, by its link */
     uint64_t queue_changes;
     uint64_t route_epoch;
     ev_timer tick;
-    clock_ms next_probe;
     clock_ms next_admission;
 };
 
@@ -56,6 +44,15 @@
     }
 }
 
+/* Returns the members that may serve a request now. */
+static uint32_t
+members_for(const struct group *g, const struct group_request *r, clock_ms now)
+{
+    return route_members(g->views, g->database->member_count,
+                         g->hold ? ROUTE_NO_PRIMARY : g->primary, &r->route,
+                         now);
+}
+
 /* Works out again where each queued request may run. Admission may grant or
    refuse any request meanwhile, so the walk starts again when the list has
    changed; the epoch tells which requests were done. */
@@ -70,9 +67,7 @@
         const uint64_t changes = g->queue_changes;
         if (r->route_epoch != epoch) {
             r->route_epoch = epoch;
-            const uint32_t set =
-                route_members(g->views, g->database->member_count, g->primary,
-                              &r->route, now);
+            const uint32_t set = members_for(g, r, now);
             if (set != r->admission.members) {
                 admission_set_members(g->admission, now, &r->admission, set);
             }
@@ -92,45 +87,40 @@
     }
 }
 
-/* Chooses the primary: the member that leads the highest term. */
+/* Applies a change of what is known of the members. */
 static void
-choose_primary(struct group *g)
+views_changed(struct group *g)
 {
-    int best = ROUTE_NO_PRIMARY;
-    uint64_t term = 0;
+    update_usable(g);
+    reroute_queued(g);
+}
 
-    for (int i = 0; i < g->database->member_count; i++) {
-        if (g->views[i].alive && g->members[i].role == GROUP_ROLE_PRIMARY &&
-            g->views[i].term >= term) {
-            best = i;
-            term = g->views[i].term;
-        }
-    }
-    /* A member that reached a higher term proves that the old one is over. */
-    if (best != ROUTE_NO_PRIMARY && term < g->term) {
-        best = ROUTE_NO_PRIMARY;
-    }
-    if (best == g->primary && (best == ROUTE_NO_PRIMARY || term == g->term)) {
-        return;
-    }
-    g->primary = best;
-    if (best == ROUTE_NO_PRIMARY) {
+/* The failover slice knows of another primary, or of none. */
+static void
+on_primary(void *ctx, int member, uint64_t term)
+{
+    struct group *g = ctx;
+
+    g->primary = member == FAILOVER_NOBODY ? ROUTE_NO_PRIMARY : member;
+    if (g->primary == ROUTE_NO_PRIMARY) {
         LOG_WARNING("primary", g->database->name, "no primary is known");
     }
     else {
         g->term = term;
-        LOG_NOTICE("primary", control_conn_peer(g->members[best].control),
+        LOG_NOTICE("primary", watch_peer(g->watch, member),
                    "primary of %s in term %" G_GUINT64_FORMAT,
                    g->database->name, term);
     }
+    reroute_queued(g);
 }
 
-/* Applies a change of what is known of the members. */
+/* The failover slice holds new work for the primary, or lets it go. */
 static void
-views_changed(struct group *g)
+on_hold(void *ctx, bool hold)
 {
-    choose_primary(g);
-    update_usable(g);
+    struct group *g = ctx;
+
+    g->hold = hold;
     reroute_queued(g);
 }
 
@@ -139,20 +129,21 @@
 group_note_state(struct group *g, int member, const struct group_state *s)
 {
     struct route_view *v = &g->views[member];
-    struct group_member *m = &g->members[member];
-    const bool changed = !v->alive || v->term != s->term || m->role != s->role;
+    const bool changed = !v->alive;
 
-    if (token_compare(s->term, s->position, v->term, v->position) < 0 &&
-        s->term < v->term) {
+    if (s->term < v->term) {
         return;
     }
+    if (s->term > g->term && s->role == GROUP_ROLE_PRIMARY) {
+        failover_hint_primary(watch_failover(g->watch), clock_now(), member,
+                              s->term);
+    }
     v->alive = true;
     v->term = s->term;
     v->position = s->position;
     v->staleness_ms = s->staleness_ms;
     v->updated_at = clock_now();
-    m->role = s->role;
-    m->failures = 0;
+    g->failures[member] = 0;
     if (changed) {
         views_changed(g);
     }
@@ -162,11 +153,10 @@
 static void
 member_failed(struct group *g, int member, const char *why)
 {
-    struct group_member *m = &g->members[member];
-
-    m->failures++;
-    if (g->views[member].alive && m->failures >= GROUP_PROBE_FAILURES) {
-        LOG_WARNING("probe", control_conn_peer(m->control),
+    g->failures[member]++;
+    if (g->views[member].alive &&
+        g->failures[member] >= GROUP_PROBE_FAILURES) {
+        LOG_WARNING("probe", watch_peer(g->watch, member),
                     "member of %s does not answer: %s", g->database->name,
                     why);
         g->views[member].alive = false;
@@ -179,42 +169,32 @@
 void
 group_distrust(struct group *g, int member)
 {
-    g->members[member].failures = GROUP_PROBE_FAILURES;
+    g->failures[member] = GROUP_PROBE_FAILURES;
     member_failed(g, member, "it is behind a session that was shown more");
 }
 
-/* Takes the answer to a probe. */
+/* Takes a probe's answer. */
 static void
-on_probe(void *ctx, bool ok, struct sview text)
+on_state(void *ctx, int member, const struct group_state *s)
 {
-    struct group_member *m = ctx;
-    struct group_state s;
-
-    m->probing = false;
-    if (ok && group_state_parse(text, &s)) {
-        group_note_state(m->group, m->index, &s);
-        return;
-    }
-    char *why = g_strndup(text.p, text.n);
-    member_failed(m->group, m->index, why);
-    g_free(why);
+    group_note_state(ctx, member, s);
 }
 
-/* Asks every member for its state. */
+/* Takes a probe's failure. */
 static void
-probe_members(struct group *g)
+on_silent(void *ctx, int member, const char *why)
 {
-    for (int i = 0; i < g->database->member_count; i++) {
-        struct group_member *m = &g->members[i];
-        if (!m->probing) {
-            m->probing = true;
-            control_conn_call(m->control, GROUP_SQL_STATE,
-                              GROUP_PROBE_TIMEOUT_MS, on_probe, m);
-        }
-    }
+    member_failed(ctx, member, why);
 }
 
-/* Drives probes and the queue's deadlines. */
+static const struct watch_ops watch_callbacks = {
+    .state = on_state,
+    .silent = on_silent,
+    .primary = on_primary,
+    .hold = on_hold,
+};
+
+/* Drives the queue's deadlines and tells the failover slice how much runs. */
 static void
 on_tick(struct ev_loop *loop, ev_timer *w, int revents)
 {
@@ -223,9 +203,9 @@
 
     (void)loop;
     (void)revents;
-    if (now >= g->next_probe) {
-        g->next_probe = now + GROUP_PROBE_INTERVAL_MS;
-        probe_members(g);
+    if (g->primary != ROUTE_NO_PRIMARY) {
+        failover_set_running(watch_failover(g->watch), now,
+                             admission_in_use(g->admission, g->primary));
     }
     if (now >= g->next_admission) {
         g->next_admission = admission_tick(g->admission, now);
@@ -252,10 +232,10 @@
     struct group *g = r->group;
     const int member = r->admission.member;
 
-    LOG_INFO("connect", control_conn_peer(g->members[member].control),
-             "no connection: %s", why);
+    LOG_INFO("connect", watch_peer(g->watch, member), "no connection: %s",
+             why);
     admission_release(g->admission, clock_now(), &r->admission, 0);
-    g->members[member].failures = GROUP_PROBE_FAILURES;
+    g->failures[member] = GROUP_PROBE_FAILURES;
     member_failed(g, member, why);
     group_submit(g, r);
 }
@@ -309,8 +289,7 @@
         .fingerprint = fingerprint,
         .deadline_at = deadline,
         .owner = r,
-        .members = route_members(g->views, g->database->member_count,
-                                 g->primary, &r->route, now),
+        .members = members_for(g, r, now),
     };
     r->link.data = r;
     g_queue_push_tail_link(&g->queued, &r->link);
@@ -357,6 +336,8 @@
 {
     if (g->views[member].leaving != leaving) {
         g->views[member].leaving = leaving;
+        failover_set_leaving(watch_failover(g->watch), clock_now(), member,
+                             leaving);
         views_changed(g);
     }
 }
@@ -368,31 +349,13 @@
     admission_set_draining(g->admission, true);
 }
 
-/* Takes the answer to a cancel request. */
-static void
-on_cancel_answer(void *ctx, bool ok, struct sview text)
-{
-    struct group_member *m = ctx;
-
-    if (!ok) {
-        LOG_INFO("cancel", control_conn_peer(m->control), "%.*s", (int)text.n,
-                 text.p);
-    }
-}
-
 /* Asks the member to cancel what a connection runs. The connection is closed
    afterwards, so that a late cancel cannot hit someone else's statement. */
 void
 group_cancel_statement(struct group *g, struct upstream_conn *c)
 {
-    GString *sql = g_string_new(NULL);
-    struct group_member *m = &g->members[c->member];
-
     c->cancel_pending = true;
-    group_sql_cancel(sql, upstream_conn_pid(c));
-    control_conn_call(m->control, sql->str, GROUP_CANCEL_TIMEOUT_MS,
-                      on_cancel_answer, m);
-    g_string_free(sql, TRUE);
+    watch_cancel_backend(g->watch, c->member, upstream_conn_pid(c));
 }
 
 /* Returns the database's name. */
@@ -437,6 +400,13 @@
     return g->admission;
 }
 
+/* Returns the failover decisions, for operators. */
+struct failover *
+group_failover(struct group *g)
+{
+    return watch_failover(g->watch);
+}
+
 /* Returns the pool, for counters. */
 const struct pool *
 group_pool(const struct group *g)
@@ -489,10 +459,10 @@
 
 /* Creates the view of a database group and begins to watch it. */
 struct group *
-group_create(struct ev_loop *loop, const struct settings_database *database,
-             const struct settings_kind *kinds, int kind_count,
-             int proxy_count)
+group_create(const struct group_config *config)
 {
+    struct ev_loop *loop = config->loop;
+    const struct settings_database *database = config->database;
     struct group *g = g_new0(struct group, 1);
 
     g->loop = loop;
@@ -500,16 +470,18 @@
     g->primary = ROUTE_NO_PRIMARY;
     g_queue_init(&g->queued);
     g->pool = pool_create(loop, database);
-    g->admission = create_admission(g, kinds, kind_count);
-    for (int i = 0; i < database->member_count; i++) {
-        g->members[i] = (struct group_member){
-            .group = g,
-            .index = i,
-            .control = control_conn_create(loop, &database->members[i].address,
-                                           database->name, database->password),
-        };
-    }
-    set_shares(g, proxy_count);
+    g->admission = create_admission(g, config->kinds, config->kind_count);
+    g->watch = watch_create(&(struct watch_config){
+        .loop = loop,
+        .database = database,
+        .proxy_id = config->proxy_id,
+        .rank = config->watch_rank,
+        .policy = config->policy,
+        .seed = config->seed,
+        .ops = &watch_callbacks,
+        .ctx = g,
+    });
+    set_shares(g, config->proxy_count);
     ev_timer_init(&g->tick, on_tick, 0.0, GROUP_TICK_S);
     g->tick.data = g;
     ev_timer_start(loop, &g->tick);
@@ -521,9 +493,7 @@
 group_destroy(struct group *g)
 {
     ev_timer_stop(g->loop, &g->tick);
-    for (int i = 0; i < g->database->member_count; i++) {
-        control_conn_destroy(g->members[i].control);
-    }
+    watch_destroy(g->watch);
     pool_destroy(g->pool);
     admission_destroy(g->admission);
     g_free(g);
--- a/src/upstream/group.h
+++ b/src/upstream/group.h
@@ -5,9 +5,9 @@
 #include "route/route.h"
 #include "settings/settings.h"
 #include "upstream/conn.h"
-#include "upstream/control_conn.h"
 #include "upstream/group_sql.h"
 #include "upstream/pool.h"
+#include "upstream/watch.h"
 
 #include <ev.h>
 
@@ -32,10 +32,19 @@
     void *ctx;
 };
 
-struct group *group_create(struct ev_loop *loop,
-                           const struct settings_database *database,
-                           const struct settings_kind *kinds, int kind_count,
-                           int proxy_count);
+struct group_config {
+    struct ev_loop *loop;
+    const struct settings_database *database;
+    const struct settings_kind *kinds;
+    int kind_count;
+    int proxy_count; /* proxies that share the database */
+    uint32_t proxy_id;
+    int watch_rank; /* order in which proxies start a failover */
+    enum failover_policy policy;
+    uint64_t seed;
+};
+
+struct group *group_create(const struct group_config *config);
 void group_destroy(struct group *g);
 const char *group_name(const struct group *g);
 int group_member_count(const struct group *g);
@@ -43,6 +52,7 @@
 int group_primary(const struct group *g);
 uint64_t group_term(const struct group *g);
 struct admission *group_admission(struct group *g);
+struct failover *group_failover(struct group *g);
 const struct pool *group_pool(const struct group *g);
 
 void group_submit(struct group *g, struct group_request *r);
