--- /dev/null
+++ b/src/fleet/peer.x
@@ -0,0 +1,147 @@
+/* Messages between proxies (docs/design.md, section 11). rpcgen writes
+   peer_xdr.h and peer_xdr.c from this file; see scripts/generate-xdr.sh. */
+
+const PEER_NAME_MAX = 64;
+const PEER_ADDRESS_MAX = 63;
+const PEER_UPDATES_MAX = 64;
+const PEER_PUSH_TEXT_MAX = 60000;
+const PEER_PULL_MAX = 64;
+const PEER_USAGE_MAX = 256;
+const PEER_KEY_MAX = 64;
+
+/* The highest accepted ticket and a hash over all accepted tickets. */
+struct peer_digest {
+    unsigned hyper number;
+    unsigned hyper hash;
+};
+
+/* Sent with updates about members that the receiver may not know yet. */
+struct peer_details {
+    string name<PEER_NAME_MAX>;
+    string domain<PEER_NAME_MAX>;
+    string address<PEER_ADDRESS_MAX>;
+};
+
+struct peer_update {
+    unsigned int id;
+    unsigned int incarnation;
+    unsigned int phase;
+    peer_details *details;
+};
+
+/* Opens a relation: names both sides, so that later heartbeats need not. */
+struct peer_hello {
+    unsigned int id;
+    unsigned int incarnation;
+    peer_details details;
+    string release<PEER_NAME_MAX>;
+};
+
+/* name and domain are empty when the receiver has them from HELLO. view is a
+   hash over the sender's member list. */
+struct peer_heartbeat {
+    unsigned int id;
+    unsigned int incarnation;
+    string name<PEER_NAME_MAX>;
+    string domain<PEER_NAME_MAX>;
+    unsigned int phase;
+    peer_digest tickets;
+    unsigned hyper view;
+    peer_update updates<PEER_UPDATES_MAX>;
+};
+
+struct peer_probe {
+    unsigned int id;
+    unsigned int target;
+};
+
+struct peer_probe_answer {
+    bool reached;
+};
+
+struct peer_loan_request {
+    unsigned hyper request_id;
+    unsigned int id;
+    string database<PEER_NAME_MAX>;
+    string member<PEER_NAME_MAX>;
+    unsigned int wanted;
+    bool batch;
+};
+
+struct peer_loan_answer {
+    unsigned int granted;
+    unsigned int lease_ms;
+};
+
+struct peer_loan_return {
+    unsigned hyper request_id;
+    unsigned int id;
+    string database<PEER_NAME_MAX>;
+    string member<PEER_NAME_MAX>;
+    unsigned int count;
+    bool batch;
+};
+
+struct peer_ticket {
+    unsigned hyper number;
+    string author<PEER_NAME_MAX>;
+    string text<PEER_PUSH_TEXT_MAX>;
+};
+
+/* Asks for tickets above after; the answer holds as many as fit, and more is
+   set when others remain. */
+struct peer_ticket_pull {
+    unsigned hyper after;
+};
+
+struct peer_ticket_list {
+    peer_ticket tickets<PEER_PULL_MAX>;
+    bool more;
+};
+
+struct peer_usage_row {
+    string database<PEER_NAME_MAX>;
+    string kind<PEER_NAME_MAX>;
+    unsigned hyper statements;
+    unsigned hyper execution_us;
+    unsigned hyper bytes;
+    unsigned hyper retries;
+};
+
+struct peer_usage {
+    unsigned int id;
+    unsigned hyper period_start_ms;
+    unsigned int period_ms;
+    peer_usage_row rows<PEER_USAGE_MAX>;
+};
+
+struct peer_cancel {
+    unsigned int process;
+    opaque key<PEER_KEY_MAX>;
+};
+
+struct peer_primary_changed {
+    string database<PEER_NAME_MAX>;
+    unsigned hyper term;
+    string member<PEER_NAME_MAX>;
+};
+
+/* A general answer: 0 is success. */
+struct peer_ack {
+    unsigned int code;
+};
+
+program PEER_PROGRAM {
+    version PEER_VERSION {
+        peer_hello PEER_HELLO(peer_hello) = 1;
+        peer_heartbeat PEER_HEARTBEAT(peer_heartbeat) = 2;
+        peer_loan_answer PEER_LOAN_REQUEST(peer_loan_request) = 3;
+        peer_ack PEER_LOAN_RETURN(peer_loan_return) = 4;
+        peer_ack PEER_TICKET_PUSH(peer_ticket) = 5;
+        peer_ticket_list PEER_TICKET_PULL(peer_ticket_pull) = 6;
+        peer_ack PEER_USAGE(peer_usage) = 7;
+        peer_ack PEER_CANCEL_FORWARD(peer_cancel) = 8;
+        peer_ack PEER_PRIMARY_CHANGED(peer_primary_changed) = 9;
+        peer_probe_answer PEER_PROBE(peer_probe) = 10;
+    } = 1;
+} = 0x20673701;
--- /dev/null
+++ b/src/fleet/rpc_auth.c
@@ -0,0 +1,259 @@
+#include "fleet/rpc_auth.h"
+
+#include <openssl/crypto.h>
+#include <openssl/evp.h>
+#include <openssl/hmac.h>
+#include <openssl/rand.h>
+#include <string.h>
+
+struct rpc_keys {
+    struct {
+        uint8_t bytes[RPC_KEY_MAX_BYTES];
+        size_t n;
+    } key[RPC_KEYS_MAX];
+    int count;
+};
+
+/* Makes an empty key set; nothing can be signed or verified with it. */
+struct rpc_keys *
+rpc_keys_create(void)
+{
+    return g_new0(struct rpc_keys, 1);
+}
+
+/* Clears the keys from memory and releases the set. */
+void
+rpc_keys_destroy(struct rpc_keys *k)
+{
+    if (k) {
+        OPENSSL_cleanse(k, sizeof(*k));
+        g_free(k);
+    }
+}
+
+/* Replaces the keys, at run time as well. The first signs, all are accepted.
+   Returns false, with the set unchanged, unless there are one or two keys of
+   32 to 256 bytes. */
+bool
+rpc_keys_set(struct rpc_keys *k, const struct sview *keys, size_t n)
+{
+    if (n < 1 || n > RPC_KEYS_MAX) {
+        return false;
+    }
+    for (size_t i = 0; i < n; i++) {
+        if (keys[i].n < RPC_KEY_MIN_BYTES || keys[i].n > RPC_KEY_MAX_BYTES) {
+            return false;
+        }
+    }
+    OPENSSL_cleanse(k, sizeof(*k));
+    for (size_t i = 0; i < n; i++) {
+        memcpy(k->key[i].bytes, keys[i].p, keys[i].n);
+        k->key[i].n = keys[i].n;
+    }
+    k->count = (int)n;
+    return true;
+}
+
+/* Reads a key file: one key a line, '#' starts a comment line. On failure
+   *error is set to a message that g_free releases. The message never holds a
+   key. */
+bool
+rpc_keys_load(struct rpc_keys *k, const char *path, char **error)
+{
+    char *text = NULL;
+    gsize size = 0;
+    GError *ge = NULL;
+    struct sview keys[RPC_KEYS_MAX + 1];
+    size_t n = 0;
+
+    if (!g_file_get_contents(path, &text, &size, &ge)) {
+        *error = g_strdup(ge->message);
+        g_error_free(ge);
+        return false;
+    }
+    char **lines = g_strsplit(text, "\n", -1);
+    for (char **l = lines; *l; l++) {
+        g_strstrip(*l);
+        if (**l && **l != '#' && n <= RPC_KEYS_MAX) {
+            keys[n++] = sview_from(*l);
+        }
+    }
+    bool ok = rpc_keys_set(k, keys, n);
+    if (!ok) {
+        *error = g_strdup_printf(
+            "%s: expected one or two keys of %d to %d characters, one a line",
+            path, RPC_KEY_MIN_BYTES, RPC_KEY_MAX_BYTES);
+    }
+    for (char **l = lines; *l; l++) {
+        OPENSSL_cleanse(*l, strlen(*l));
+    }
+    g_strfreev(lines);
+    OPENSSL_cleanse(text, size);
+    g_free(text);
+    return ok;
+}
+
+/* Fills p with n unpredictable bytes. Ends the process when the system has
+   none, because a guessed nonce would break replay protection. */
+void
+rpc_auth_random(uint8_t *p, size_t n)
+{
+    if (RAND_bytes(p, (int)n) != 1) {
+        g_error("no random bytes available");
+    }
+}
+
+/* Appends a 32-bit number in network order. */
+static uint8_t *
+put_u32(uint8_t *p, uint32_t v)
+{
+    p[0] = (uint8_t)(v >> 24);
+    p[1] = (uint8_t)(v >> 16);
+    p[2] = (uint8_t)(v >> 8);
+    p[3] = (uint8_t)v;
+    return p + 4;
+}
+
+/* Signs with the key at index key. Returns false when there is no such key.
+   The label keeps a reply from passing as a call; the server instance keeps a
+   call from being replayed at another server or after a restart. */
+bool
+rpc_auth_sign(const struct rpc_keys *k, const struct rpc_signed *what, int key,
+              uint8_t mac[RPC_MAC_BYTES])
+{
+    uint8_t head[32 + RPC_NONCE_BYTES + RPC_INSTANCE_BYTES];
+    uint8_t *p = head;
+
+    if (key < 0 || key >= k->count) {
+        return false;
+    }
+    p = put_u32(p, what->reply ? 0x7265706c : 0x63616c6c);
+    p = put_u32(p, what->xid);
+    p = put_u32(p, what->program);
+    p = put_u32(p, what->version);
+    p = put_u32(p, what->procedure);
+    p = put_u32(p, what->accept_stat);
+    p = put_u32(p, (uint32_t)(what->sent_ms >> 32));
+    p = put_u32(p, (uint32_t)what->sent_ms);
+    memcpy(p, what->nonce, RPC_NONCE_BYTES);
+    p += RPC_NONCE_BYTES;
+    memcpy(p, what->instance, RPC_INSTANCE_BYTES);
+    p += RPC_INSTANCE_BYTES;
+
+    size_t head_n = (size_t)(p - head);
+    uint8_t *all = g_malloc(head_n + what->body.n);
+    memcpy(all, head, head_n);
+    if (what->body.n > 0) {
+        memcpy(all + head_n, what->body.p, what->body.n);
+    }
+    unsigned n = 0;
+    const uint8_t *done =
+        HMAC(EVP_sha256(), k->key[key].bytes, (int)k->key[key].n, all,
+             head_n + what->body.n, mac, &n);
+    g_free(all);
+    return done != NULL && n == RPC_MAC_BYTES;
+}
+
+/* Returns the index of the key that made the signature, or -1. */
+int
+rpc_auth_verify(const struct rpc_keys *k, const struct rpc_signed *what,
+                const uint8_t mac[RPC_MAC_BYTES])
+{
+    for (int i = 0; i < k->count; i++) {
+        uint8_t own[RPC_MAC_BYTES];
+
+        if (rpc_auth_sign(k, what, i, own) &&
+            CRYPTO_memcmp(own, mac, RPC_MAC_BYTES) == 0) {
+            return i;
+        }
+    }
+    return -1;
+}
+
+/* Nonces of two generations; a generation lasts twice the time window, so a
+   nonce is kept for as long as its send time can still be accepted. */
+struct rpc_nonces {
+    GHashTable *now;
+    GHashTable *before;
+    uint64_t since_ms;
+    size_t max_entries;
+};
+
+/* Hashes a nonce; its bytes are random already. */
+static guint
+nonce_hash(gconstpointer p)
+{
+    guint h;
+
+    memcpy(&h, p, sizeof(h));
+    return h;
+}
+
+/* Compares two nonces. */
+static gboolean
+nonce_equal(gconstpointer a, gconstpointer b)
+{
+    return memcmp(a, b, RPC_NONCE_BYTES) == 0;
+}
+
+/* Makes one generation. */
+static GHashTable *
+generation_new(void)
+{
+    return g_hash_table_new_full(nonce_hash, nonce_equal, g_free, NULL);
+}
+
+/* Makes an empty memory that holds at most max_entries a generation. */
+struct rpc_nonces *
+rpc_nonces_create(size_t max_entries)
+{
+    struct rpc_nonces *s = g_new0(struct rpc_nonces, 1);
+
+    s->now = generation_new();
+    s->before = generation_new();
+    s->max_entries = max_entries;
+    return s;
+}
+
+/* Releases the memory. */
+void
+rpc_nonces_destroy(struct rpc_nonces *s)
+{
+    if (s) {
+        g_hash_table_destroy(s->now);
+        g_hash_table_destroy(s->before);
+        g_free(s);
+    }
+}
+
+/* Records a nonce of a call whose signature and time were checked. now_ms is
+   any clock that does not go backwards. When the memory is full the call has
+   to be refused, because forgetting a nonce would admit a replay. */
+enum rpc_nonce_result
+rpc_nonces_add(struct rpc_nonces *s, uint64_t now_ms,
+               const uint8_t nonce[RPC_NONCE_BYTES])
+{
+    if (s->since_ms == 0) {
+        s->since_ms = now_ms;
+    }
+    /* After a long silence both generations are past their time. */
+    for (int i = 0; i < 2 && now_ms - s->since_ms > 2 * RPC_TIME_WINDOW_MS;
+         i++) {
+        GHashTable *old = s->before;
+        uint64_t next = s->since_ms + 2 * RPC_TIME_WINDOW_MS;
+
+        g_hash_table_remove_all(old);
+        s->before = s->now;
+        s->now = old;
+        s->since_ms = i == 1 ? now_ms : next;
+    }
+    if (g_hash_table_contains(s->now, nonce) ||
+        g_hash_table_contains(s->before, nonce)) {
+        return RPC_NONCE_SEEN;
+    }
+    if (g_hash_table_size(s->now) >= s->max_entries) {
+        return RPC_NONCE_FULL;
+    }
+    g_hash_table_add(s->now, g_memdup2(nonce, RPC_NONCE_BYTES));
+    return RPC_NONCE_NEW;
+}
--- /dev/null
+++ b/src/fleet/rpc_client.c
@@ -0,0 +1,519 @@
+#include "fleet/rpc_client.h"
+
+#include "fleet/rpc_codec.h"
+#include "fleet/rpc_conn.h"
+#include "fleet/rpc_net.h"
+
+#include <errno.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#define LOG_MODULE "fleet"
+#include "base/log.h"
+
+enum client_state {
+    CLIENT_IDLE,       /* no socket; connects with the next call */
+    CLIENT_WAITING,    /* backing off after a failure */
+    CLIENT_CONNECTING, /* TCP handshake */
+    CLIENT_GREETING,   /* asking for the server's instance */
+    CLIENT_READY,
+};
+
+struct client_call {
+    struct rpc_client *client;
+    struct rpc_signature sig;
+    struct rpc_signed what;
+    GByteArray *body;
+    bool sent;
+    enum rpc_status early; /* status known before sending, else OK */
+    ev_timer timer;
+    rpc_done done;
+    void *ctx;
+    GList link;
+};
+
+struct rpc_client {
+    struct ev_loop *loop;
+    char host[RPC_ADDRESS_BYTES];
+    char peer[RPC_ADDRESS_BYTES + 8];
+    uint16_t port;
+    const struct rpc_keys *keys;
+    struct rng rng;
+    struct rpc_client_limits limits;
+    struct rpc_client_counters counters;
+    enum client_state state;
+    struct rpc_conn *conn;
+    int connecting_fd;
+    ev_io connecting;
+    ev_timer timer; /* connect limit, backoff or idle time by state */
+    unsigned backoff_ms;
+    uint32_t next_xid;
+    struct rpc_signed greeting;
+    uint8_t instance[RPC_INSTANCE_BYTES];
+    GQueue waiting;   /* not sent, in order */
+    GHashTable *sent; /* xid to struct client_call */
+};
+
+static void client_connect(struct rpc_client *c);
+
+/* Removes a call from its queue, reports the status and releases it. */
+static void
+call_end(struct client_call *call, enum rpc_status status, void *result)
+{
+    struct rpc_client *c = call->client;
+
+    ev_timer_stop(c->loop, &call->timer);
+    if (call->sent) {
+        g_hash_table_remove(c->sent, GUINT_TO_POINTER(call->what.xid));
+    }
+    else {
+        g_queue_unlink(&c->waiting, &call->link);
+    }
+    c->counters.ended[status]++;
+    call->done(call->ctx, status, result);
+    g_byte_array_free(call->body, TRUE);
+    g_free(call);
+}
+
+/* Starts the state timer anew. */
+static void
+client_timer(struct rpc_client *c, unsigned ms)
+{
+    ev_timer_stop(c->loop, &c->timer);
+    ev_timer_set(&c->timer, ms / 1000.0, 0);
+    ev_timer_start(c->loop, &c->timer);
+}
+
+/* Closes the socket in whichever state it is. */
+static void
+client_close(struct rpc_client *c)
+{
+    if (c->connecting_fd >= 0) {
+        ev_io_stop(c->loop, &c->connecting);
+        close(c->connecting_fd);
+        c->connecting_fd = -1;
+    }
+    rpc_conn_destroy(c->conn);
+    c->conn = NULL;
+    ev_timer_stop(c->loop, &c->timer);
+    c->state = CLIENT_IDLE;
+}
+
+/* Ends all calls that were sent; the callbacks may call again. */
+static void
+client_end_sent(struct rpc_client *c, enum rpc_status status)
+{
+    GList *calls = g_hash_table_get_values(c->sent);
+
+    for (GList *l = calls; l; l = l->next) {
+        call_end(l->data, status, NULL);
+    }
+    g_list_free(calls);
+}
+
+/* Backs off with full jitter after a lost or refused connection. Calls that
+   wait stay until their own time is over. */
+static void
+client_fail(struct rpc_client *c, const char *step, const char *text,
+            enum rpc_status sent_status)
+{
+    LOG_INFO(step, c->peer, "%s", text);
+    client_close(c);
+    c->counters.connect_failures++;
+    c->state = CLIENT_WAITING;
+    unsigned half = c->backoff_ms / 2;
+    client_timer(c, half + (unsigned)rng_below(&c->rng, half + 1));
+    c->backoff_ms = MIN(c->backoff_ms * 2, c->limits.backoff_max_ms);
+    client_end_sent(c, sent_status);
+}
+
+/* Signs and writes one record; the send time is taken now. */
+static bool
+client_write(struct rpc_client *c, struct rpc_signed *what)
+{
+    uint8_t mac[RPC_MAC_BYTES];
+
+    what->sent_ms = rpc_wall_ms();
+    rpc_auth_random(what->nonce, RPC_NONCE_BYTES);
+    return rpc_auth_sign(c->keys, what, 0, mac) &&
+           rpc_encode_call(rpc_conn_output(c->conn), what, mac);
+}
+
+/* Sends every waiting call. */
+static void
+client_send_waiting(struct rpc_client *c)
+{
+    GList *next = NULL;
+
+    for (GList *l = c->waiting.head; l; l = next) {
+        struct client_call *call = l->data;
+
+        next = l->next;
+        if (call->early != RPC_STATUS_OK) {
+            continue;
+        }
+        memcpy(call->what.instance, c->instance, RPC_INSTANCE_BYTES);
+        call->what.body =
+            (struct sview){(const char *)call->body->data, call->body->len};
+        if (!client_write(c, &call->what)) {
+            call->early = RPC_STATUS_TOO_LARGE;
+            ev_feed_event(c->loop, &call->timer, EV_TIMER);
+            continue;
+        }
+        g_queue_unlink(&c->waiting, l);
+        call->sent = true;
+        g_hash_table_insert(c->sent, GUINT_TO_POINTER(call->what.xid), call);
+    }
+    rpc_conn_flush(c->conn);
+}
+
+/* Checks that the reply is signed over the call's nonce. */
+static bool
+reply_verified(const struct rpc_client *c, const struct rpc_signed *call,
+               const struct rpc_reply_head *head)
+{
+    struct rpc_signed what = *call;
+
+    what.reply = true;
+    what.accept_stat = head->accept_stat;
+    what.sent_ms = 0;
+    what.body = head->body;
+    return rpc_auth_verify(c->keys, &what, head->mac) >= 0;
+}
+
+/* Takes the server's instance from the first reply. */
+static void
+client_greeted(struct rpc_client *c, const struct rpc_reply_head *head)
+{
+    if (head->xid != c->greeting.xid || head->accept_stat != SUCCESS ||
+        head->body.n != RPC_INSTANCE_BYTES ||
+        !reply_verified(c, &c->greeting, head)) {
+        client_fail(c, "rpc-greet", "unexpected or wrongly signed answer",
+                    RPC_STATUS_BAD_REPLY);
+        return;
+    }
+    memcpy(c->instance, head->body.p, RPC_INSTANCE_BYTES);
+    c->state = CLIENT_READY;
+    c->backoff_ms = c->limits.backoff_min_ms;
+    client_timer(c, c->limits.idle_ms);
+    client_send_waiting(c);
+}
+
+/* Ends every waiting call with the same status; used when the peer denies
+   the greeting, so that a wrong key is reported as such. */
+static void
+client_end_waiting(struct rpc_client *c, enum rpc_status status)
+{
+    GQueue calls = c->waiting;
+    GList *next = NULL;
+
+    for (GList *l = calls.head; l; l = next) {
+        struct client_call *call = l->data;
+
+        next = l == calls.tail ? NULL : l->next;
+        call->early = status;
+        ev_feed_event(c->loop, &call->timer, EV_TIMER);
+    }
+}
+
+/* Maps the accept status of a verified reply. */
+static enum rpc_status
+status_of(uint32_t accept_stat)
+{
+    switch (accept_stat) {
+    case SUCCESS:
+        return RPC_STATUS_OK;
+    case PROG_UNAVAIL:
+    case PROG_MISMATCH:
+    case PROC_UNAVAIL:
+        return RPC_STATUS_UNAVAILABLE;
+    case GARBAGE_ARGS:
+        return RPC_STATUS_BAD_ARGS;
+    default:
+        return RPC_STATUS_FAILED;
+    }
+}
+
+/* Handles one reply. */
+static void
+on_record(void *ctx, struct sview record)
+{
+    struct rpc_client *c = ctx;
+    struct rpc_reply_head head;
+
+    if (rpc_decode_reply(record, &head) != RPC_DECODED) {
+        client_fail(c, "rpc-reply", "malformed answer", RPC_STATUS_BAD_REPLY);
+        return;
+    }
+    if (head.denied) {
+        if (c->state == CLIENT_GREETING) {
+            client_end_waiting(c, RPC_STATUS_DENIED);
+        }
+        client_fail(c, "rpc-reply", "the peer denied the call",
+                    RPC_STATUS_DENIED);
+        return;
+    }
+    if (c->state == CLIENT_GREETING) {
+        client_greeted(c, &head);
+        return;
+    }
+    struct client_call *call =
+        g_hash_table_lookup(c->sent, GUINT_TO_POINTER(head.xid));
+    if (!call) {
+        return; /* the call timed out before */
+    }
+    if (!reply_verified(c, &call->what, &head)) {
+        client_fail(c, "rpc-reply", "wrong signature", RPC_STATUS_BAD_REPLY);
+        return;
+    }
+    client_timer(c, c->limits.idle_ms);
+    enum rpc_status status = status_of(head.accept_stat);
+    if (status != RPC_STATUS_OK) {
+        call_end(call, status, NULL);
+        return;
+    }
+    xdrproc_t proc = call->sig.result_proc;
+    void *result = g_malloc0(call->sig.result_bytes + 1);
+    if (rpc_decode_body(head.body, proc, result)) {
+        call_end(call, RPC_STATUS_OK, result);
+    }
+    else {
+        call_end(call, RPC_STATUS_BAD_REPLY, NULL);
+    }
+    xdr_free(proc, result);
+    g_free(result);
+}
+
+/* Handles the end of the connection. */
+static void
+on_end(void *ctx, enum rpc_conn_end why)
+{
+    struct rpc_client *c = ctx;
+
+    client_fail(c, "rpc-read",
+                why == RPC_CONN_CLOSED ? "connection closed by the peer"
+                                       : "connection stalled or malformed",
+                RPC_STATUS_LOST);
+}
+
+/* Finishes the TCP handshake and asks for the server's instance. */
+static void
+on_connected(struct ev_loop *loop, ev_io *w, int events)
+{
+    (void)events;
+    static const struct rpc_conn_handlers handlers = {
+        .on_record = on_record,
+        .on_end = on_end,
+    };
+    struct rpc_client *c = w->data;
+    int fd = c->connecting_fd;
+    int code = 0;
+    socklen_t n = sizeof(code);
+
+    getsockopt(fd, SOL_SOCKET, SO_ERROR, &code, &n);
+    if (code != 0) {
+        client_fail(c, "rpc-connect", g_strerror(code), RPC_STATUS_LOST);
+        return;
+    }
+    ev_io_stop(loop, &c->connecting);
+    c->connecting_fd = -1;
+    rpc_conn_set_socket_options(fd);
+    c->conn =
+        rpc_conn_create(loop, fd, &handlers, c, c->limits.connect_ms / 1000.0);
+    c->counters.connects++;
+    c->state = CLIENT_GREETING;
+    memset(&c->greeting, 0, sizeof(c->greeting));
+    c->greeting.xid = c->next_xid++;
+    if (!client_write(c, &c->greeting)) {
+        client_fail(c, "rpc-greet", "no key to sign with", RPC_STATUS_LOST);
+        return;
+    }
+    rpc_conn_flush(c->conn);
+}
+
+/* Begins a connection. */
+static void
+client_connect(struct rpc_client *c)
+{
+    int fd = rpc_net_connect(c->host, c->port);
+
+    if (fd < 0) {
+        client_fail(c, "rpc-connect", g_strerror(errno), RPC_STATUS_LOST);
+        return;
+    }
+    c->state = CLIENT_CONNECTING;
+    c->connecting_fd = fd;
+    ev_io_set(&c->connecting, fd, EV_WRITE);
+    ev_io_start(c->loop, &c->connecting);
+    client_timer(c, c->limits.connect_ms);
+}
+
+/* Handles the state timer. */
+static void
+on_timer(struct ev_loop *loop, ev_timer *w, int events)
+{
+    (void)loop;
+    (void)events;
+    struct rpc_client *c = w->data;
+
+    switch (c->state) {
+    case CLIENT_CONNECTING:
+    case CLIENT_GREETING:
+        client_fail(c, "rpc-connect", "timed out", RPC_STATUS_LOST);
+        break;
+    case CLIENT_WAITING:
+        c->state = CLIENT_IDLE;
+        if (c->waiting.length > 0) {
+            client_connect(c);
+        }
+        break;
+    case CLIENT_READY:
+        if (g_hash_table_size(c->sent) == 0) {
+            client_close(c);
+        }
+        else {
+            client_timer(c, c->limits.idle_ms);
+        }
+        break;
+    case CLIENT_IDLE:
+        break;
+    }
+}
+
+/* Ends a call whose time is over or whose status was known early. */
+static void
+on_call_timer(struct ev_loop *loop, ev_timer *w, int events)
+{
+    (void)loop;
+    (void)events;
+    struct client_call *call = w->data;
+
+    if (call->early != RPC_STATUS_OK) {
+        call_end(call, call->early, NULL);
+    }
+    else {
+        call_end(call, call->sent ? RPC_STATUS_TIMEOUT : RPC_STATUS_NOT_SENT,
+                 NULL);
+    }
+}
+
+/* Makes a client for one peer; host is an IP number, keys are borrowed, seed
+   starts the jitter sequence. Opens no connection yet. */
+struct rpc_client *
+rpc_client_create(struct ev_loop *loop, const char *host, uint16_t port,
+                  const struct rpc_keys *keys, uint64_t seed,
+                  const struct rpc_client_limits *limits)
+{
+    struct rpc_client *c = g_new0(struct rpc_client, 1);
+
+    c->loop = loop;
+    g_strlcpy(c->host, host, sizeof(c->host));
+    g_snprintf(c->peer, sizeof(c->peer),
+               strchr(host, ':') ? "[%s]:%u" : "%s:%u", c->host, port);
+    c->port = port;
+    c->keys = keys;
+    rng_seed(&c->rng, seed);
+    if (limits) {
+        c->limits = *limits;
+    }
+    if (c->limits.connect_ms == 0) {
+        c->limits.connect_ms = 1000;
+    }
+    if (c->limits.backoff_min_ms == 0) {
+        c->limits.backoff_min_ms = 100;
+    }
+    if (c->limits.backoff_max_ms == 0) {
+        c->limits.backoff_max_ms = 5000;
+    }
+    if (c->limits.idle_ms == 0) {
+        c->limits.idle_ms = 30000;
+    }
+    if (c->limits.max_calls == 0) {
+        c->limits.max_calls = 256;
+    }
+    c->backoff_ms = c->limits.backoff_min_ms;
+    c->connecting_fd = -1;
+    c->next_xid = (uint32_t)rng_next(&c->rng);
+    ev_init(&c->connecting, on_connected);
+    ev_init(&c->timer, on_timer);
+    c->connecting.data = c->timer.data = c;
+    g_queue_init(&c->waiting);
+    c->sent = g_hash_table_new(g_direct_hash, g_direct_equal);
+    return c;
+}
+
+/* Closes the connection; open calls end with NOT_SENT or LOST first. */
+void
+rpc_client_destroy(struct rpc_client *c)
+{
+    if (!c) {
+        return;
+    }
+    client_close(c);
+    while (c->waiting.head) {
+        call_end(c->waiting.head->data, RPC_STATUS_NOT_SENT, NULL);
+    }
+    client_end_sent(c, RPC_STATUS_LOST);
+    g_hash_table_destroy(c->sent);
+    g_free(c);
+}
+
+/* Makes a call. done is called exactly once, from the loop, within timeout_ms
+   of loop time. The call waits while the connection is being opened. */
+void
+rpc_client_call(struct rpc_client *c, const struct rpc_signature *what,
+                const void *args, unsigned timeout_ms, rpc_done done,
+                void *ctx)
+{
+    struct client_call *call = g_new0(struct client_call, 1);
+
+    call->client = c;
+    call->sig = *what;
+    call->body = g_byte_array_new();
+    call->done = done;
+    call->ctx = ctx;
+    call->what.xid = c->next_xid++;
+    call->what.program = what->program;
+    call->what.version = what->version;
+    call->what.procedure = what->procedure;
+    call->link.data = call;
+    c->counters.calls++;
+    if (c->waiting.length + g_hash_table_size(c->sent) >=
+        c->limits.max_calls) {
+        call->early = RPC_STATUS_BUSY;
+    }
+    else if (!rpc_encode_body(call->body, what->args_proc, args) ||
+             call->body->len >
+                 RPC_RECORD_MAX_BYTES - RPC_CALL_OVERHEAD_BYTES) {
+        call->early = RPC_STATUS_TOO_LARGE;
+    }
+    g_queue_push_tail_link(&c->waiting, &call->link);
+    ev_timer_init(&call->timer, on_call_timer,
+                  call->early == RPC_STATUS_OK ? timeout_ms / 1000.0 : 0.0, 0);
+    call->timer.data = call;
+    ev_timer_start(c->loop, &call->timer);
+    if (call->early != RPC_STATUS_OK) {
+        return;
+    }
+    if (c->state == CLIENT_READY) {
+        client_send_waiting(c);
+    }
+    else if (c->state == CLIENT_IDLE) {
+        client_connect(c);
+    }
+}
+
+/* Returns the live counters. */
+const struct rpc_client_counters *
+rpc_client_counters(const struct rpc_client *c)
+{
+    return &c->counters;
+}
+
+/* Returns the address of the peer, for logs and messages. */
+const char *
+rpc_client_peer(const struct rpc_client *c)
+{
+    return c->peer;
+}
--- /dev/null
+++ b/src/fleet/rpc_client.h
@@ -0,0 +1,59 @@
+#ifndef FLEET_RPC_CLIENT_H
+#define FLEET_RPC_CLIENT_H
+
+#include "base/rng.h"
+#include "fleet/rpc.h"
+#include "fleet/rpc_auth.h"
+
+#include <ev.h>
+#include <rpc/rpc.h>
+#include <stdint.h>
+
+/* One connection to one peer, opened when there is something to call and
+   closed after idle time. */
+struct rpc_client;
+
+/* result is the decoded answer when status is RPC_STATUS_OK, else NULL; it is
+   released when the callback returns. Never called from rpc_client_call. */
+typedef void (*rpc_done)(void *ctx, enum rpc_status status, void *result);
+
+/* What a procedure takes and answers. */
+struct rpc_signature {
+    uint32_t program;
+    uint32_t version;
+    uint32_t procedure;
+    xdrproc_t args_proc;
+    xdrproc_t result_proc;
+    size_t result_bytes; /* size of the C type */
+};
+
+/* Zero fields take the defaults. */
+struct rpc_client_limits {
+    unsigned connect_ms;     /* with the first exchange, 1000 */
+    unsigned backoff_min_ms; /* 100 */
+    unsigned backoff_max_ms; /* 5000 */
+    unsigned idle_ms;        /* close an unused connection, 30000 */
+    unsigned max_calls;      /* waiting or in flight, 256 */
+};
+
+struct rpc_client_counters {
+    uint64_t connects;
+    uint64_t connect_failures;
+    uint64_t calls;
+    uint64_t ended[RPC_STATUS_BUSY + 1];
+};
+
+struct rpc_client *rpc_client_create(struct ev_loop *loop, const char *host,
+                                     uint16_t port,
+                                     const struct rpc_keys *keys,
+                                     uint64_t seed,
+                                     const struct rpc_client_limits *limits);
+void rpc_client_destroy(struct rpc_client *c);
+void rpc_client_call(struct rpc_client *c, const struct rpc_signature *what,
+                     const void *args, unsigned timeout_ms, rpc_done done,
+                     void *ctx);
+const struct rpc_client_counters *
+rpc_client_counters(const struct rpc_client *c);
+const char *rpc_client_peer(const struct rpc_client *c);
+
+#endif
--- /dev/null
+++ b/src/fleet/rpc_conn.c
@@ -0,0 +1,293 @@
+#include "fleet/rpc_conn.h"
+
+#include "fleet/rpc_codec.h"
+
+#include <errno.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#define READ_CHUNK_BYTES 16384
+/* A peer that acknowledges nothing for this long is taken as gone (design,
+   section 13, "connection silent"). */
+#define USER_TIMEOUT_MS 5000
+#define KEEPALIVE_IDLE_S 5
+
+struct rpc_conn {
+    struct ev_loop *loop;
+    int fd;
+    ev_io reading;
+    ev_io writing;
+    ev_timer stall;
+    struct rpc_reader reader;
+    GByteArray *out;
+    size_t out_sent;
+    struct rpc_conn_handlers handlers;
+    void *ctx;
+    int refs;
+    bool paused;
+    bool stalling;
+};
+
+/* Keeps the memory while one of our own frames is on the stack. */
+static void
+conn_ref(struct rpc_conn *c)
+{
+    c->refs++;
+}
+
+/* Releases the memory with the last reference. */
+static void
+conn_unref(struct rpc_conn *c)
+{
+    if (--c->refs == 0) {
+        rpc_reader_clear(&c->reader);
+        g_byte_array_free(c->out, TRUE);
+        g_free(c);
+    }
+}
+
+/* Closes the socket and stops all watchers. */
+static void
+conn_shut(struct rpc_conn *c)
+{
+    if (c->fd < 0) {
+        return;
+    }
+    ev_io_stop(c->loop, &c->reading);
+    ev_io_stop(c->loop, &c->writing);
+    ev_timer_stop(c->loop, &c->stall);
+    close(c->fd);
+    c->fd = -1;
+}
+
+/* Ends the connection and tells the owner. */
+static void
+conn_end(struct rpc_conn *c, enum rpc_conn_end why)
+{
+    if (c->fd < 0) {
+        return;
+    }
+    conn_shut(c);
+    c->handlers.on_end(c->ctx, why);
+}
+
+/* Runs the stall timer while a record is incomplete or output waits. It is
+   restarted only when that state begins or a record or output moves on, so a
+   peer that trickles bytes cannot hold the connection. */
+static void
+conn_watch_stall(struct rpc_conn *c, bool progress)
+{
+    bool waiting = c->fd >= 0 &&
+                   (rpc_reader_partial(&c->reader) || rpc_conn_pending(c) > 0);
+
+    if (!waiting) {
+        ev_timer_stop(c->loop, &c->stall);
+    }
+    else if (progress || !c->stalling) {
+        ev_timer_again(c->loop, &c->stall);
+    }
+    c->stalling = waiting;
+}
+
+/* Ends a connection whose record or output made no progress. */
+static void
+on_stall(struct ev_loop *loop, ev_timer *w, int events)
+{
+    (void)loop;
+    (void)events;
+    struct rpc_conn *c = w->data;
+
+    conn_ref(c);
+    conn_end(c, RPC_CONN_STALLED);
+    conn_unref(c);
+}
+
+/* Feeds received bytes to the reader and hands over each whole record. */
+static void
+conn_feed(struct rpc_conn *c, struct sview in)
+{
+    bool progress = false;
+
+    while (c->fd >= 0 && in.n > 0) {
+        enum rpc_read_status s = rpc_reader_feed(&c->reader, &in);
+
+        if (s == RPC_READ_OVERSIZED) {
+            conn_end(c, RPC_CONN_OVERSIZED);
+            return;
+        }
+        if (s == RPC_READ_MALFORMED) {
+            conn_end(c, RPC_CONN_MALFORMED);
+            return;
+        }
+        if (s == RPC_READ_RECORD) {
+            GByteArray *record = c->reader.record;
+
+            c->handlers.on_record(
+                c->ctx,
+                (struct sview){(const char *)record->data, record->len});
+            rpc_reader_next(&c->reader);
+            progress = true;
+        }
+    }
+    conn_watch_stall(c, progress);
+}
+
+/* Reads what the socket has. */
+static void
+on_readable(struct ev_loop *loop, ev_io *w, int events)
+{
+    (void)loop;
+    (void)events;
+    struct rpc_conn *c = w->data;
+    char buffer[READ_CHUNK_BYTES];
+    ssize_t n = read(c->fd, buffer, sizeof(buffer));
+
+    conn_ref(c);
+    if (n > 0) {
+        conn_feed(c, (struct sview){buffer, (size_t)n});
+    }
+    else if (n == 0 || (errno != EAGAIN && errno != EINTR)) {
+        conn_end(c, RPC_CONN_CLOSED);
+    }
+    conn_unref(c);
+}
+
+/* Writes what waits. */
+static void
+on_writable(struct ev_loop *loop, ev_io *w, int events)
+{
+    (void)loop;
+    (void)events;
+    struct rpc_conn *c = w->data;
+
+    conn_ref(c);
+    rpc_conn_flush(c);
+    if (c->fd >= 0 && rpc_conn_pending(c) == 0 && c->handlers.on_drained) {
+        c->handlers.on_drained(c->ctx);
+    }
+    conn_unref(c);
+}
+
+/* Sets no-delay, keepalive and the user timeout; the failure of one is not
+   fatal, because the call timeouts remain. */
+void
+rpc_conn_set_socket_options(int fd)
+{
+    int on = 1;
+    int idle = KEEPALIVE_IDLE_S;
+    unsigned user_timeout = USER_TIMEOUT_MS;
+
+    setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+    setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
+    setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &idle, sizeof(idle));
+    setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &user_timeout,
+               sizeof(user_timeout));
+}
+
+/* Takes over a connected, non-blocking socket. stall_s bounds how long one
+   record or waiting output may take. */
+struct rpc_conn *
+rpc_conn_create(struct ev_loop *loop, int fd,
+                const struct rpc_conn_handlers *handlers, void *ctx,
+                ev_tstamp stall_s)
+{
+    struct rpc_conn *c = g_new0(struct rpc_conn, 1);
+
+    c->loop = loop;
+    c->fd = fd;
+    c->handlers = *handlers;
+    c->ctx = ctx;
+    c->refs = 1;
+    c->out = g_byte_array_new();
+    rpc_reader_init(&c->reader);
+    ev_io_init(&c->reading, on_readable, fd, EV_READ);
+    ev_io_init(&c->writing, on_writable, fd, EV_WRITE);
+    ev_init(&c->stall, on_stall);
+    c->stall.repeat = stall_s;
+    c->reading.data = c->writing.data = c->stall.data = c;
+    ev_io_start(loop, &c->reading);
+    return c;
+}
+
+/* Closes the connection without calling on_end. Safe inside callbacks. */
+void
+rpc_conn_destroy(struct rpc_conn *c)
+{
+    if (c) {
+        conn_shut(c);
+        conn_unref(c);
+    }
+}
+
+/* Returns the buffer to which records are appended before rpc_conn_flush. */
+GByteArray *
+rpc_conn_output(struct rpc_conn *c)
+{
+    return c->out;
+}
+
+/* Returns the number of bytes that wait to be written. */
+size_t
+rpc_conn_pending(const struct rpc_conn *c)
+{
+    return c->out->len - c->out_sent;
+}
+
+/* Writes as much output as the socket takes; the rest follows when it is
+   writable. A broken socket is reported by the read side. */
+void
+rpc_conn_flush(struct rpc_conn *c)
+{
+    bool progress = false;
+
+    while (c->fd >= 0 && rpc_conn_pending(c) > 0) {
+        ssize_t n = send(c->fd, c->out->data + c->out_sent,
+                         rpc_conn_pending(c), MSG_NOSIGNAL);
+
+        if (n > 0) {
+            c->out_sent += (size_t)n;
+            progress = true;
+            continue;
+        }
+        if (errno == EINTR) {
+            continue;
+        }
+        if (errno != EAGAIN) {
+            /* The data is lost anyway; stop writing and let the read side
+               see the end, so that on_end is never called from a sender. */
+            c->out_sent = c->out->len;
+            shutdown(c->fd, SHUT_RDWR);
+        }
+        break;
+    }
+    if (rpc_conn_pending(c) == 0) {
+        g_byte_array_set_size(c->out, 0);
+        c->out_sent = 0;
+        if (c->fd >= 0) {
+            ev_io_stop(c->loop, &c->writing);
+        }
+    }
+    else if (c->fd >= 0) {
+        ev_io_start(c->loop, &c->writing);
+    }
+    conn_watch_stall(c, progress);
+}
+
+/* Stops or resumes reading, to hold back a peer that sends faster than it
+   takes answers. */
+void
+rpc_conn_pause(struct rpc_conn *c, bool paused)
+{
+    if (c->fd < 0 || c->paused == paused) {
+        return;
+    }
+    c->paused = paused;
+    if (paused) {
+        ev_io_stop(c->loop, &c->reading);
+    }
+    else {
+        ev_io_start(c->loop, &c->reading);
+    }
+}
--- /dev/null
+++ b/src/fleet/rpc_server.c
@@ -0,0 +1,450 @@
+/* accept4 */
+#define _GNU_SOURCE
+#include "fleet/rpc_server.h"
+
+#include "base/clock.h"
+#include "fleet/rpc_codec.h"
+#include "fleet/rpc_conn.h"
+#include "fleet/rpc_net.h"
+
+#include <errno.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#define LOG_MODULE "fleet"
+#include "base/log.h"
+
+/* Reading stops while this much output waits for a slow peer. */
+#define OUTPUT_PAUSE_BYTES (2 * RPC_RECORD_MAX_BYTES)
+#define ACCEPT_BATCH 64
+
+struct server_conn {
+    struct rpc_server *server;
+    struct rpc_conn *conn;
+    GQueue calls; /* unanswered struct rpc_call */
+    ev_timer first_call;
+    char peer[RPC_ADDRESS_BYTES];
+    GList link;
+};
+
+struct rpc_call {
+    struct server_conn *from; /* NULL once the connection ended */
+    struct rpc_signed what;
+    int key;
+    char peer[RPC_ADDRESS_BYTES];
+    GList link;
+};
+
+struct rpc_server {
+    struct ev_loop *loop;
+    int fd;
+    uint16_t port;
+    ev_io accepting;
+    const struct rpc_keys *keys;
+    const struct rpc_procedure *procedures;
+    size_t procedure_count;
+    struct rpc_server_limits limits;
+    struct rpc_server_counters counters;
+    struct rpc_nonces *nonces;
+    uint8_t instance[RPC_INSTANCE_BYTES];
+    GQueue conns;
+};
+
+/* Releases a connection; its calls stay until they are answered. */
+static void
+server_conn_destroy(struct server_conn *sc)
+{
+    GList *l;
+
+    while ((l = g_queue_pop_head_link(&sc->calls))) {
+        ((struct rpc_call *)l->data)->from = NULL;
+    }
+    ev_timer_stop(sc->server->loop, &sc->first_call);
+    rpc_conn_destroy(sc->conn);
+    g_queue_unlink(&sc->server->conns, &sc->link);
+    g_free(sc);
+}
+
+/* Counts and logs a refusal and closes only that connection. */
+static void
+server_conn_refuse(struct server_conn *sc, enum rpc_refusal why)
+{
+    sc->server->counters.refused[why]++;
+    LOG_WARNING("rpc-receive", sc->peer, "connection refused: %s",
+                rpc_refusal_name(why));
+    server_conn_destroy(sc);
+}
+
+/* Refuses a call with an unsigned denial as a hint, then closes. */
+static void
+server_conn_deny(struct server_conn *sc, uint32_t xid, enum rpc_refusal why)
+{
+    rpc_encode_denied(rpc_conn_output(sc->conn), xid);
+    rpc_conn_flush(sc->conn);
+    server_conn_refuse(sc, why);
+}
+
+/* Holds back a peer with many unanswered calls or much waiting output. */
+static void
+server_conn_throttle(struct server_conn *sc)
+{
+    rpc_conn_pause(sc->conn,
+                   sc->calls.length >= sc->server->limits.max_calls ||
+                       rpc_conn_pending(sc->conn) > OUTPUT_PAUSE_BYTES);
+}
+
+/* Sends the answer, when the connection still stands, and releases the
+   call. */
+static void
+call_finish(struct rpc_call *call, uint32_t accept_stat, struct sview body)
+{
+    struct server_conn *sc = call->from;
+
+    if (sc) {
+        struct rpc_signed what = call->what;
+        uint8_t mac[RPC_MAC_BYTES];
+
+        g_queue_unlink(&sc->calls, &call->link);
+        what.reply = true;
+        what.accept_stat = accept_stat;
+        what.sent_ms = 0;
+        what.body = body;
+        int key = call->key;
+        /* The key set may have shrunk since the call came. */
+        if (!rpc_auth_sign(sc->server->keys, &what, key, mac)) {
+            rpc_auth_sign(sc->server->keys, &what, 0, mac);
+        }
+        rpc_encode_reply(rpc_conn_output(sc->conn), &what, mac);
+        rpc_conn_flush(sc->conn);
+        server_conn_throttle(sc);
+    }
+    g_free(call);
+}
+
+/* Answers a call with a value. A value that breaks its own bounds or fits no
+   record becomes a failure. */
+void
+rpc_call_reply(struct rpc_call *call, xdrproc_t proc, const void *value)
+{
+    GByteArray *body = g_byte_array_new();
+
+    if (rpc_encode_body(body, proc, value) &&
+        body->len <= RPC_RECORD_MAX_BYTES - RPC_REPLY_OVERHEAD_BYTES) {
+        call_finish(call, SUCCESS,
+                    (struct sview){(const char *)body->data, body->len});
+    }
+    else {
+        LOG_ERROR("rpc-reply", call->peer, "procedure %u: answer too large",
+                  call->what.procedure);
+        call_finish(call, SYSTEM_ERR, (struct sview){0});
+    }
+    g_byte_array_free(body, TRUE);
+}
+
+/* Answers a call with a failure and no value. */
+void
+rpc_call_fail(struct rpc_call *call)
+{
+    call_finish(call, SYSTEM_ERR, (struct sview){0});
+}
+
+/* Returns the address of the calling side. */
+const char *
+rpc_call_peer(const struct rpc_call *call)
+{
+    return call->peer;
+}
+
+/* Finds the dispatch row of a call. */
+static const struct rpc_procedure *
+server_find(const struct rpc_server *s, const struct rpc_signed *what,
+            uint32_t *accept_stat)
+{
+    *accept_stat = PROG_UNAVAIL;
+    for (size_t i = 0; i < s->procedure_count; i++) {
+        const struct rpc_procedure *p = &s->procedures[i];
+
+        if (p->program != what->program || p->version != what->version) {
+            continue;
+        }
+        if (p->procedure == what->procedure) {
+            return p;
+        }
+        *accept_stat = PROC_UNAVAIL;
+    }
+    return NULL;
+}
+
+/* Runs an admitted call. */
+static void
+server_dispatch(struct server_conn *sc, const struct rpc_signed *what, int key)
+{
+    struct rpc_call *call = g_new0(struct rpc_call, 1);
+    uint32_t accept_stat;
+
+    call->from = sc;
+    call->what = *what;
+    call->what.body = (struct sview){0};
+    call->key = key;
+    memcpy(call->peer, sc->peer, sizeof(call->peer));
+    call->link.data = call;
+    g_queue_push_tail_link(&sc->calls, &call->link);
+    sc->server->counters.calls++;
+
+    /* The null procedure tells this server's instance, which every other
+       call has to be signed over. */
+    if (what->procedure == 0) {
+        call_finish(call, SUCCESS,
+                    (struct sview){(const char *)sc->server->instance,
+                                   RPC_INSTANCE_BYTES});
+        return;
+    }
+    const struct rpc_procedure *p =
+        server_find(sc->server, what, &accept_stat);
+    if (!p) {
+        call_finish(call, accept_stat, (struct sview){0});
+        return;
+    }
+    void *args = g_malloc0(p->args_bytes + 1);
+    if (rpc_decode_body(what->body, p->args_proc, args)) {
+        p->handler(p->ctx, call, args);
+    }
+    else {
+        call_finish(call, GARBAGE_ARGS, (struct sview){0});
+    }
+    xdr_free(p->args_proc, args);
+    g_free(args);
+}
+
+/* Checks signature, time and nonce of one record, then runs the call. */
+static void
+on_record(void *ctx, struct sview record)
+{
+    struct server_conn *sc = ctx;
+    struct rpc_server *s = sc->server;
+    struct rpc_call_head head;
+    uint64_t wall = rpc_wall_ms();
+
+    s->counters.bytes_in += record.n + 4;
+    switch (rpc_decode_call(record, &head)) {
+    case RPC_DECODE_MALFORMED:
+        server_conn_refuse(sc, RPC_REFUSED_MALFORMED);
+        return;
+    case RPC_DECODE_UNSIGNED:
+        server_conn_deny(sc, head.what.xid, RPC_REFUSED_UNSIGNED);
+        return;
+    case RPC_DECODED:
+        break;
+    }
+    /* The reply carries no instance of its own; both sides use the server's,
+       or zeros for the null procedure. */
+    if (head.what.procedure != 0) {
+        memcpy(head.what.instance, s->instance, RPC_INSTANCE_BYTES);
+    }
+    int key = rpc_auth_verify(s->keys, &head.what, head.mac);
+    if (key < 0) {
+        server_conn_deny(sc, head.what.xid, RPC_REFUSED_SIGNATURE);
+        return;
+    }
+    uint64_t sent = head.what.sent_ms;
+    uint64_t apart = sent > wall ? sent - wall : wall - sent;
+    if (apart > RPC_TIME_WINDOW_MS) {
+        server_conn_deny(sc, head.what.xid, RPC_REFUSED_TIME);
+        return;
+    }
+    switch (
+        rpc_nonces_add(s->nonces, (uint64_t)clock_now(), head.what.nonce)) {
+    case RPC_NONCE_SEEN:
+        server_conn_deny(sc, head.what.xid, RPC_REFUSED_REPLAY);
+        return;
+    case RPC_NONCE_FULL:
+        server_conn_deny(sc, head.what.xid, RPC_REFUSED_NONCES_FULL);
+        return;
+    case RPC_NONCE_NEW:
+        break;
+    }
+    ev_timer_stop(s->loop, &sc->first_call);
+    /* The handler may answer at once and the reply may end nothing, since
+       rpc_conn reports a broken socket only from its read side. */
+    server_dispatch(sc, &head.what, key);
+    server_conn_throttle(sc);
+}
+
+/* Handles the end of a connection. */
+static void
+on_end(void *ctx, enum rpc_conn_end why)
+{
+    struct server_conn *sc = ctx;
+
+    switch (why) {
+    case RPC_CONN_CLOSED:
+        server_conn_destroy(sc);
+        break;
+    case RPC_CONN_OVERSIZED:
+        server_conn_refuse(sc, RPC_REFUSED_OVERSIZED);
+        break;
+    case RPC_CONN_MALFORMED:
+        server_conn_refuse(sc, RPC_REFUSED_MALFORMED);
+        break;
+    case RPC_CONN_STALLED:
+        server_conn_refuse(sc, RPC_REFUSED_STALLED);
+        break;
+    }
+}
+
+/* Resumes reading once the output has drained. */
+static void
+on_drained(void *ctx)
+{
+    server_conn_throttle(ctx);
+}
+
+/* Closes a connection that made no valid call in time. */
+static void
+on_first_call_timeout(struct ev_loop *loop, ev_timer *w, int events)
+{
+    (void)loop;
+    (void)events;
+    server_conn_refuse(w->data, RPC_REFUSED_STALLED);
+}
+
+/* Takes over one accepted socket. */
+static void
+server_admit(struct rpc_server *s, int fd, const char *peer)
+{
+    static const struct rpc_conn_handlers handlers = {
+        .on_record = on_record,
+        .on_end = on_end,
+        .on_drained = on_drained,
+    };
+
+    if (s->conns.length >= s->limits.max_connections) {
+        s->counters.refused[RPC_REFUSED_CONNECTIONS]++;
+        close(fd);
+        return;
+    }
+    struct server_conn *sc = g_new0(struct server_conn, 1);
+    double stall_s = s->limits.stall_ms / 1000.0;
+
+    s->counters.connections++;
+    sc->server = s;
+    g_strlcpy(sc->peer, peer, sizeof(sc->peer));
+    g_queue_init(&sc->calls);
+    sc->link.data = sc;
+    g_queue_push_tail_link(&s->conns, &sc->link);
+    rpc_conn_set_socket_options(fd);
+    sc->conn = rpc_conn_create(s->loop, fd, &handlers, sc, stall_s);
+    ev_timer_init(&sc->first_call, on_first_call_timeout, stall_s, 0);
+    sc->first_call.data = sc;
+    ev_timer_start(s->loop, &sc->first_call);
+}
+
+/* Accepts what waits, at most a batch, so that other work gets its turn. */
+static void
+on_acceptable(struct ev_loop *loop, ev_io *w, int events)
+{
+    (void)loop;
+    (void)events;
+    struct rpc_server *s = w->data;
+
+    for (int i = 0; i < ACCEPT_BATCH; i++) {
+        struct sockaddr_storage sa;
+        socklen_t sa_n = sizeof(sa);
+        char peer[RPC_ADDRESS_BYTES];
+        int fd = accept4(s->fd, (struct sockaddr *)&sa, &sa_n,
+                         SOCK_NONBLOCK | SOCK_CLOEXEC);
+
+        if (fd < 0) {
+            if (errno != EAGAIN && errno != EINTR) {
+                LOG_ERROR("rpc-accept", NULL, "%s", g_strerror(errno));
+            }
+            return;
+        }
+        rpc_net_format(&sa, peer);
+        server_admit(s, fd, peer);
+    }
+}
+
+/* Listens on host (an IP number) and port; port 0 takes any free one. keys
+   and procedures are borrowed. Returns NULL and sets *error (released with
+   g_free) when the address cannot be used. */
+struct rpc_server *
+rpc_server_create(struct ev_loop *loop, const char *host, uint16_t port,
+                  const struct rpc_keys *keys,
+                  const struct rpc_procedure *procedures, size_t n,
+                  const struct rpc_server_limits *limits, char **error)
+{
+    int fd = rpc_net_listen(host, port, error);
+
+    if (fd < 0) {
+        return NULL;
+    }
+    struct rpc_server *s = g_new0(struct rpc_server, 1);
+    s->loop = loop;
+    s->fd = fd;
+    s->port = rpc_net_port(fd);
+    s->keys = keys;
+    s->procedures = procedures;
+    s->procedure_count = n;
+    if (limits) {
+        s->limits = *limits;
+    }
+    if (s->limits.max_connections == 0) {
+        s->limits.max_connections = 1024;
+    }
+    if (s->limits.max_calls == 0) {
+        s->limits.max_calls = 64;
+    }
+    if (s->limits.stall_ms == 0) {
+        s->limits.stall_ms = 10000;
+    }
+    if (s->limits.max_nonces == 0) {
+        s->limits.max_nonces = 262144;
+    }
+    s->nonces = rpc_nonces_create(s->limits.max_nonces);
+    rpc_auth_random(s->instance, sizeof(s->instance));
+    g_queue_init(&s->conns);
+    ev_io_init(&s->accepting, on_acceptable, fd, EV_READ);
+    s->accepting.data = s;
+    ev_io_start(loop, &s->accepting);
+    return s;
+}
+
+/* Closes all connections. Calls still unanswered may be answered later; the
+   answers are dropped. */
+void
+rpc_server_destroy(struct rpc_server *s)
+{
+    if (!s) {
+        return;
+    }
+    while (s->conns.head) {
+        server_conn_destroy(s->conns.head->data);
+    }
+    ev_io_stop(s->loop, &s->accepting);
+    close(s->fd);
+    rpc_nonces_destroy(s->nonces);
+    g_free(s);
+}
+
+/* Returns the port that the server listens on. */
+uint16_t
+rpc_server_port(const struct rpc_server *s)
+{
+    return s->port;
+}
+
+/* Returns the live counters. */
+const struct rpc_server_counters *
+rpc_server_counters(const struct rpc_server *s)
+{
+    return &s->counters;
+}
+
+/* Returns the number of open connections. */
+unsigned
+rpc_server_open_connections(const struct rpc_server *s)
+{
+    return s->conns.length;
+}
