Operators' program and galenastepctl

Cause: operators need to see and steer a proxy; the daemon's content is not known to the protocol code. Change: src/control offers the operators' procedures with content registered by name and tables answered in parts; src/ctl is the command, with aligned or CSV output and exit codes; addresses have to be IP numbers. Conclusion: the daemon has only to register callbacks.

--- /dev/null
+++ b/src/control/control.c
@@ -0,0 +1,341 @@
+#include "control/control.h"
+
+#include "control/control_xdr.h"
+
+#include <stdarg.h>
+#include <string.h>
+
+#define LOG_MODULE "control"
+#include "base/log.h"
+
+/* Bytes of rows in one answer; the rest follows in later parts. Leaves room
+   for the headers within a record. */
+#define PART_BYTES 60500
+
+/* The tables by name; the procedure number is the index of a name's row. */
+static const struct {
+    const char *name;
+    uint32_t procedure;
+} table_names[] = {
+    {"status", CONTROL_STATUS},
+    {"members", CONTROL_MEMBERS},
+    {"counters", CONTROL_COUNTERS},
+    {"cost", CONTROL_COST},
+    {"ticket-list", CONTROL_TICKET_LIST},
+    {"ticket-show", CONTROL_TICKET_SHOW},
+    {"ticket-status", 0},
+};
+
+#define TABLE_COUNT G_N_ELEMENTS(table_names)
+
+struct table_slot {
+    struct control *control;
+    size_t index;
+    control_table_cb cb;
+    void *ctx;
+};
+
+struct control {
+    struct table_slot tables[TABLE_COUNT];
+    control_submit_cb submit;
+    void *submit_ctx;
+    control_drain_cb drain;
+    void *drain_ctx;
+};
+
+struct control_table {
+    GPtrArray *rows; /* GPtrArray of cells */
+    enum control_code code;
+    char *message;
+};
+
+struct control_reply {
+    struct rpc_call *call;
+};
+
+/* Adds a row; the cells end with NULL. The first row names the columns. A
+   cell over the protocol's bound is cut. */
+void
+control_table_add(struct control_table *t, const char *cell, ...)
+{
+    GPtrArray *row = g_ptr_array_new_with_free_func(g_free);
+    va_list ap;
+
+    va_start(ap, cell);
+    for (const char *s = cell; s && row->len < CONTROL_COLUMNS_MAX;
+         s = va_arg(ap, const char *)) {
+        g_ptr_array_add(row, g_strndup(s, CONTROL_TEXT_MAX));
+    }
+    va_end(ap);
+    g_ptr_array_add(t->rows, row);
+}
+
+/* Answers a code and a message in place of rows. */
+void
+control_table_fail(struct control_table *t, enum control_code code,
+                   const char *message)
+{
+    t->code = code;
+    g_free(t->message);
+    t->message = g_strndup(message, CONTROL_MESSAGE_MAX);
+}
+
+/* Returns the XDR size of a row. */
+static size_t
+row_bytes(const GPtrArray *row)
+{
+    size_t n = 4;
+
+    for (unsigned i = 0; i < row->len; i++) {
+        n += 4 + ((strlen(row->pdata[i]) + 3) & ~(size_t)3);
+    }
+    return n;
+}
+
+/* Makes an answer row that borrows the cells. */
+static control_row
+row_view(const GPtrArray *row)
+{
+    return (control_row){
+        .cells = {.cells_len = row->len,
+                  .cells_val = (control_cell *)row->pdata},
+    };
+}
+
+/* Answers the part of the table that begins at the data row offset. */
+static void
+table_answer(struct rpc_call *call, const struct control_table *t,
+             unsigned offset)
+{
+    control_table_answer a = {
+        .code = t->code,
+        .message = t->message ? t->message : "",
+    };
+    control_row *rows = g_new0(control_row, CONTROL_ROWS_MAX);
+    size_t used = 0;
+    unsigned n = 0;
+
+    if (t->code == CONTROL_OK && t->rows->len > 0) {
+        used = row_bytes(t->rows->pdata[0]);
+        rows[n++] = row_view(t->rows->pdata[0]);
+        for (unsigned i = 1 + offset; i < t->rows->len; i++) {
+            size_t bytes = row_bytes(t->rows->pdata[i]);
+
+            if (n == CONTROL_ROWS_MAX ||
+                (n > 1 && used + bytes > PART_BYTES)) {
+                a.next = i - 1;
+                break;
+            }
+            used += bytes;
+            rows[n++] = row_view(t->rows->pdata[i]);
+        }
+    }
+    a.rows.rows_len = n;
+    a.rows.rows_val = rows;
+    rpc_call_reply(call, RPC_XDR(xdr_control_table_answer), &a);
+    g_free(rows);
+}
+
+/* Serves every table procedure. TICKET_LIST with the argument "status" is the
+   table of each proxy's tickets. */
+static void
+on_table(void *ctx, struct rpc_call *call, void *args)
+{
+    struct table_slot *slot = ctx;
+    const control_table_request *r = args;
+    struct control_table t = {0};
+    const char *argument = r->argument;
+
+    if (table_names[slot->index].procedure == CONTROL_TICKET_LIST &&
+        strcmp(argument, "status") == 0) {
+        slot = &slot->control->tables[TABLE_COUNT - 1];
+        argument = "";
+    }
+    t.rows = g_ptr_array_new_with_free_func((GDestroyNotify)g_ptr_array_unref);
+    if (slot->cb) {
+        slot->cb(slot->ctx, argument, &t);
+    }
+    else {
+        control_table_fail(&t, CONTROL_FAILED, "not offered by this proxy");
+    }
+    unsigned offset = MIN(r->offset, t.rows->len);
+    table_answer(call, &t, offset);
+    g_ptr_array_unref(t.rows);
+    g_free(t.message);
+}
+
+/* Answers a command and releases it. */
+void
+control_reply_send(struct control_reply *r, enum control_code code,
+                   const char *message)
+{
+    char *text = g_strndup(message, CONTROL_MESSAGE_MAX);
+    control_result a = {.code = code, .message = text};
+
+    rpc_call_reply(r->call, RPC_XDR(xdr_control_result), &a);
+    g_free(text);
+    g_free(r);
+}
+
+/* Makes a pending command of a call. */
+static struct control_reply *
+reply_new(struct rpc_call *call)
+{
+    struct control_reply *r = g_new0(struct control_reply, 1);
+
+    r->call = call;
+    return r;
+}
+
+/* Hands a ticket to the daemon. */
+static void
+on_submit(void *ctx, struct rpc_call *call, void *args)
+{
+    struct control *c = ctx;
+    const control_submit *s = args;
+    struct control_reply *r = reply_new(call);
+
+    LOG_NOTICE("ticket-submit", rpc_call_peer(call), "author %s", s->author);
+    if (c->submit) {
+        c->submit(c->submit_ctx, r, s->author, s->text);
+    }
+    else {
+        control_reply_send(r, CONTROL_FAILED, "not offered by this proxy");
+    }
+}
+
+/* Hands a drain request to the daemon. */
+static void
+on_drain(void *ctx, struct rpc_call *call, void *args)
+{
+    (void)args;
+    struct control *c = ctx;
+    struct control_reply *r = reply_new(call);
+
+    LOG_NOTICE("drain", rpc_call_peer(call), "requested by an operator");
+    if (c->drain) {
+        c->drain(c->drain_ctx, r);
+    }
+    else {
+        control_reply_send(r, CONTROL_FAILED, "not offered by this proxy");
+    }
+}
+
+/* Sets the log level. */
+static void
+on_log_level(void *ctx, struct rpc_call *call, void *args)
+{
+    (void)ctx;
+    const control_level *l = args;
+    enum log_level level;
+
+    if (!log_level_parse(l->level, &level)) {
+        control_reply_send(
+            reply_new(call), CONTROL_USAGE,
+            "level must be error, warning, notice, info or debug");
+        return;
+    }
+    LOG_NOTICE("log-level", rpc_call_peer(call), "set to %s", l->level);
+    log_set_level(level);
+    control_reply_send(reply_new(call), CONTROL_OK, l->level);
+}
+
+/* Decodes the empty argument. */
+static bool_t
+xdr_empty(XDR *x, ...)
+{
+    (void)x;
+    return TRUE;
+}
+
+/* Makes the module with nothing registered. */
+struct control *
+control_create(void)
+{
+    struct control *c = g_new0(struct control, 1);
+
+    for (size_t i = 0; i < TABLE_COUNT; i++) {
+        c->tables[i].control = c;
+        c->tables[i].index = i;
+    }
+    return c;
+}
+
+/* Releases the module, after the server that uses its procedures. */
+void
+control_destroy(struct control *c)
+{
+    g_free(c);
+}
+
+/* Registers the content of a table: status, members, counters, cost,
+   ticket-list, ticket-show or ticket-status. Returns FALSE for another
+   name. */
+gboolean
+control_register_table(struct control *c, const char *name,
+                       control_table_cb cb, void *ctx)
+{
+    for (size_t i = 0; i < TABLE_COUNT; i++) {
+        if (strcmp(table_names[i].name, name) == 0) {
+            c->tables[i].cb = cb;
+            c->tables[i].ctx = ctx;
+            return TRUE;
+        }
+    }
+    return FALSE;
+}
+
+/* Registers what a submitted ticket does. */
+void
+control_register_submit(struct control *c, control_submit_cb cb, void *ctx)
+{
+    c->submit = cb;
+    c->submit_ctx = ctx;
+}
+
+/* Registers what a drain request does. */
+void
+control_register_drain(struct control *c, control_drain_cb cb, void *ctx)
+{
+    c->drain = cb;
+    c->drain_ctx = ctx;
+}
+
+/* Appends the program's struct rpc_procedure rows, so that one server can
+   offer it beside the peers' program. */
+void
+control_append_procedures(struct control *c, GArray *rows)
+{
+    struct rpc_procedure p = {
+        .program = CONTROL_PROGRAM,
+        .version = CONTROL_VERSION,
+    };
+
+    for (size_t i = 0; i < TABLE_COUNT; i++) {
+        if (table_names[i].procedure == 0) {
+            continue;
+        }
+        p.procedure = table_names[i].procedure;
+        p.args_proc = RPC_XDR(xdr_control_table_request);
+        p.args_bytes = sizeof(control_table_request);
+        p.handler = on_table;
+        p.ctx = &c->tables[i];
+        g_array_append_val(rows, p);
+    }
+    p.ctx = c;
+    p.procedure = CONTROL_TICKET_SUBMIT;
+    p.args_proc = RPC_XDR(xdr_control_submit);
+    p.args_bytes = sizeof(control_submit);
+    p.handler = on_submit;
+    g_array_append_val(rows, p);
+    p.procedure = CONTROL_LOG_LEVEL;
+    p.args_proc = RPC_XDR(xdr_control_level);
+    p.args_bytes = sizeof(control_level);
+    p.handler = on_log_level;
+    g_array_append_val(rows, p);
+    p.procedure = CONTROL_DRAIN;
+    p.args_proc = xdr_empty;
+    p.args_bytes = 0;
+    p.handler = on_drain;
+    g_array_append_val(rows, p);
+}
--- /dev/null
+++ b/src/ctl/ctl.c
@@ -0,0 +1,309 @@
+#include "ctl/ctl.h"
+
+#include "base/clock.h"
+#include "ctl/ctl_call.h"
+#include "ctl/ctl_output.h"
+#include "fleet/rpc_codec.h"
+
+#include <string.h>
+
+#define DEFAULT_TIMEOUT_MS 5000
+#define TIMEOUT_MAX_MS 600000
+#define WAIT_POLL_MS 200
+
+static const char usage_text[] =
+    "Commands:\n"
+    "  status                    state of a proxy\n"
+    "  members                   proxies and members of databases\n"
+    "  counters                  counters since the start\n"
+    "  cost [--csv]              usage and cost by database and caller kind\n"
+    "  ticket submit FILE        submit a change ticket\n"
+    "  ticket show N             show ticket N\n"
+    "  ticket list               list accepted tickets\n"
+    "  ticket status [--wait]    show which proxies have all tickets\n"
+    "  drain                     stop the proxy gracefully\n"
+    "  log-level LEVEL           error, warning, notice, info or debug\n";
+
+struct options {
+    char **connect;
+    char *key_file;
+    char *author;
+    int timeout_ms;
+    gboolean csv;
+    gboolean wait;
+    gboolean version;
+};
+
+/* One command with fixed words that shows a table. */
+static const struct {
+    const char *first;
+    const char *second; /* NULL when the command is one word */
+    uint32_t procedure;
+    const char *argument;
+} table_commands[] = {
+    {"status", NULL, CONTROL_STATUS, ""},
+    {"members", NULL, CONTROL_MEMBERS, ""},
+    {"counters", NULL, CONTROL_COUNTERS, ""},
+    {"cost", NULL, CONTROL_COST, ""},
+    {"ticket", "list", CONTROL_TICKET_LIST, ""},
+    {"ticket", "status", CONTROL_TICKET_LIST, "status"},
+};
+
+/* Reports wrong usage. */
+static int
+usage(FILE *err, const char *text)
+{
+    fprintf(err, "galenastepctl: step=usage %s; see --help\n", text);
+    return CTL_USAGE;
+}
+
+/* Tells whether every data row of the ticket status ends with "yes". */
+static bool
+all_in_force(const GPtrArray *rows)
+{
+    for (guint i = 1; i < rows->len; i++) {
+        const GPtrArray *row = rows->pdata[i];
+
+        if (row->len == 0 || strcmp(row->pdata[row->len - 1], "yes") != 0) {
+            return false;
+        }
+    }
+    return rows->len > 1;
+}
+
+/* Fetches and prints a table. With --wait the fetch is repeated until every
+   proxy has all tickets or the time is over. */
+static int
+run_table(const struct ctl_target *t, const struct options *o,
+          uint32_t procedure, const char *argument, FILE *out)
+{
+    clock_ms until = clock_now() + (clock_ms)t->timeout_ms;
+    GPtrArray *rows = NULL;
+    bool waiting = o->wait && strcmp(argument, "status") == 0;
+    int code;
+
+    for (;;) {
+        code = ctl_call_table(t, procedure, argument, &rows);
+        if (code != CTL_OK) {
+            return code;
+        }
+        if (!waiting || all_in_force(rows)) {
+            break;
+        }
+        if (clock_now() >= until) {
+            fprintf(t->err,
+                    "galenastepctl: step=%s not in force on every proxy "
+                    "within %u ms\n",
+                    t->step, t->timeout_ms);
+            code = CTL_FAILED;
+            break;
+        }
+        g_ptr_array_unref(rows);
+        g_usleep(WAIT_POLL_MS * 1000UL);
+    }
+    if (o->csv) {
+        ctl_print_csv(out, rows);
+    }
+    else {
+        ctl_print_table(out, rows);
+    }
+    g_ptr_array_unref(rows);
+    return code;
+}
+
+/* Runs a command that answers a code and a message. */
+static int
+run_command(const struct ctl_target *t, uint32_t procedure,
+            xdrproc_t args_proc, const void *args, FILE *out)
+{
+    char *message;
+    int code = ctl_call_command(t, procedure, args_proc, args, &message);
+
+    if (message && code == CTL_OK) {
+        fprintf(out, "%s\n", message);
+    }
+    else if (message) {
+        fprintf(t->err, "galenastepctl: step=%s %s\n", t->step, message);
+    }
+    g_free(message);
+    return code;
+}
+
+/* Reads the ticket file and submits it. */
+static int
+run_submit(const struct ctl_target *t, const struct options *o,
+           const char *path, FILE *out)
+{
+    char *text = NULL;
+    gsize n = 0;
+    GError *error = NULL;
+    int code;
+
+    if (!g_file_get_contents(path, &text, &n, &error)) {
+        fprintf(t->err, "galenastepctl: step=ticket-submit %s\n",
+                error->message);
+        g_error_free(error);
+        return CTL_FAILED;
+    }
+    if (n > CONTROL_TEXT_MAX || strlen(text) != n) {
+        fprintf(t->err,
+                "galenastepctl: step=ticket-submit %s: must be text of at "
+                "most %d bytes\n",
+                path, CONTROL_TEXT_MAX);
+        g_free(text);
+        return CTL_FAILED;
+    }
+    char author[CONTROL_NAME_MAX + 1];
+    g_strlcpy(author, o->author ? o->author : g_get_user_name(),
+              sizeof(author));
+    control_submit s = {.author = author, .text = text};
+    code = run_command(t, CONTROL_TICKET_SUBMIT, RPC_XDR(xdr_control_submit),
+                       &s, out);
+    g_free(text);
+    return code;
+}
+
+/* Chooses the command. words ends with NULL. */
+static int
+run_words(struct ctl_target *t, const struct options *o, char **words,
+          FILE *out)
+{
+    guint n = g_strv_length(words);
+    const char *first = words[0];
+    const char *second = n > 1 ? words[1] : NULL;
+
+    t->step = first;
+    for (size_t i = 0; i < G_N_ELEMENTS(table_commands); i++) {
+        if (strcmp(first, table_commands[i].first) == 0 &&
+            g_strcmp0(second, table_commands[i].second) == 0 && n <= 2) {
+            t->step = second ? second : first;
+            return run_table(t, o, table_commands[i].procedure,
+                             table_commands[i].argument, out);
+        }
+    }
+    if (n == 1 && strcmp(first, "drain") == 0) {
+        return run_command(t, CONTROL_DRAIN, ctl_xdr_empty, NULL, out);
+    }
+    if (n == 2 && strcmp(first, "log-level") == 0) {
+        control_level l = {.level = words[1]};
+
+        if (strlen(words[1]) > CONTROL_NAME_MAX) {
+            return usage(t->err, "unknown log level");
+        }
+        return run_command(t, CONTROL_LOG_LEVEL, RPC_XDR(xdr_control_level),
+                           &l, out);
+    }
+    if (n == 3 && strcmp(first, "ticket") == 0) {
+        if (strcmp(second, "submit") == 0) {
+            t->step = "ticket-submit";
+            return run_submit(t, o, words[2], out);
+        }
+        if (strcmp(second, "show") == 0) {
+            guint64 number;
+
+            t->step = "ticket-show";
+            if (!g_ascii_string_to_unsigned(words[2], 10, 0, G_MAXUINT64,
+                                            &number, NULL)) {
+                return usage(t->err, "the ticket number must be a number");
+            }
+            return run_table(t, o, CONTROL_TICKET_SHOW, words[2], out);
+        }
+    }
+    return usage(t->err, "unknown command or wrong number of arguments");
+}
+
+/* Checks the options and runs the command. */
+static int
+run_options(const struct options *o, char **words, FILE *out, FILE *err)
+{
+    struct ctl_target t = {.err = err, .timeout_ms = (unsigned)o->timeout_ms};
+    const char *env = g_getenv("GALENASTEP_CONTROL");
+    char **from_env = NULL;
+    char *error = NULL;
+    int code;
+
+    if (o->timeout_ms < 1 || o->timeout_ms > TIMEOUT_MAX_MS) {
+        return usage(err, "--timeout-ms must be from 1 to 600000");
+    }
+    if (!words || !words[0]) {
+        return usage(err, "no command given");
+    }
+    if (!o->connect && (!env || !*env)) {
+        return usage(err, "no address: use --connect or GALENASTEP_CONTROL");
+    }
+    if (!o->key_file) {
+        return usage(err, "no key: use --key-file");
+    }
+    struct rpc_keys *keys = rpc_keys_create();
+    if (!rpc_keys_load(keys, o->key_file, &error)) {
+        fprintf(err, "galenastepctl: step=key-file %s\n", error);
+        g_free(error);
+        rpc_keys_destroy(keys);
+        return CTL_USAGE;
+    }
+    if (!o->connect) {
+        from_env = g_strsplit(env, ",", -1);
+    }
+    t.addresses = o->connect ? o->connect : from_env;
+    t.keys = keys;
+    code = run_words(&t, o, words, out);
+    g_strfreev(from_env);
+    rpc_keys_destroy(keys);
+    return code;
+}
+
+/* Runs galenastepctl with its arguments; returns the exit code. */
+int
+ctl_run(int argc, char **argv, FILE *out, FILE *err)
+{
+    struct options o = {.timeout_ms = DEFAULT_TIMEOUT_MS};
+    char **words = NULL;
+    const GOptionEntry entries[] = {
+        {"connect", 'c', 0, G_OPTION_ARG_STRING_ARRAY, &o.connect,
+         "Proxy to ask; repeat it to name others in case one is away",
+         "HOST:PORT"},
+        {"key-file", 'k', 0, G_OPTION_ARG_FILENAME, &o.key_file,
+         "File with the shared key", "FILE"},
+        {"timeout-ms", 't', 0, G_OPTION_ARG_INT, &o.timeout_ms,
+         "Time for a call, or for --wait", "MS"},
+        {"author", 0, 0, G_OPTION_ARG_STRING, &o.author,
+         "Author of a ticket; the user's name by default", "NAME"},
+        {"csv", 0, 0, G_OPTION_ARG_NONE, &o.csv,
+         "Print comma-separated values", NULL},
+        {"wait", 0, 0, G_OPTION_ARG_NONE, &o.wait,
+         "Wait until every proxy has all tickets", NULL},
+        {"version", 0, 0, G_OPTION_ARG_NONE, &o.version, "Print the version",
+         NULL},
+        {G_OPTION_REMAINING, 0, 0, G_OPTION_ARG_STRING_ARRAY, &words, NULL,
+         "COMMAND"},
+        {0},
+    };
+    GOptionContext *context = g_option_context_new(NULL);
+    char **args = g_new0(char *, argc + 1);
+    GError *error = NULL;
+    int code;
+
+    for (int i = 0; i < argc; i++) {
+        args[i] = g_strdup(argv[i]);
+    }
+    g_option_context_add_main_entries(context, entries, NULL);
+    g_option_context_set_description(context, usage_text);
+    if (!g_option_context_parse_strv(context, &args, &error)) {
+        code = usage(err, error->message);
+        g_error_free(error);
+    }
+    else if (o.version) {
+        fprintf(out, "galenastepctl %s\n", GALENASTEP_VERSION);
+        code = CTL_OK;
+    }
+    else {
+        code = run_options(&o, words, out, err);
+    }
+    g_option_context_free(context);
+    g_strfreev(args);
+    g_strfreev(words);
+    g_strfreev(o.connect);
+    g_free(o.key_file);
+    g_free(o.author);
+    return code;
+}
--- /dev/null
+++ b/src/ctl/main.c
@@ -0,0 +1,12 @@
+#include "ctl/ctl.h"
+
+#include "base/log.h"
+
+/* Runs the operators' command. */
+int
+main(int argc, char **argv)
+{
+    log_open("galenastepctl");
+    log_set_level(LOG_LEVEL_ERROR);
+    return ctl_run(argc, argv, stdout, stderr);
+}
--- a/src/fleet/rpc_client.c
+++ b/src/fleet/rpc_client.c
@@ -112,6 +112,20 @@
     g_list_free(calls);
 }
 
+/* Marks every waiting call as ended; their callbacks run from the loop. */
+static void
+client_end_waiting(struct rpc_client *c, enum rpc_status status)
+{
+    for (GList *l = c->waiting.head; l; l = l->next) {
+        struct client_call *call = l->data;
+
+        if (call->early == RPC_STATUS_OK) {
+            call->early = status;
+            ev_feed_event(c->loop, &call->timer, EV_TIMER);
+        }
+    }
+}
+
 /* Backs off with full jitter after a lost or refused connection. Calls that
    wait stay until their own time is over. */
 static void
@@ -125,6 +139,9 @@
     unsigned half = c->backoff_ms / 2;
     client_timer(c, half + (unsigned)rng_below(&c->rng, half + 1));
     c->backoff_ms = MIN(c->backoff_ms * 2, c->limits.backoff_max_ms);
+    if (c->limits.fail_fast) {
+        client_end_waiting(c, RPC_STATUS_NOT_SENT);
+    }
     client_end_sent(c, sent_status);
 }
 
@@ -200,23 +217,6 @@
     client_send_waiting(c);
 }
 
-/* Ends every waiting call with the same status; used when the peer denies
-   the greeting, so that a wrong key is reported as such. */
-static void
-client_end_waiting(struct rpc_client *c, enum rpc_status status)
-{
-    GQueue calls = c->waiting;
-    GList *next = NULL;
-
-    for (GList *l = calls.head; l; l = next) {
-        struct client_call *call = l->data;
-
-        next = l == calls.tail ? NULL : l->next;
-        call->early = status;
-        ev_feed_event(c->loop, &call->timer, EV_TIMER);
-    }
-}
-
 /* Maps the accept status of a verified reply. */
 static enum rpc_status
 status_of(uint32_t accept_stat)
--- a/src/fleet/rpc_client.h
+++ b/src/fleet/rpc_client.h
@@ -7,6 +7,7 @@
 
 #include <ev.h>
 #include <rpc/rpc.h>
+#include <stdbool.h>
 #include <stdint.h>
 
 /* One connection to one peer, opened when there is something to call and
@@ -14,7 +15,8 @@
 struct rpc_client;
 
 /* result is the decoded answer when status is RPC_STATUS_OK, else NULL; it is
-   released when the callback returns. Never called from rpc_client_call. */
+   released when the callback returns. Never called from rpc_client_call. The
+   callback may make calls but must not destroy the client. */
 typedef void (*rpc_done)(void *ctx, enum rpc_status status, void *result);
 
 /* What a procedure takes and answers. */
@@ -34,6 +36,7 @@
     unsigned backoff_max_ms; /* 5000 */
     unsigned idle_ms;        /* close an unused connection, 30000 */
     unsigned max_calls;      /* waiting or in flight, 256 */
+    bool fail_fast;          /* a failed connection ends the waiting calls */
 };
 
 struct rpc_client_counters {
--- a/src/fleet/rpc_net.c
+++ b/src/fleet/rpc_net.c
@@ -116,7 +116,8 @@
     g_snprintf(out, RPC_ADDRESS_BYTES, "%s:%u", host, ntohs(v4->sin_port));
 }
 
-/* Splits "host:port" or "[host]:port"; the port is 1 to 65535. */
+/* Splits "host:port" or "[host]:port"; the host has to be an IP number and
+   the port 1 to 65535. */
 bool
 rpc_net_split(const char *address, char host[RPC_ADDRESS_BYTES],
               uint16_t *port)
@@ -136,10 +137,12 @@
     if (n == 0 || n >= RPC_ADDRESS_BYTES) {
         return false;
     }
+    struct sockaddr_storage sa;
+
     memcpy(host, address, n);
     host[n] = 0;
     *port = (uint16_t)value;
-    return true;
+    return net_parse(host, *port, &sa) != 0;
 }
 
 /* Returns the wall clock in milliseconds, for send times only. */
--- a/src/fleet/rpc_server.h
+++ b/src/fleet/rpc_server.h
@@ -15,7 +15,8 @@
    once or later, with rpc_call_reply or rpc_call_fail; that releases it. */
 struct rpc_call;
 
-/* args is the decoded argument; it is released when the handler returns. */
+/* args is the decoded argument; it is released when the handler returns. A
+   handler must not destroy the server. */
 typedef void (*rpc_handler)(void *ctx, struct rpc_call *call, void *args);
 
 /* One row of the dispatch table, which must outlive the server. */
--- a/tests/fleet/rpc_fixture.c
+++ b/tests/fleet/rpc_fixture.c
@@ -72,8 +72,8 @@
         .handler = on_loan,
         .ctx = f,
     };
-    f->server = rpc_server_create(f->loop, "127.0.0.1", 0, f->keys, f->rows, 1,
-                                  limits, &error);
+    f->server = rpc_server_create(f->loop, RPC_FIXTURE_HOST, 0, f->keys,
+                                  f->rows, 1, limits, &error);
     assert_non_null(f->server);
 }
 
@@ -93,8 +93,9 @@
     const struct rpc_client_limits limits = {
         .connect_ms = 5000, .backoff_min_ms = 5, .backoff_max_ms = 20};
 
-    return rpc_client_create(f->loop, "127.0.0.1", rpc_server_port(f->server),
-                             keys ? keys : f->keys, 1, &limits);
+    return rpc_client_create(f->loop, RPC_FIXTURE_HOST,
+                             rpc_server_port(f->server), keys ? keys : f->keys,
+                             1, &limits);
 }
 
 /* Notes how a call ended. */
@@ -177,7 +178,7 @@
 int
 rpc_fixture_connect(struct rpc_fixture *f)
 {
-    int fd = rpc_net_connect("127.0.0.1", rpc_server_port(f->server));
+    int fd = rpc_net_connect(RPC_FIXTURE_HOST, rpc_server_port(f->server));
 
     assert_true(fd >= 0);
     fcntl(fd, F_SETFL, fcntl(fd, F_GETFL) & ~O_NONBLOCK);
--- a/tests/fleet/rpc_fixture.h
+++ b/tests/fleet/rpc_fixture.h
@@ -9,6 +9,10 @@
 #include <ev.h>
 #include <stdbool.h>
 
+/* Nothing else listens on this loopback address, so that a port stays free
+   while a server restarts. */
+#define RPC_FIXTURE_HOST "127.83.17.5"
+
 /* A server on a free loopback port whose LOAN_REQUEST grants what is wanted,
    with helpers that talk to it as a client or as raw bytes. */
 struct rpc_fixture {
