Fix analyzer findings in the RPC server and client

Cause: clang-tidy reported widening multiplications and could not follow two loops that pop a queue by releasing its elements. Change: unsigned constants; the loops keep the next link.

--- a/src/fleet/rpc.h
+++ b/src/fleet/rpc.h
@@ -6,13 +6,13 @@
 /* Shared types of the ONC RPC (RFC 5531) transport between proxies and from
    operators. Records are at most 64 KB, so that one peer cannot make the
    daemon take much memory. */
-#define RPC_RECORD_MAX_BYTES 65536
+#define RPC_RECORD_MAX_BYTES 65536U
 #define RPC_NONCE_BYTES 16
 #define RPC_MAC_BYTES 32
 /* A call is refused when its send time differs by more than this from the
    server's wall clock. It bounds the memory for nonces and is far above the
    clock difference of VMs that run a time service. */
-#define RPC_TIME_WINDOW_MS 30000
+#define RPC_TIME_WINDOW_MS 30000UL
 /* Wire bytes of a call and of an answer without their bodies: record mark,
    header, credential and verifier. */
 #define RPC_CALL_OVERHEAD_BYTES 100
--- a/src/fleet/rpc_client.c
+++ b/src/fleet/rpc_client.c
@@ -451,8 +451,10 @@
         return;
     }
     client_close(c);
-    while (c->waiting.head) {
-        call_end(c->waiting.head->data, RPC_STATUS_NOT_SENT, NULL);
+    GList *next;
+    for (GList *l = c->waiting.head; l; l = next) {
+        next = l->next;
+        call_end(l->data, RPC_STATUS_NOT_SENT, NULL);
     }
     client_end_sent(c, RPC_STATUS_LOST);
     g_hash_table_destroy(c->sent);
--- a/src/fleet/rpc_server.c
+++ b/src/fleet/rpc_server.c
@@ -16,7 +16,7 @@
 #include "base/log.h"
 
 /* Reading stops while this much output waits for a slow peer. */
-#define OUTPUT_PAUSE_BYTES (2 * RPC_RECORD_MAX_BYTES)
+#define OUTPUT_PAUSE_BYTES (2UL * RPC_RECORD_MAX_BYTES)
 #define ACCEPT_BATCH 64
 
 struct server_conn {
@@ -419,8 +419,10 @@
     if (!s) {
         return;
     }
-    while (s->conns.head) {
-        server_conn_destroy(s->conns.head->data);
+    GList *next;
+    for (GList *l = s->conns.head; l; l = next) {
+        next = l->next;
+        server_conn_destroy(l->data);
     }
     ev_io_stop(s->loop, &s->accepting);
     close(s->fd);
--- a/tests/fleet/test_rpc.c
+++ b/tests/fleet/test_rpc.c
@@ -289,7 +289,7 @@
 
         for (size_t j = 0; j < n; j++) {
             /* Mostly zeros, so that lengths are often plausible. */
-            bytes[j] = rng_below(&r, 4) ? 0 : (char)rng_below(&r, 9);
+            bytes[j] = (char)(rng_below(&r, 4) ? 0 : rng_below(&r, 9));
         }
         rpc_decode_body((struct sview){bytes, n}, types[i % 5].proc, value);
         xdr_free(types[i % 5].proc, value);
