Membership, ownership and their simulator, first version

Cause: lending and watching need to know which proxies are up and who owns a database, within 2,000 bytes a second. Change: membership with heartbeats, piggy-backed updates, indirect probes and refutation; rendezvous ownership; a simulator that exchanges encoded messages; capacity_membership. Before: nothing.

--- /dev/null
+++ b/src/fleet/membership.c
@@ -0,0 +1,312 @@
+#include "fleet/membership_internal.h"
+
+/* A gap between ticks of this length means that the process was paused. */
+#define PAUSE_MS 1000
+
+/* Returns the name of a phase for tables and logs. */
+const char *
+member_phase_name(enum member_phase p)
+{
+    static const char *const names[] = {"live", "leaving", "suspect", "dead"};
+
+    return (unsigned)p < G_N_ELEMENTS(names) ? names[p] : "unknown";
+}
+
+/* Tells whether everyone sends to everyone. */
+bool
+membership_small(const struct membership *m)
+{
+    return m->members->len <= MEMBERSHIP_SMALL_MAX;
+}
+
+/* Puts a member under the eyes of the tick. */
+static void
+member_watch(struct membership *m, struct member *x)
+{
+    if (!x->watched) {
+        x->watched = true;
+        g_ptr_array_add(m->watch, x);
+    }
+}
+
+/* Returns how long a suspicion stands before the member is called dead. In a
+   fleet it has to reach the suspect and its refutation has to come back,
+   which takes rounds that grow with the logarithm of the members. */
+static clock_ms
+suspicion_ms(const struct membership *m)
+{
+    if (membership_small(m)) {
+        return MEMBERSHIP_DEAD_MS - MEMBERSHIP_SUSPECT_MS;
+    }
+    return MEMBERSHIP_DEAD_MS +
+           (clock_ms)g_bit_storage(m->members->len) * MEMBERSHIP_ROUND_MS / 2;
+}
+
+/* Changes phase and incarnation and spreads that. */
+void
+membership_set(struct membership *m, clock_ms now, struct member *x,
+               uint32_t incarnation, enum member_phase phase)
+{
+    enum member_phase before = (enum member_phase)x->phase;
+
+    uint64_t view = m->view;
+    m->view ^= membership_view_share(x);
+    if (incarnation != x->incarnation) {
+        x->contacted = false;
+    }
+    x->incarnation = incarnation;
+    x->phase = (uint8_t)phase;
+    m->view ^= membership_view_share(x);
+    if (m->view != view) {
+        membership_view_changed(m);
+    }
+    membership_queue_update(m, x);
+    if (phase == MEMBER_SUSPECT) {
+        x->deadline = now + suspicion_ms(m);
+        member_watch(m, x);
+    }
+    if (phase == MEMBER_LIVE || phase == MEMBER_LEAVING) {
+        x->heard = now;
+        x->probing = false;
+    }
+    if (phase == MEMBER_DEAD) {
+        m->counters.deaths++;
+        x->probing = false;
+    }
+    membership_notify(m, x, before);
+}
+
+/* Answers a false report about this member with a higher incarnation. A
+   report that the VM list marks it as leaving is taken over. */
+static void
+self_report(struct membership *m, clock_ms now, uint32_t incarnation,
+            enum member_phase phase)
+{
+    struct member *self = m->self;
+
+    if (incarnation < self->incarnation) {
+        return;
+    }
+    if (phase == MEMBER_LEAVING && self->phase == MEMBER_LIVE &&
+        incarnation == self->incarnation) {
+        membership_set(m, now, self, incarnation, MEMBER_LEAVING);
+        return;
+    }
+    if (incarnation > self->incarnation || phase >= MEMBER_SUSPECT) {
+#ifndef MEMBERSHIP_BREAK_REFUTE
+        m->counters.refutations++;
+        membership_set(m, now, self, incarnation + 1,
+                       (enum member_phase)self->phase);
+#endif
+    }
+}
+
+/* Takes a report about a member. It counts when its incarnation is higher, or
+   equal with a later phase. A member that is not known is added when the
+   report describes it and it is up. */
+void
+membership_apply(struct membership *m, clock_ms now, uint32_t id,
+                 uint32_t incarnation, enum member_phase phase,
+                 const peer_details *details)
+{
+    struct member *x = membership_find(m, id);
+
+    if (phase > MEMBER_DEAD) {
+        return;
+    }
+    if (!x) {
+        if (!details || phase == MEMBER_DEAD) {
+            return;
+        }
+        x = membership_new(m, now, id, incarnation, details);
+        membership_set(m, now, x, incarnation, phase);
+        return;
+    }
+    if (x == m->self) {
+        self_report(m, now, incarnation, phase);
+        return;
+    }
+    if (incarnation < x->incarnation ||
+        (incarnation == x->incarnation && phase <= x->phase)) {
+        return;
+    }
+    if (details && incarnation > x->incarnation) {
+        membership_describe(m, x, details->name, details->domain,
+                            details->address);
+    }
+    membership_set(m, now, x, incarnation, phase);
+}
+
+/* Asks others to try a member that did not answer. */
+void
+membership_start_probing(struct membership *m, clock_ms now, struct member *x)
+{
+    unsigned sent = 0;
+
+    x->probing = true;
+    x->probes_open = 0;
+    x->deadline = now + (membership_small(m) ? MEMBERSHIP_SUSPECT_MS -
+                                                   2 * MEMBERSHIP_HEARTBEAT_MS
+                                             : MEMBERSHIP_PROBE_CALL_MS);
+    member_watch(m, x);
+#ifdef MEMBERSHIP_BREAK_PROBE
+    return;
+#endif
+    unsigned n = m->members->len;
+    unsigned start = (unsigned)rng_below(&m->rng, n);
+    for (unsigned i = 0; i < n && sent < MEMBERSHIP_PROBES; i++) {
+        const struct member *via = m->members->pdata[(start + i) % n];
+
+        if (via == m->self || via == x || via->phase >= MEMBER_SUSPECT ||
+            via->probing) {
+            continue;
+        }
+        if (!membership_send_probe(m, now, via, x)) {
+            break;
+        }
+        sent++;
+    }
+    x->probes_open = (uint8_t)sent;
+}
+
+/* Calls x suspect, unless this member itself seems to be cut off. */
+static void
+raise_suspicion(struct membership *m, clock_ms now, struct member *x)
+{
+    x->probing = false;
+    if (!membership_small(m) && now - m->last_success > ISOLATED_MS) {
+        return;
+    }
+    if (x->phase < MEMBER_SUSPECT) {
+        m->counters.suspicions++;
+        membership_set(m, now, x, x->incarnation, MEMBER_SUSPECT);
+    }
+}
+
+/* Ends probing and suspicions whose time is over. */
+static void
+watch_tick(struct membership *m, clock_ms now)
+{
+    for (unsigned i = 0; i < m->watch->len;) {
+        struct member *x = m->watch->pdata[i];
+
+        if (x->probing && now >= x->deadline) {
+            raise_suspicion(m, now, x);
+        }
+        else if (x->phase == MEMBER_SUSPECT && now >= x->deadline) {
+            /* A member that still talks to us is only late to refute. */
+            if (now - x->exchanged < MEMBERSHIP_SUSPECT_MS ||
+                (!membership_small(m) &&
+                 now - m->last_success > ISOLATED_MS)) {
+                x->deadline = now + MEMBERSHIP_SUSPECT_MS;
+            }
+            else {
+                membership_set(m, now, x, x->incarnation, MEMBER_DEAD);
+            }
+        }
+        if (x->probing || x->phase == MEMBER_SUSPECT) {
+            i++;
+            continue;
+        }
+        x->watched = false;
+        g_ptr_array_remove_index_fast(m->watch, i);
+    }
+}
+
+/* Does what time asks for; called every MEMBERSHIP_TICK_MS. After a pause of
+   this process nobody is blamed for the silence. */
+void
+membership_tick(struct membership *m, clock_ms now)
+{
+    if (now - m->last_tick > PAUSE_MS) {
+        m->counters.resumes++;
+        for (unsigned i = 0; i < m->members->len; i++) {
+            struct member *x = m->members->pdata[i];
+
+            x->heard = now;
+            x->probing = false;
+            if (x->phase == MEMBER_SUSPECT) {
+                x->deadline = now + suspicion_ms(m);
+            }
+        }
+        m->last_success = now;
+        m->next_round = now;
+        m->quorum_since = CLOCK_NEVER;
+    }
+    m->last_tick = now;
+    watch_tick(m, now);
+    if (now >= m->next_round) {
+        clock_ms step = membership_small(m) ? MEMBERSHIP_HEARTBEAT_MS
+                                            : MEMBERSHIP_ROUND_MS;
+
+        membership_round(m, now);
+        m->next_round += step;
+        if (m->next_round <= now) {
+            m->next_round = now + step;
+        }
+    }
+    if (!membership_quorum(m, now)) {
+        m->quorum_since = CLOCK_NEVER;
+    }
+    else if (m->quorum_since == CLOCK_NEVER) {
+        m->quorum_since = now;
+    }
+}
+
+/* Takes the outcome of a heartbeat call: the answer, or NULL when there was
+   none in time. */
+void
+membership_on_answer(struct membership *m, clock_ms now, uint32_t from,
+                     const peer_heartbeat *answer)
+{
+    struct member *x = membership_find(m, from);
+
+    membership_answer_probes(m, now, from, answer != NULL);
+    if (!answer) {
+        if (x && !membership_small(m) && x->phase < MEMBER_SUSPECT &&
+            !x->probing) {
+            membership_start_probing(m, now, x);
+        }
+        return;
+    }
+    m->last_success = now;
+    for (unsigned i = 0; i < answer->updates.updates_len; i++) {
+        const peer_update *u = &answer->updates.updates_val[i];
+
+        membership_apply(m, now, u->id, u->incarnation,
+                         (enum member_phase)u->phase, u->details);
+    }
+    x = membership_find(m, from);
+    if (!x || x == m->self) {
+        return;
+    }
+    membership_apply(m, now, from, answer->incarnation,
+                     (enum member_phase)answer->phase, NULL);
+    x->heard = now;
+    x->exchanged = now;
+    x->probing = false;
+    x->contacted = true;
+    x->tickets = answer->tickets;
+    x->view = answer->view;
+    m->mismatches = answer->view == m->view ? 0 : m->mismatches + 1;
+}
+
+/* Takes the outcome of one probe through another member. */
+void
+membership_on_probe_answer(struct membership *m, clock_ms now, uint32_t target,
+                           bool reached)
+{
+    struct member *x = membership_find(m, target);
+
+    if (!x || !x->probing) {
+        return;
+    }
+    if (reached) {
+        x->heard = now;
+        x->probing = false;
+        return;
+    }
+    if (x->probes_open > 0 && --x->probes_open == 0 && !membership_small(m)) {
+        raise_suspicion(m, now, x);
+    }
+}
--- /dev/null
+++ b/src/fleet/membership_internal.h
@@ -0,0 +1,106 @@
+#ifndef FLEET_MEMBERSHIP_INTERNAL_H
+#define FLEET_MEMBERSHIP_INTERNAL_H
+
+#include "fleet/membership.h"
+
+#include <glib.h>
+
+/* Shared by membership.c (phases) and membership_send.c (messages). */
+
+/* An update is sent this many times log2(members). */
+#define UPDATE_REPEAT_FACTOR 3
+#define UPDATE_SENDS_MAX 64
+#define BUDGET_SLOT_MS 50
+#define BUDGET_SLOTS 21 /* one second and the slot in progress */
+#define PENDING_PROBES_MAX 16
+
+struct member {
+    uint32_t id;
+    uint32_t incarnation;
+    uint8_t phase;
+    bool listed;
+    bool probing;   /* checked through others */
+    bool watched;   /* in the watch array */
+    bool contacted; /* has our details */
+    bool queued;    /* in an update queue */
+    uint8_t sends;
+    uint8_t probes_open;
+    uint16_t domain;
+    clock_ms heard;
+    clock_ms exchanged; /* last message from the member itself */
+    clock_ms deadline;  /* of probing or of suspicion */
+    peer_digest tickets;
+    uint64_t view; /* as last reported */
+    char *name;    /* one block with the address behind */
+    char *address;
+    GList link;
+};
+
+struct pending_probe {
+    uint32_t requester;
+    uint32_t target;
+};
+
+struct membership {
+    struct membership_actions actions;
+    struct rng rng;
+    struct member *self;
+    GPtrArray *members; /* by id */
+    GPtrArray *watch;   /* probing or suspect */
+    GPtrArray *domains;
+    GQueue updates[UPDATE_SENDS_MAX]; /* by number of sends */
+    peer_digest tickets;
+    uint64_t view;
+    clock_ms next_round;
+    clock_ms last_tick;
+    clock_ms last_success; /* last exchange that succeeded */
+    clock_ms quorum_since; /* CLOCK_NEVER while there is none */
+    unsigned round;
+    unsigned mismatches; /* in a row, of views */
+    size_t cursor;       /* for states sent after mismatches */
+    uint32_t slots[BUDGET_SLOTS];
+    int64_t slot_at;
+    struct pending_probe pending[PENDING_PROBES_MAX];
+    unsigned pending_n;
+    struct membership_counters counters;
+    /* The updates of the message under construction. */
+    peer_update out_updates[PEER_UPDATES_MAX];
+    peer_details out_details[PEER_UPDATES_MAX];
+};
+
+/* Without any answer for this long, a member of a fleet takes itself to be
+   cut off and raises no suspicions. */
+#define ISOLATED_MS 3000
+
+struct member *membership_new(struct membership *m, clock_ms now, uint32_t id,
+                              uint32_t incarnation, const peer_details *d);
+void membership_describe(struct membership *m, struct member *x,
+                         const char *name, const char *domain,
+                         const char *address);
+void membership_set(struct membership *m, clock_ms now, struct member *x,
+                    uint32_t incarnation, enum member_phase phase);
+void membership_notify(struct membership *m, const struct member *x,
+                       enum member_phase before);
+uint64_t membership_view_share(const struct member *x);
+void membership_view_changed(struct membership *m);
+void membership_answer_probes(struct membership *m, clock_ms now,
+                              uint32_t target, bool reached);
+struct member *membership_find(const struct membership *m, uint32_t id);
+bool membership_small(const struct membership *m);
+void membership_apply(struct membership *m, clock_ms now, uint32_t id,
+                      uint32_t incarnation, enum member_phase phase,
+                      const peer_details *details);
+void membership_start_probing(struct membership *m, clock_ms now,
+                              struct member *x);
+
+void membership_queue_update(struct membership *m, struct member *x);
+void membership_unqueue_update(struct membership *m, struct member *x);
+unsigned membership_send_limit(const struct membership *m);
+bool membership_send_heartbeat(struct membership *m, clock_ms now,
+                               struct member *to);
+bool membership_send_probe(struct membership *m, clock_ms now,
+                           const struct member *via,
+                           const struct member *target);
+void membership_round(struct membership *m, clock_ms now);
+
+#endif
--- /dev/null
+++ b/src/fleet/membership_list.c
@@ -0,0 +1,354 @@
+#include "fleet/membership_internal.h"
+
+#include <string.h>
+#include <xxhash.h>
+
+/* Finds the position of id, or where it would be inserted. */
+static unsigned
+member_position(const struct membership *m, uint32_t id)
+{
+    unsigned low = 0;
+    unsigned high = m->members->len;
+
+    while (low < high) {
+        unsigned mid = low + (high - low) / 2;
+
+        if (((struct member *)m->members->pdata[mid])->id < id) {
+            low = mid + 1;
+        }
+        else {
+            high = mid;
+        }
+    }
+    return low;
+}
+
+/* Returns the member with this id, or NULL. */
+struct member *
+membership_find(const struct membership *m, uint32_t id)
+{
+    unsigned i = member_position(m, id);
+
+    if (i < m->members->len) {
+        struct member *x = m->members->pdata[i];
+
+        return x->id == id ? x : NULL;
+    }
+    return NULL;
+}
+
+/* Returns a member's share of the view hash: members that can own objects
+   and leaving ones count, dead ones are as good as unknown. A suspicion does
+   not change the view, because most are refuted. */
+uint64_t
+membership_view_share(const struct member *x)
+{
+    if (x->phase == MEMBER_DEAD) {
+        return 0;
+    }
+    return XXH64(&x->id, sizeof(x->id), x->phase == MEMBER_LEAVING ? 2 : 1);
+}
+
+/* Starts the quorum anew after the view changed. In a fleet something changes
+   too often for that, and its quorum does not compare views. */
+void
+membership_view_changed(struct membership *m)
+{
+    if (membership_small(m)) {
+        m->quorum_since = CLOCK_NEVER;
+    }
+}
+
+/* Copies the state for users of the module. */
+static void
+info_fill(const struct membership *m, const struct member *x,
+          struct member_info *out)
+{
+    *out = (struct member_info){
+        .id = x->id,
+        .incarnation = x->incarnation,
+        .phase = (enum member_phase)x->phase,
+        .listed = x->listed,
+        .name = x->name,
+        .domain = m->domains->pdata[x->domain],
+        .address = x->address,
+        .tickets = x->tickets,
+        .heard = x->heard,
+    };
+}
+
+/* Tells users that a member changed. */
+void
+membership_notify(struct membership *m, const struct member *x,
+                  enum member_phase before)
+{
+    struct member_info info;
+
+    if (m->actions.changed) {
+        info_fill(m, x, &info);
+        m->actions.changed(m->actions.ctx, &info, before);
+    }
+}
+
+/* Returns the index of a failure domain's name. */
+static uint16_t
+domain_index(struct membership *m, const char *domain)
+{
+    for (unsigned i = 0; i < m->domains->len; i++) {
+        if (strcmp(m->domains->pdata[i], domain) == 0) {
+            return (uint16_t)i;
+        }
+    }
+    g_ptr_array_add(m->domains, g_strdup(domain));
+    return (uint16_t)(m->domains->len - 1);
+}
+
+/* Sets the strings of a member. */
+void
+membership_describe(struct membership *m, struct member *x, const char *name,
+                    const char *domain, const char *address)
+{
+    size_t n = strlen(name) + 1;
+    char *block = g_malloc(n + strlen(address) + 1);
+
+    memcpy(block, name, n);
+    memcpy(block + n, address, strlen(address) + 1);
+    g_free(x->name);
+    x->name = block;
+    x->address = block + n;
+    x->domain = domain_index(m, domain);
+}
+
+/* Adds a member that is taken to be live. */
+struct member *
+membership_new(struct membership *m, clock_ms now, uint32_t id,
+               uint32_t incarnation, const peer_details *d)
+{
+    struct member *x = g_new0(struct member, 1);
+
+    x->id = id;
+    x->incarnation = incarnation;
+    x->heard = now;
+    x->exchanged = now - MEMBERSHIP_DEAD_MS;
+    x->link.data = x;
+    membership_describe(m, x, d->name, d->domain, d->address);
+    g_ptr_array_insert(m->members, (int)member_position(m, id), x);
+    m->view ^= membership_view_share(x);
+    membership_view_changed(m);
+    return x;
+}
+
+/* Tells whether this member is on the side that may decide. Up to
+   MEMBERSHIP_SMALL_MAX members: a majority of all listed ones reported the
+   same view within MEMBERSHIP_SUSPECT_MS, so two different views cannot both
+   count. In a fleet, where no member hears from a majority in that time: an
+   answer came lately and a majority is not dead. */
+bool
+membership_quorum(const struct membership *m, clock_ms now)
+{
+    unsigned all = 0;
+    unsigned agree = 0;
+
+    for (unsigned i = 0; i < m->members->len; i++) {
+        const struct member *x = m->members->pdata[i];
+
+        if (x->phase == MEMBER_DEAD && !x->listed) {
+            continue;
+        }
+        all++;
+        if (x == m->self) {
+            agree++;
+        }
+        else if (membership_small(m)) {
+            agree += x->view == m->view &&
+                     now - x->exchanged < MEMBERSHIP_SUSPECT_MS;
+        }
+        else {
+            agree += x->phase != MEMBER_DEAD;
+        }
+    }
+    if (!membership_small(m) && now - m->last_success > ISOLATED_MS) {
+        return false;
+    }
+    return 2 * agree > all;
+}
+
+/* Returns since when the quorum has stood without a break and with the same
+   view, as seen by the ticks; CLOCK_NEVER when there is none. */
+clock_ms
+membership_quorum_since(const struct membership *m)
+{
+    return m->quorum_since;
+}
+
+/* Takes a member from settings or from the VM list, which may lag. */
+void
+membership_list_add(struct membership *m, clock_ms now, uint32_t id,
+                    const char *name, const char *domain, const char *address)
+{
+    struct member *x = membership_find(m, id);
+    const peer_details d = {.name = (char *)name,
+                            .domain = (char *)domain,
+                            .address = (char *)address};
+
+    if (!x) {
+        x = membership_new(m, now, id, 0, &d);
+        membership_notify(m, x, MEMBER_LIVE);
+    }
+    x->listed = true;
+}
+
+/* Takes the VM list's mark that a member is about to go. */
+void
+membership_list_leaving(struct membership *m, clock_ms now, uint32_t id)
+{
+    struct member *x = membership_find(m, id);
+
+    if (x && x->phase == MEMBER_LIVE) {
+        membership_set(m, now, x, x->incarnation, MEMBER_LEAVING);
+    }
+}
+
+/* Takes a member's removal from the VM list. It is forgotten once it is dead;
+   a member that still talks stays. */
+void
+membership_list_remove(struct membership *m, clock_ms now, uint32_t id)
+{
+    struct member *x = membership_find(m, id);
+
+    (void)now;
+    if (!x || x == m->self) {
+        return;
+    }
+    x->listed = false;
+    if (x->phase != MEMBER_DEAD) {
+        return;
+    }
+    membership_unqueue_update(m, x);
+    if (x->watched) {
+        g_ptr_array_remove_fast(m->watch, x);
+    }
+    g_ptr_array_remove_index(m->members, member_position(m, id));
+    g_free(x->name);
+    g_free(x);
+}
+
+/* Declares that this member leaves: it owns nothing from now on. */
+void
+membership_leave(struct membership *m, clock_ms now)
+{
+    if (m->self->phase == MEMBER_LIVE) {
+        membership_set(m, now, m->self, m->self->incarnation + 1,
+                       MEMBER_LEAVING);
+    }
+}
+
+/* Sets the ticket digest that heartbeats carry. */
+void
+membership_set_tickets(struct membership *m, peer_digest digest)
+{
+    m->tickets = digest;
+}
+
+/* Makes a membership that knows only itself. The first round starts at a
+   random time, so that proxies started together do not send together. */
+struct membership *
+membership_create(const struct membership_self *self,
+                  const struct membership_actions *actions, uint64_t seed,
+                  clock_ms now)
+{
+    struct membership *m = g_new0(struct membership, 1);
+    const peer_details d = {.name = (char *)self->name,
+                            .domain = (char *)self->domain,
+                            .address = (char *)self->address};
+
+    m->actions = *actions;
+    rng_seed(&m->rng, seed);
+    m->members = g_ptr_array_new();
+    m->watch = g_ptr_array_new();
+    m->domains = g_ptr_array_new_with_free_func(g_free);
+    for (unsigned i = 0; i < UPDATE_SENDS_MAX; i++) {
+        g_queue_init(&m->updates[i]);
+    }
+    m->self = membership_new(m, now, self->id, self->incarnation, &d);
+    m->self->listed = true;
+    membership_queue_update(m, m->self);
+    m->last_tick = now;
+    m->last_success = now;
+    m->quorum_since = CLOCK_NEVER;
+    m->next_round =
+        now + (clock_ms)rng_below(&m->rng, MEMBERSHIP_HEARTBEAT_MS);
+    return m;
+}
+
+/* Releases the membership. */
+void
+membership_destroy(struct membership *m)
+{
+    if (!m) {
+        return;
+    }
+    for (unsigned i = 0; i < m->members->len; i++) {
+        struct member *x = m->members->pdata[i];
+
+        g_free(x->name);
+        g_free(x);
+    }
+    g_ptr_array_free(m->members, TRUE);
+    g_ptr_array_free(m->watch, TRUE);
+    g_ptr_array_free(m->domains, TRUE);
+    g_free(m);
+}
+
+/* Returns the number of known members, with this one and dead ones. */
+size_t
+membership_size(const struct membership *m)
+{
+    return m->members->len;
+}
+
+/* Copies the state of the member with this id. */
+bool
+membership_get(const struct membership *m, uint32_t id,
+               struct member_info *out)
+{
+    const struct member *x = membership_find(m, id);
+
+    if (x) {
+        info_fill(m, x, out);
+    }
+    return x != NULL;
+}
+
+/* Copies the state of the member at a position, in order of id. */
+bool
+membership_at(const struct membership *m, size_t index,
+              struct member_info *out)
+{
+    if (index >= m->members->len) {
+        return false;
+    }
+    info_fill(m, m->members->pdata[index], out);
+    return true;
+}
+
+/* Returns this member's id. */
+uint32_t
+membership_self_id(const struct membership *m)
+{
+    return m->self->id;
+}
+
+/* Returns the hash over the members that are up. */
+uint64_t
+membership_view(const struct membership *m)
+{
+    return m->view;
+}
+
+/* Returns the live counters. */
+const struct membership_counters *
+membership_counters(const struct membership *m)
+{
+    return &m->counters;
+}
--- /dev/null
+++ b/src/fleet/membership_send.c
@@ -0,0 +1,454 @@
+#include "fleet/membership_internal.h"
+
+#include "fleet/rpc.h"
+
+#include <string.h>
+
+/* XDR bytes of a heartbeat without updates and with empty names. */
+#define HEARTBEAT_BYTES 52
+#define UPDATE_BYTES 16
+#define PROBE_CALL_BYTES (RPC_CALL_OVERHEAD_BYTES + 8)
+#define PROBE_ANSWER_BYTES (RPC_REPLY_OVERHEAD_BYTES + 4)
+/* Kept free of our own calls and of updates, so that plain answers to calls
+   of others can nearly always be sent; an unanswered call costs the caller
+   three probes. */
+#define ANSWER_RESERVE_BYTES 450
+/* States sent per message while views differ and no update is pending. */
+#define FILL_BYTES 256
+/* Differing views in a row before states are sent; an update that is still
+   spreading makes views differ for a few rounds. */
+#define FILL_AFTER_MISMATCHES 12
+/* Every this many rounds a dead member that is still listed is tried, so that
+   the two sides of a healed partition find each other. */
+#define RETRY_DEAD_ROUNDS 4
+
+/* Returns the XDR size of a string. */
+static uint32_t
+string_bytes(const char *s)
+{
+    return 4 + (((uint32_t)strlen(s) + 3) & ~3U);
+}
+
+/* Moves the window of the last second to now. */
+static void
+budget_advance(struct membership *m, clock_ms now)
+{
+    int64_t slot = now / BUDGET_SLOT_MS;
+
+    if (slot - m->slot_at >= BUDGET_SLOTS) {
+        memset(m->slots, 0, sizeof(m->slots));
+        m->slot_at = slot;
+    }
+    while (m->slot_at < slot) {
+        m->slot_at++;
+        m->slots[m->slot_at % BUDGET_SLOTS] = 0;
+    }
+}
+
+/* Returns what may still be sent in the last second's window. */
+static uint32_t
+budget_left(struct membership *m, clock_ms now)
+{
+    uint32_t used = 0;
+
+    budget_advance(m, now);
+    for (int i = 0; i < BUDGET_SLOTS; i++) {
+        used += m->slots[i];
+    }
+#ifdef MEMBERSHIP_BREAK_BUDGET
+    return 1000000;
+#endif
+    return used >= MEMBERSHIP_BUDGET_BYTES ? 0
+                                           : MEMBERSHIP_BUDGET_BYTES - used;
+}
+
+/* Counts bytes that are sent now. */
+static void
+budget_take(struct membership *m, clock_ms now, uint32_t bytes)
+{
+    budget_advance(m, now);
+    m->slots[m->slot_at % BUDGET_SLOTS] += bytes;
+    m->counters.bytes += bytes;
+}
+
+/* Returns how often an update is sent. */
+unsigned
+membership_send_limit(const struct membership *m)
+{
+    unsigned bits = g_bit_storage(m->members->len);
+    unsigned limit = UPDATE_REPEAT_FACTOR * bits;
+
+    return MIN(limit, UPDATE_SENDS_MAX - 1);
+}
+
+/* Takes a member's update out of its queue. */
+void
+membership_unqueue_update(struct membership *m, struct member *x)
+{
+    if (x->queued) {
+        g_queue_unlink(&m->updates[x->sends], &x->link);
+        x->queued = false;
+    }
+}
+
+/* Queues a member's state to be sent with the next messages. */
+void
+membership_queue_update(struct membership *m, struct member *x)
+{
+    membership_unqueue_update(m, x);
+    x->sends = 0;
+    x->queued = true;
+    g_queue_push_tail_link(&m->updates[0], &x->link);
+}
+
+/* Returns the bytes of an update about x. Details go with members that are up,
+   because the receiver may not know them yet. */
+static uint32_t
+update_bytes(const struct membership *m, const struct member *x, bool details)
+{
+    if (!details) {
+        return UPDATE_BYTES;
+    }
+    return UPDATE_BYTES + string_bytes(x->name) +
+           string_bytes(m->domains->pdata[x->domain]) +
+           string_bytes(x->address);
+}
+
+/* Appends an update about x. */
+static void
+put_update(struct membership *m, peer_heartbeat *hb, const struct member *x,
+           bool details)
+{
+    unsigned i = hb->updates.updates_len++;
+
+    m->out_updates[i] = (peer_update){
+        .id = x->id,
+        .incarnation = x->incarnation,
+        .phase = x->phase,
+        .details = details ? &m->out_details[i] : NULL,
+    };
+    if (details) {
+        m->out_details[i] = (peer_details){
+            .name = x->name,
+            .domain = m->domains->pdata[x->domain],
+            .address = x->address,
+        };
+    }
+}
+
+/* Appends queued updates, the least sent first, within room bytes. */
+static uint32_t
+put_queued(struct membership *m, peer_heartbeat *hb, uint32_t room)
+{
+    struct member *sent[PEER_UPDATES_MAX];
+    unsigned n = 0;
+    uint32_t used = 0;
+    unsigned limit = membership_send_limit(m);
+
+    for (unsigned s = 0; s < limit; s++) {
+        for (GList *l = m->updates[s].head; l; l = l->next) {
+            struct member *x = l->data;
+            bool details = x->phase == MEMBER_LIVE;
+            uint32_t bytes = update_bytes(m, x, details);
+
+            if (hb->updates.updates_len == PEER_UPDATES_MAX ||
+                used + bytes > room) {
+                goto full;
+            }
+            put_update(m, hb, x, details);
+            used += bytes;
+            sent[n++] = x;
+        }
+    }
+full:
+    for (unsigned i = 0; i < n; i++) {
+        struct member *x = sent[i];
+
+        membership_unqueue_update(m, x);
+        x->sends++;
+#ifdef MEMBERSHIP_BREAK_GOSSIP
+        /* One send reaches one member at most. */
+        x->sends = (uint8_t)limit;
+#endif
+        if (x->sends < limit) {
+            x->queued = true;
+            g_queue_push_tail_link(&m->updates[x->sends], &x->link);
+        }
+    }
+    return used;
+}
+
+/* Appends states in turn while views differ although nothing is queued; a
+   member that was away for long learns what it missed this way. */
+static uint32_t
+put_fill(struct membership *m, peer_heartbeat *hb, uint32_t room)
+{
+    uint32_t used = 0;
+
+    room = MIN(room, FILL_BYTES);
+    for (unsigned i = 0; i < m->members->len; i++) {
+        const struct member *x =
+            m->members->pdata[m->cursor % m->members->len];
+        bool details = x->phase != MEMBER_DEAD;
+        uint32_t bytes = update_bytes(m, x, details);
+
+        if (hb->updates.updates_len == PEER_UPDATES_MAX ||
+            used + bytes > room) {
+            break;
+        }
+        put_update(m, hb, x, details);
+        used += bytes;
+        m->cursor++;
+    }
+    return used;
+}
+
+/* Builds a heartbeat for a member within the budget. overhead is the size of
+   the RPC headers, reserve what has to stay free. Returns false when not even
+   the plain message fits. */
+static bool
+heartbeat_build(struct membership *m, clock_ms now, struct member *to,
+                uint32_t overhead, uint32_t reserve, peer_heartbeat *hb)
+{
+    const struct member *self = m->self;
+    uint32_t left = budget_left(m, now);
+    uint32_t used = overhead + HEARTBEAT_BYTES;
+
+    memset(hb, 0, sizeof(*hb));
+    if (left < used + reserve) {
+        m->counters.over_budget++;
+        return false;
+    }
+    hb->id = self->id;
+    hb->incarnation = self->incarnation;
+    hb->name = (char *)"";
+    hb->domain = (char *)"";
+    hb->phase = self->phase;
+    hb->tickets = m->tickets;
+    hb->view = m->view;
+    hb->updates.updates_val = m->out_updates;
+    uint32_t room = left > used + ANSWER_RESERVE_BYTES
+                        ? left - used - ANSWER_RESERVE_BYTES
+                        : 0;
+    uint32_t more = 0;
+    /* A receiver that is thought gone is told first, so that it can refute;
+       one update is small enough for the reserve. */
+    if (to && to->phase >= MEMBER_SUSPECT && left >= used + UPDATE_BYTES) {
+        put_update(m, hb, to, false);
+        more += UPDATE_BYTES;
+    }
+    uint32_t bytes = update_bytes(m, self, true);
+    if (to && !to->contacted && more + bytes <= room) {
+        put_update(m, hb, self, true);
+        more += bytes;
+    }
+    if (more < room) {
+        more += put_queued(m, hb, room - more);
+    }
+    if (more < room && m->mismatches >= FILL_AFTER_MISMATCHES) {
+        more += put_fill(m, hb, room - more);
+    }
+    m->counters.updates += hb->updates.updates_len;
+    budget_take(m, now, used + more);
+    return true;
+}
+
+/* Sends a heartbeat call when the budget allows it. */
+bool
+membership_send_heartbeat(struct membership *m, clock_ms now,
+                          struct member *to)
+{
+    peer_heartbeat hb;
+
+    if (!heartbeat_build(m, now, to, RPC_CALL_OVERHEAD_BYTES,
+                         ANSWER_RESERVE_BYTES, &hb)) {
+        return false;
+    }
+    m->counters.heartbeats++;
+    m->actions.send_heartbeat(m->actions.ctx, to->id, &hb);
+    return true;
+}
+
+/* Takes a heartbeat and builds the answer, which borrows from m and is valid
+   until the next call. Returns false when the budget is used up; then there
+   is no answer. */
+bool
+membership_on_heartbeat(struct membership *m, clock_ms now,
+                        const peer_heartbeat *in, peer_heartbeat *answer)
+{
+    membership_on_answer(m, now, in->id, in);
+    struct member *from = membership_find(m, in->id);
+
+    if (!heartbeat_build(m, now, from, RPC_REPLY_OVERHEAD_BYTES, 0, answer)) {
+        return false;
+    }
+    m->counters.answers++;
+    if (from) {
+        from->contacted = true;
+    }
+    return true;
+}
+
+/* Sends a probe call when the budget allows it. */
+bool
+membership_send_probe(struct membership *m, clock_ms now,
+                      const struct member *via, const struct member *target)
+{
+    if (budget_left(m, now) < PROBE_CALL_BYTES + ANSWER_RESERVE_BYTES) {
+        m->counters.over_budget++;
+        return false;
+    }
+    budget_take(m, now, PROBE_CALL_BYTES);
+    m->counters.probes++;
+    m->actions.send_probe(m->actions.ctx, via->id, target->id);
+    return true;
+}
+
+/* Answers a probe when the budget allows it; else the requester's call runs
+   into its time limit, which costs it one of three helpers. */
+static void
+answer_probe(struct membership *m, clock_ms now, uint32_t requester,
+             uint32_t target, bool reached)
+{
+    if (budget_left(m, now) < PROBE_ANSWER_BYTES) {
+        m->counters.over_budget++;
+        return;
+    }
+    budget_take(m, now, PROBE_ANSWER_BYTES);
+    m->actions.answer_probe(m->actions.ctx, requester, target, reached);
+}
+
+/* Answers the probe requests that wait for this target. */
+void
+membership_answer_probes(struct membership *m, clock_ms now, uint32_t target,
+                         bool reached)
+{
+    for (unsigned i = 0; i < m->pending_n;) {
+        struct pending_probe p = m->pending[i];
+
+        if (p.target != target) {
+            i++;
+            continue;
+        }
+        m->pending[i] = m->pending[--m->pending_n];
+        answer_probe(m, now, p.requester, target, reached);
+    }
+}
+
+/* Takes a PROBE request: tries the target and answers when the outcome is
+   known. */
+void
+membership_on_probe(struct membership *m, clock_ms now, uint32_t requester,
+                    uint32_t target)
+{
+    struct member *x = membership_find(m, target);
+
+    if (target == m->self->id) {
+        answer_probe(m, now, requester, target, true);
+        return;
+    }
+    if (!x || m->pending_n == PENDING_PROBES_MAX ||
+        !membership_send_heartbeat(m, now, x)) {
+        answer_probe(m, now, requester, target, false);
+        return;
+    }
+    m->pending[m->pending_n++] =
+        (struct pending_probe){.requester = requester, .target = target};
+}
+
+/* Tells who of a pair starts the exchange: half of a member's pairs fall to
+   each side. One exchange serves as a heartbeat both ways, which halves the
+   bytes. */
+static bool
+starts_exchange(uint32_t self, uint32_t other)
+{
+    bool lower = self < other;
+
+    return ((self ^ other) & 1) ? lower : !lower;
+}
+
+/* One round up to MEMBERSHIP_SMALL_MAX members: everyone is heard from. */
+static void
+round_small(struct membership *m, clock_ms now)
+{
+    for (unsigned i = 0; i < m->members->len; i++) {
+        struct member *x = m->members->pdata[i];
+        clock_ms age = now - x->exchanged;
+
+        if (x == m->self) {
+            continue;
+        }
+        bool due = starts_exchange(m->self->id, x->id) ||
+                   age >= 2 * (clock_ms)MEMBERSHIP_HEARTBEAT_MS;
+        if (x->phase == MEMBER_DEAD) {
+            due = m->round % RETRY_DEAD_ROUNDS == 0;
+        }
+        if (due) {
+            membership_send_heartbeat(m, now, x);
+        }
+        if (x->phase < MEMBER_SUSPECT && !x->probing &&
+            now - x->heard >= 2 * (clock_ms)MEMBERSHIP_HEARTBEAT_MS) {
+            membership_start_probing(m, now, x);
+        }
+    }
+}
+
+/* Picks a member for this round; the first tries insist on a failure domain
+   that is not among the chosen. Returns NULL when none was found. */
+static struct member *
+pick_target(struct membership *m, struct member **chosen, unsigned n,
+            bool dead)
+{
+    for (unsigned attempt = 0; attempt < 32; attempt++) {
+        struct member *x =
+            m->members->pdata[rng_below(&m->rng, m->members->len)];
+        bool taken = x == m->self || (x->phase == MEMBER_DEAD) != dead ||
+                     (dead && !x->listed);
+
+        for (unsigned i = 0; i < n && !taken; i++) {
+            taken = chosen[i] == x ||
+                    (attempt < 16 && chosen[i]->domain == x->domain);
+        }
+        if (!taken) {
+            return x;
+        }
+    }
+    return NULL;
+}
+
+/* One round of a fleet: a few members, chosen anew. */
+static void
+round_fleet(struct membership *m, clock_ms now)
+{
+    struct member *chosen[MEMBERSHIP_FANOUT];
+    unsigned n = 0;
+
+    for (unsigned i = 0; i < MEMBERSHIP_FANOUT; i++) {
+        bool dead =
+            i == MEMBERSHIP_FANOUT - 1 && m->round % RETRY_DEAD_ROUNDS == 0;
+        struct member *x = pick_target(m, chosen, n, dead);
+
+        if (!x && dead) {
+            x = pick_target(m, chosen, n, false);
+        }
+        if (x) {
+            chosen[n++] = x;
+        }
+    }
+    for (unsigned i = 0; i < n; i++) {
+        membership_send_heartbeat(m, now, chosen[i]);
+    }
+}
+
+/* Sends the heartbeats of one round. */
+void
+membership_round(struct membership *m, clock_ms now)
+{
+    m->round++;
+    if (membership_small(m)) {
+        round_small(m, now);
+    }
+    else {
+        round_fleet(m, now);
+    }
+}
--- /dev/null
+++ b/src/fleet/ownership.c
@@ -0,0 +1,230 @@
+#include "fleet/ownership.h"
+
+#include <glib.h>
+#include <string.h>
+#include <xxhash.h>
+
+struct owned {
+    char *object;
+    uint32_t rank[OWNERSHIP_RANKS];
+    uint64_t weight[OWNERSHIP_RANKS];
+    bool fallback;  /* two ranks share a failure domain, or a rank is empty */
+    clock_ms since; /* of the present owner */
+};
+
+struct ownership {
+    const struct membership *members;
+    GHashTable *objects; /* name to struct owned */
+    uint64_t version;
+    ownership_changed cb;
+    void *ctx;
+};
+
+/* Returns the weight of a member for an object; the highest owns it. */
+static uint64_t
+weight_of(const char *object, uint32_t id)
+{
+    return XXH64(object, strlen(object), (XXH64_hash_t)id + 1);
+}
+
+/* Tells whether a member can own objects. A suspect keeps its objects, since
+   most suspicions are refuted. */
+static bool
+eligible(const struct member_info *x)
+{
+    return x->phase == MEMBER_LIVE || x->phase == MEMBER_SUSPECT;
+}
+
+/* Tells whether candidate a goes before the best so far. */
+static bool
+better(uint64_t weight, uint32_t id, uint64_t best_weight, uint32_t best_id)
+{
+    return best_id == OWNERSHIP_NONE || weight > best_weight ||
+           (weight == best_weight && id < best_id);
+}
+
+/* Finds the best member for a rank: outside the failure domains of earlier
+   ranks when strict, else only other than their members. */
+static uint32_t
+best_for(const struct ownership *o, const struct owned *x, unsigned rank,
+         const char *const *domains, bool strict, uint64_t *weight,
+         const char **domain)
+{
+    uint32_t best = OWNERSHIP_NONE;
+    struct member_info info;
+
+    for (size_t i = 0; membership_at(o->members, i, &info); i++) {
+        bool taken = !eligible(&info);
+
+        for (unsigned r = 0; r < rank && !taken; r++) {
+            taken = x->rank[r] == info.id ||
+                    (strict && strcmp(domains[r], info.domain) == 0);
+        }
+        if (taken) {
+            continue;
+        }
+        uint64_t w = weight_of(x->object, info.id);
+        if (better(w, info.id, *weight, best)) {
+            best = info.id;
+            *weight = w;
+            *domain = info.domain;
+        }
+    }
+    return best;
+}
+
+/* Computes the ranks of an object and tells users about a new owner. */
+static void
+owned_compute(struct ownership *o, struct owned *x, clock_ms now)
+{
+    const char *domains[OWNERSHIP_RANKS] = {"", "", ""};
+    uint32_t before = x->rank[0];
+
+    x->fallback = false;
+    for (unsigned r = 0; r < OWNERSHIP_RANKS; r++) {
+        x->weight[r] = 0;
+        x->rank[r] =
+            best_for(o, x, r, domains, true, &x->weight[r], &domains[r]);
+        if (x->rank[r] == OWNERSHIP_NONE) {
+            x->fallback = true;
+            x->rank[r] =
+                best_for(o, x, r, domains, false, &x->weight[r], &domains[r]);
+        }
+    }
+    if (x->rank[0] != before) {
+        x->since = now;
+        o->version++;
+        if (o->cb) {
+            o->cb(o->ctx, x->object, before, x->rank[0], now);
+        }
+    }
+}
+
+/* Releases one object. */
+static void
+owned_free(gpointer data)
+{
+    struct owned *x = data;
+
+    g_free(x->object);
+    g_free(x);
+}
+
+/* Makes an ownership over a membership, which must outlive it. cb may be
+   NULL. */
+struct ownership *
+ownership_create(const struct membership *m, ownership_changed cb, void *ctx)
+{
+    struct ownership *o = g_new0(struct ownership, 1);
+
+    o->members = m;
+    o->cb = cb;
+    o->ctx = ctx;
+    o->objects =
+        g_hash_table_new_full(g_str_hash, g_str_equal, NULL, owned_free);
+    return o;
+}
+
+/* Releases the ownership. */
+void
+ownership_destroy(struct ownership *o)
+{
+    if (o) {
+        g_hash_table_destroy(o->objects);
+        g_free(o);
+    }
+}
+
+/* Begins to follow an object; its owner counts from now. */
+void
+ownership_track(struct ownership *o, const char *object, clock_ms now)
+{
+    if (g_hash_table_contains(o->objects, object)) {
+        return;
+    }
+    struct owned *x = g_new0(struct owned, 1);
+
+    x->object = g_strdup(object);
+    x->rank[0] = OWNERSHIP_NONE;
+    g_hash_table_insert(o->objects, x->object, x);
+    owned_compute(o, x, now);
+}
+
+/* Takes a change of a member. Only objects that it ranks for, or would rank
+   for, are computed anew: one weight each for the others. */
+void
+ownership_member_changed(struct ownership *o, const struct member_info *m,
+                         clock_ms now)
+{
+    GHashTableIter it;
+    gpointer value;
+
+    g_hash_table_iter_init(&it, o->objects);
+    while (g_hash_table_iter_next(&it, NULL, &value)) {
+        struct owned *x = value;
+        bool ranks = false;
+
+        for (unsigned r = 0; r < OWNERSHIP_RANKS; r++) {
+            ranks = ranks || x->rank[r] == m->id;
+        }
+        if (ranks == eligible(m) && !x->fallback && ranks) {
+            continue; /* unchanged */
+        }
+        if (!ranks && !eligible(m)) {
+            continue;
+        }
+        uint64_t w = ranks ? 0 : weight_of(x->object, m->id);
+        uint64_t least = x->weight[0];
+        for (unsigned r = 1; r < OWNERSHIP_RANKS; r++) {
+            least = MIN(least, x->weight[r]);
+        }
+        if (ranks || x->fallback || w >= least) {
+            owned_compute(o, x, now);
+        }
+    }
+}
+
+/* Returns the member with rank n (0 is the owner) or OWNERSHIP_NONE. Ranks
+   are in different failure domains where there are enough. */
+uint32_t
+ownership_rank(const struct ownership *o, const char *object, unsigned n)
+{
+    const struct owned *x = g_hash_table_lookup(o->objects, object);
+
+    return x && n < OWNERSHIP_RANKS ? x->rank[n] : OWNERSHIP_NONE;
+}
+
+/* Returns a number that grows with every change of an owner. */
+uint64_t
+ownership_version(const struct ownership *o)
+{
+    return o->version;
+}
+
+/* Returns since when the present owner has been seen as owner. */
+clock_ms
+ownership_since(const struct ownership *o, const char *object)
+{
+    const struct owned *x = g_hash_table_lookup(o->objects, object);
+
+    return x ? x->since : CLOCK_NEVER;
+}
+
+/* Tells whether this member may lend connections of an object: it owns it,
+   and ownership and quorum have stood for OWNERSHIP_TAKEOVER_MS without a
+   break. */
+bool
+ownership_may_lend(const struct ownership *o, const char *object, clock_ms now)
+{
+    const struct owned *x = g_hash_table_lookup(o->objects, object);
+    clock_ms quorum = membership_quorum_since(o->members);
+
+    if (!x || x->rank[0] != membership_self_id(o->members) ||
+        quorum == CLOCK_NEVER || !membership_quorum(o->members, now)) {
+        return false;
+    }
+#ifdef OWNERSHIP_BREAK_WAIT
+    return true;
+#endif
+    return now - MAX(x->since, quorum) >= OWNERSHIP_TAKEOVER_MS;
+}
--- /dev/null
+++ b/tools/capacity/fleet_sim.h
@@ -0,0 +1,72 @@
+#ifndef CAPACITY_FLEET_SIM_H
+#define CAPACITY_FLEET_SIM_H
+
+#include "fleet/membership.h"
+#include "fleet/ownership.h"
+
+#include <glib.h>
+
+/* A fleet in one process: memberships that exchange encoded messages over a
+   simulated network. Used by the capacity tool and by the tests. */
+
+enum sim_state {
+    SIM_RUNNING,
+    SIM_PAUSED,
+    SIM_STOPPED,
+};
+
+struct sim;
+
+struct sim_node {
+    struct sim *sim;
+    struct membership *m;
+    struct ownership *o; /* NULL unless objects are tracked */
+    uint32_t id;
+    uint32_t incarnation;
+    enum sim_state state;
+    unsigned epoch; /* grows with every start */
+    unsigned group; /* side of a partition */
+    uint64_t bytes;
+    uint32_t window_max; /* most bytes sent within one second */
+    struct {
+        clock_ms at;
+        uint32_t bytes;
+    } sent[64];
+    unsigned sent_n;
+    GString *trace; /* NULL unless tracing */
+};
+
+struct sim_options {
+    unsigned nodes;
+    unsigned domains;
+    uint64_t seed;
+    unsigned loss_permille;
+    unsigned delay_min_ms;
+    unsigned delay_max_ms;
+    unsigned objects; /* objects whose owners are tracked */
+};
+
+struct sim {
+    struct sim_options options;
+    struct rng rng;
+    clock_ms now;
+    uint64_t seq;
+    struct sim_node *nodes;
+    GArray *heap;
+    bool cut[8][8]; /* from group, to group */
+    uint8_t *links; /* cut single links, from * nodes + to */
+    uint64_t deaths_seen;
+};
+
+struct sim *sim_create(const struct sim_options *options);
+void sim_destroy(struct sim *s);
+void sim_run(struct sim *s, clock_ms until);
+void sim_stop(struct sim *s, unsigned i);
+void sim_start(struct sim *s, unsigned i);
+void sim_pause(struct sim *s, unsigned i, bool paused);
+void sim_cut_link(struct sim *s, unsigned from, unsigned to, bool cut);
+bool sim_sees(const struct sim *s, unsigned i, unsigned other,
+              enum member_phase phase);
+const char *sim_object(unsigned k);
+
+#endif
