--- /dev/null
+++ b/src/ticket/text.c
@@ -0,0 +1,151 @@
+#include "ticket/object.h"
+
+#include <stdarg.h>
+#include <stdio.h>
+#include <string.h>
+
+/* Fills err; group and key may be NULL when they do not apply. */
+void
+ticket_error_set(struct ticket_error *err, const char *group, const char *key,
+                 const char *fmt, ...)
+{
+    va_list ap;
+
+    g_strlcpy(err->group, group ? group : "", sizeof(err->group));
+    g_strlcpy(err->key, key ? key : "", sizeof(err->key));
+    va_start(ap, fmt);
+    (void)g_vsnprintf(err->reason, sizeof(err->reason), fmt, ap);
+    va_end(ap);
+}
+
+/* Tells whether name is 1 to 63 letters, digits, '-' or '_'. */
+bool
+ticket_name_valid(const char *name)
+{
+    size_t n = strlen(name);
+
+    if (n == 0 || n > TICKET_NAME_MAX_BYTES) {
+        return false;
+    }
+    for (size_t i = 0; i < n; i++) {
+        if (!g_ascii_isalnum(name[i]) && name[i] != '-' && name[i] != '_') {
+            return false;
+        }
+    }
+    return true;
+}
+
+/* Adds s to a set of names seen; false when it is there already. Takes s. */
+static bool
+add_unique(GHashTable *seen, char *s)
+{
+    return g_hash_table_add(seen, s);
+}
+
+/* Refuses a group or key that appears twice. GKeyFile merges such groups and
+   keeps the last of such keys without a word, so a copied block could change
+   an object in a way that the author does not see. */
+static bool
+refuse_duplicates(const char *text, struct ticket_error *err)
+{
+    GHashTable *seen =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    char **lines = g_strsplit(text, "\n", -1);
+    char *group = NULL;
+    bool ok = true;
+
+    for (size_t i = 0; ok && lines[i]; i++) {
+        char *line = g_strstrip(lines[i]);
+
+        if (line[0] == '[') {
+            char *end = strchr(line, ']');
+
+            g_free(group);
+            group = g_strndup(line + 1, end ? (gsize)(end - line - 1)
+                                            : strlen(line + 1));
+            if (!add_unique(seen, g_strdup_printf("[%s", group))) {
+                ticket_error_set(err, group, NULL, "group appears twice");
+                ok = false;
+            }
+        }
+        else if (line[0] != '\0' && line[0] != '#' && strchr(line, '=')) {
+            char *key = g_strndup(line, (gsize)(strchr(line, '=') - line));
+
+            g_strchomp(key);
+            if (!add_unique(
+                    seen, g_strdup_printf("%s]%s", group ? group : "", key))) {
+                ticket_error_set(err, group, key, "key appears twice");
+                ok = false;
+            }
+            g_free(key);
+        }
+    }
+    g_free(group);
+    g_strfreev(lines);
+    g_hash_table_destroy(seen);
+    return ok;
+}
+
+/* Loads INI text of n bytes into *out, to be freed by the caller. Refuses
+   more than max_bytes, text that is not UTF-8, zero bytes, and groups or
+   keys that appear twice. */
+bool
+ticket_text_load(const char *text, size_t n, size_t max_bytes, GKeyFile **out,
+                 struct ticket_error *err)
+{
+    GError *error = NULL;
+
+    if (n > max_bytes) {
+        ticket_error_set(err, NULL, NULL,
+                         "text has %zu bytes, the limit is %zu", n, max_bytes);
+        return false;
+    }
+    if (!g_utf8_validate_len(text, n, NULL)) {
+        ticket_error_set(err, NULL, NULL, "text is not UTF-8");
+        return false;
+    }
+    char *copy = g_strndup(text, n);
+    GKeyFile *file = g_key_file_new();
+    bool ok = refuse_duplicates(copy, err);
+
+    g_free(copy);
+    if (ok &&
+        !g_key_file_load_from_data(file, text, n, G_KEY_FILE_NONE, &error)) {
+        ticket_error_set(err, NULL, NULL, "%s",
+                         error ? error->message : "text cannot be read");
+        g_clear_error(&error);
+        ok = false;
+    }
+    if (!ok) {
+        g_key_file_free(file);
+        return false;
+    }
+    *out = file;
+    return true;
+}
+
+/* Reads a whole decimal number in [min, max]. */
+bool
+ticket_read_int(GKeyFile *file, const char *group, const char *key,
+                int64_t min, int64_t max, int64_t *out,
+                struct ticket_error *err)
+{
+    char *s = g_key_file_get_value(file, group, key, NULL);
+    gint64 value = 0;
+
+    if (!s) {
+        ticket_error_set(err, group, key, "is missing");
+        return false;
+    }
+    bool ok = g_ascii_string_to_signed(s, 10, min, max, &value, NULL);
+
+    if (!ok) {
+        ticket_error_set(err, group, key,
+                         "must be a number from %" G_GINT64_FORMAT
+                         " to %" G_GINT64_FORMAT,
+                         (gint64)min, (gint64)max);
+    }
+    g_free(s);
+    *out = value;
+    return ok;
+}
