--- a/src/ticket/ticket.c
+++ b/src/ticket/ticket.c
@@ -184,7 +184,7 @@
         ok = false;
     }
     if (ok) {
-        qsort(t->objects, t->n_objects, sizeof(*t->objects), compare_objects);
+        qsort(t->objects, t->n_objects, sizeof(void *), compare_objects);
     }
     return ok;
 }
--- /dev/null
+++ b/tests/ticket/world_operators.c
@@ -0,0 +1,287 @@
+/* Operators, their submissions, and the store as a submission sees it. */
+#include "world_model.h"
+
+#include <string.h>
+
+void
+free_sub(void *p)
+{
+    struct sub *s = p;
+
+    ticket_submission_free(s->m);
+    g_free(s->text);
+    g_free(s);
+}
+
+void
+halt(struct world *w, struct proxy *p)
+{
+    GPtrArray *subs = p->subs;
+
+    p->up = false;
+    p->incarnation++;
+    p->subs = g_ptr_array_new_with_free_func(free_sub);
+    ticket_sync_free(p->sync);
+    ticket_state_free(p->state);
+    p->sync = NULL;
+    p->state = NULL;
+    /* Operators whose proxy died submit the same text elsewhere. */
+    for (guint i = 0; i < subs->len; i++) {
+        struct sub *s = subs->pdata[i];
+
+        if (!s->over && s->tries < OPERATOR_TRIES) {
+            submit(w, s->text, s->tries + 1);
+        }
+    }
+    g_ptr_array_free(subs, TRUE);
+}
+
+/* Applies an insert; returns what a prompt answer would say. */
+static enum ticket_store_result
+insert_row(struct world *w, const char *key, const char *text)
+{
+    if (g_tree_lookup(w->rows, key)) {
+        return TICKET_STORE_EXISTS;
+    }
+    struct row *row = g_new0(struct row, 1);
+
+    row->text = g_strdup(text);
+    row->at = w->now;
+    g_tree_insert(w->rows, g_strdup(key), row);
+    return TICKET_STORE_DONE;
+}
+
+void
+free_row(void *p)
+{
+    g_free(((struct row *)p)->text);
+    g_free(p);
+}
+
+static bool
+sub_alive(const struct world *w, const struct event *e)
+{
+    return g_ptr_array_find(w->proxies[e->to].subs, e->sub, NULL);
+}
+
+static void
+run_insert_answer(struct world *w, struct event *e)
+{
+    if (sub_alive(w, e)) {
+        ticket_submission_on_insert(e->sub->m, w->now, e->result, e->text);
+    }
+}
+
+static void
+run_read_answer(struct world *w, struct event *e)
+{
+    if (sub_alive(w, e)) {
+        ticket_submission_on_read(e->sub->m, w->now, e->result, e->text);
+    }
+}
+
+static void
+run_late_insert(struct world *w, struct event *e)
+{
+    insert_row(w, e->key, e->text);
+}
+
+static void
+op_insert(void *ctx, const char *key, const char *text)
+{
+    struct sub *s = ctx;
+    struct world *w = s->p->w;
+    struct event *e = post(w, 5, run_insert_answer, s->p);
+
+    e->sub = s;
+    if (w->store_down || chance(w, w->f.store_error)) {
+        e->result = TICKET_STORE_NOT_DONE;
+        return;
+    }
+    if (chance(w, w->f.request_late)) {
+        struct event *late =
+            post(w, (clock_ms)rng_below(&w->rng, 3000), run_late_insert, s->p);
+
+        late->incarnation = -1; /* takes effect even if the proxy dies */
+        late->key = g_strdup(key);
+        late->text = g_strdup(text);
+        e->result = TICKET_STORE_LOST;
+        return;
+    }
+    e->result = insert_row(w, key, text);
+    e->text = g_strdup(((struct row *)g_tree_lookup(w->rows, key))->text);
+    if (chance(w, w->f.answer_lost)) {
+        e->result = TICKET_STORE_LOST;
+    }
+}
+
+static void
+op_read(void *ctx, const char *key)
+{
+    struct sub *s = ctx;
+    struct world *w = s->p->w;
+    struct event *e = post(w, 5, run_read_answer, s->p);
+    const struct row *row = g_tree_lookup(w->rows, key);
+
+    e->sub = s;
+    e->result = TICKET_STORE_NOT_DONE;
+    if (!w->store_down && !chance(w, w->f.answer_lost)) {
+        bool seen = row && row->at <= read_time(w);
+
+        e->result = seen ? TICKET_STORE_DONE : TICKET_STORE_ABSENT;
+        e->text = seen ? g_strdup(row->text) : NULL;
+    }
+}
+
+static void
+op_accepted(void *ctx, const struct ticket *t)
+{
+    struct sub *s = ctx;
+
+    ticket_sync_accepted(s->p->sync, t);
+}
+
+/* Writes a random ticket on few objects, so that tickets touch each other. */
+char *
+random_ticket(struct world *w)
+{
+    GString *s = g_string_new(NULL);
+    uint64_t number = w->next_number;
+
+    if (rng_below(&w->rng, 100) < 25 && number > 6) {
+        number -= rng_below(&w->rng, 6); /* in use by another operator */
+    }
+    w->next_number += rng_below(&w->rng, 10) < 8;
+    g_string_append_printf(s, "[ticket]\nnumber=%d\nauthor=op%d\ncomment=%d\n",
+                           (int)number, (int)rng_below(&w->rng, 2),
+                           (int)rng_below(&w->rng, 1000));
+    unsigned mask = 1 + (unsigned)rng_below(&w->rng, (1 << OBJECTS) - 1);
+
+    mask &= (unsigned)rng_next(&w->rng) | (1U << rng_below(&w->rng, OBJECTS));
+    mask = mask ? mask : 1;
+    for (int i = 0; i < OBJECTS; i++) {
+        int v = 1 + (int)rng_below(&w->rng, 60);
+
+        if (!(mask & (1U << i))) {
+            continue;
+        }
+        if (i / 3 == 0) {
+            g_string_append_printf(
+                s,
+                "[database %c]\nmembers=10.0.0.%d:5432\ndomains=d\n"
+                "slots=2\nconnections=64\nuser=u\n",
+                'a' + i % 3, v);
+        }
+        else if (i / 3 == 1) {
+            g_string_append_printf(s, "[shares %c]\nfiling=%d:1\n",
+                                   'a' + i % 3, v);
+        }
+        else {
+            g_string_append_printf(s, "[staleness %c]\n%s=%s\n", 'a' + i % 3,
+                                   v < 10 ? "removed" : "filing",
+                                   v < 10 ? "true" : "500");
+        }
+    }
+    return g_string_free(s, FALSE);
+}
+
+/* Checks that an accepted ticket is the row of its number, and that every
+   earlier acceptance of the number had the same content. */
+static void
+note_accepted(struct world *w, const struct sub *s, uint64_t number)
+{
+    struct ticket_error err;
+    char key[TICKET_KEY_BYTES];
+
+    ticket_key(number, key);
+    const struct row *row = g_tree_lookup(w->rows, key);
+    struct ticket *t = ticket_parse(s->text, strlen(s->text), &err);
+
+    if (!row) {
+        violate(w, "accepted_kept", "accepted, but not in the store");
+    }
+    else if (strcmp(row->text, t->text) != 0) {
+        violate(w, "one_content", "accepted with another row in the store");
+    }
+    for (guint i = 0; i < w->accepted->len; i++) {
+        const struct accepted *a = w->accepted->pdata[i];
+
+        if (a->t->number == number) {
+            if (a->t->hash != t->hash) {
+                violate(w, "one_content", "number accepted twice");
+            }
+            ticket_free(t);
+            return;
+        }
+    }
+    struct accepted *a = g_new0(struct accepted, 1);
+
+    a->t = t;
+    a->at = w->now;
+    g_ptr_array_add(w->accepted, a);
+}
+
+static void
+op_answer(void *ctx, const struct ticket_answer *answer)
+{
+    struct sub *s = ctx;
+    struct world *w = s->p->w;
+
+    s->over = true;
+    w->out->outcomes[answer->outcome]++;
+    if (answer->outcome == TICKET_ACCEPTED ||
+        answer->outcome == TICKET_ALREADY_ACCEPTED) {
+        note_accepted(w, s, answer->number);
+    }
+    else if (answer->outcome == TICKET_INVALID && s->tries < OPERATOR_TRIES) {
+        char *text = random_ticket(w); /* under a new number */
+
+        submit(w, text, s->tries + 1);
+        g_free(text);
+    }
+    else if ((answer->outcome == TICKET_UNKNOWN ||
+              answer->outcome == TICKET_NOT_ACCEPTED) &&
+             s->tries < OPERATOR_TRIES) {
+        submit(w, s->text, s->tries + 1);
+    }
+}
+
+static const struct ticket_submission_ops submission_ops = {
+    op_insert, op_read, op_accepted, op_answer};
+static const struct ticket_fixed_database fixed[] = {
+    {"a", 64}, {"b", 64}, {"c", 64}};
+static const struct ticket_rules rules = {fixed, 3, NULL};
+
+static void
+run_submit(struct world *w, struct event *e)
+{
+    struct proxy *p = &w->proxies[rng_below(&w->rng, WORLD_PROXIES)];
+
+    for (int i = 0; !p->up && i < WORLD_PROXIES; i++) {
+        p = &w->proxies[i];
+    }
+    if (!p->up) {
+        submit(w, e->text, (int)e->id);
+        return;
+    }
+    struct sub *s = g_new0(struct sub, 1);
+
+    s->p = p;
+    s->text = g_strdup(e->text);
+    s->tries = (int)e->id;
+    s->m =
+        ticket_submission_new(&submission_ops, s, p->state, &rules, &p->rng);
+    g_ptr_array_add(p->subs, s);
+    ticket_submission_start(s->m, w->now, s->text, strlen(s->text));
+}
+
+void
+submit(struct world *w, const char *text, int tries)
+{
+    struct event *e = post(w, 1 + (clock_ms)rng_below(&w->rng, 500),
+                           run_submit, &w->proxies[0]);
+
+    e->incarnation = -1;
+    e->text = g_strdup(text);
+    e->id = (uint64_t)tries;
+}
