Make the ticket model give one run for each seed in every build

Cause: random draws in one argument list were made in compiler order, and store answers found their submission by address, which the allocator reuses. Change: one draw for each statement; submissions have an id. Before: ticket_break_lost_is_accepted was an unexpected pass under ASan. Conclusion: a seed stands for one run.

--- a/tests/ticket/world_model.h
+++ b/tests/ticket/world_model.h
@@ -30,6 +30,7 @@
 };
 
 struct sub {
+    uint64_t id;
     struct proxy *p;
     struct ticket_submission *m;
     char *text;
@@ -52,7 +53,6 @@
     int to;
     int from;
     int incarnation;
-    struct sub *sub;
     bool flag;
     uint64_t id;
     enum ticket_store_result result;
--- a/tests/ticket/world_operators.c
+++ b/tests/ticket/world_operators.c
@@ -58,25 +58,39 @@
     g_free(p);
 }
 
-static bool
-sub_alive(const struct world *w, const struct event *e)
+/* Returns the submission that a store answer is for, or NULL. */
+static struct sub *
+find_sub(const struct world *w, const struct event *e)
 {
-    return g_ptr_array_find(w->proxies[e->to].subs, e->sub, NULL);
+    const GPtrArray *subs = w->proxies[e->to].subs;
+
+    for (guint i = 0; i < subs->len; i++) {
+        struct sub *s = subs->pdata[i];
+
+        if (s->id == e->id) {
+            return s;
+        }
+    }
+    return NULL;
 }
 
 static void
 run_insert_answer(struct world *w, struct event *e)
 {
-    if (sub_alive(w, e)) {
-        ticket_submission_on_insert(e->sub->m, w->now, e->result, e->text);
+    struct sub *s = find_sub(w, e);
+
+    if (s) {
+        ticket_submission_on_insert(s->m, w->now, e->result, e->text);
     }
 }
 
 static void
 run_read_answer(struct world *w, struct event *e)
 {
-    if (sub_alive(w, e)) {
-        ticket_submission_on_read(e->sub->m, w->now, e->result, e->text);
+    struct sub *s = find_sub(w, e);
+
+    if (s) {
+        ticket_submission_on_read(s->m, w->now, e->result, e->text);
     }
 }
 
@@ -93,7 +107,7 @@
     struct world *w = s->p->w;
     struct event *e = post(w, 5, run_insert_answer, s->p);
 
-    e->sub = s;
+    e->id = s->id;
     if (w->store_down || chance(w, w->f.store_error)) {
         e->result = TICKET_STORE_NOT_DONE;
         return;
@@ -123,7 +137,7 @@
     struct event *e = post(w, 5, run_read_answer, s->p);
     const struct row *row = g_tree_lookup(w->rows, key);
 
-    e->sub = s;
+    e->id = s->id;
     e->result = TICKET_STORE_NOT_DONE;
     if (!w->store_down && !chance(w, w->f.answer_lost)) {
         bool seen = row && row->at <= read_time(w);
@@ -152,12 +166,18 @@
         number -= rng_below(&w->rng, 6); /* in use by another operator */
     }
     w->next_number += rng_below(&w->rng, 10) < 8;
+    /* One draw for each statement: the order of evaluation of arguments is
+       not fixed, and a seed must give the same run in every build. */
+    int author = (int)rng_below(&w->rng, 2);
+    int comment = (int)rng_below(&w->rng, 1000);
+
     g_string_append_printf(s, "[ticket]\nnumber=%d\nauthor=op%d\ncomment=%d\n",
-                           (int)number, (int)rng_below(&w->rng, 2),
-                           (int)rng_below(&w->rng, 1000));
+                           (int)number, author, comment);
     unsigned mask = 1 + (unsigned)rng_below(&w->rng, (1 << OBJECTS) - 1);
 
-    mask &= (unsigned)rng_next(&w->rng) | (1U << rng_below(&w->rng, OBJECTS));
+    unsigned kept = (unsigned)rng_next(&w->rng);
+
+    mask &= kept | (1U << rng_below(&w->rng, OBJECTS));
     mask = mask ? mask : 1;
     for (int i = 0; i < OBJECTS; i++) {
         int v = 1 + (int)rng_below(&w->rng, 60);
@@ -267,6 +287,7 @@
     struct sub *s = g_new0(struct sub, 1);
 
     s->p = p;
+    s->id = w->seq++;
     s->text = g_strdup(e->text);
     s->tries = (int)e->id;
     s->m =
