--- /dev/null
+++ b/src/platform/client.c
@@ -0,0 +1,563 @@
+#define LOG_MODULE "platform"
+
+#include "platform/client.h"
+
+#include "base/clock.h"
+#include "base/log.h"
+#include "platform/answer.h"
+#include "platform/multi.h"
+
+#include <string.h>
+
+#define RATE_DEFAULT 20
+#define ATTEMPTS_DEFAULT 3
+#define IN_FLIGHT_DEFAULT 64
+#define TIMEOUT_DEFAULT_MS 1000
+#define BACKOFF_BASE_MS 50
+#define BACKOFF_MAX_MS 2000
+
+struct request {
+    struct platform_client *client;
+    uint64_t id;
+    CURL *easy; /* NULL between attempts */
+    struct curl_slist *headers;
+    char *url;
+    char *body; /* NULL for reads */
+    size_t n_body;
+    enum platform_body expect;
+    bool insert;
+    int attempts_left;
+    int attempt;
+    bool in_doubt; /* a write was sent and not answered */
+    GString *answer;
+    bool too_large;
+    ev_timer timer;      /* backoff, or the report of a refusal */
+    const char *refusal; /* set when the request was refused */
+    platform_done_fn done;
+    void *ctx;
+};
+
+struct platform_client {
+    struct ev_loop *loop;
+    struct platform_multi *multi;
+    char *table_url, *object_url, *vms_url;
+    int timeout_ms, rate, attempts;
+    guint max_in_flight;
+    GHashTable *requests; /* id -> struct request */
+    uint64_t next_id;
+    double tokens;
+    clock_ms filled_at;
+    struct rng rng;
+    struct platform_counters counters;
+    int callbacks; /* depth of done calls */
+    bool freed;    /* freed inside a callback */
+};
+
+static void start_attempt(struct request *r);
+
+/* Takes a token of the request rate. The bucket holds one second's worth. */
+static bool
+take_token(struct platform_client *c)
+{
+    clock_ms now = clock_now();
+
+    c->tokens += (double)(now - c->filled_at) * c->rate / 1000.0;
+    c->tokens = MIN(c->tokens, (double)c->rate);
+    c->filled_at = now;
+    if (c->tokens < 1.0) {
+        c->counters.refused_rate++;
+        return false;
+    }
+    c->tokens -= 1.0;
+    return true;
+}
+
+/* Ends the current attempt, if any. */
+static void
+drop_easy(struct request *r)
+{
+    if (r->easy) {
+        platform_multi_remove(r->client->multi, r->easy);
+        curl_easy_cleanup(r->easy);
+        r->easy = NULL;
+    }
+}
+
+/* Frees a request and what it has in flight. */
+static void
+free_request(void *p)
+{
+    struct request *r = p;
+
+    drop_easy(r);
+    ev_timer_stop(r->client->loop, &r->timer);
+    curl_slist_free_all(r->headers);
+    g_string_free(r->answer, TRUE);
+    g_free(r->url);
+    g_free(r->body);
+    g_free(r);
+}
+
+/* Releases the client itself. */
+static void
+destroy(struct platform_client *c)
+{
+    g_hash_table_destroy(c->requests);
+    platform_multi_free(c->multi);
+    g_free(c->table_url);
+    g_free(c->object_url);
+    g_free(c->vms_url);
+    g_free(c);
+}
+
+/* Drops a client that was freed inside a callback once no code of its own
+   is on the stack; libcurl does not allow it any earlier. */
+static void
+destroy_later(int revents, void *ctx)
+{
+    (void)revents;
+    destroy(ctx);
+}
+
+/* Calls done and frees the request. */
+static void
+finish(struct request *r, struct platform_result *result)
+{
+    struct platform_client *c = r->client;
+    platform_done_fn done = r->done;
+    void *ctx = r->ctx;
+
+    if (result->outcome == PLATFORM_DONE) {
+        c->counters.done++;
+    }
+    else if (result->outcome == PLATFORM_UNKNOWN) {
+        c->counters.unknown++;
+    }
+    else {
+        c->counters.not_done++;
+    }
+    drop_easy(r);
+    g_hash_table_steal(c->requests, &r->id);
+    if (!c->freed) {
+        c->callbacks++;
+        done(ctx, result);
+        c->callbacks--;
+    }
+    free_request(r);
+}
+
+/* Ends a request without an answer. */
+static void
+finish_failed(struct request *r, int status, const char *reason)
+{
+    struct platform_result result = {
+        .outcome = r->in_doubt ? PLATFORM_UNKNOWN : PLATFORM_NOT_DONE,
+        .status = status,
+        .reason = reason,
+    };
+
+    LOG_DEBUG("request", r->url, "%s after %d attempts", reason, r->attempt);
+    finish(r, &result);
+}
+
+/* Reports a refusal, or sends the next attempt after its backoff. */
+static void
+on_request_timer(struct ev_loop *loop, ev_timer *timer, int events)
+{
+    struct request *r = timer->data;
+
+    (void)loop;
+    (void)events;
+    if (r->refusal) {
+        finish_failed(r, 0, r->refusal);
+    }
+    else if (!take_token(r->client)) {
+        finish_failed(r, 0, "rate");
+    }
+    else {
+        start_attempt(r);
+    }
+}
+
+/* Waits for ms milliseconds, then calls on_request_timer(). */
+static void
+wait_ms(struct request *r, clock_ms ms)
+{
+    ev_timer_set(&r->timer, (double)ms / 1000.0, 0.);
+    ev_timer_start(r->client->loop, &r->timer);
+}
+
+/* Tries again after exponential backoff with full jitter, or ends. A write
+   in doubt is not sent again here: its caller must learn that the outcome is
+   unknown. */
+static void
+retry_or_finish(struct request *r, uint64_t *counter, int status,
+                const char *reason)
+{
+    clock_ms cap = BACKOFF_BASE_MS;
+
+    drop_easy(r);
+    if (r->attempts_left == 0 || r->in_doubt) {
+        finish_failed(r, status, reason);
+        return;
+    }
+    for (int i = 1; i < r->attempt && cap < BACKOFF_MAX_MS; i++) {
+        cap *= 2;
+    }
+    (*counter)++;
+    wait_ms(r, 1 + (clock_ms)rng_below(&r->client->rng,
+                                       (uint64_t)MIN(cap, BACKOFF_MAX_MS)));
+}
+
+/* Takes an HTTP answer. */
+static void
+take_answer(struct request *r, int status)
+{
+    struct platform_client *c = r->client;
+    bool row_in_place = r->insert && status == 412;
+    bool with_body = status == 200 || row_in_place;
+    enum platform_body kind = with_body ? r->expect : PLATFORM_BODY_NONE;
+    struct platform_answer answer;
+
+    if (status == 503 || status == 429) {
+        retry_or_finish(r, &c->counters.retry_status, status, "status");
+        return;
+    }
+    if (status >= 500) {
+        /* Only 503 and 429 promise that a write had no effect. */
+        r->in_doubt = r->body != NULL;
+        retry_or_finish(r, &c->counters.retry_status, status, "status");
+        return;
+    }
+    if (status < 200 ||
+        (status > 299 && !(status == 404 && !r->body) && !row_in_place)) {
+        finish_failed(r, status, "status");
+        return;
+    }
+    if (!platform_answer_decode(kind, r->answer->str, r->answer->len,
+                                &answer)) {
+        c->counters.answer_malformed++;
+        /* A 412 that cannot be read still says that a row is in place, but
+           not which one. */
+        r->in_doubt = r->body != NULL;
+        finish_failed(r, status, "malformed");
+        return;
+    }
+    struct platform_result result = {
+        .outcome = PLATFORM_DONE,
+        .status = status,
+        .rows = answer.rows,
+        .n_rows = answer.n_rows,
+        .vms = answer.vms,
+        .n_vms = answer.n_vms,
+        .body = r->answer->str,
+        .n_body = r->answer->len,
+    };
+
+    finish(r, &result);
+    platform_answer_clear(&answer);
+}
+
+/* Takes the end of an attempt. */
+static void
+on_ended(void *ctx, CURL *easy, CURLcode code)
+{
+    struct platform_client *c = ctx;
+    struct request *r = NULL;
+    long status = 0;
+    long sent = 0;
+
+    curl_easy_getinfo(easy, CURLINFO_PRIVATE, (char **)&r);
+    curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &status);
+    curl_easy_getinfo(easy, CURLINFO_REQUEST_SIZE, &sent);
+    if (code == CURLE_OK) {
+        take_answer(r, (int)status);
+        return;
+    }
+    if (r->body && sent > 0) {
+        r->in_doubt = true;
+    }
+    if (r->too_large || code == CURLE_FILESIZE_EXCEEDED) {
+        c->counters.answer_too_large++;
+        finish_failed(r, (int)status, "answer_too_large");
+    }
+    else if (code == CURLE_COULDNT_CONNECT) {
+        retry_or_finish(r, &c->counters.retry_connect, 0, "connect");
+    }
+    else if (code == CURLE_OPERATION_TIMEDOUT) {
+        retry_or_finish(r, &c->counters.retry_timeout, 0, "timeout");
+    }
+    else {
+        retry_or_finish(r, &c->counters.retry_transport, 0, "transport");
+    }
+}
+
+/* Takes bytes of an answer; refuses the first one over the limit. */
+static size_t
+on_bytes(char *p, size_t size, size_t n, void *ctx)
+{
+    struct request *r = ctx;
+    size_t bytes = size * n;
+
+    if (r->answer->len + bytes > PLATFORM_BODY_MAX_BYTES) {
+        r->too_large = true;
+        return 0;
+    }
+    g_string_append_len(r->answer, p, (gssize)bytes);
+    return bytes;
+}
+
+/* Sends one attempt. */
+static void
+start_attempt(struct request *r)
+{
+    struct platform_client *c = r->client;
+    CURL *easy = curl_easy_init();
+
+    r->easy = easy;
+    r->attempt++;
+    r->attempts_left--;
+    r->too_large = false;
+    g_string_truncate(r->answer, 0);
+    curl_easy_setopt(easy, CURLOPT_URL, r->url);
+    curl_easy_setopt(easy, CURLOPT_PRIVATE, r);
+    curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+    curl_easy_setopt(easy, CURLOPT_PROXY, "");
+    curl_easy_setopt(easy, CURLOPT_PROTOCOLS_STR, "http,https");
+    curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, (long)c->timeout_ms);
+    curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, on_bytes);
+    curl_easy_setopt(easy, CURLOPT_WRITEDATA, r);
+    curl_easy_setopt(easy, CURLOPT_MAXFILESIZE_LARGE,
+                     (curl_off_t)PLATFORM_BODY_MAX_BYTES);
+    if (r->body) {
+        /* On a reused connection libcurl would send a write again by itself
+           when the connection closes without an answer. */
+        curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
+        curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, "PUT");
+        curl_easy_setopt(easy, CURLOPT_POSTFIELDS, r->body);
+        curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE,
+                         (curl_off_t)r->n_body);
+    }
+    curl_easy_setopt(easy, CURLOPT_HTTPHEADER, r->headers);
+    platform_multi_add(c->multi, easy);
+}
+
+/* Creates a request. Takes url and body. */
+static struct request *
+new_request(struct platform_client *c, char *url, char *body, size_t n_body,
+            enum platform_body expect, int attempts, platform_done_fn done,
+            void *ctx)
+{
+    struct request *r = g_new0(struct request, 1);
+
+    r->client = c;
+    r->id = ++c->next_id;
+    r->url = url;
+    r->body = body;
+    r->n_body = n_body;
+    r->expect = expect;
+    r->attempts_left = attempts > 0 ? attempts : c->attempts;
+    r->done = done;
+    r->ctx = ctx;
+    r->answer = g_string_new(NULL);
+    /* Without this, libcurl waits for "100 Continue" with larger bodies. */
+    r->headers = curl_slist_append(NULL, "Expect:");
+    if (body) {
+        r->headers = curl_slist_append(
+            r->headers, "Content-Type: application/octet-stream");
+    }
+    ev_timer_init(&r->timer, on_request_timer, 0., 0.);
+    r->timer.data = r;
+    return r;
+}
+
+/* Sends a request or refuses it; a refusal is reported from the loop. */
+static uint64_t
+submit(struct request *r)
+{
+    struct platform_client *c = r->client;
+
+    c->counters.requests++;
+    if (g_hash_table_size(c->requests) >= c->max_in_flight) {
+        c->counters.refused_in_flight++;
+        r->refusal = "in_flight";
+    }
+    else if (r->n_body > PLATFORM_BODY_MAX_BYTES) {
+        c->counters.refused_body++;
+        r->refusal = "body_too_large";
+    }
+    else if (!take_token(c)) {
+        r->refusal = "rate";
+    }
+    g_hash_table_insert(c->requests, &r->id, r);
+    if (r->refusal) {
+        wait_ms(r, 0);
+    }
+    else {
+        start_attempt(r);
+    }
+    return r->id;
+}
+
+/* Returns BASE/PART or BASE/PART/KEY with the parts escaped. */
+static char *
+make_url(const char *base, const char *part, const char *key)
+{
+    char *p = g_uri_escape_string(part, NULL, FALSE);
+    char *k = key ? g_uri_escape_string(key, NULL, FALSE) : NULL;
+    char *url = g_strconcat(base, "/", p, k ? "/" : "", k ? k : "", NULL);
+
+    g_free(p);
+    g_free(k);
+    return url;
+}
+
+/* Creates a client on loop; the settings are copied. seed is for jitter. */
+struct platform_client *
+platform_client_new(struct ev_loop *loop, const struct platform_settings *s,
+                    uint64_t seed)
+{
+    struct platform_client *c = g_new0(struct platform_client, 1);
+
+    c->loop = loop;
+    c->multi = platform_multi_new(loop, on_ended, c);
+    c->table_url = g_strdup(s->table_url);
+    c->object_url = g_strdup(s->object_url);
+    c->vms_url = g_strdup(s->vms_url);
+    c->timeout_ms = s->timeout_ms > 0 ? s->timeout_ms : TIMEOUT_DEFAULT_MS;
+    c->rate = s->rate > 0 ? s->rate : RATE_DEFAULT;
+    c->attempts = s->attempts > 0 ? s->attempts : ATTEMPTS_DEFAULT;
+    c->max_in_flight =
+        (guint)(s->max_in_flight > 0 ? s->max_in_flight : IN_FLIGHT_DEFAULT);
+    c->requests =
+        g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, free_request);
+    c->tokens = c->rate;
+    c->filled_at = clock_now();
+    rng_seed(&c->rng, seed);
+    return c;
+}
+
+/* Cancels all requests without calling done and frees the client. Allowed
+   inside a done callback, and then completed from the loop. */
+void
+platform_client_free(struct platform_client *c)
+{
+    if (!c) {
+        return;
+    }
+    if (c->callbacks == 0) {
+        destroy(c);
+        return;
+    }
+    c->freed = true;
+    g_hash_table_remove_all(c->requests);
+    ev_once(c->loop, -1, 0, 0., destroy_later, c);
+}
+
+/* Returns the counters, which live as long as the client. */
+const struct platform_counters *
+platform_client_counters(const struct platform_client *c)
+{
+    return &c->counters;
+}
+
+/* Cancels a request; done is not called. Unknown ids are ignored. */
+void
+platform_cancel(struct platform_client *c, uint64_t id)
+{
+    g_hash_table_remove(c->requests, &id);
+}
+
+/* Lists rows with a key above after, in order, at most limit. */
+uint64_t
+platform_table_list(struct platform_client *c, const char *table,
+                    const char *after, int limit, int attempts,
+                    platform_done_fn done, void *ctx)
+{
+    char *base = make_url(c->table_url, table, NULL);
+    char *key = g_uri_escape_string(after, NULL, FALSE);
+    char *url = g_strdup_printf("%s?after=%s&limit=%d", base, key, limit);
+
+    g_free(base);
+    g_free(key);
+    return submit(
+        new_request(c, url, NULL, 0, PLATFORM_BODY_ROWS, attempts, done, ctx));
+}
+
+/* Reads one row; status is 200 or 404. */
+uint64_t
+platform_table_get(struct platform_client *c, const char *table,
+                   const char *key, int attempts, platform_done_fn done,
+                   void *ctx)
+{
+    return submit(new_request(c, make_url(c->table_url, table, key), NULL, 0,
+                              PLATFORM_BODY_ROW, attempts, done, ctx));
+}
+
+/* Creates a table write. A value that is not UTF-8 is a programming error. */
+static struct request *
+new_write(struct platform_client *c, const char *table, const char *key,
+          const char *value, int attempts, platform_done_fn done, void *ctx)
+{
+    char *body = platform_value_encode(value);
+
+    g_assert(body);
+    return new_request(c, make_url(c->table_url, table, key), body,
+                       strlen(body), PLATFORM_BODY_NONE, attempts, done, ctx);
+}
+
+/* Inserts a row unless its key exists: status 201, or 412 with the row in
+   place as rows[0]. */
+uint64_t
+platform_table_insert(struct platform_client *c, const char *table,
+                      const char *key, const char *value, int attempts,
+                      platform_done_fn done, void *ctx)
+{
+    struct request *r = new_write(c, table, key, value, attempts, done, ctx);
+
+    r->insert = true;
+    r->expect = PLATFORM_BODY_ROW;
+    r->headers = curl_slist_append(r->headers, "If-None-Match: *");
+    return submit(r);
+}
+
+/* Writes a row whether its key exists or not. */
+uint64_t
+platform_table_put(struct platform_client *c, const char *table,
+                   const char *key, const char *value, int attempts,
+                   platform_done_fn done, void *ctx)
+{
+    return submit(new_write(c, table, key, value, attempts, done, ctx));
+}
+
+/* Reads an object into body; status is 200 or 404. */
+uint64_t
+platform_object_get(struct platform_client *c, const char *name, int attempts,
+                    platform_done_fn done, void *ctx)
+{
+    return submit(new_request(c, make_url(c->object_url, name, NULL), NULL, 0,
+                              PLATFORM_BODY_RAW, attempts, done, ctx));
+}
+
+/* Writes an object of n bytes. */
+uint64_t
+platform_object_put(struct platform_client *c, const char *name,
+                    const char *body, size_t n, int attempts,
+                    platform_done_fn done, void *ctx)
+{
+    char *copy = g_malloc(n + 1);
+
+    memcpy(copy, body, n);
+    copy[n] = '\0';
+    return submit(new_request(c, make_url(c->object_url, name, NULL), copy, n,
+                              PLATFORM_BODY_NONE, attempts, done, ctx));
+}
+
+/* Reads the VM list. */
+uint64_t
+platform_vms(struct platform_client *c, int attempts, platform_done_fn done,
+             void *ctx)
+{
+    return submit(new_request(c, g_strdup(c->vms_url), NULL, 0,
+                              PLATFORM_BODY_VMS, attempts, done, ctx));
+}
--- /dev/null
+++ b/src/platform/client.h
@@ -0,0 +1,105 @@
+#ifndef PLATFORM_CLIENT_H
+#define PLATFORM_CLIENT_H
+
+#include "base/rng.h"
+
+#include <ev.h>
+#include <glib.h>
+#include <stdbool.h>
+
+/* Answers and request bodies over this size are refused. */
+#define PLATFORM_BODY_MAX_BYTES ((size_t)1 << 20)
+
+enum platform_outcome {
+    PLATFORM_DONE,     /* answered; status tells what */
+    PLATFORM_NOT_DONE, /* certainly without effect */
+    PLATFORM_UNKNOWN,  /* a write was sent and not answered */
+};
+
+struct platform_row {
+    char *key;
+    char *value;
+};
+
+struct platform_vm {
+    char *name;
+    char *address;
+    char *failure_domain;
+    bool leaving;
+};
+
+/* What came of a request; valid during the callback only. */
+struct platform_result {
+    enum platform_outcome outcome;
+    int status;         /* HTTP status, 0 without an answer */
+    const char *reason; /* word for logs when outcome is not DONE */
+    const struct platform_row *rows;
+    size_t n_rows;
+    const struct platform_vm *vms;
+    size_t n_vms;
+    const char *body; /* object reads, terminated by zero */
+    size_t n_body;
+};
+
+typedef void (*platform_done_fn)(void *ctx, const struct platform_result *r);
+
+struct platform_settings {
+    const char *table_url; /* http://IP:PORT/table */
+    const char *object_url;
+    const char *vms_url;
+    int timeout_ms; /* of one attempt */
+    int rate;       /* requests per second, 0 for the default of 20 */
+    int attempts;   /* tries of one request, 0 for the default of 3 */
+    int max_in_flight;
+};
+
+struct platform_counters {
+    uint64_t requests;
+    uint64_t done;
+    uint64_t not_done;
+    uint64_t unknown;
+    uint64_t refused_rate;
+    uint64_t refused_in_flight;
+    uint64_t refused_body;
+    uint64_t retry_connect;
+    uint64_t retry_timeout;
+    uint64_t retry_transport;
+    uint64_t retry_status;
+    uint64_t answer_too_large;
+    uint64_t answer_malformed;
+};
+
+struct platform_client;
+
+struct platform_client *platform_client_new(struct ev_loop *loop,
+                                            const struct platform_settings *s,
+                                            uint64_t seed);
+void platform_client_free(struct platform_client *c);
+const struct platform_counters *
+platform_client_counters(const struct platform_client *c);
+
+/* Each call returns an id for platform_cancel(). done is called once from
+   the loop, never inside the call, unless the request is cancelled. attempts
+   0 stands for the number in the settings. */
+uint64_t platform_table_list(struct platform_client *c, const char *table,
+                             const char *after, int limit, int attempts,
+                             platform_done_fn done, void *ctx);
+uint64_t platform_table_get(struct platform_client *c, const char *table,
+                            const char *key, int attempts,
+                            platform_done_fn done, void *ctx);
+uint64_t platform_table_insert(struct platform_client *c, const char *table,
+                               const char *key, const char *value,
+                               int attempts, platform_done_fn done, void *ctx);
+uint64_t platform_table_put(struct platform_client *c, const char *table,
+                            const char *key, const char *value, int attempts,
+                            platform_done_fn done, void *ctx);
+uint64_t platform_object_get(struct platform_client *c, const char *name,
+                             int attempts, platform_done_fn done, void *ctx);
+uint64_t platform_object_put(struct platform_client *c, const char *name,
+                             const char *body, size_t n, int attempts,
+                             platform_done_fn done, void *ctx);
+uint64_t platform_vms(struct platform_client *c, int attempts,
+                      platform_done_fn done, void *ctx);
+void platform_cancel(struct platform_client *c, uint64_t id);
+
+#endif
