--- /dev/null
+++ b/src/fleet/loan_holder.c
@@ -0,0 +1,287 @@
+#include <glib.h>
+
+#include "fleet/loan.h"
+
+/* An unanswered or unmet request is repeated after this time. */
+#define ASK_AGAIN_MS 250
+/* A loan without work goes back after this time. */
+#define IDLE_MS 200
+
+/* What is borrowed of one class on one member. */
+struct borrowed {
+    int granted;
+    clock_ms until; /* own clock, margin taken off */
+    clock_ms renew_at;
+    uint64_t asked_id; /* 0: no answer is expected */
+    clock_ms asked_at;
+    clock_ms ask_after;
+    int waiting;
+    int in_use;
+    clock_ms idle_since;
+    bool return_due; /* a reduction that the lender has not been told */
+};
+
+struct loan_holder {
+    struct loan_holder_ops ops;
+    void *ctx;
+    int database;
+    int self;
+    int members;
+    uint64_t last_id;
+    struct borrowed borrowed[2][LOAN_MAX_MEMBERS]; /* by batch */
+    bool busy;        /* a callback may be running */
+    uint32_t touched; /* demand that callbacks changed, by class and member */
+};
+
+/* Creates the holder of one database on one proxy. Request ids rise from
+   first_id; a proxy that restarts passes a higher one than before (its wall
+   clock in microseconds will do). */
+struct loan_holder *
+loan_holder_create(const struct loan_holder_ops *ops, void *ctx, int database,
+                   int self, int members, uint64_t first_id)
+{
+    struct loan_holder *h = g_new0(struct loan_holder, 1);
+
+    g_assert(members > 0 && members <= LOAN_MAX_MEMBERS);
+    h->ops = *ops;
+    h->ctx = ctx;
+    h->database = database;
+    h->self = self;
+    h->members = members;
+    h->last_id = first_id;
+    return h;
+}
+
+/* Frees the holder; NULL is allowed. */
+void
+loan_holder_destroy(struct loan_holder *h)
+{
+    g_free(h);
+}
+
+/* Returns the length of a lease. */
+static clock_ms
+lease_of(bool batch)
+{
+    return batch ? LOAN_BATCH_LEASE_MS : LOAN_LEASE_MS;
+}
+
+/* Sets the number in force and tells the caller when it changed. */
+static void
+set_granted(struct loan_holder *h, int member, bool batch, int granted)
+{
+    struct borrowed *b = &h->borrowed[batch][member];
+
+    if (b->granted != granted) {
+        b->granted = granted;
+        h->ops.limit_changed(h->ctx, member, batch, granted);
+    }
+}
+
+/* Asks for what is in use and waiting. The lease counts from this moment. */
+static void
+ask(struct loan_holder *h, clock_ms now, int member, bool batch)
+{
+    struct borrowed *b = &h->borrowed[batch][member];
+
+    b->asked_id = ++h->last_id;
+    b->asked_at = now;
+    b->ask_after = now + ASK_AGAIN_MS;
+    h->ops.send_request(h->ctx, &(struct loan_request){
+                                    .database = h->database,
+                                    .member = member,
+                                    .wanted = b->in_use + b->waiting,
+                                    .batch = batch,
+                                    .request_id = b->asked_id,
+                                    .sender = h->self,
+                                });
+}
+
+/* Tells the lender what is kept. An answer on its way is refused from now on,
+   because the lender will have taken this message as the newer one. */
+static void
+give_back(struct loan_holder *h, int member, bool batch, int kept)
+{
+    struct borrowed *b = &h->borrowed[batch][member];
+
+    b->asked_id = LOAN_BREAK == LOAN_BREAK_RETURN ? b->asked_id : 0;
+    b->return_due = false;
+    set_granted(h, member, batch, kept);
+    h->ops.send_return(h->ctx, &(struct loan_return){
+                                   .database = h->database,
+                                   .member = member,
+                                   .kept = kept,
+                                   .batch = batch,
+                                   .request_id = ++h->last_id,
+                                   .sender = h->self,
+                               });
+}
+
+/* Does what is due for one class on one member; returns the next time. */
+static clock_ms
+advance(struct loan_holder *h, clock_ms now, int member, bool batch)
+{
+    struct borrowed *b = &h->borrowed[batch][member];
+    bool needed = b->in_use > 0 || b->waiting > 0;
+    clock_ms due = CLOCK_NEVER;
+
+    if (b->granted > 0 && now >= b->until) {
+        /* Nothing is sent: the lender stops counting it by itself. */
+        b->return_due = false;
+        set_granted(h, member, batch, 0);
+    }
+    if (b->return_due && b->asked_id == 0 && b->in_use <= b->granted) {
+        give_back(h, member, batch, b->granted);
+    }
+    if (b->granted > 0 && !needed && now - b->idle_since >= IDLE_MS) {
+        give_back(h, member, batch, 0);
+    }
+    if (needed && now >= b->ask_after &&
+        (b->in_use + b->waiting > b->granted || now >= b->renew_at)) {
+        ask(h, now, member, batch);
+    }
+    if (b->granted > 0) {
+        due = MIN(due, b->until);
+        due = needed ? MIN(due, MAX(b->renew_at, b->ask_after))
+                     : MIN(due, b->idle_since + IDLE_MS);
+    }
+    if (b->in_use + b->waiting > b->granted) {
+        due = MIN(due, b->ask_after);
+    }
+    return due;
+}
+
+/* Advances one class and member and then those that the callbacks touched.
+   A nested call only marks them, so that callbacks may report demand. */
+static void
+run(struct loan_holder *h, clock_ms now, int member, bool batch)
+{
+    h->touched |= 1U << (member + (batch ? LOAN_MAX_MEMBERS : 0));
+    if (h->busy) {
+        return;
+    }
+    h->busy = true;
+    while (h->touched != 0) {
+        int next = __builtin_ctz(h->touched);
+
+        h->touched &= h->touched - 1;
+        advance(h, now, next % LOAN_MAX_MEMBERS, next >= LOAN_MAX_MEMBERS);
+    }
+    h->busy = false;
+}
+
+/* Reports the work that waits for a lent connection or permit of a member, and
+   the number of lent ones with work on them. Asks at once when more is wanted
+   than is held. */
+void
+loan_holder_demand(struct loan_holder *h, clock_ms now, int member, bool batch,
+                   int waiting, int in_use)
+{
+    struct borrowed *b = &h->borrowed[batch][member];
+    bool grew = waiting > b->waiting && waiting + in_use > b->granted;
+
+    if (b->in_use + b->waiting > 0 && waiting + in_use == 0) {
+        b->idle_since = now;
+    }
+    b->waiting = waiting;
+    b->in_use = in_use;
+    if (grew && b->asked_id == 0) {
+        b->ask_after = MIN(b->ask_after, now);
+    }
+    run(h, now, member, batch);
+}
+
+/* Takes an answer. Returns false, and changes nothing, when it is not the
+   answer to the last request of its class and member or when the lease has
+   already ended. */
+bool
+loan_holder_answer(struct loan_holder *h, clock_ms now,
+                   const struct loan_grant *grant)
+{
+    for (int i = 0; i < 2 * h->members; i++) {
+        bool batch = i >= h->members;
+        int member = i % h->members;
+        struct borrowed *b = &h->borrowed[batch][member];
+        clock_ms from = LOAN_BREAK == LOAN_BREAK_SEND_TIME ? now : b->asked_at;
+        clock_ms until = from + grant->lease_ms - LOAN_MARGIN_MS;
+
+        if (b->asked_id == 0 || (grant->request_id != b->asked_id &&
+                                 LOAN_BREAK != LOAN_BREAK_OLD_ANSWER)) {
+            continue;
+        }
+        if (now >= until || grant->lease_ms > lease_of(batch) ||
+            grant->granted < 0) {
+            return false;
+        }
+        b->asked_id = 0;
+        b->return_due |= grant->granted < b->granted;
+        b->until = until;
+        b->renew_at = b->asked_at + grant->lease_ms / 2;
+        b->idle_since = now;
+        h->busy = true;
+        set_granted(h, member, batch, grant->granted);
+        h->busy = false;
+        run(h, now, member, batch);
+        return true;
+    }
+    return false;
+}
+
+/* Returns how many lent connections or permits may be used at this moment.
+   Called before each use: the process may have been paused since the last
+   tick. */
+int
+loan_holder_usable(const struct loan_holder *h, clock_ms now, int member,
+                   bool batch)
+{
+    const struct borrowed *b = &h->borrowed[batch][member];
+
+    return now < b->until ? b->granted : 0;
+}
+
+/* Returns when the use of a loan must have ended; the statement timeout of
+   what is sent on it ends no later. */
+clock_ms
+loan_holder_until(const struct loan_holder *h, int member, bool batch)
+{
+    return h->borrowed[batch][member].until;
+}
+
+/* Renews, asks again, returns what is idle and forgets what has ended.
+   Returns the next time at which something is due. */
+clock_ms
+loan_holder_tick(struct loan_holder *h, clock_ms now)
+{
+    clock_ms due = CLOCK_NEVER;
+
+    for (int i = 0; i < 2 * h->members; i++) {
+        h->busy = true;
+        due = MIN(due, advance(h, now, i % h->members, i >= h->members));
+        h->busy = false;
+    }
+    for (; h->touched != 0;) {
+        /* What the callbacks changed is due at once. */
+        int next = __builtin_ctz(h->touched);
+
+        run(h, now, next % LOAN_MAX_MEMBERS, next >= LOAN_MAX_MEMBERS);
+        due = MIN(due, now + 1);
+    }
+    return due;
+}
+
+/* Returns everything, for a drain. */
+void
+loan_holder_return_all(struct loan_holder *h, clock_ms now)
+{
+    for (int i = 0; i < 2 * h->members; i++) {
+        bool batch = i >= h->members;
+        struct borrowed *b = &h->borrowed[batch][i % h->members];
+
+        b->waiting = 0;
+        if (loan_holder_usable(h, now, i % h->members, batch) > 0) {
+            h->busy = true;
+            give_back(h, i % h->members, batch, 0);
+            h->busy = false;
+        }
+    }
+}
