--- a/src/admission/admission.c
+++ b/src/admission/admission.c
@@ -386,7 +386,9 @@
         expire(a, k);
         due = MIN(due, charge_stragglers(a, k));
         first = k->queue.head.next;
-        if (first != &k->queue.head) {
+        /* A short wait of the first says nothing about those behind. */
+        if (first != &k->queue.head &&
+            now - first->submitted_at > PRESSURE_TARGET_MS) {
             dispatch_report_delay(a, k, first->members,
                                   now - first->submitted_at);
         }
--- a/src/admission/dispatch.c
+++ b/src/admission/dispatch.c
@@ -91,16 +91,16 @@
     }
 }
 
-/* Reports a queue delay of short work that exceeds the target on each of the
-   members. Work of batch kinds waits for permits as a rule, and that wait
-   says nothing about overload. */
+/* Reports a queue delay of short work on each of the members. Work of batch
+   kinds waits for permits as a rule, and that wait says nothing about
+   overload. */
 void
 dispatch_report_delay(struct admission *a, const struct kind *k,
                       uint32_t members, clock_ms delay)
 {
     bool changed = false;
 
-    if (a->policy == ADMISSION_POLICY_FIFO || delay <= PRESSURE_TARGET_MS ||
+    if (a->policy == ADMISSION_POLICY_FIFO ||
         k->config.class == ADMISSION_BATCH) {
         return;
     }
@@ -109,7 +109,7 @@
 
         /* An unusable member delays its work without being overloaded. */
         if (m->usable) {
-            changed |= pressure_signal(&m->pressure, a->now, k->rank);
+            changed |= pressure_report(&m->pressure, a->now, k->rank, delay);
         }
     }
     if (changed) {
--- a/src/admission/pressure.c
+++ b/src/admission/pressure.c
@@ -14,21 +14,32 @@
     *p = (struct pressure){
         .ranks = ranks,
         .level = ranks,
+        .above_since = CLOCK_NEVER,
         .changed_at = -STEP_MS,
     };
 }
 
-/* Notes that work of the given rank waits longer than the target. Sheds one
-   more rank, the least important first and never the delayed one. Returns
-   true when the level changed. */
+/* Notes how long short work of the given rank has waited. When the delay has
+   been above the target without a break for the step time, sheds one more
+   rank, the least important first and never the delayed one. A single burst
+   that one good delay follows sheds nothing. Returns true when the level
+   changed. */
 bool
-pressure_signal(struct pressure *p, clock_ms now, int rank)
+pressure_report(struct pressure *p, clock_ms now, int rank, clock_ms delay)
 {
     if (rank >= p->ranks - 1) {
         return false;
     }
+    if (delay <= PRESSURE_TARGET_MS) {
+        p->above_since = CLOCK_NEVER;
+        return false;
+    }
+    if (p->above_since == CLOCK_NEVER) {
+        p->above_since = now;
+    }
     p->signalled_at = now;
-    if (p->level - 1 <= rank || now - p->changed_at < STEP_MS) {
+    if (p->level - 1 <= rank || now - p->above_since < STEP_MS ||
+        now - p->changed_at < STEP_MS) {
         return false;
     }
     p->level--;
--- a/src/admission/pressure.h
+++ b/src/admission/pressure.h
@@ -14,12 +14,14 @@
 struct pressure {
     int ranks;
     int level;
-    clock_ms changed_at; /* of level */
+    clock_ms above_since; /* CLOCK_NEVER: the last delay was below target */
+    clock_ms changed_at;  /* of level */
     clock_ms signalled_at;
 };
 
 void pressure_init(struct pressure *p, int ranks);
-bool pressure_signal(struct pressure *p, clock_ms now, int rank);
+bool pressure_report(struct pressure *p, clock_ms now, int rank,
+                     clock_ms delay);
 bool pressure_relax(struct pressure *p, clock_ms now);
 bool pressure_sheds(const struct pressure *p, int rank);
 clock_ms pressure_due(const struct pressure *p);
--- a/src/fleet/lender.c
+++ b/src/fleet/lender.c
@@ -18,7 +18,7 @@
     clock_ms ends_at;
 };
 
-/* When a proxy got or began to wait for something of a pool. */
+/* When a proxy got, or began to wait for, something of a pool. */
 struct turn {
     clock_ms held_since;    /* CLOCK_NEVER: has none */
     clock_ms waiting_since; /* CLOCK_NEVER: wants none or has some */
@@ -254,39 +254,70 @@
     return sum;
 }
 
-/* Returns true when proxy a goes before proxy b for the rest of a pool: first
-   those in their first lease, so that a loan is worth its start, then those
-   that have nothing, by waiting time, then those that have had it longer. */
+/* Returns the place of a proxy in the order in which the rest of a pool is
+   given out: 0 in its first lease, so that a loan is worth its start; 1 when
+   it has nothing of the class anywhere; 2 when it has some elsewhere; 3 when
+   it has had its part for a lease. Sets the time that orders equals. The
+   order of a member's pool follows the one over all members: with two
+   independent orders each could name a proxy that the other holds back. */
+static int
+place(const struct lender *l, clock_ms now, int p, bool batch, int member,
+      clock_ms *since)
+{
+    clock_ms lease = batch ? LOAN_BATCH_LEASE_MS : LOAN_LEASE_MS;
+    const struct turn *all = &l->proxies[p].turns[batch];
+    const struct turn *here =
+        member < 0 ? all : &l->proxies[p].loans[batch][member].turn;
+
+    if (here->held_since != CLOCK_NEVER) {
+        *since = here->held_since;
+        /* The renewal that ends the first lease may come a little early. */
+        return now - here->held_since < lease - LOAN_MARGIN_MS ? 0 : 3;
+    }
+    *since = all->held_since == CLOCK_NEVER ? all->waiting_since
+                                            : here->waiting_since;
+    return all->held_since == CLOCK_NEVER ? 1 : 2;
+}
+
+/* Returns true when proxy a goes before proxy b for the rest of a pool. */
 static bool
 goes_before(const struct lender *l, clock_ms now, int a, int b, bool batch,
             int member)
 {
-    clock_ms lease = batch ? LOAN_BATCH_LEASE_MS : LOAN_LEASE_MS;
-    int ids[2] = {a, b};
-    int group[2];
-    clock_ms since[2];
-
-    for (int i = 0; i < 2; i++) {
-        const struct proxy *p = &l->proxies[ids[i]];
-        const struct turn *t =
-            member < 0 ? &p->turns[batch] : &p->loans[batch][member].turn;
-        bool holds = t->held_since != CLOCK_NEVER;
+    clock_ms since_a;
+    clock_ms since_b;
+    int place_a = place(l, now, a, batch, member, &since_a);
+    int place_b = place(l, now, b, batch, member, &since_b);
 
-        group[i] = !holds ? 1 : now - t->held_since < lease ? 0 : 2;
-        since[i] = holds ? t->held_since : t->waiting_since;
+    if (place_a != place_b) {
+        return place_a < place_b;
     }
-    if (group[0] != group[1]) {
-        return group[0] < group[1];
+    return since_a != since_b ? since_a < since_b : a < b;
+}
+
+/* Returns the number that one proxy has of a class on all other members. */
+static int
+held_elsewhere(const struct lender *l, clock_ms now, int p, bool batch,
+               int member)
+{
+    int sum = 0;
+
+    for (int m = 0; m < l->config.members; m++) {
+        sum += m == member ? 0
+                           : loan_counted(&l->proxies[p].loans[batch][m], now);
     }
-    return since[0] != since[1] ? since[0] < since[1] : a < b;
+    return sum;
 }
 
-/* Returns the share of one proxy in a pool: the same for all that want it,
-   and one more for those that go first when that leaves a rest. */
+/* Returns the share of one proxy in a pool over all members (member -1) or in
+   the permits of one: the same for all that want it, and one more for those
+   that go first when that leaves a rest. A proxy that already has its share
+   of total_pool elsewhere does not stand in another's way on a member. */
 static int
 fair_share(const struct lender *l, clock_ms now, int self, bool batch,
-           int member, int pool)
+           int member, int pool, int total_pool)
 {
+    int wanted[LOAN_MAX_PROXIES];
     int level = 0;
     int rest = pool;
     int ahead = 0;
@@ -294,11 +325,19 @@
     if (LOAN_BREAK == LOAN_BREAK_FAIRNESS) {
         return pool;
     }
+    for (int p = 0; p < l->config.proxies; p++) {
+        wanted[p] = demand(l, now, p, batch, member);
+        if (member >= 0 && p != self && wanted[p] > 0 &&
+            held_elsewhere(l, now, p, batch, member) >=
+                fair_share(l, now, p, batch, -1, total_pool, total_pool)) {
+            wanted[p] = 0;
+        }
+    }
     for (;;) {
         int takers = 0;
 
         for (int p = 0; p < l->config.proxies; p++) {
-            takers += demand(l, now, p, batch, member) > level;
+            takers += wanted[p] > level;
         }
         if (takers == 0 || takers > rest) {
             break;
@@ -307,7 +346,7 @@
         level++;
     }
     for (int p = 0; p < l->config.proxies; p++) {
-        ahead += p != self && demand(l, now, p, batch, member) > level &&
+        ahead += p != self && wanted[p] > level &&
                  goes_before(l, now, p, self, batch, member);
     }
     return level + (ahead < rest ? 1 : 0);
@@ -322,28 +361,24 @@
     int permits = l->config.batch_permits;
     int batch_pool = MIN(permits * l->config.members, surplus);
     const struct proxy *own = &l->proxies[r->sender];
-    int elsewhere = 0; /* own, of this class, on other members */
+    int elsewhere = held_elsewhere(l, now, r->sender, r->batch, r->member);
     int own_batch = loan_counted(&own->loans[true][r->member], now);
     int own_short = loan_counted(&own->loans[false][r->member], now);
     int free =
         surplus - lender_lent(l, now) + (r->batch ? own_batch : own_short);
     int wanted = MIN(r->wanted, free);
 
-    for (int m = 0; m < l->config.members; m++) {
-        elsewhere +=
-            m == r->member ? 0 : loan_counted(&own->loans[r->batch][m], now);
-    }
     if (r->batch) {
         int others = counted(l, now, true, r->member, r->sender);
 
         if (LOAN_BREAK != LOAN_BREAK_PERMITS) {
             wanted = MIN(wanted, permits - others);
         }
-        wanted = MIN(wanted,
-                     fair_share(l, now, r->sender, true, r->member, permits));
-        wanted =
-            MIN(wanted, fair_share(l, now, r->sender, true, -1, batch_pool) -
-                            elsewhere);
+        wanted = MIN(wanted, fair_share(l, now, r->sender, true, r->member,
+                                        permits, batch_pool));
+        wanted = MIN(wanted, fair_share(l, now, r->sender, true, -1,
+                                        batch_pool, batch_pool) -
+                                 elsewhere);
     }
     else {
         int batches = counted(l, now, true, -1, -1);
@@ -356,9 +391,9 @@
                                                 : MIN(kept, batch_pool);
         kept = MAX(kept, batches);
         wanted = MIN(wanted, free - (kept - batches));
-        wanted = MIN(wanted,
-                     fair_share(l, now, r->sender, false, -1, surplus - kept) -
-                         elsewhere);
+        wanted = MIN(wanted, fair_share(l, now, r->sender, false, -1,
+                                        surplus - kept, surplus - kept) -
+                                 elsewhere);
     }
     return MAX(wanted, 0);
 }
