--- a/fakes/group.c
+++ b/fakes/group.c
@@ -454,6 +454,24 @@
     return g->members[member].commit;
 }
 
+/* Returns the term of the last visible entry. */
+uint64_t
+group_visible_term(const struct group *g, unsigned member)
+{
+    return g->members[member].visible_term;
+}
+
+/* Tells whether the member's log has an entry of this term at a position. */
+bool
+group_holds(const struct group *g, unsigned member, uint64_t position,
+            uint64_t term)
+{
+    const struct member *m = &g->members[member];
+
+    return position <= m->base ||
+           (position <= group_last(m) && group_term_at(m, position) == term);
+}
+
 /* Returns the position of the last entry in the log. */
 uint64_t
 group_log_end(const struct group *g, unsigned member)
--- a/fakes/group.h
+++ b/fakes/group.h
@@ -70,6 +70,9 @@
 bool group_is_primary(const struct group *g, unsigned member);
 uint64_t group_sealed_term(const struct group *g, unsigned member);
 uint64_t group_position(const struct group *g, unsigned member);
+uint64_t group_visible_term(const struct group *g, unsigned member);
+bool group_holds(const struct group *g, unsigned member, uint64_t position,
+                 uint64_t term);
 uint64_t group_log_end(const struct group *g, unsigned member);
 uint64_t group_log_term(const struct group *g, unsigned member);
 int group_current_primary(const struct group *g);
--- a/fakes/group_log.c
+++ b/fakes/group_log.c
@@ -1,7 +1,7 @@
 #include "fakes/group_internal.h"
 
-/* Most entries in one message; more follow in the next one. */
-#define APPEND_MAX_ENTRIES 4096
+/* Most entries in one message; more follow when its receipt is there. */
+#define APPEND_MAX_ENTRIES 1024
 
 /* Creates an entry with room for n_ops operations. */
 struct entry *
@@ -223,7 +223,6 @@
                               .commit = m->commit,
                               .entries = entries});
         m->next[to] = MAX(last + 1, first);
-        m->dirty |= m->next[to] <= group_last(m);
     }
 }
 
@@ -296,7 +295,9 @@
     if (msg->position >= m->base &&
         group_term_at(m, msg->position) != msg->prev_term) {
         if (truncate_log(g, m, msg->position - 1)) {
-            answer.position = group_last(m);
+            /* Asks for everything behind the commit at once: going back one
+               entry per round trip takes too long after a partition. */
+            answer.position = m->commit;
             post(g, to, msg->from, answer);
         }
         return;
@@ -335,6 +336,7 @@
         m->received_round[from] = MAX(m->received_round[from], msg->round);
         m->received_sent_at[from] =
             MAX(m->received_sent_at[from], msg->sent_at);
+        m->dirty |= m->next[from] <= group_last(m);
         group_advance(g, to);
         break;
     case MESSAGE_MISMATCH:
