Run proxies as a fleet: peers, lending, operators' tables

Cause: each proxy stood alone; batches had no permit beside other proxies. Change: fleet/peers carries membership, loans, ticket messages and cancels by ONC RPC; upstream/lending runs lender and holder of a database; the daemon opens the control port and answers status, members, counters, drain. Peers are listed by id with their failure domain. TICKET_PULL carries a digest.

--- a/src/caller/caller.h
+++ b/src/caller/caller.h
@@ -26,6 +26,8 @@
     bool draining;
     void (*drained)(void *ctx);
     void *drained_ctx;
+    void (*foreign_cancel)(void *ctx, uint32_t pid, uint32_t secret);
+    void *foreign_cancel_ctx;
 };
 
 enum caller_state {
--- a/src/caller/front.c
+++ b/src/caller/front.c
@@ -136,6 +136,8 @@
     f->statements = statement_cache_create(
         (size_t)s->cache_entries, (const char *const *)s->read_only_functions);
     f->callers = g_hash_table_new(g_direct_hash, g_direct_equal);
+    /* Distinct between proxies, since any of them may get the cancel. */
+    f->next_pid = (uint32_t)s->id << 16;
     g_queue_init(&f->running);
     ev_io_init(&f->accept_io, on_accept, fd, EV_READ);
     f->accept_io.data = f;
@@ -218,6 +220,17 @@
     return &f->counters;
 }
 
+/* Registers who is told of cancel requests for callers of other proxies. */
+void
+front_set_foreign_cancel(struct front *f,
+                         void (*cancel)(void *ctx, uint32_t pid,
+                                        uint32_t secret),
+                         void *ctx)
+{
+    f->foreign_cancel = cancel;
+    f->foreign_cancel_ctx = ctx;
+}
+
 /* Cancels what a caller runs, when the secret is right. Returns false when
    this proxy has no such caller. */
 bool
--- a/src/caller/startup.c
+++ b/src/caller/startup.c
@@ -282,7 +282,11 @@
     else if (code == FRAME_CANCEL_CODE) {
         const uint32_t pid = frame_read_u32(&r);
         const uint32_t secret = frame_read_u32(&r);
-        front_cancel(c->front, pid, secret);
+        if (!front_cancel(c->front, pid, secret) &&
+            c->front->foreign_cancel != NULL) {
+            c->front->foreign_cancel(c->front->foreign_cancel_ctx, pid,
+                                     secret);
+        }
         caller_end_after_flush(c);
     }
     else if (code >> 16 != FRAME_STARTUP_VERSION >> 16) {
--- a/src/daemon/daemon.c
+++ b/src/daemon/daemon.c
@@ -2,11 +2,14 @@
 
 #include "caller/front.h"
 #include "daemon/health.h"
+#include "daemon/operators.h"
+#include "upstream/lending.h"
 
 #define LOG_MODULE "daemon"
 #include "base/log.h"
 
 #include <signal.h>
+#include <string.h>
 
 /* Everything that runs in the process. */
 struct daemon {
@@ -15,6 +18,13 @@
     struct group *groups[SETTINGS_MAX_DATABASES];
     struct front *front;
     struct health *health;
+    struct rpc_keys *keys;
+    struct control *control;
+    struct operators_config operators;
+    struct peers *peers;
+    struct lending *lending[SETTINGS_MAX_DATABASES];
+    GArray *procedures; /* of struct rpc_procedure */
+    struct rpc_server *server;
     ev_signal term;
     ev_signal interrupt;
     ev_timer limit;
@@ -29,6 +39,11 @@
     struct daemon *d = ctx;
 
     LOG_NOTICE("drain", NULL, "every caller has gone");
+    for (int i = 0; i < d->settings->database_count; i++) {
+        if (d->lending[i] != NULL) {
+            lending_return_all(d->lending[i]);
+        }
+    }
     ev_break(d->loop, EVBREAK_ALL);
 }
 
@@ -45,6 +60,27 @@
     ev_break(loop, EVBREAK_ALL);
 }
 
+/* Begins a graceful shutdown. */
+static void
+begin_drain(void *ctx)
+{
+    struct daemon *d = ctx;
+
+    if (d->draining) {
+        return;
+    }
+    d->draining = true;
+    LOG_NOTICE("drain", NULL, "shutting down, %u callers are connected",
+               front_caller_count(d->front));
+    health_set_serving(d->health, false);
+    if (d->peers != NULL) {
+        peers_leave(d->peers);
+    }
+    ev_timer_set(&d->limit, (double)d->settings->drain_limit_ms / 1000.0, 0.0);
+    ev_timer_start(d->loop, &d->limit);
+    front_drain(d->front, on_drained, d);
+}
+
 /* The first signal begins a graceful shutdown, the second one ends it. */
 static void
 on_signal(struct ev_loop *loop, ev_signal *w, int revents)
@@ -58,13 +94,7 @@
         ev_break(loop, EVBREAK_ALL);
         return;
     }
-    d->draining = true;
-    LOG_NOTICE("drain", NULL, "shutting down, %u callers are connected",
-               front_caller_count(d->front));
-    health_set_serving(d->health, false);
-    ev_timer_set(&d->limit, (double)d->settings->drain_limit_ms / 1000.0, 0.0);
-    ev_timer_start(loop, &d->limit);
-    front_drain(d->front, on_drained, d);
+    begin_drain(d);
 }
 
 /* Installs the signal handlers. */
@@ -111,6 +141,143 @@
     }
 }
 
+/* Finds the lending of a database by name. */
+static struct lending *
+find_lending(struct daemon *d, const char *name)
+{
+    for (int i = 0; i < d->settings->database_count; i++) {
+        if (strcmp(d->settings->databases[i].name, name) == 0) {
+            return d->lending[i];
+        }
+    }
+    return NULL;
+}
+
+/* A peer asks for lent connections. */
+static void
+on_loan_request(void *ctx, const peer_loan_request *request,
+                peer_loan_answer *answer)
+{
+    struct lending *l = find_lending(ctx, request->database);
+
+    if (l != NULL) {
+        lending_serve_request(l, request, answer);
+    }
+}
+
+/* A peer gives lent connections back. */
+static void
+on_loan_return(void *ctx, const peer_loan_return *returned)
+{
+    struct lending *l = find_lending(ctx, returned->database);
+
+    if (l != NULL) {
+        lending_serve_return(l, returned);
+    }
+}
+
+/* A peer has the same view of the fleet. */
+static void
+on_agreed(void *ctx, uint32_t peer, clock_ms as_of)
+{
+    struct daemon *d = ctx;
+
+    for (int i = 0; i < d->settings->database_count; i++) {
+        if (d->lending[i] != NULL) {
+            lending_agreed(d->lending[i], peer, as_of);
+        }
+    }
+}
+
+/* A cancel request came to another proxy. */
+static bool
+on_cancel(void *ctx, uint32_t pid, uint32_t secret)
+{
+    struct daemon *d = ctx;
+
+    return front_cancel(d->front, pid, secret);
+}
+
+/* A cancel request came here for a caller of another proxy. */
+static void
+on_foreign_cancel(void *ctx, uint32_t pid, uint32_t secret)
+{
+    struct daemon *d = ctx;
+
+    if (d->peers != NULL) {
+        peers_send_cancel(d->peers, pid, secret);
+    }
+}
+
+static const struct peers_ops peers_callbacks = {
+    .loan_request = on_loan_request,
+    .loan_return = on_loan_return,
+    .agreed = on_agreed,
+    .cancel = on_cancel,
+};
+
+/* Opens the port for operators and peers, when the settings name one. */
+static bool
+create_control(struct daemon *d, char **error)
+{
+    const struct settings *s = d->settings;
+
+    if (s->control_listen.port == 0) {
+        return true;
+    }
+    d->keys = rpc_keys_create();
+    if (!rpc_keys_load(d->keys, s->key_file, error)) {
+        return false;
+    }
+    d->procedures = g_array_new(FALSE, FALSE, sizeof(struct rpc_procedure));
+    if (s->peer_count > 0) {
+        d->peers = peers_create(d->loop, s, d->keys, &peers_callbacks, d);
+        peers_append_procedures(d->peers, d->procedures);
+        for (int i = 0; i < s->database_count; i++) {
+            d->lending[i] = lending_create(d->loop, s, &s->databases[i], i,
+                                           d->groups[i], d->peers);
+        }
+    }
+    d->operators = (struct operators_config){
+        .settings = s,
+        .groups = d->groups,
+        .front = d->front,
+        .peers = d->peers,
+        .drain = begin_drain,
+        .ctx = d,
+    };
+    d->control = control_create();
+    operators_register(d->control, &d->operators);
+    control_append_procedures(d->control, d->procedures);
+    d->server = rpc_server_create(
+        d->loop, s->control_listen.host, s->control_listen.port, d->keys,
+        (const struct rpc_procedure *)(void *)d->procedures->data,
+        d->procedures->len, &(struct rpc_server_limits){0}, error);
+    return d->server != NULL;
+}
+
+/* Frees what create_control() made. */
+static void
+destroy_control(struct daemon *d)
+{
+    if (d->server != NULL) {
+        rpc_server_destroy(d->server);
+    }
+    for (int i = 0; i < d->settings->database_count; i++) {
+        lending_destroy(d->lending[i]);
+    }
+    peers_destroy(d->peers);
+    if (d->control != NULL) {
+        control_destroy(d->control);
+    }
+    if (d->procedures != NULL) {
+        g_array_free(d->procedures, TRUE);
+    }
+    if (d->keys != NULL) {
+        rpc_keys_destroy(d->keys);
+    }
+}
+
 /* Frees all that was created, in the opposite order. */
 static void
 destroy_all(struct daemon *d)
@@ -118,6 +285,7 @@
     if (d->front != NULL) {
         front_destroy(d->front);
     }
+    destroy_control(d);
     for (int i = 0; i < d->settings->database_count; i++) {
         if (d->groups[i] != NULL) {
             group_destroy(d->groups[i]);
@@ -146,6 +314,10 @@
     if (d.front == NULL) {
         goto done;
     }
+    front_set_foreign_cancel(d.front, on_foreign_cancel, &d);
+    if (!create_control(&d, &error)) {
+        goto done;
+    }
     watch_signals(&d);
     d.code = DAEMON_EXIT_CLEAN;
     LOG_NOTICE("start", NULL, "%s serves %d databases on %s:%u", s->name,
--- /dev/null
+++ b/src/daemon/operators.c
@@ -0,0 +1,213 @@
+#include "daemon/operators.h"
+
+#include <inttypes.h>
+#include <stdarg.h>
+#include <sys/resource.h>
+
+#define CELL_BYTES 64
+
+/* Writes a number into one of a few cells that live until the row is added. */
+static const char *
+cell(char *buffer, int64_t value)
+{
+    g_snprintf(buffer, CELL_BYTES, "%" PRId64, value);
+    return buffer;
+}
+
+/* Adds one row of the status table. */
+static void
+add_member(struct control_table *t, const struct settings_database *d,
+           struct group *g, int member)
+{
+    const struct route_view *v = group_view(g, member);
+    const struct settings_member *m = &d->members[member];
+    char address[CELL_BYTES];
+    char term[CELL_BYTES];
+    char position[CELL_BYTES];
+    char lag[CELL_BYTES];
+    char open[CELL_BYTES];
+    char used[CELL_BYTES];
+    char waiting[CELL_BYTES];
+
+    g_snprintf(address, sizeof(address), "%s:%u", m->address.host,
+               m->address.port);
+    const int wait =
+        admission_waiting(group_admission(g), member, ADMISSION_SHORT) +
+        admission_waiting(group_admission(g), member, ADMISSION_BATCH);
+    control_table_add(
+        t, d->name, address, m->domain,
+        member == group_primary(g) ? "primary" : "replica",
+        !v->alive    ? "no"
+        : v->leaving ? "leaving"
+                     : "yes",
+        cell(term, (int64_t)v->term), cell(position, (int64_t)v->position),
+        cell(lag, v->staleness_ms),
+        cell(open, pool_open_count(group_pool(g), member)),
+        cell(used, admission_in_use(group_admission(g), member)),
+        cell(waiting, wait),
+        failover_state_name(failover_get_state(group_failover(g))), NULL);
+}
+
+/* Fills the status table: one row for each member of each database. */
+static void
+fill_status(void *ctx, const char *argument, struct control_table *t)
+{
+    const struct operators_config *o = ctx;
+
+    (void)argument;
+    control_table_add(t, "database", "member", "domain", "role", "up", "term",
+                      "position", "lag_ms", "open", "in_use", "waiting",
+                      "failover", NULL);
+    for (int i = 0; i < o->settings->database_count; i++) {
+        const struct settings_database *d = &o->settings->databases[i];
+        for (int m = 0; m < d->member_count; m++) {
+            add_member(t, d, o->groups[i], m);
+        }
+    }
+}
+
+/* Fills the table of proxies. */
+static void
+fill_members(void *ctx, const char *argument, struct control_table *t)
+{
+    const struct operators_config *o = ctx;
+    const clock_ms now = clock_now();
+    struct member_info m;
+    char id[CELL_BYTES];
+    char heard[CELL_BYTES];
+    char tickets[CELL_BYTES];
+
+    (void)argument;
+    control_table_add(t, "id", "name", "domain", "address", "phase",
+                      "heard_ms_ago", "ticket", NULL);
+    if (o->peers == NULL) {
+        control_table_add(t, cell(id, o->settings->id), o->settings->name,
+                          o->settings->failure_domain, "", "live", "0", "",
+                          NULL);
+        return;
+    }
+    struct membership *list = peers_membership(o->peers);
+    for (size_t i = 0; i < membership_size(list); i++) {
+        if (!membership_at(list, i, &m)) {
+            continue;
+        }
+        const bool self = m.id == membership_self_id(list);
+        control_table_add(t, cell(id, m.id), m.name, m.domain, m.address,
+                          member_phase_name(m.phase),
+                          cell(heard, self ? 0 : now - m.heard),
+                          cell(tickets, (int64_t)m.tickets.number), NULL);
+    }
+}
+
+/* Adds one counter that has no database and kind. */
+static void
+add_counter(struct control_table *t, const char *scope, const char *name,
+            uint64_t value)
+{
+    char text[CELL_BYTES];
+
+    control_table_add(t, scope, "-", name, cell(text, (int64_t)value), NULL);
+}
+
+/* Adds the counters of one database and kind that are not zero. */
+static void
+add_kind(struct control_table *t, const struct operators_config *o, int i,
+         int kind)
+{
+    const struct counters *c = front_counters(o->front);
+    char text[CELL_BYTES];
+
+    for (int n = 0; n < COUNTER_COUNT; n++) {
+        const uint64_t v = c->value[i][kind][n];
+        if (v != 0) {
+            control_table_add(t, o->settings->databases[i].name,
+                              o->settings->kinds[kind].name,
+                              counter_name((enum counter)n),
+                              cell(text, (int64_t)v), NULL);
+        }
+    }
+}
+
+/* Adds the counters of a database's failovers. */
+static void
+add_failover(struct control_table *t, const char *name,
+             const struct failover_counters *c)
+{
+    add_counter(t, name, "failover_suspected", c->suspected);
+    add_counter(t, name, "failover_confirmed_elsewhere",
+                c->confirmed_elsewhere);
+    add_counter(t, name, "failover_rounds_started", c->rounds_started);
+    add_counter(t, name, "failover_rounds_failed", c->rounds_failed);
+    add_counter(t, name, "failover_rounds_completed", c->rounds_completed);
+    add_counter(t, name, "failover_switches_started", c->switches_started);
+    add_counter(t, name, "failover_switches_failed", c->switches_failed);
+    add_counter(t, name, "failover_late_answers", c->late_answers);
+    add_counter(t, name, "failover_pauses", c->pauses);
+}
+
+/* Adds what membership and the process cost. */
+static void
+add_process(struct control_table *t, const struct operators_config *o)
+{
+    struct rusage u;
+
+    getrusage(RUSAGE_SELF, &u);
+    add_counter(t, "process", "cpu_ms",
+                (uint64_t)(u.ru_utime.tv_sec + u.ru_stime.tv_sec) * 1000 +
+                    (uint64_t)(u.ru_utime.tv_usec + u.ru_stime.tv_usec) /
+                        1000);
+    add_counter(t, "process", "max_rss_kb", (uint64_t)u.ru_maxrss);
+    add_counter(t, "process", "callers", front_caller_count(o->front));
+    if (o->peers == NULL) {
+        return;
+    }
+    const struct membership_counters *m =
+        membership_counters(peers_membership(o->peers));
+    add_counter(t, "fleet", "bytes_sent", m->bytes);
+    add_counter(t, "fleet", "heartbeats", m->heartbeats);
+    add_counter(t, "fleet", "refused_over_budget", m->over_budget);
+    add_counter(t, "fleet", "suspicions", m->suspicions);
+    add_counter(t, "fleet", "deaths", m->deaths);
+    add_counter(t, "fleet", "pauses", m->resumes);
+}
+
+/* Fills the table of counters. */
+static void
+fill_counters(void *ctx, const char *argument, struct control_table *t)
+{
+    const struct operators_config *o = ctx;
+
+    (void)argument;
+    control_table_add(t, "database", "kind", "counter", "value", NULL);
+    for (int i = 0; i < o->settings->database_count; i++) {
+        for (int k = 0; k < o->settings->kind_count; k++) {
+            add_kind(t, o, i, k);
+        }
+        add_failover(t, o->settings->databases[i].name,
+                     failover_get_counters(group_failover(o->groups[i])));
+    }
+    add_process(t, o);
+}
+
+/* Begins a graceful shutdown; the answer says that it has begun. */
+static void
+on_drain(void *ctx, struct control_reply *r)
+{
+    const struct operators_config *o = ctx;
+
+    control_reply_send(r, CONTROL_OK, "the proxy is draining");
+    o->drain(o->ctx);
+}
+
+/* Registers the tables and commands. config must outlive the control. */
+void
+operators_register(struct control *c, const struct operators_config *config)
+{
+    /* The callbacks only read the configuration. */
+    void *ctx = (void *)config;
+
+    control_register_table(c, "status", fill_status, ctx);
+    control_register_table(c, "members", fill_members, ctx);
+    control_register_table(c, "counters", fill_counters, ctx);
+    control_register_drain(c, on_drain, ctx);
+}
--- a/src/fleet/peer.x
+++ b/src/fleet/peer.x
@@ -5,7 +5,6 @@
 const PEER_ADDRESS_MAX = 63;
 const PEER_UPDATES_MAX = 64;
 const PEER_PUSH_TEXT_MAX = 60000;
-const PEER_PULL_MAX = 64;
 const PEER_USAGE_MAX = 256;
 const PEER_KEY_MAX = 64;
 
@@ -83,20 +82,18 @@
 };
 
 struct peer_ticket {
-    unsigned hyper number;
-    string author<PEER_NAME_MAX>;
+    unsigned int id;
     string text<PEER_PUSH_TEXT_MAX>;
 };
 
-/* Asks for tickets above after; the answer holds as many as fit, and more is
-   set when others remain. */
+/* Asks for what the sender lacks, by the digest of what it has; the tickets
+   come back as pushes. */
 struct peer_ticket_pull {
-    unsigned hyper after;
-};
-
-struct peer_ticket_list {
-    peer_ticket tickets<PEER_PULL_MAX>;
-    bool more;
+    unsigned int id;
+    unsigned hyper highest;
+    unsigned hyper count;
+    unsigned hyper hash;
+    bool full;
 };
 
 struct peer_usage_row {
@@ -138,7 +135,7 @@
         peer_loan_answer PEER_LOAN_REQUEST(peer_loan_request) = 3;
         peer_ack PEER_LOAN_RETURN(peer_loan_return) = 4;
         peer_ack PEER_TICKET_PUSH(peer_ticket) = 5;
-        peer_ticket_list PEER_TICKET_PULL(peer_ticket_pull) = 6;
+        peer_ack PEER_TICKET_PULL(peer_ticket_pull) = 6;
         peer_ack PEER_USAGE(peer_usage) = 7;
         peer_ack PEER_CANCEL_FORWARD(peer_cancel) = 8;
         peer_ack PEER_PRIMARY_CHANGED(peer_primary_changed) = 9;
--- a/src/fleet/peer_xdr.c
+++ b/src/fleet/peer_xdr.c
@@ -207,9 +207,7 @@
 {
 	register int32_t *buf;
 
-	 if (!xdr_u_quad_t (xdrs, &objp->number))
-		 return FALSE;
-	 if (!xdr_string (xdrs, &objp->author, PEER_NAME_MAX))
+	 if (!xdr_u_int (xdrs, &objp->id))
 		 return FALSE;
 	 if (!xdr_string (xdrs, &objp->text, PEER_PUSH_TEXT_MAX))
 		 return FALSE;
@@ -221,20 +219,15 @@
 {
 	register int32_t *buf;
 
-	 if (!xdr_u_quad_t (xdrs, &objp->after))
+	 if (!xdr_u_int (xdrs, &objp->id))
 		 return FALSE;
-	return TRUE;
-}
-
-bool_t
-xdr_peer_ticket_list (XDR *xdrs, peer_ticket_list *objp)
-{
-	register int32_t *buf;
-
-	 if (!xdr_array (xdrs, (char **)&objp->tickets.tickets_val, (u_int *) &objp->tickets.tickets_len, PEER_PULL_MAX,
-		sizeof (peer_ticket), (xdrproc_t) xdr_peer_ticket))
+	 if (!xdr_u_quad_t (xdrs, &objp->highest))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->count))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->hash))
 		 return FALSE;
-	 if (!xdr_bool (xdrs, &objp->more))
+	 if (!xdr_bool (xdrs, &objp->full))
 		 return FALSE;
 	return TRUE;
 }
--- a/src/fleet/peer_xdr.h
+++ b/src/fleet/peer_xdr.h
@@ -17,7 +17,6 @@
 #define PEER_ADDRESS_MAX 63
 #define PEER_UPDATES_MAX 64
 #define PEER_PUSH_TEXT_MAX 60000
-#define PEER_PULL_MAX 64
 #define PEER_USAGE_MAX 256
 #define PEER_KEY_MAX 64
 
@@ -103,26 +102,20 @@
 typedef struct peer_loan_return peer_loan_return;
 
 struct peer_ticket {
-	u_quad_t number;
-	char *author;
+	u_int id;
 	char *text;
 };
 typedef struct peer_ticket peer_ticket;
 
 struct peer_ticket_pull {
-	u_quad_t after;
+	u_int id;
+	u_quad_t highest;
+	u_quad_t count;
+	u_quad_t hash;
+	bool_t full;
 };
 typedef struct peer_ticket_pull peer_ticket_pull;
 
-struct peer_ticket_list {
-	struct {
-		u_int tickets_len;
-		peer_ticket *tickets_val;
-	} tickets;
-	bool_t more;
-};
-typedef struct peer_ticket_list peer_ticket_list;
-
 struct peer_usage_row {
 	char *database;
 	char *kind;
@@ -185,8 +178,8 @@
 extern  peer_ack * peer_ticket_push_1(peer_ticket *, CLIENT *);
 extern  peer_ack * peer_ticket_push_1_svc(peer_ticket *, struct svc_req *);
 #define PEER_TICKET_PULL 6
-extern  peer_ticket_list * peer_ticket_pull_1(peer_ticket_pull *, CLIENT *);
-extern  peer_ticket_list * peer_ticket_pull_1_svc(peer_ticket_pull *, struct svc_req *);
+extern  peer_ack * peer_ticket_pull_1(peer_ticket_pull *, CLIENT *);
+extern  peer_ack * peer_ticket_pull_1_svc(peer_ticket_pull *, struct svc_req *);
 #define PEER_USAGE 7
 extern  peer_ack * peer_usage_1(peer_usage *, CLIENT *);
 extern  peer_ack * peer_usage_1_svc(peer_usage *, struct svc_req *);
@@ -218,8 +211,8 @@
 extern  peer_ack * peer_ticket_push_1();
 extern  peer_ack * peer_ticket_push_1_svc();
 #define PEER_TICKET_PULL 6
-extern  peer_ticket_list * peer_ticket_pull_1();
-extern  peer_ticket_list * peer_ticket_pull_1_svc();
+extern  peer_ack * peer_ticket_pull_1();
+extern  peer_ack * peer_ticket_pull_1_svc();
 #define PEER_USAGE 7
 extern  peer_ack * peer_usage_1();
 extern  peer_ack * peer_usage_1_svc();
@@ -250,7 +243,6 @@
 extern  bool_t xdr_peer_loan_return (XDR *, peer_loan_return*);
 extern  bool_t xdr_peer_ticket (XDR *, peer_ticket*);
 extern  bool_t xdr_peer_ticket_pull (XDR *, peer_ticket_pull*);
-extern  bool_t xdr_peer_ticket_list (XDR *, peer_ticket_list*);
 extern  bool_t xdr_peer_usage_row (XDR *, peer_usage_row*);
 extern  bool_t xdr_peer_usage (XDR *, peer_usage*);
 extern  bool_t xdr_peer_cancel (XDR *, peer_cancel*);
@@ -270,7 +262,6 @@
 extern bool_t xdr_peer_loan_return ();
 extern bool_t xdr_peer_ticket ();
 extern bool_t xdr_peer_ticket_pull ();
-extern bool_t xdr_peer_ticket_list ();
 extern bool_t xdr_peer_usage_row ();
 extern bool_t xdr_peer_usage ();
 extern bool_t xdr_peer_cancel ();
--- a/src/fleet/rpc_server.c
+++ b/src/fleet/rpc_server.c
@@ -1,5 +1,4 @@
 /* accept4 */
-#define _GNU_SOURCE
 #include "fleet/rpc_server.h"
 
 #include "base/clock.h"
--- a/src/settings/settings.c
+++ b/src/settings/settings.c
@@ -211,7 +211,34 @@
         read_number(l, g, &(struct number_key){"timeout_ms", 50, 60000, 2000});
 }
 
-/* Reads the group [peers]: NAME=host:port lines and key_file. */
+/* Reads one peer: ID=HOST:PORT DOMAIN. This proxy's own line is skipped, so
+   that all proxies can share the group's text. */
+static void
+load_peer(struct loader *l, struct settings *s, const char *key)
+{
+    const char *g = "peers";
+    char *text = read_string(l, g, key, NULL);
+    char **part = g_strsplit(text, " ", 2);
+    guint64 id;
+
+    if (!g_ascii_string_to_unsigned(key, 10, 1, 65535, &id, NULL)) {
+        fail(l, g, key, "is neither key_file nor the id of a proxy");
+    }
+    else if ((int64_t)id != s->id) {
+        struct settings_peer *p = &s->peers[s->peer_count++];
+        p->id = (uint32_t)id;
+        if (part[0] == NULL || !settings_parse_address(part[0], &p->address)) {
+            fail(l, g, key, "does not begin with an IP address with a port");
+        }
+        p->domain =
+            g_strdup(part[0] == NULL || part[1] == NULL ? "" : part[1]);
+    }
+    g_strfreev(part);
+    g_free(text);
+}
+
+/* Reads the group [peers], which may be absent: proxies by id, and key_file.
+ */
 static void
 load_peers(struct loader *l, struct settings *s)
 {
@@ -223,15 +250,18 @@
     for (gsize i = 0; i < n; i++) {
         if (strcmp(keys[i], "key_file") == 0) {
             s->key_file = read_optional(l, g, keys[i]);
-            continue;
         }
-        struct settings_peer *p = &s->peers[s->peer_count++];
-        p->name = g_strdup(keys[i]);
-        p->address = read_address(l, g, keys[i], true);
+        else {
+            load_peer(l, s, keys[i]);
+        }
     }
-    if (s->peer_count > 0 && s->key_file == NULL) {
+    if ((s->peer_count > 0 || s->control_listen.port != 0) &&
+        s->key_file == NULL) {
         fail(l, g, "key_file", "is missing");
     }
+    if (s->peer_count > 0 && s->control_listen.port == 0) {
+        fail(l, "proxy", "control_listen", "is missing");
+    }
     g_strfreev(keys);
 }
 
@@ -456,7 +486,7 @@
         free_database(&s->databases[i]);
     }
     for (int i = 0; i < s->peer_count; i++) {
-        g_free(s->peers[i].name);
+        g_free(s->peers[i].domain);
         g_free(s->peers[i].address.host);
     }
     g_free(s->peers);
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -45,8 +45,9 @@
 };
 
 struct settings_peer {
-    char *name;
-    struct settings_address address;
+    uint32_t id;
+    struct settings_address address; /* its control_listen */
+    char *domain;                    /* its failure domain */
 };
 
 struct settings {
--- a/src/upstream/group.c
+++ b/src/upstream/group.c
@@ -22,6 +22,11 @@
     GQueue queued; /* of struct group_request, by its link */
     uint64_t queue_changes;
     uint64_t route_epoch;
+    void (*refresh)(void *ctx);
+    void (*waiting)(void *ctx);
+    void *lending;
+    int surplus[SETTINGS_MAX_MEMBERS];
+    int permits[SETTINGS_MAX_MEMBERS];
     ev_timer tick;
     clock_ms next_admission;
 };
@@ -268,6 +273,15 @@
     .refuse = on_refuse,
 };
 
+/* Asks which leases are still in force. */
+static void
+refresh_shares(struct group *g)
+{
+    if (g->refresh != NULL) {
+        g->refresh(g->lending);
+    }
+}
+
 /* Queues a request. The caller has set its kind, fingerprint, route,
    callbacks and, for a retry, its deadline. granted() or refused() may be
    called before this returns. */
@@ -293,8 +307,12 @@
     };
     r->link.data = r;
     g_queue_push_tail_link(&g->queued, &r->link);
+    refresh_shares(g);
     admission_submit(g->admission, now, &r->admission);
     g->next_admission = 0;
+    if (g->queued.length > 0 && g->waiting != NULL) {
+        g->waiting(g->lending);
+    }
 }
 
 /* Withdraws a request that has not been granted a connection. */
@@ -318,6 +336,7 @@
     const int64_t busy = clock_now_us() - r->granted_us;
 
     r->conn = NULL;
+    refresh_shares(g);
     if (how == GROUP_RETURN_CLEAN) {
         pool_release(g->pool, c);
     }
@@ -330,6 +349,35 @@
     admission_release(g->admission, clock_now(), &r->admission, busy);
 }
 
+/* Sets what this proxy may use of a member beyond its floor, and how many
+   batch statements may run there. */
+void
+group_set_surplus(struct group *g, int member, int connections,
+                  int batch_permits)
+{
+    const clock_ms now = clock_now();
+
+    if (g->surplus[member] == connections &&
+        g->permits[member] == batch_permits) {
+        return;
+    }
+    g->surplus[member] = connections;
+    g->permits[member] = batch_permits;
+    pool_set_limit(g->pool, member, g->database->floor + connections);
+    admission_set_surplus(g->admission, now, member, connections);
+    admission_set_batch_permits(g->admission, now, member, batch_permits);
+}
+
+/* Registers those who lend; NULL ends it. */
+void
+group_set_lending(struct group *g, void (*refresh)(void *ctx),
+                  void (*waiting)(void *ctx), void *ctx)
+{
+    g->refresh = refresh;
+    g->waiting = waiting;
+    g->lending = ctx;
+}
+
 /* Marks a member as leaving: it gets no new reads. */
 void
 group_set_leaving(struct group *g, int member, bool leaving)
@@ -451,9 +499,7 @@
 
     for (int i = 0; i < d->member_count; i++) {
         admission_set_floor(g->admission, now, i, d->floor);
-        admission_set_surplus(g->admission, now, i, surplus);
-        admission_set_batch_permits(g->admission, now, i, surplus > 0);
-        pool_set_limit(g->pool, i, d->floor + surplus);
+        group_set_surplus(g, i, surplus, surplus > 0);
     }
 }
 
--- a/src/upstream/group.h
+++ b/src/upstream/group.h
@@ -67,6 +67,15 @@
 void group_finish(struct group *g, struct group_request *r,
                   enum group_return how);
 
+/* Sets what this proxy may use of a member beyond its floor, and how many
+   batch statements may run there. */
+void group_set_surplus(struct group *g, int member, int connections,
+                       int batch_permits);
+/* refresh is called before work is let through, so that a lease which ended
+   while the process was paused is not used; waiting when work was queued. */
+void group_set_lending(struct group *g, void (*refresh)(void *ctx),
+                       void (*waiting)(void *ctx), void *ctx);
+
 void group_note_state(struct group *g, int member,
                       const struct group_state *s);
 void group_distrust(struct group *g, int member);
--- /dev/null
+++ b/src/upstream/lending.c
@@ -0,0 +1,338 @@
+#include "upstream/lending.h"
+
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+
+#define LOG_MODULE "lending"
+#include "base/log.h"
+
+#define LENDING_TICK_S 0.01
+
+struct lending {
+    struct ev_loop *loop;
+    const struct settings *settings;
+    const struct settings_database *database;
+    int index;
+    struct group *group;
+    struct peers *peers;
+    uint32_t ids[LOAN_MAX_PROXIES]; /* of all proxies, ascending */
+    int proxies;
+    int self; /* index of this proxy in ids */
+    struct lender *lender;
+    struct loan_holder *holder;
+    ev_timer tick;
+};
+
+/* A request on its way to the lender. */
+struct asked {
+    struct lending *lending;
+    uint64_t request_id;
+};
+
+/* Returns the index of a proxy among all configured ones, or -1. */
+static int
+index_of(const struct lending *l, uint32_t id)
+{
+    for (int i = 0; i < l->proxies; i++) {
+        if (l->ids[i] == id) {
+            return i;
+        }
+    }
+    return -1;
+}
+
+/* Returns the proxy that lends this database's connections. */
+static uint32_t
+owner_of(const struct lending *l)
+{
+    return ownership_rank(peers_ownership(l->peers), l->database->name, 0);
+}
+
+/* Sets the group's shares by the leases that are in force. */
+static void
+refresh(void *ctx)
+{
+    struct lending *l = ctx;
+    const clock_ms now = clock_now();
+
+    for (int m = 0; m < l->database->member_count; m++) {
+        const int surplus = loan_holder_usable(l->holder, now, m, false);
+        const int batch = loan_holder_usable(l->holder, now, m, true);
+        group_set_surplus(l->group, m, surplus + batch, batch);
+    }
+}
+
+/* Takes the answer to a request. A request without an answer is asked again
+   by the holder's own rules. */
+static void
+on_granted(void *ctx, enum rpc_status status, void *result)
+{
+    struct asked *a = ctx;
+    struct lending *l = a->lending;
+
+    if (status == RPC_STATUS_OK) {
+        const peer_loan_answer *in = result;
+        const struct loan_grant g = {.request_id = a->request_id,
+                                     .granted = (int)in->granted,
+                                     .lease_ms = in->lease_ms};
+        loan_holder_answer(l->holder, clock_now(), &g);
+        refresh(l);
+    }
+    g_free(a);
+}
+
+/* Holder's action: asks the lender, which may be this proxy itself. */
+static void
+send_request(void *ctx, const struct loan_request *r)
+{
+    struct lending *l = ctx;
+    const uint32_t owner = owner_of(l);
+    char member[16];
+
+    if (owner == (uint32_t)l->settings->id) {
+        struct loan_grant g;
+        if (lender_request(l->lender, clock_now(), r, &g)) {
+            loan_holder_answer(l->holder, clock_now(), &g);
+        }
+        return;
+    }
+    g_snprintf(member, sizeof(member), "%d", r->member);
+    const peer_loan_request out = {
+        .request_id = r->request_id,
+        .id = (unsigned int)l->settings->id,
+        .database = l->database->name,
+        .member = member,
+        .wanted = (unsigned int)r->wanted,
+        .batch = r->batch,
+    };
+    struct asked *a = g_new0(struct asked, 1);
+    *a = (struct asked){.lending = l, .request_id = r->request_id};
+    if (!peers_send_loan_request(l->peers, owner, &out, on_granted, a)) {
+        g_free(a);
+    }
+}
+
+/* Holder's action: gives back what it does not need. */
+static void
+send_return(void *ctx, const struct loan_return *r)
+{
+    struct lending *l = ctx;
+    const uint32_t owner = owner_of(l);
+    char member[16];
+
+    refresh(l);
+    if (owner == (uint32_t)l->settings->id) {
+        lender_return(l->lender, clock_now(), r);
+        return;
+    }
+    g_snprintf(member, sizeof(member), "%d", r->member);
+    const peer_loan_return out = {
+        .request_id = r->request_id,
+        .id = (unsigned int)l->settings->id,
+        .database = l->database->name,
+        .member = member,
+        .count = (unsigned int)r->kept,
+        .batch = r->batch,
+    };
+    peers_send_loan_return(l->peers, owner, &out);
+}
+
+/* Holder's action: the number of lent connections is another one. */
+static void
+limit_changed(void *ctx, int member, bool batch, int limit)
+{
+    struct lending *l = ctx;
+
+    LOG_DEBUG("limit", l->database->name, "member %d may use %d lent%s",
+              member, limit, batch ? " for batches" : "");
+    refresh(l);
+}
+
+static const struct loan_holder_ops holder_ops = {
+    .send_request = send_request,
+    .send_return = send_return,
+    .limit_changed = limit_changed,
+};
+
+/* Tells the holder what waits and what runs on lent connections. */
+static void
+report_demand(struct lending *l, clock_ms now)
+{
+    struct admission *a = group_admission(l->group);
+
+    for (int m = 0; m < l->database->member_count; m++) {
+        const int batches = admission_batch_in_use(a, m);
+        const int lent = admission_surplus_in_use(a, m) - batches;
+        loan_holder_demand(l->holder, now, m, false,
+                           admission_waiting(a, m, ADMISSION_SHORT),
+                           MAX(lent, 0));
+        loan_holder_demand(l->holder, now, m, true,
+                           admission_waiting(a, m, ADMISSION_BATCH), batches);
+    }
+}
+
+/* Drives both sides. */
+static void
+on_tick(struct ev_loop *loop, ev_timer *w, int revents)
+{
+    struct lending *l = w->data;
+    const clock_ms now = clock_now();
+
+    (void)loop;
+    (void)revents;
+    lender_set_owner(l->lender, now, owner_of(l) == (uint32_t)l->settings->id);
+    report_demand(l, now);
+    loan_holder_tick(l->holder, now);
+    refresh(l);
+}
+
+/* Work began to wait: asks for more at once. */
+static void
+on_waiting(void *ctx)
+{
+    struct lending *l = ctx;
+
+    report_demand(l, clock_now());
+}
+
+/* Orders proxy ids. */
+static int
+compare_ids(const void *a, const void *b)
+{
+    const uint32_t x = *(const uint32_t *)a;
+    const uint32_t y = *(const uint32_t *)b;
+
+    return x < y ? -1 : x > y;
+}
+
+/* Creates the lending of one database; index is its place in the settings.
+   The group asks it before each use of a lent connection. */
+struct lending *
+lending_create(struct ev_loop *loop, const struct settings *s,
+               const struct settings_database *database, int index,
+               struct group *group, struct peers *peers)
+{
+    struct lending *l = g_new0(struct lending, 1);
+    const clock_ms now = clock_now();
+
+    l->loop = loop;
+    l->settings = s;
+    l->database = database;
+    l->index = index;
+    l->group = group;
+    l->peers = peers;
+    l->ids[l->proxies++] = (uint32_t)s->id;
+    for (int i = 0; i < s->peer_count && l->proxies < LOAN_MAX_PROXIES; i++) {
+        l->ids[l->proxies++] = s->peers[i].id;
+    }
+    qsort(l->ids, (size_t)l->proxies, sizeof(l->ids[0]), compare_ids);
+    l->self = index_of(l, (uint32_t)s->id);
+    ownership_track(peers_ownership(peers), database->name, now);
+    l->lender = lender_create(
+        &(struct lender_config){
+            .database = index,
+            .cap = database->connections,
+            .floor = database->floor,
+            .proxies = l->proxies,
+            .self = l->self,
+            .members = database->member_count,
+            .batch_permits = MAX(database->slots - 1, 0),
+        },
+        now);
+    l->holder =
+        loan_holder_create(&holder_ops, l, index, l->self,
+                           database->member_count, (uint64_t)time(NULL) << 20);
+    group_set_lending(group, refresh, on_waiting, l);
+    refresh(l);
+    ev_timer_init(&l->tick, on_tick, 0.0, LENDING_TICK_S);
+    l->tick.data = l;
+    ev_timer_start(loop, &l->tick);
+    return l;
+}
+
+/* Frees both sides. Requests in flight must have ended before. */
+void
+lending_destroy(struct lending *l)
+{
+    if (l == NULL) {
+        return;
+    }
+    ev_timer_stop(l->loop, &l->tick);
+    group_set_lending(l->group, NULL, NULL, NULL);
+    loan_holder_destroy(l->holder);
+    lender_destroy(l->lender);
+    g_free(l);
+}
+
+/* Reads the member's index out of a message; -1 when it is none. */
+static int
+member_index(const struct lending *l, const char *text)
+{
+    guint64 m;
+
+    if (!g_ascii_string_to_unsigned(
+            text, 10, 0, (guint64)l->database->member_count - 1, &m, NULL)) {
+        return -1;
+    }
+    return (int)m;
+}
+
+/* Serves another proxy's request; nothing is granted when this proxy does not
+   lend. */
+void
+lending_serve_request(struct lending *l, const peer_loan_request *in,
+                      peer_loan_answer *answer)
+{
+    const struct loan_request r = {
+        .database = l->index,
+        .member = member_index(l, in->member),
+        .wanted = (int)MIN(in->wanted, 100000U),
+        .batch = in->batch != 0,
+        .request_id = in->request_id,
+        .sender = index_of(l, in->id),
+    };
+    struct loan_grant g = {0};
+
+    if (r.member >= 0 && r.sender >= 0 &&
+        lender_request(l->lender, clock_now(), &r, &g)) {
+        answer->granted = (unsigned int)g.granted;
+        answer->lease_ms = (unsigned int)g.lease_ms;
+    }
+}
+
+/* Takes back what another proxy does not need. */
+void
+lending_serve_return(struct lending *l, const peer_loan_return *in)
+{
+    const struct loan_return r = {
+        .database = l->index,
+        .member = member_index(l, in->member),
+        .kept = (int)MIN(in->count, 100000U),
+        .batch = in->batch != 0,
+        .request_id = in->request_id,
+        .sender = index_of(l, in->id),
+    };
+
+    if (r.member >= 0 && r.sender >= 0) {
+        lender_return(l->lender, clock_now(), &r);
+    }
+}
+
+/* A peer has the same view of the fleet, and so names the same owner. */
+void
+lending_agreed(struct lending *l, uint32_t peer, clock_ms as_of)
+{
+    const int index = index_of(l, peer);
+
+    if (index >= 0 && owner_of(l) == (uint32_t)l->settings->id) {
+        lender_confirm(l->lender, clock_now(), index, as_of);
+    }
+}
+
+/* Gives everything back before this proxy goes. */
+void
+lending_return_all(struct lending *l)
+{
+    loan_holder_return_all(l->holder, clock_now());
+}
--- /dev/null
+++ b/src/upstream/lending.h
@@ -0,0 +1,24 @@
+#ifndef UPSTREAM_LENDING_H
+#define UPSTREAM_LENDING_H
+
+#include "fleet/loan.h"
+#include "fleet/peers.h"
+#include "upstream/group.h"
+
+/* Lending of one database's surplus connections and batch permits between
+   the proxies: carries the messages of the lender and the holder, and sets
+   the group's shares by what is held. */
+struct lending;
+
+struct lending *lending_create(struct ev_loop *loop, const struct settings *s,
+                               const struct settings_database *database,
+                               int index, struct group *group,
+                               struct peers *peers);
+void lending_destroy(struct lending *l);
+void lending_serve_request(struct lending *l, const peer_loan_request *request,
+                           peer_loan_answer *answer);
+void lending_serve_return(struct lending *l, const peer_loan_return *returned);
+void lending_agreed(struct lending *l, uint32_t peer, clock_ms as_of);
+void lending_return_all(struct lending *l);
+
+#endif
--- a/tests/fleet/test_rpc.c
+++ b/tests/fleet/test_rpc.c
@@ -275,7 +275,7 @@
     } types[] = {
         {RPC_XDR(xdr_peer_heartbeat), sizeof(peer_heartbeat)},
         {RPC_XDR(xdr_peer_hello), sizeof(peer_hello)},
-        {RPC_XDR(xdr_peer_ticket_list), sizeof(peer_ticket_list)},
+        {RPC_XDR(xdr_peer_ticket), sizeof(peer_ticket)},
         {RPC_XDR(xdr_peer_usage), sizeof(peer_usage)},
         {RPC_XDR(xdr_peer_cancel), sizeof(peer_cancel)},
     };
