--- a/fakes/conn.h
+++ b/fakes/conn.h
@@ -28,6 +28,7 @@
 };
 
 enum exec_stage {
+    EXEC_DONE, /* also before the first statement */
     EXEC_CHECK,
     EXEC_SLOT,
     EXEC_APPLY,
@@ -35,7 +36,6 @@
     EXEC_CONFIRMED, /* group_confirm() or a lookup has its majority */
     EXEC_COMMIT,
     EXEC_COMMITTED,
-    EXEC_DONE,
 };
 
 /* The answer of a statement; an error when sqlstate is set. */
--- a/fakes/exec.c
+++ b/fakes/exec.c
@@ -438,7 +438,7 @@
 exec_start(struct conn *c, const struct sql_statement *st, char **args,
            bool final)
 {
-    c->run = (struct run){.st = st, .final = final};
+    c->run = (struct run){.st = st, .final = final, .stage = EXEC_CHECK};
     c->started_at = ev_now(c->host->loop);
     for (unsigned i = 0; i < st->n_args; i++) {
         c->run.args[i] = g_strdup(args[i]);
--- a/fakes/host.c
+++ b/fakes/host.c
@@ -32,7 +32,7 @@
     }
 }
 
-/* Opens a member's port on loopback. */
+/* Opens a member's port on loopback; port 0 takes any free one. */
 static bool
 open_port(struct host_member *m)
 {
@@ -56,6 +56,11 @@
         close(fd);
         return false;
     }
+    struct sockaddr_in bound = {0};
+    socklen_t n = sizeof bound;
+    if (getsockname(fd, (struct sockaddr *)&bound, &n) == 0) {
+        m->port = ntohs(bound.sin_port);
+    }
     m->listen_fd = fd;
     ev_io_init(&m->listener, on_accept, fd, EV_READ);
     m->listener.data = m;
@@ -165,7 +170,7 @@
         m->slow = 1;
         m->locks =
             g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
-        if (m->port <= 0 || m->port > 65535 || !open_port(m)) {
+        if (m->port < 0 || m->port > 65535 || !open_port(m)) {
             g_set_error(error, G_OPTION_ERROR, G_OPTION_ERROR_BAD_VALUE,
                         "--database %s: cannot listen on port %s", spec,
                         ports[i]);
