--- a/src/failover/switch.c
+++ b/src/failover/switch.c
@@ -183,7 +183,7 @@
     }
     /* The switch of a lower rank takes switch_limit_ms and a few round
        trips; starting within that time would seal the group twice. */
-    if (f->now - f->leaving_since >= f->rank * 2 * f->set.switch_limit_ms) {
+    if (f->now - f->leaving_since >= 2 * f->set.switch_limit_ms * f->rank) {
         (void)switch_start(f, SWITCH_LEAVING, FAILOVER_NOBODY);
     }
 }
--- a/tests/failover/model.c
+++ b/tests/failover/model.c
@@ -52,9 +52,12 @@
         if (m->cut[msg.from][msg.to] || chance(m, m->loss_permille)) {
             continue;
         }
-        const int64_t spread = chance(m, m->slow_permille)
-                                   ? SLOW_MAX_MS
-                                   : DELAY_MAX_MS - DELAY_MIN_MS + 1;
+        const bool slow =
+            chance(m, m->slow_permille) ||
+            ((msg.kind == ANSWER_SEAL || msg.kind == ANSWER_PROMOTE) &&
+             chance(m, m->slow_answer_permille));
+        const int64_t spread =
+            slow ? SLOW_MAX_MS : DELAY_MAX_MS - DELAY_MIN_MS + 1;
         msg.due = m->now + DELAY_MIN_MS +
                   (int64_t)rng_below(&m->rng, (uint64_t)spread);
         push(m, msg);
@@ -320,6 +323,7 @@
     memset(m->cut, 0, sizeof(m->cut));
     m->loss_permille = 0;
     m->slow_permille = 0;
+    m->slow_answer_permille = 0;
     m->dup_permille = 0;
     for (int i = 0; i < m->opt.members; i++) {
         m->member[i].alive = true;
@@ -390,10 +394,10 @@
             if (!p->alive || m->now < p->paused_until) {
                 continue;
             }
-            if ((m->now + 3 * i) % TICK_MS == 0) {
+            if ((m->now + INT64_C(3) * i) % TICK_MS == 0) {
                 failover_tick(p->f, m->now);
             }
-            if ((m->now + 2 * i) % WRITE_MS == 0 && !p->hold &&
+            if ((m->now + INT64_C(2) * i) % WRITE_MS == 0 && !p->hold &&
                 p->primary != FAILOVER_NOBODY) {
                 call(p, WRITE, p->primary, 0, 0);
             }
--- a/tests/failover/model.h
+++ b/tests/failover/model.h
@@ -107,7 +107,8 @@
     struct proxy proxy[MODEL_PROXIES_MAX];
     bool cut[MODEL_NODES][MODEL_NODES];
     int loss_permille;
-    int slow_permille; /* share of messages delayed by up to 1 s */
+    int slow_permille;        /* share of messages delayed by up to 1 s */
+    int slow_answer_permille; /* the same for seals and promotions only */
     int dup_permille;
     GArray *slots[MODEL_SLOTS]; /* messages by due time */
     GArray *records;            /* of struct term_record */
--- a/tests/failover/scenario.c
+++ b/tests/failover/scenario.c
@@ -104,6 +104,9 @@
     const bool slow = draw(m, 4) == 0;
 
     model_run(m, 1500);
+    if (slow) {
+        model_kill_member(m, 0);
+    }
     for (int faults = 2 + draw(m, 8); faults > 0; faults--) {
         inject(m);
         if (draw(m, 3) == 0) {
@@ -111,7 +114,7 @@
         }
         if (slow) {
             /* Rounds overlap, so that answers of earlier ones arrive late. */
-            m->slow_permille = 300 + draw(m, 400);
+            m->slow_answer_permille = 300 + draw(m, 600);
             m->dup_permille = 200;
         }
         model_run(m, 1 + draw(m, draw(m, 3) == 0 ? 2000 : 300));
--- a/tests/failover/test_failover.c
+++ b/tests/failover/test_failover.c
@@ -187,6 +187,25 @@
     members_clear(&m);
 }
 
+/* Guards against counting an answer that was meant for an earlier round. */
+static void
+test_late_answer(void **state)
+{
+    struct round r;
+
+    (void)state;
+    round_start(&r, 7, 0, 300);
+    r.seal_call[1] = 41;
+    r.promote_call = 42;
+    round_start(&r, 8, 500, 300);
+    assert_false(round_take_seal(&r, 1, 41));
+    assert_false(round_take_promote(&r, 42));
+    r.seal_call[1] = 43;
+    assert_false(round_take_seal(&r, 1, 41));
+    assert_true(round_take_seal(&r, 1, 43));
+    assert_false(round_take_seal(&r, 1, 43));
+}
+
 /* Guards against a primary that stays while it is leaving, and against its
    replacement by another that is leaving. */
 static void
@@ -307,6 +326,7 @@
         cmocka_unit_test(test_promoter_paused),
         cmocka_unit_test(test_same_rank),
         cmocka_unit_test(test_choice),
+        cmocka_unit_test(test_late_answer),
         cmocka_unit_test(test_leaving_primary),
         cmocka_unit_test(test_switch_called_off),
         cmocka_unit_test(test_operator_replaces_unreachable),
