Hold writes for 10 ms before a planned switch seals

Change: switch_settle_ms (10 ms) between the hold and the seal; the model now fails a planned switch that refuses or drops a write, with transactions of 0 to 300 ms against the limit of 150 ms.

--- a/src/failover/settings.h
+++ b/src/failover/settings.h
@@ -27,6 +27,7 @@
     int64_t takeover_wait_ms;     /* time left to another promoter */
     int64_t stranded_ms;          /* until a half-sealed group is repaired */
     int64_t follow_retry_ms;      /* between follow calls to one member */
+    int64_t switch_settle_ms;     /* hold before sealing, for other proxies */
     int64_t switch_limit_ms;      /* running transactions during a switch */
     int64_t switch_retry_ms;      /* after a failed automatic switch */
     int64_t backoff_base_ms;      /* first bound of the full jitter */
--- a/src/failover/switch.c
+++ b/src/failover/switch.c
@@ -100,7 +100,10 @@
         }
         return;
     }
-    if (f->running > 0 && f->now < f->sw.limit) {
+    /* The other proxies learn of the hold by a peer message, and their last
+       writes are still on the way to the primary. */
+    if (f->now < f->sw.started + f->set.switch_settle_ms ||
+        (f->running > 0 && f->now < f->sw.limit)) {
         return;
     }
     if (f->running > 0) {
--- a/tests/failover/group.c
+++ b/tests/failover/group.c
@@ -306,6 +306,9 @@
             group_stored(m, i, me->term);
             replicate(m, i);
         }
+        else {
+            m->refused++;
+        }
         return;
     default:
         return;
--- a/tests/failover/model.h
+++ b/tests/failover/model.h
@@ -115,6 +115,7 @@
     GPtrArray *entries;
     const char *violation; /* name of the first broken invariant */
     uint64_t acks;
+    uint64_t refused;   /* writes that reached no primary */
     uint64_t late_acks; /* after a seal majority, stored before it */
     int64_t first_ack;  /* of a client write in a term above ack_floor */
     uint64_t ack_floor;
--- a/tests/failover/scenario.c
+++ b/tests/failover/scenario.c
@@ -178,8 +178,9 @@
 }
 
 /* Requests a planned switch at a random proxy while transactions run for up
-   to 120 ms. Returns the time until the first client write in the new term,
-   or -1 when the switch did not take place within 1 s. */
+   to 300 ms. Returns the time until the first client write in the new term,
+   or -1 when the switch did not take place within 1 s. A write of any proxy
+   that is refused or dropped on the way breaks switch_fails_no_write. */
 int64_t
 scenario_switch(uint64_t seed, enum failover_policy policy,
                 const char **violation)
@@ -193,8 +194,8 @@
     m->ack_floor = MODEL_FIRST_TERM;
     struct failover *f = m->proxy[draw(m, opt.proxies)].f;
     const int64_t start = m->now;
-    const int64_t ends = start + draw(m, 121);
-    failover_set_running(f, m->now, 3);
+    const int64_t ends = start + (draw(m, 2) == 0 ? 0 : draw(m, 301));
+    failover_set_running(f, m->now, ends > start ? 3 : 0);
     if (failover_request_switch(f, m->now, FAILOVER_NOBODY)) {
         while (m->first_ack < 0 && m->violation == NULL &&
                m->now < start + 1000) {
@@ -204,6 +205,12 @@
             model_run(m, 1);
         }
     }
+    const struct term_record *old = group_record(m, MODEL_FIRST_TERM);
+    const struct term_record *new =
+        &g_array_index(m->records, struct term_record, m->records->len - 1);
+    if (m->refused > 0 || (new != old &&new->start->index < old->stored[0])) {
+        model_fail(m, "switch_fails_no_write");
+    }
     *violation = m->violation;
     const int64_t took = m->first_ack < 0 ? -1 : m->first_ack - start;
     model_destroy(m);
