Space out failed switches of a leaving primary

Cause: a leaving primary that no staying member can replace held writes for 150 ms every second; found by review, test_leaving_not_replaceable counted 18 attempts in 20 s. Change: attempts for a leaving primary are 1, 2, 4, 8 and 16 s apart; the repair keeps its own time.

--- a/src/failover/machine.h
+++ b/src/failover/machine.h
@@ -17,7 +17,9 @@
     int target; /* or FAILOVER_NOBODY */
     clock_ms started;
     clock_ms limit;
-    clock_ms retry_due; /* earliest start of the next automatic switch */
+    int failed;           /* switches called off in a row */
+    clock_ms leaving_due; /* the same for a leaving primary */
+    clock_ms retry_due;   /* earliest start of the next automatic switch */
 };
 
 struct failover {
--- a/src/failover/switch.c
+++ b/src/failover/switch.c
@@ -2,6 +2,10 @@
 
 #include "failover/machine.h"
 
+/* Each attempt holds writes for up to switch_limit_ms, so the time between
+   attempts for a leaving primary doubles; at most 16 times switch_retry_ms. */
+#define RETRY_DOUBLINGS_MAX 4
+
 /* Begins a planned switch: holds new writes and asks all members. Returns
    false when there is no healthy primary to switch from. */
 bool
@@ -31,8 +35,11 @@
 switch_cancel(struct failover *f, const char *why)
 {
     f->counters.switches_failed++;
+    f->sw.failed = MIN(f->sw.failed + 1, RETRY_DOUBLINGS_MAX + 1);
     f->sw.retry_due = f->now + f->set.switch_retry_ms +
                       (int64_t)rng_below(f->rng, (uint64_t)f->set.jitter_ms);
+    f->sw.leaving_due =
+        f->now + (f->set.switch_retry_ms << (f->sw.failed - 1));
     f->state = FAILOVER_WATCHING;
     machine_note(f, LOG_LEVEL_WARNING, "switch", f->primary,
                  "switch not done, writes resume: %s", why);
@@ -186,7 +193,8 @@
     }
     /* The switch of a lower rank takes switch_limit_ms and a few round
        trips; starting within that time would seal the group twice. */
-    if (f->now - f->leaving_since >= 2 * f->set.switch_limit_ms * f->rank) {
+    if (f->now >= f->sw.leaving_due &&
+        f->now - f->leaving_since >= 2 * f->set.switch_limit_ms * f->rank) {
         (void)switch_start(f, SWITCH_LEAVING, FAILOVER_NOBODY);
     }
 }
--- a/src/failover/watch.c
+++ b/src/failover/watch.c
@@ -64,6 +64,7 @@
         f->adopted_at = f->now;
         f->peer_hold_until = -1;
         f->attempts = 0;
+        f->sw.failed = 0;
         for (int i = 0; i < f->members.count; i++) {
             f->members.view[i].stray_since = -1;
             f->members.view[i].follow_due = 0;
--- a/tests/failover/test_failover.c
+++ b/tests/failover/test_failover.c
@@ -223,6 +223,45 @@
     finish(m);
 }
 
+/* Guards against holding writes every second for a leaving primary that no
+   staying member can replace yet. */
+static void
+test_leaving_not_replaceable(void **state)
+{
+    struct model *m = start(9, 1);
+
+    (void)state;
+    model_set_cut(m, 0, 2, true);
+    failover_set_leaving(m->proxy[0].f, m->now, 0, true);
+    failover_set_leaving(m->proxy[0].f, m->now, 1, true);
+    model_run(m, 20000);
+    assert_int_equal(model_acker(m), 0);
+    assert_in_range(failover_get_counters(m->proxy[0].f)->switches_started, 1,
+                    6);
+    model_heal(m);
+    model_run(m, 20000);
+    assert_int_equal(model_acker(m), 2);
+    finish(m);
+}
+
+/* Guards against a stuck member that waits as long as the next attempt to
+   switch a leaving primary. */
+static void
+test_repair_not_delayed(void **state)
+{
+    struct model *m = start(10, 1);
+
+    (void)state;
+    model_set_cut(m, 0, 2, true);
+    failover_set_leaving(m->proxy[0].f, m->now, 0, true);
+    failover_set_leaving(m->proxy[0].f, m->now, 1, true);
+    model_run(m, 10000);
+    failover_set_leaving(m->proxy[0].f, m->now, 0, false);
+    m->member[2].sealed = (UINT64_C(2) << FAILOVER_ID_BITS) + 9;
+    model_heal(m);
+    finish(m);
+}
+
 /* Guards against writes that stay held when a planned switch finds no member
    that has caught up. */
 static void
@@ -328,6 +367,8 @@
         cmocka_unit_test(test_choice),
         cmocka_unit_test(test_late_answer),
         cmocka_unit_test(test_leaving_primary),
+        cmocka_unit_test(test_leaving_not_replaceable),
+        cmocka_unit_test(test_repair_not_delayed),
         cmocka_unit_test(test_switch_called_off),
         cmocka_unit_test(test_operator_replaces_unreachable),
         cmocka_unit_test(test_settings),
