--- a/tests/failover/model.h
+++ b/tests/failover/model.h
@@ -107,13 +107,15 @@
     struct proxy proxy[MODEL_PROXIES_MAX];
     bool cut[MODEL_NODES][MODEL_NODES];
     int loss_permille;
-    int slow_permille; /* share of messages delayed by up to 1 s */
+    int slow_permille;        /* share of messages delayed by up to 1 s */
+    int slow_answer_permille; /* the same for seals and promotions only */
     int dup_permille;
     GArray *slots[MODEL_SLOTS]; /* messages by due time */
     GArray *records;            /* of struct term_record */
     GPtrArray *entries;
     const char *violation; /* name of the first broken invariant */
     uint64_t acks;
+    uint64_t refused;   /* writes that reached no primary */
     uint64_t late_acks; /* after a seal majority, stored before it */
     int64_t first_ack;  /* of a client write in a term above ack_floor */
     uint64_t ack_floor;
