--- a/src/admission/pressure.c
+++ b/src/admission/pressure.c
@@ -11,6 +11,14 @@
    for that time. */
 #define SLOW_HOLD_MS 10000
 
+/* Batches stay out of a member while this share of its short work waits
+   longer than WAITED_MS. In model_queue (seeds 1 and 5) the share is under
+   8 % when filings run beside batches, and mostly above it at the peak. */
+#define BUSY_PERMILLE 100
+#define WAITED_MS 2
+/* The moving share spans about this many grants. */
+#define WAITED_SPAN 64
+
 /* Starts with nothing shed. */
 void
 pressure_init(struct pressure *p, int ranks, uint32_t slow)
@@ -35,6 +43,10 @@
     if (rank >= p->ranks - 1) {
         return false;
     }
+    p->waited += (delay > WAITED_MS ? 1000 : 0) - p->waited / WAITED_SPAN;
+    if (p->waited / WAITED_SPAN >= BUSY_PERMILLE) {
+        p->busy_at = now;
+    }
     if (delay <= PRESSURE_TARGET_MS) {
         p->above_since = CLOCK_NEVER;
         return false;
@@ -80,6 +92,9 @@
     if (p->level == p->ranks) {
         return CLOCK_NEVER;
     }
-    return p->signalled_at +
-           ((p->slow >> p->level & 1) != 0 ? SLOW_HOLD_MS : HOLD_MS);
+    if ((p->slow >> p->level & 1) == 0) {
+        return p->signalled_at + HOLD_MS;
+    }
+    return (p->busy_at > p->signalled_at ? p->busy_at : p->signalled_at) +
+           SLOW_HOLD_MS;
 }
--- a/src/admission/pressure.h
+++ b/src/admission/pressure.h
@@ -19,6 +19,8 @@
     clock_ms above_since; /* CLOCK_NEVER: the last delay was below target */
     clock_ms changed_at;  /* of level */
     clock_ms signalled_at;
+    clock_ms busy_at; /* last time at which much short work waited */
+    int waited;       /* moving share of short work that waited, scaled */
 };
 
 void pressure_init(struct pressure *p, int ranks, uint32_t slow);
--- /dev/null
+++ b/tests/admission/bench_admission.c
@@ -0,0 +1,75 @@
+#include "admission/admission.h"
+
+#include <stdio.h>
+
+/* Measures the cost of submit, grant and release on the machine's clock. Not
+   a test: it has no bound and is not run by CI. */
+
+#define ROUNDS 5000000
+#define RECORDS 32
+
+static void
+on_grant(void *ctx, struct admission_request *req, int member)
+{
+    struct admission_request **last = ctx;
+
+    (void)member;
+    *last = req;
+}
+
+static void
+on_refuse(void *ctx, struct admission_request *req,
+          enum admission_refusal reason)
+{
+    (void)ctx;
+    (void)req;
+    (void)reason;
+}
+
+int
+main(void)
+{
+    static const struct admission_ops ops = {on_grant, on_refuse};
+    static const struct admission_kind kinds[4] = {
+        {"filing", ADMISSION_SHORT, 0, 200, 1000, 250},
+        {"lookup", ADMISSION_SHORT, 1, 200, 1000, 250},
+        {"renewal", ADMISSION_BATCH, 2, 200, 600000, 0},
+        {"browse", ADMISSION_SHORT, 3, 200, 1000, 250},
+    };
+    static struct admission_request reqs[RECORDS];
+    struct admission_request *last = NULL;
+    struct admission *a = admission_create(&ops, &last, kinds, 4, 3);
+
+    for (int m = 0; m < 3; m++) {
+        admission_set_floor(a, 0, m, 1);
+    }
+    /* With queued of 0 each request is granted at once; else each release
+       grants one of that many that wait. */
+    for (int queued = 0; queued <= 8; queued += 8) {
+        int64_t start = clock_now_us();
+
+        for (int i = 0; i < ROUNDS; i++) {
+            struct admission_request *req = &reqs[i % RECORDS];
+
+            req->members = 7;
+            req->fingerprint = 1 + (uint64_t)(i % RECORDS);
+            req->kind = i % 2;
+            req->deadline_at = 0;
+            if (req->state == ADMISSION_IDLE) {
+                admission_submit(a, i / 1000, req);
+            }
+            if (last != NULL &&
+                admission_queued(a, 0) + admission_queued(a, 1) >=
+                    (size_t)queued) {
+                struct admission_request *done = last;
+
+                last = NULL;
+                admission_release(a, i / 1000, done, 100);
+            }
+        }
+        printf("queued=%d submit_grant_release_ns=%.0f\n", queued,
+               (double)(clock_now_us() - start) * 1000 / ROUNDS);
+    }
+    admission_destroy(a);
+    return 0;
+}
--- a/tests/admission/model_retry.c
+++ b/tests/admission/model_retry.c
@@ -103,7 +103,8 @@
     }
 }
 
-static void
+/* Prints the figures of a run; returns the share answered after the stall. */
+static double
 report(const struct model *m, const char *name)
 {
     int after = 0;
@@ -136,6 +137,7 @@
            "%s_attempts_per_call=%.3f\n",
            name, (double)answered / after, name, (long long)recovered, name,
            (double)m->sent_count / m->calls);
+    return (double)answered / after;
 }
 
 int
@@ -143,10 +145,11 @@
 {
     static struct model m;
     uint64_t seed = argc > 1 ? strtoull(argv[1], NULL, 10) : 1;
+    double unbounded;
 
     run(&m, seed, false);
-    report(&m, "unbounded");
+    unbounded = report(&m, "unbounded");
     run(&m, seed, true);
-    report(&m, "budget");
-    return 0;
+    /* The budget stays only while this measurement supports it. */
+    return report(&m, "budget") <= unbounded;
 }
