Divide the fleet's real cost among databases and caller kinds

Cause: cost reports that assume dedicated VMs no longer describe the site. Before: no cost figures. Conclusion: idle capacity is a row of its own and no longer hidden.

--- /dev/null
+++ b/src/cost/meter.c
@@ -0,0 +1,116 @@
+#include "cost/usage.h"
+
+#include <string.h>
+
+struct cost_meter {
+    uint64_t proxy;
+    uint64_t incarnation;
+    uint64_t sequence;
+    GHashTable *rows; /* "DATABASE KIND" -> struct cost_row */
+};
+
+/* Adds used to sum. */
+void
+cost_usage_add(struct cost_usage *sum, const struct cost_usage *used)
+{
+    sum->cpu_us += used->cpu_us;
+    sum->connection_ms += used->connection_ms;
+    sum->bytes += used->bytes;
+    sum->statements += used->statements;
+    sum->store_reads += used->store_reads;
+    sum->store_writes += used->store_writes;
+}
+
+/* Tells whether name is 1 to 63 letters, digits, '-' or '_'. */
+bool
+cost_name_valid(const char *name)
+{
+    size_t n = strlen(name);
+
+    if (n == 0 || n >= COST_NAME_BYTES) {
+        return false;
+    }
+    for (size_t i = 0; i < n; i++) {
+        if (!g_ascii_isalnum(name[i]) && name[i] != '-' && name[i] != '_') {
+            return false;
+        }
+    }
+    return true;
+}
+
+/* Creates a meter. incarnation differs at each start of the proxy. */
+struct cost_meter *
+cost_meter_new(uint64_t proxy, uint64_t incarnation)
+{
+    struct cost_meter *m = g_new0(struct cost_meter, 1);
+
+    m->proxy = proxy;
+    m->incarnation = incarnation;
+    m->rows = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    return m;
+}
+
+/* Frees a meter; NULL is allowed. */
+void
+cost_meter_free(struct cost_meter *m)
+{
+    if (m) {
+        g_hash_table_destroy(m->rows);
+        g_free(m);
+    }
+}
+
+/* Adds usage; false when a name is not valid. */
+bool
+cost_meter_add(struct cost_meter *m, const char *database, const char *kind,
+               const struct cost_usage *used)
+{
+    char key[2 * COST_NAME_BYTES];
+
+    if (!cost_name_valid(database) || !cost_name_valid(kind)) {
+        return false;
+    }
+    (void)g_snprintf(key, sizeof(key), "%s %s", database, kind);
+    struct cost_row *row = g_hash_table_lookup(m->rows, key);
+
+    if (!row) {
+        row = g_new0(struct cost_row, 1);
+        g_strlcpy(row->database, database, sizeof(row->database));
+        g_strlcpy(row->kind, kind, sizeof(row->kind));
+        g_hash_table_insert(m->rows, g_strdup(key), row);
+    }
+    cost_usage_add(&row->used, used);
+    return true;
+}
+
+/* Writes the totals since the start, to be pushed to peers or to the table
+   service. The first line is "usage PROXY INCARNATION SEQUENCE ROWS"; each
+   other line is one database and kind with six numbers. */
+char *
+cost_meter_write(struct cost_meter *m)
+{
+    GString *out = g_string_new(NULL);
+    GHashTableIter it;
+    void *value;
+
+    g_string_append_printf(out,
+                           "usage %" G_GUINT64_FORMAT " %" G_GUINT64_FORMAT
+                           " %" G_GUINT64_FORMAT " %u\n",
+                           (guint64)m->proxy, (guint64)m->incarnation,
+                           (guint64)++m->sequence, g_hash_table_size(m->rows));
+    g_hash_table_iter_init(&it, m->rows);
+    while (g_hash_table_iter_next(&it, NULL, &value)) {
+        const struct cost_row *r = value;
+        const uint64_t fields[] = {r->used.cpu_us,      r->used.connection_ms,
+                                   r->used.bytes,       r->used.statements,
+                                   r->used.store_reads, r->used.store_writes};
+
+        g_string_append_printf(out, "%s %s", r->database, r->kind);
+        for (size_t i = 0; i < G_N_ELEMENTS(fields); i++) {
+            g_string_append_printf(out, " %" G_GUINT64_FORMAT,
+                                   (guint64)fields[i]);
+        }
+        g_string_append_c(out, '\n');
+    }
+    return g_string_free(out, FALSE);
+}
--- /dev/null
+++ b/src/cost/report.c
@@ -0,0 +1,209 @@
+#include "cost/report.h"
+
+#define MS_PER_HOUR 3600000
+#define US_PER_MS 1000
+#define BYTES_PER_GB 1000000000
+/* The daemon has one thread, so a VM gives it one core. */
+#define CORES_PER_VM 1
+
+typedef __int128 wide;
+
+/* Returns the part of whole that used of capacity makes, rounded down. */
+static cost_nano
+part(cost_nano whole, uint64_t used, uint64_t capacity)
+{
+    if (capacity == 0) {
+        return 0;
+    }
+    return (cost_nano)((wide)whole * used / capacity);
+}
+
+/* Returns the sum of all parts. */
+cost_nano
+cost_parts_sum(const struct cost_parts *p)
+{
+    return p->vms + p->connections + p->store + p->traffic;
+}
+
+/* Subtracts b from a. */
+static void
+subtract(struct cost_parts *a, const struct cost_parts *b)
+{
+    a->vms -= b->vms;
+    a->connections -= b->connections;
+    a->store -= b->store;
+    a->traffic -= b->traffic;
+}
+
+/* Returns the real cost of the fleet: VMs and connections are paid by time,
+   used or not; store operations and traffic by number. */
+static struct cost_parts
+fleet_cost(const struct cost_fleet *f, const struct cost_prices *p)
+{
+    wide ms = f->period_ms;
+
+    return (struct cost_parts){
+        .vms = (cost_nano)((wide)p->vm_hour * p->vms * ms / MS_PER_HOUR),
+        .connections = (cost_nano)((wide)p->connection_hour * f->connections *
+                                   ms / MS_PER_HOUR),
+        .store = (cost_nano)((wide)p->store_read * f->store_reads +
+                             (wide)p->store_write * f->store_writes),
+        .traffic = (cost_nano)((wide)p->gb * f->bytes / BYTES_PER_GB),
+    };
+}
+
+/* Returns the cost of one row. capacity holds what the whole of each cost is
+   divided by. */
+static struct cost_parts
+row_cost(const struct cost_usage *u, const struct cost_parts *total,
+         const struct cost_usage *capacity, cost_nano reads, cost_nano writes)
+{
+    return (struct cost_parts){
+        .vms = part(total->vms, u->cpu_us, capacity->cpu_us),
+        .connections = part(total->connections, u->connection_ms,
+                            capacity->connection_ms),
+        .store = part(reads, u->store_reads, capacity->store_reads) +
+                 part(writes, u->store_writes, capacity->store_writes),
+        .traffic = part(total->traffic, u->bytes, capacity->bytes),
+    };
+}
+
+/* Divides the real cost of the fleet among usage (struct cost_row). Each row
+   is rounded down, and what remains, idle capacity above all, is the
+   unattributed row, so the rows add up to the total exactly. Where usage is
+   larger than what the fleet reports, for instance because the two were read
+   at different times, the rows share the real cost in proportion. */
+struct cost_report *
+cost_report_new(const GArray *usage, const struct cost_fleet *fleet,
+                const struct cost_prices *prices)
+{
+    struct cost_report *r = g_new0(struct cost_report, 1);
+    struct cost_usage used = {0};
+    uint64_t ms = (uint64_t)fleet->period_ms;
+
+    for (guint i = 0; i < usage->len; i++) {
+        cost_usage_add(&used, &g_array_index(usage, struct cost_row, i).used);
+    }
+    const struct cost_usage capacity = {
+        .cpu_us = MAX(used.cpu_us,
+                      (uint64_t)prices->vms * ms * US_PER_MS * CORES_PER_VM),
+        .connection_ms =
+            MAX(used.connection_ms, (uint64_t)fleet->connections * ms),
+        .bytes = MAX(used.bytes, fleet->bytes),
+        .store_reads = MAX(used.store_reads, fleet->store_reads),
+        .store_writes = MAX(used.store_writes, fleet->store_writes),
+    };
+    cost_nano reads =
+        (cost_nano)((wide)prices->store_read * fleet->store_reads);
+    cost_nano writes =
+        (cost_nano)((wide)prices->store_write * fleet->store_writes);
+
+    r->rows = g_array_new(FALSE, TRUE, sizeof(struct cost_report_row));
+    r->total = fleet_cost(fleet, prices);
+    r->unattributed = r->total;
+    for (guint i = 0; i < usage->len; i++) {
+        struct cost_report_row row = {
+            .row = g_array_index(usage, struct cost_row, i)};
+
+        row.parts =
+            row_cost(&row.row.used, &r->total, &capacity, reads, writes);
+        subtract(&r->unattributed, &row.parts);
+        g_array_append_val(r->rows, row);
+    }
+    return r;
+}
+
+/* Frees a report; NULL is allowed. */
+void
+cost_report_free(struct cost_report *r)
+{
+    if (r) {
+        g_array_free(r->rows, TRUE);
+        g_free(r);
+    }
+}
+
+/* Appends an amount with nine decimals. */
+static void
+append_amount(GString *out, cost_nano amount)
+{
+    g_string_append_printf(
+        out, ",%" G_GINT64_FORMAT ".%09" G_GINT64_MODIFIER "d",
+        (gint64)(amount / 1000000000), (gint64)(amount % 1000000000));
+}
+
+/* Appends one line without its end. */
+static void
+append_line(GString *out, const char *database, const char *kind,
+            const struct cost_usage *u, const struct cost_parts *p)
+{
+    const uint64_t fields[] = {u->cpu_us,      u->connection_ms,
+                               u->bytes,       u->statements,
+                               u->store_reads, u->store_writes};
+
+    g_string_append_printf(out, "%s,%s", database, kind);
+    for (size_t i = 0; i < G_N_ELEMENTS(fields); i++) {
+        g_string_append_printf(out, ",%" G_GUINT64_FORMAT, (guint64)fields[i]);
+    }
+    append_amount(out, p->vms);
+    append_amount(out, p->connections);
+    append_amount(out, p->store);
+    append_amount(out, p->traffic);
+    append_amount(out, cost_parts_sum(p));
+}
+
+/* Returns the report as CSV with a header, to be freed. */
+char *
+cost_report_csv(const struct cost_report *r)
+{
+    static const struct cost_usage none;
+    GString *out = g_string_new(
+        "database,kind,cpu_us,connection_ms,bytes,statements,store_reads,"
+        "store_writes,cost_vms,cost_connections,cost_store,cost_traffic,"
+        "cost\n");
+
+    for (guint i = 0; i < r->rows->len; i++) {
+        const struct cost_report_row *row =
+            &g_array_index(r->rows, struct cost_report_row, i);
+
+        append_line(out, row->row.database, row->row.kind, &row->row.used,
+                    &row->parts);
+        g_string_append_c(out, '\n');
+    }
+    append_line(out, "unattributed", "", &none, &r->unattributed);
+    g_string_append_c(out, '\n');
+    append_line(out, "total", "", &none, &r->total);
+    g_string_append_c(out, '\n');
+    return g_string_free(out, FALSE);
+}
+
+/* Writes row i for the table service: the key is PERIOD.DATABASE.KIND, the
+   value a line as in the CSV. The row after the last one is the unattributed
+   one. Returns false past the end; key and value are to be freed. */
+bool
+cost_report_table_row(const struct cost_report *r, size_t i,
+                      const char *period, char **key, char **value)
+{
+    static const struct cost_usage none;
+    GString *out = g_string_new(NULL);
+
+    if (i < r->rows->len) {
+        const struct cost_report_row *row =
+            &g_array_index(r->rows, struct cost_report_row, i);
+
+        append_line(out, row->row.database, row->row.kind, &row->row.used,
+                    &row->parts);
+        *key = g_strdup_printf("%s.%s.%s", period, row->row.database,
+                               row->row.kind);
+    }
+    else if (i == r->rows->len) {
+        append_line(out, "unattributed", "", &none, &r->unattributed);
+        *key = g_strdup_printf("%s.unattributed", period);
+    }
+    else {
+        g_string_free(out, TRUE);
+        return false;
+    }
+    *value = g_string_free(out, FALSE);
+    return true;
+}
