--- /dev/null
+++ b/src/platform/ticket_result.c
@@ -0,0 +1,43 @@
+#include "platform/ticket_result.h"
+
+/* Translates the result of platform_table_insert() for
+   ticket_submission_on_insert(). *row is the row in place, or NULL. Inserts
+   are sent with one attempt, because the submission has its own retries. */
+enum ticket_store_result
+platform_ticket_insert_result(const struct platform_result *r,
+                              const char **row)
+{
+    *row = NULL;
+    if (r->outcome == PLATFORM_UNKNOWN) {
+        return TICKET_STORE_LOST;
+    }
+    if (r->outcome == PLATFORM_NOT_DONE) {
+        return TICKET_STORE_NOT_DONE;
+    }
+    if (r->status == 412 && r->n_rows == 1) {
+        *row = r->rows[0].value;
+        return TICKET_STORE_EXISTS;
+    }
+    /* Any success but 201 is not what the protocol says; reading the row
+       back tells what happened. */
+    return r->status == 201 ? TICKET_STORE_DONE : TICKET_STORE_LOST;
+}
+
+/* Translates the result of platform_table_get() for
+   ticket_submission_on_read(). */
+enum ticket_store_result
+platform_ticket_read_result(const struct platform_result *r, const char **row)
+{
+    *row = NULL;
+    if (r->outcome != PLATFORM_DONE) {
+        return TICKET_STORE_NOT_DONE;
+    }
+    if (r->status == 404) {
+        return TICKET_STORE_ABSENT;
+    }
+    if (r->n_rows != 1) {
+        return TICKET_STORE_NOT_DONE;
+    }
+    *row = r->rows[0].value;
+    return TICKET_STORE_DONE;
+}
