--- a/fakes/host.c
+++ b/fakes/host.c
@@ -474,12 +474,14 @@
         " connection_cap_violations=%" PRIu64
         " refused_control_connections=%" PRIu64
         " max_running_long=%d slots_full_of_long=%" PRIu64
-        " mixed_statements=%" PRIu64 " primary=%d term=%" PRIu64
+        " mixed_statements=%" PRIu64 " reads_primary=%" PRIu64
+        " reads_replica=%" PRIu64 " primary=%d term=%" PRIu64
         " position=%" PRIu64 " lost_acknowledged=%" PRIu64 " diverged=%" PRIu64
         " double_promotion=%" PRIu64 " replaced_acks=%" PRIu64,
         db->name, db->statements, db->connections, db->max_connections,
         db->refused, db->refused, db->refused_control, max_long,
-        db->slots_full_of_long, db->mixed_statements, primary,
+        db->slots_full_of_long, db->mixed_statements, db->reads_primary,
+        db->reads_replica, primary,
         primary < 0 ? 0 : group_sealed_term(db->group, (unsigned)primary),
         primary < 0 ? 0 : group_position(db->group, (unsigned)primary),
         v->lost_acknowledged, v->diverged, v->double_promotion,
--- a/fakes/host.h
+++ b/fakes/host.h
@@ -50,6 +50,8 @@
     int connections;
     int max_connections;
     uint64_t statements;
+    uint64_t reads_primary; /* SELECTs on tables, by the member's role */
+    uint64_t reads_replica;
     uint64_t refused;
     uint64_t refused_control;
     uint64_t slots_full_of_long;
--- a/fakes/tables.c
+++ b/fakes/tables.c
@@ -21,6 +21,12 @@
     g_autofree char *key = NULL;
     char *value = NULL;
 
+    if (group_is_primary(c->member->db->group, c->member->index)) {
+        c->member->db->reads_primary++;
+    }
+    else {
+        c->member->db->reads_replica++;
+    }
     if (st->kind == SQL_SELECT_COUNT) {
         const struct store *rows =
             group_visible(c->member->db->group, c->member->index);
--- /dev/null
+++ b/tools/load/direct.c
@@ -0,0 +1,151 @@
+#include "load/direct.h"
+
+#include "load/client.h"
+
+#define LOG_MODULE "direct"
+#include "base/log.h"
+
+#include <stdio.h>
+#include <string.h>
+
+#define PRIMARY_TRIES 100
+#define PRIMARY_PAUSE_US 100000
+
+/* Returns the number of members that the options name. */
+int
+direct_member_count(const struct load_options *o)
+{
+    return o->members == NULL ? 0 : (int)g_strv_length(o->members);
+}
+
+/* Opens a control connection to a member; NULL when it does not answer. */
+PGconn *
+direct_open(const struct load_options *o, int member)
+{
+    const struct client_target t = {
+        .address = o->members[member],
+        .database = o->database,
+        .user = CLIENT_CONTROL_USER,
+    };
+    PGconn *conn = client_start(&t, true);
+
+    if (PQstatus(conn) == CONNECTION_OK) {
+        return conn;
+    }
+    PQfinish(conn);
+    return NULL;
+}
+
+/* Returns the first column of the first row as an owned text; NULL when the
+   statement failed or gave no row. */
+char *
+direct_query(PGconn *conn, const char *sql)
+{
+    PGresult *r = PQexec(conn, sql);
+    char *text = NULL;
+
+    if (PQresultStatus(r) == PGRES_TUPLES_OK && PQntuples(r) > 0) {
+        text = g_strdup(PQgetvalue(r, 0, 0));
+    }
+    else if (PQresultStatus(r) != PGRES_TUPLES_OK &&
+             PQresultStatus(r) != PGRES_COMMAND_OK) {
+        LOG_INFO("query", NULL, "%s: %s", sql, PQresultErrorMessage(r));
+    }
+    PQclear(r);
+    return text;
+}
+
+/* Looks for the member that leads the highest term; DIRECT_NO_PRIMARY when
+   none does. A primary must be confirmed by a majority, since a replaced one
+   may still believe that it leads. */
+static int
+look_for_primary(const struct load_options *o)
+{
+    int best = DIRECT_NO_PRIMARY;
+    guint64 best_term = 0;
+
+    for (int i = 0; i < direct_member_count(o); i++) {
+        PGconn *conn = direct_open(o, i);
+        char *text =
+            conn == NULL ? NULL : direct_query(conn, "SELECT group_state()");
+        char **field = g_strsplit(text == NULL ? "" : text, " ", 0);
+        if (g_strv_length(field) >= 3 && strcmp(field[2], "primary") == 0) {
+            const guint64 term = g_ascii_strtoull(field[0], NULL, 10);
+            if (best == DIRECT_NO_PRIMARY || term > best_term) {
+                best = i;
+                best_term = term;
+            }
+        }
+        g_strfreev(field);
+        g_free(text);
+        PQfinish(conn);
+    }
+    return best;
+}
+
+/* Finds the primary, waiting a while for one. */
+int
+direct_find_primary(const struct load_options *o)
+{
+    int member = look_for_primary(o);
+
+    for (int i = 0; member == DIRECT_NO_PRIMARY && i < PRIMARY_TRIES; i++) {
+        g_usleep(PRIMARY_PAUSE_US);
+        member = look_for_primary(o);
+    }
+    if (member == DIRECT_NO_PRIMARY) {
+        LOG_ERROR("primary", NULL, "no member of %s is primary", o->database);
+    }
+    return member;
+}
+
+/* Opens a control connection to the primary; NULL when there is none. */
+PGconn *
+direct_open_primary(const struct load_options *o)
+{
+    const int member = direct_find_primary(o);
+
+    return member == DIRECT_NO_PRIMARY ? NULL : direct_open(o, member);
+}
+
+/* Reads one counter of the stand-in; -1 when it is not there. */
+int64_t
+direct_stat(PGconn *conn, const char *key)
+{
+    char *text = direct_query(conn, "SELECT fake_stats()");
+    char **word = g_strsplit(text == NULL ? "" : text, " ", -1);
+    const size_t n = strlen(key);
+    int64_t value = -1;
+
+    for (int i = 0; word[i] != NULL; i++) {
+        if (strncmp(word[i], key, n) == 0 && word[i][n] == '=') {
+            value = g_ascii_strtoll(word[i] + n + 1, NULL, 10);
+        }
+    }
+    g_strfreev(word);
+    g_free(text);
+    return value;
+}
+
+/* Puts a fault into a member through any member that answers. */
+bool
+direct_fault(const struct load_options *o, int member, const char *fault)
+{
+    char sql[128];
+    char *answer = NULL;
+
+    snprintf(sql, sizeof(sql), "SELECT fake_fault('%s', '%d')", fault, member);
+    for (int i = 0; answer == NULL && i < direct_member_count(o); i++) {
+        PGconn *conn = direct_open(o, i);
+        if (conn != NULL) {
+            answer = direct_query(conn, sql);
+            PQfinish(conn);
+        }
+    }
+    const bool ok = answer != NULL;
+    if (!ok) {
+        LOG_ERROR("fault", NULL, "%s of member %d was refused", fault, member);
+    }
+    g_free(answer);
+    return ok;
+}
