Add the consistency experiment and its checker

Roaming sessions write, read back, run transactions on a shared pair of rows, set session settings and read generated answers, through any of the proxies, with and without their token. The checker holds what they are told against six rules; replicas lag in turn meanwhile.

--- a/tools/load/client.c
+++ b/tools/load/client.c
@@ -116,7 +116,7 @@
                 c->callbacks->row(c->ctx, r);
             }
         }
-        else if (n > 0 && PQnfields(r) > 0) {
+        if (n > 0 && PQnfields(r) > 0) {
             g_free(c->value);
             c->value = g_strdup(PQgetvalue(r, n - 1, 0));
         }
--- /dev/null
+++ b/tools/load/consistency.c
@@ -0,0 +1,185 @@
+#include "load/direct.h"
+#include "load/flow.h"
+#include "load/session.h"
+
+#define LOG_MODULE "consistency"
+#include "base/log.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <string.h>
+
+#define CONSISTENCY_STEP_S 0.35
+/* Above the longest deadline that a short kind waits for. */
+#define CONSISTENCY_SETTLE_S 6.0
+#define CONSISTENCY_LAG_MAX_MS 400
+/* Work whose caller is gone may still commit for this time. */
+#define CONSISTENCY_REST_S 1.0
+
+/* Lets one replica lag, or none, so that replicas are really behind. */
+static void
+change_lag(PGconn *direct, const struct load_options *o, struct rng *rng)
+{
+    const int members = direct_member_count(o);
+    const int lagging = (int)rng_below(rng, (uint64_t)members + 1);
+
+    for (int i = 0; i < members; i++) {
+        const uint64_t ms =
+            i == lagging ? 50 + rng_below(rng, CONSISTENCY_LAG_MAX_MS) : 0;
+        char sql[96];
+        snprintf(sql, sizeof(sql),
+                 "SELECT fake_fault('lag', '%d %" PRIu64 "')", i, ms);
+        g_free(direct_query(direct, sql));
+    }
+}
+
+/* Reads a row directly; the outcome is an owned text or NULL. */
+static char *
+read_row(PGconn *direct, const char *table, const char *key)
+{
+    char *sql =
+        g_strdup_printf("SELECT value FROM %s WHERE id = '%s'", table, key);
+    char *value = direct_query(direct, sql);
+
+    g_free(sql);
+    return value;
+}
+
+/* Compares every row with what the primary holds. */
+static void
+check_rows(PGconn *direct, struct session_world *w)
+{
+    for (guint i = 0; i < w->checker->rows->len; i++) {
+        const struct checked_row *r = g_ptr_array_index(w->checker->rows, i);
+        if (r == w->pair) {
+            continue;
+        }
+        char *value = read_row(direct, r->table, r->key);
+        checker_final(w->checker, r, value);
+        g_free(value);
+    }
+    char *key_a = g_strdup_printf("%s-a", w->pair->key);
+    char *key_b = g_strdup_printf("%s-b", w->pair->key);
+    char *a = read_row(direct, "entries", key_a);
+    char *b = read_row(direct, "entries", key_b);
+    checker_final(w->checker, w->pair, a);
+    if (g_strcmp0(a, b) != 0) {
+        w->checker->counts.mixed_transactions++;
+    }
+    g_free(a);
+    g_free(b);
+    g_free(key_a);
+    g_free(key_b);
+}
+
+/* Runs the sessions for the given time and lets them end. */
+static void
+run_sessions(struct session_world *w, struct session **sessions,
+             PGconn *direct)
+{
+    const struct load_options *o = w->options;
+    struct rng rng;
+
+    rng_seed(&rng, (uint64_t)o->seed);
+    for (int i = 0; i < o->clients; i++) {
+        sessions[i] = session_create(w, i, rng_next(&rng));
+        session_start(sessions[i]);
+    }
+    for (double s = 0.0; s < o->seconds; s += CONSISTENCY_STEP_S) {
+        change_lag(direct, o, &rng);
+        flow_wait(w->loop, CONSISTENCY_STEP_S);
+    }
+    for (int i = 0; i < o->clients; i++) {
+        session_stop(sessions[i]);
+    }
+    for (double s = 0.0; s < CONSISTENCY_SETTLE_S; s += 0.1) {
+        int left = 0;
+        for (int i = 0; i < o->clients; i++) {
+            left += !session_is_stopped(sessions[i]);
+        }
+        if (left == 0) {
+            break;
+        }
+        flow_wait(w->loop, 0.1);
+    }
+    for (int i = 0; i < o->clients; i++) {
+        session_destroy(sessions[i]);
+    }
+    for (int i = 0; i < direct_member_count(o); i++) {
+        char sql[64];
+        snprintf(sql, sizeof(sql), "SELECT fake_fault('lag', '%d 0')", i);
+        g_free(direct_query(direct, sql));
+    }
+    flow_wait(w->loop, CONSISTENCY_REST_S);
+}
+
+/* Prints what was found. */
+static void
+report(const struct session_world *w, int64_t mixed_statements)
+{
+    const struct checker_counts *c = &w->checker->counts;
+
+    printf("consistency_statements=%" PRId64 "\n", w->statements);
+    printf("consistency_acknowledged=%" PRId64 "\n", w->acked);
+    printf("consistency_unknown=%" PRId64 "\n", w->unknown);
+    printf("consistency_not_run=%" PRId64 "\n", w->not_run);
+    printf("consistency_roams=%" PRId64 "\n", w->roams);
+    printf("consistency_lost_connections=%" PRId64 "\n", w->lost_connections);
+    printf("stale_own_reads=%" PRId64 "\n", c->stale_own_reads);
+    printf("mixed_transactions=%" PRId64 "\n",
+           c->mixed_transactions + mixed_statements);
+    printf("incomplete_answers=%" PRId64 "\n", c->incomplete_answers);
+    printf("lost_writes=%" PRId64 "\n", c->lost_writes);
+    printf("duplicate_writes=%" PRId64 "\n", c->duplicate_writes);
+    printf("false_not_run=%" PRId64 "\n", c->false_not_run);
+}
+
+/* Drives roaming sessions and checks all that they are told. Proxies may be
+   killed and drained meanwhile. */
+bool
+consistency_run(const struct load_options *o)
+{
+    struct session_world w = {
+        .loop = ev_default_loop(EVFLAG_AUTO),
+        .options = o,
+        .checker = checker_create(),
+    };
+    struct session **sessions = g_new0(struct session *, o->clients);
+    PGconn *direct = direct_open_primary(o);
+    char key[32];
+    bool ok = false;
+
+    if (direct == NULL) {
+        goto done;
+    }
+    snprintf(key, sizeof(key), "pair%d", (int)(o->seed % 1000000));
+    w.pair = checker_add_row(w.checker, "entries", key);
+    char *probe = g_strdup_printf("%s-a", key);
+    char *used = read_row(direct, "entries", probe);
+    g_free(probe);
+    if (used != NULL) {
+        LOG_ERROR("start", NULL,
+                  "the rows of seed %" G_GINT64_FORMAT
+                  " exist already; take another seed",
+                  o->seed);
+        g_free(used);
+        goto done;
+    }
+    const int64_t mixed = direct_stat(direct, "mixed_statements");
+    run_sessions(&w, sessions, direct);
+    PQfinish(direct);
+    direct = direct_open_primary(o);
+    if (direct == NULL || w.acked == 0) {
+        LOG_ERROR("end", NULL, "%" PRId64 " statements were acknowledged",
+                  w.acked);
+        goto done;
+    }
+    check_rows(direct, &w);
+    report(&w, direct_stat(direct, "mixed_statements") - mixed);
+    ok = true;
+done:
+    PQfinish(direct);
+    g_free(sessions);
+    checker_destroy(w.checker);
+    return ok;
+}
--- a/tools/load/main.c
+++ b/tools/load/main.c
@@ -15,6 +15,7 @@
 } experiments[] = {
     {"latency", latency_run},
     {"throughput", throughput_run},
+    {"consistency", consistency_run},
 };
 
 /* Tells whether every address of a list has a port. */
