--- /dev/null
+++ b/tools/load/failover.c
@@ -0,0 +1,143 @@
+#include "load/direct.h"
+#include "load/flow.h"
+
+#include "base/clock.h"
+
+#define LOG_MODULE "failover"
+#include "base/log.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <string.h>
+
+#define FAILOVER_WRITERS 8
+#define FAILOVER_RATE 200.0
+#define FAILOVER_LEAD_S 0.7
+#define FAILOVER_STEP_S 0.005
+/* Above the worst case that the design allows, so that a late success is
+   told from none. */
+#define FAILOVER_LIMIT_S 8.0
+#define FAILOVER_REJOIN_S 1.5
+
+/* First write that was sent after the fault and acknowledged. */
+struct watch {
+    int64_t fault_us; /* 0: no fault yet */
+    int64_t acked_us; /* 0: none yet */
+};
+
+/* Offers writes at a constant rate. */
+static double
+constant_rate(void *ctx, double seconds)
+{
+    (void)ctx;
+    (void)seconds;
+    return FAILOVER_RATE;
+}
+
+/* Writes an increment. */
+static void
+write_increment(void *ctx, struct rng *rng, GString *sql)
+{
+    (void)ctx;
+    g_string_printf(sql,
+                    "UPDATE entries SET value = value + 1 "
+                    "WHERE id = 'failover-%" PRIu64 "'",
+                    rng_below(rng, 16));
+}
+
+/* Notes the first acknowledgement after the fault. One that was on its way
+   when the primary died belongs to a write from before. */
+static void
+on_acked(void *ctx, int64_t intended_us, int64_t done_us)
+{
+    struct watch *w = ctx;
+
+    if (w->fault_us != 0 && w->acked_us == 0 && intended_us > w->fault_us) {
+        w->acked_us = done_us;
+    }
+}
+
+/* Kills the primary once and waits for the next acknowledged write. Returns
+   false when the tool could not do so; *gap_us is -1 when no write was
+   acknowledged within the limit. */
+static bool
+run_case(const struct load_options *o, struct ev_loop *loop, struct watch *w,
+         int64_t *gap_us)
+{
+    const int primary = direct_find_primary(o);
+
+    *gap_us = -1;
+    if (primary == DIRECT_NO_PRIMARY) {
+        return false;
+    }
+    *w = (struct watch){0};
+    flow_wait(loop, FAILOVER_LEAD_S);
+    if (!direct_fault(o, primary, "kill")) {
+        return false;
+    }
+    w->fault_us = clock_now_us();
+    for (double s = 0.0; w->acked_us == 0 && s < FAILOVER_LIMIT_S;
+         s += FAILOVER_STEP_S) {
+        flow_wait(loop, FAILOVER_STEP_S);
+    }
+    if (w->acked_us != 0) {
+        *gap_us = w->acked_us - w->fault_us;
+    }
+    const bool ok = direct_fault(o, primary, "revive");
+    flow_wait(loop, FAILOVER_REJOIN_S);
+    return ok;
+}
+
+/* Prints the gaps. A case without recovery counts with the whole time that
+   was waited, and is named. */
+static void
+report(struct samples *gaps, int unrecovered)
+{
+    printf("failover_cases=%u\n", gaps->values->len);
+    printf("failover_unrecovered=%d\n", unrecovered);
+    printf("failover_gap_ms=%.1f\n",
+           (double)samples_percentile(gaps, 50.0) / 1000.0);
+    printf("failover_gap_worst_ms=%.1f\n",
+           (double)samples_percentile(gaps, 100.0) / 1000.0);
+}
+
+/* Measures the time from the loss of the primary to the first acknowledged
+   write, over several cases. */
+bool
+failover_run(const struct load_options *o)
+{
+    struct ev_loop *loop = ev_default_loop(EVFLAG_AUTO);
+    struct watch w = {0};
+    struct samples gaps;
+    int unrecovered = 0;
+    const struct flow_options f = {
+        .addresses = (const char *const *)o->proxies,
+        .database = o->database,
+        .user = "load",
+        .kind = strcmp(o->site, "guild") == 0 ? "reservation" : "filing",
+        .connections = FAILOVER_WRITERS,
+        .rate = constant_rate,
+        .peak_rate = FAILOVER_RATE,
+        .statement = write_increment,
+        .acked = on_acked,
+        .ctx = &w,
+        .seed = (uint64_t)o->seed,
+    };
+    struct flow *flow = flow_create(loop, &f);
+    bool ok = flow_wait_connected(loop, flow);
+
+    samples_init(&gaps);
+    flow_start(flow);
+    for (int i = 0; ok && i < o->cases; i++) {
+        int64_t gap;
+        ok = run_case(o, loop, &w, &gap);
+        unrecovered += gap < 0;
+        samples_add(&gaps, gap < 0 ? (int64_t)(FAILOVER_LIMIT_S * 1e6) : gap);
+    }
+    if (ok) {
+        report(&gaps, unrecovered);
+    }
+    flow_destroy(flow);
+    samples_clear(&gaps);
+    return ok;
+}
--- /dev/null
+++ b/tools/load/idle.c
@@ -0,0 +1,143 @@
+#include "load/client.h"
+#include "load/flow.h"
+#include "load/options.h"
+#include "load/pid_usage.h"
+
+#define LOG_MODULE "idle"
+#include "base/log.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <string.h>
+
+#define IDLE_WAVE 100
+#define IDLE_WAVE_LIMIT_S 10.0
+#define IDLE_REST_S 1.0
+
+/* One idle caller: it ran one lookup and then stays. */
+struct idle_caller {
+    struct client client;
+    int *ready;
+    int *failed;
+};
+
+/* Runs one statement, as a real session has. */
+static void
+on_connected(void *ctx, bool ok)
+{
+    struct idle_caller *k = ctx;
+
+    if (!ok) {
+        (*k->failed)++;
+        return;
+    }
+    client_send(&k->client, "SELECT value FROM entries WHERE id = 'idle'");
+}
+
+/* The caller is idle from now on. */
+static void
+on_done(void *ctx, const struct client_answer *a)
+{
+    struct idle_caller *k = ctx;
+
+    if (a->lost) {
+        (*k->failed)++;
+        return;
+    }
+    (*k->ready)++;
+}
+
+/* An idle caller was closed. */
+static void
+on_closed(void *ctx)
+{
+    struct idle_caller *k = ctx;
+
+    (*k->failed)++;
+}
+
+static const struct client_callbacks callbacks = {
+    .connected = on_connected,
+    .done = on_done,
+    .closed = on_closed,
+};
+
+/* Opens the callers from first up to end and waits for them. */
+static bool
+open_wave(struct idle_caller *list, int first, int end,
+          const struct load_options *o, struct ev_loop *loop, int *ready,
+          int *failed)
+{
+    const bool guild = strcmp(o->site, "guild") == 0;
+    const struct client_target t = {
+        .address = o->proxies[0],
+        .database = o->database,
+        .user = "load",
+        .kind = guild ? "browse" : "lookup",
+        .token = "none",
+    };
+
+    for (int i = first; i < end; i++) {
+        list[i].ready = ready;
+        list[i].failed = failed;
+        client_init(&list[i].client, loop, &callbacks, &list[i]);
+        client_connect(&list[i].client, &t);
+    }
+    for (double s = 0.0; *ready < end && *failed == 0; s += 0.01) {
+        if (s > IDLE_WAVE_LIMIT_S) {
+            LOG_ERROR("connect", o->proxies[0], "%d of %d callers are ready",
+                      *ready, end);
+            return false;
+        }
+        flow_wait(loop, 0.01);
+    }
+    if (*failed > 0) {
+        LOG_ERROR("connect", o->proxies[0], "%d callers were cut off",
+                  *failed);
+    }
+    return *failed == 0;
+}
+
+/* Measures the memory that the proxy holds for each idle caller. A first wave
+   is opened and kept before the measurement, so that the proxy's one-time
+   memory does not count. */
+bool
+idle_run(const struct load_options *o)
+{
+    struct ev_loop *loop = ev_default_loop(EVFLAG_AUTO);
+    const int total = o->clients + IDLE_WAVE;
+    struct idle_caller *list = g_new0(struct idle_caller, total);
+    int ready = 0;
+    int failed = 0;
+    int opened = 0;
+    int64_t before = -1;
+    bool ok = true;
+
+    while (ok && opened < total) {
+        const int end = MIN(opened + IDLE_WAVE, total);
+        ok = open_wave(list, opened, end, o, loop, &ready, &failed);
+        if (opened == 0) {
+            before = pid_resident_bytes(o->proxy_pid);
+        }
+        opened = end;
+    }
+    if (ok) {
+        flow_wait(loop, IDLE_REST_S);
+        const int64_t after = pid_resident_bytes(o->proxy_pid);
+        ok = before > 0 && after > 0 && failed == 0;
+        if (ok) {
+            printf("idle_callers=%d\n", o->clients);
+            printf("idle_caller_bytes=%" PRId64 "\n",
+                   (after - before) / o->clients);
+        }
+        else {
+            LOG_ERROR("memory", NULL, "the memory of process %d is unknown",
+                      o->proxy_pid);
+        }
+    }
+    for (int i = 0; i < opened; i++) {
+        client_close(&list[i].client);
+    }
+    g_free(list);
+    return ok;
+}
--- a/tools/load/main.c
+++ b/tools/load/main.c
@@ -15,7 +15,12 @@
 } experiments[] = {
     {"latency", latency_run},
     {"throughput", throughput_run},
+    {"idle", idle_run},
+    {"answer", answer_run},
     {"consistency", consistency_run},
+    {"batches", batches_run},
+    {"crest", crest_run},
+    {"failover", failover_run},
 };
 
 /* Tells whether every address of a list has a port. */
@@ -62,6 +67,7 @@
                              .cases = 1};
     GError *error = NULL;
     enum exit_code code = EXIT_CODE_USAGE;
+    gboolean verbose = FALSE;
     const GOptionEntry entries[] = {
         {"proxy", 'p', 0, G_OPTION_ARG_STRING_ARRAY, &o.proxies,
          "Address of a proxy; may be repeated", "HOST:PORT"},
@@ -84,9 +90,12 @@
          "Size of the large answer (1024)", "N"},
         {"cases", 0, 0, G_OPTION_ARG_INT, &o.cases,
          "Repetitions of the failover (1)", "N"},
+        {"verbose", 'v', 0, G_OPTION_ARG_NONE, &verbose,
+         "Log every answer that is no success", NULL},
         {0},
     };
-    GOptionContext *context = g_option_context_new("EXPERIMENT");
+    GOptionContext *context = g_option_context_new(
+        "latency|throughput|idle|answer|consistency|batches|crest|failover");
 
     log_open("galenastep-load");
     signal(SIGPIPE, SIG_IGN);
@@ -108,6 +117,7 @@
                         "--member with ports; see --help\n");
         goto done;
     }
+    log_set_level(verbose ? LOG_LEVEL_DEBUG : LOG_LEVEL_NOTICE);
     code = run(argv[1], &o);
 done:
     g_option_context_free(context);
--- /dev/null
+++ b/tools/load/overload.c
@@ -0,0 +1,334 @@
+#include "load/direct.h"
+#include "load/flow.h"
+
+#include "base/clock.h"
+
+#define LOG_MODULE "overload"
+#include "base/log.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <string.h>
+
+#define OVERLOAD_KEYS 1000
+#define OVERLOAD_WARM_UP_S 0.5
+#define OVERLOAD_CAPACITY_S 1.5
+/* Connections that saturate a member with two slots. Reserved control
+   connections are taken, so that the proxies' share stays whole. */
+#define OVERLOAD_PROBES 3
+
+/* Filings are offered at this share of what the primary does at most. */
+#define BATCHES_FILING_SHARE 0.2
+#define BATCHES_FILING_CLIENTS 24
+#define BATCHES_RENEWAL_CLIENTS 12
+
+/* Demand at the peak, as shares of what the primary (reservations) and the
+   replicas (browsing) do at most. The bound on reservations is 0.9; browsing
+   asks for more than there is. */
+#define CREST_RESERVATION_SHARE 0.8
+#define CREST_BROWSE_SHARE 1.6
+#define CREST_FACTOR 10.0
+#define CREST_RAMP_S 2.0
+#define CREST_RESERVATION_CLIENTS 120
+#define CREST_BROWSE_CLIENTS 250
+
+/* A rate that rises linearly from base to peak between two times. */
+struct ramp {
+    double base;
+    double peak;
+    double from_s;
+    double length_s;
+};
+
+/* Returns the offered rate at a time. */
+static double
+ramp_rate(void *ctx, double seconds)
+{
+    const struct ramp *r = ctx;
+    const double x = (seconds - r->from_s) / r->length_s;
+
+    return r->base + (r->peak - r->base) * CLAMP(x, 0.0, 1.0);
+}
+
+/* Writes a lookup. */
+static void
+write_lookup(void *ctx, struct rng *rng, GString *sql)
+{
+    (void)ctx;
+    g_string_printf(
+        sql, "SELECT value FROM entries WHERE id = 'overload-%" PRIu64 "'",
+        rng_below(rng, OVERLOAD_KEYS));
+}
+
+/* Writes an increment. */
+static void
+write_increment(void *ctx, struct rng *rng, GString *sql)
+{
+    (void)ctx;
+    g_string_printf(sql,
+                    "UPDATE entries SET value = value + 1 "
+                    "WHERE id = 'overload-%" PRIu64 "'",
+                    rng_below(rng, OVERLOAD_KEYS));
+}
+
+/* Writes a renewal. */
+static void
+write_renewal(void *ctx, struct rng *rng, GString *sql)
+{
+    (void)ctx;
+    g_string_printf(sql,
+                    "UPDATE renewals SET value = value + 1 "
+                    "WHERE id = 'overload-%" PRIu64 "'",
+                    rng_below(rng, OVERLOAD_KEYS));
+}
+
+/* Measures how many statements per second the named members do when they are
+   driven directly in a closed loop; 0 when they cannot be reached. */
+static double
+direct_capacity(const struct load_options *o, const char *const *members,
+                void (*statement)(void *, struct rng *, GString *))
+{
+    struct ev_loop *loop = ev_default_loop(EVFLAG_AUTO);
+    const struct flow_options f = {
+        .addresses = members,
+        .database = o->database,
+        .user = CLIENT_CONTROL_USER,
+        .connections = OVERLOAD_PROBES * (int)g_strv_length((char **)members),
+        .statement = statement,
+        .seed = (uint64_t)o->seed,
+    };
+    struct flow *flow = flow_create(loop, &f);
+    double rate = 0.0;
+
+    if (flow_wait_connected(loop, flow)) {
+        flow_start(flow);
+        flow_wait(loop, OVERLOAD_WARM_UP_S);
+        const int64_t from = clock_now_us();
+        flow_open_window(flow);
+        flow_wait(loop, OVERLOAD_CAPACITY_S);
+        flow_close_window(flow);
+        rate = (double)flow_counts(flow)->finished_in_window * 1e6 /
+               (double)(clock_now_us() - from);
+        flow_wait_settled(loop, flow);
+    }
+    flow_destroy(flow);
+    return rate;
+}
+
+/* Measures the primary's capacity for increments. */
+static double
+primary_capacity(const struct load_options *o)
+{
+    const int primary = direct_find_primary(o);
+
+    if (primary == DIRECT_NO_PRIMARY) {
+        return 0.0;
+    }
+    const char *const members[] = {o->members[primary], NULL};
+    return direct_capacity(o, members, write_increment);
+}
+
+/* Measures the replicas' capacity for lookups. */
+static double
+replica_capacity(const struct load_options *o)
+{
+    const int primary = direct_find_primary(o);
+    const int n = direct_member_count(o);
+    const char **replicas = g_new0(const char *, n + 1);
+    int count = 0;
+
+    for (int i = 0; i < n; i++) {
+        if (i != primary) {
+            replicas[count++] = o->members[i];
+        }
+    }
+    const double rate = primary == DIRECT_NO_PRIMARY
+                            ? 0.0
+                            : direct_capacity(o, replicas, write_lookup);
+    g_free(replicas);
+    return rate;
+}
+
+/* Opens a flow through all proxies. */
+static struct flow *
+open_flow(const struct load_options *o, const char *kind, int connections,
+          struct ramp *ramp,
+          void (*statement)(void *, struct rng *, GString *), uint64_t seed)
+{
+    const struct flow_options f = {
+        .addresses = (const char *const *)o->proxies,
+        .database = o->database,
+        .user = "load",
+        .kind = kind,
+        .connections = connections,
+        .rate = ramp == NULL ? NULL : ramp_rate,
+        .peak_rate = ramp == NULL ? 0.0 : MAX(ramp->base, ramp->peak),
+        .statement = statement,
+        .ctx = ramp,
+        .seed = seed,
+    };
+
+    return flow_create(ev_default_loop(EVFLAG_AUTO), &f);
+}
+
+/* Runs the flows that are not NULL for the measured time. */
+static void
+run_window(struct ev_loop *loop, double seconds, struct flow *a,
+           struct flow *b)
+{
+    struct flow *const list[] = {a, b};
+
+    for (size_t i = 0; i < G_N_ELEMENTS(list); i++) {
+        if (list[i] != NULL) {
+            flow_start(list[i]);
+        }
+    }
+    flow_wait(loop, OVERLOAD_WARM_UP_S);
+    for (size_t i = 0; i < G_N_ELEMENTS(list); i++) {
+        if (list[i] != NULL) {
+            flow_open_window(list[i]);
+        }
+    }
+    flow_wait(loop, seconds);
+    for (size_t i = 0; i < G_N_ELEMENTS(list); i++) {
+        if (list[i] != NULL) {
+            flow_close_window(list[i]);
+        }
+    }
+    for (size_t i = 0; i < G_N_ELEMENTS(list); i++) {
+        if (list[i] != NULL) {
+            flow_wait_settled(loop, list[i]);
+        }
+    }
+}
+
+/* Prints what became of the filings of a window. */
+static void
+report_filings(struct flow *f, const char *suffix)
+{
+    const struct flow_counts *c = flow_counts(f);
+
+    printf("filing_p99_ms_%s=%.2f\n", suffix,
+           (double)samples_percentile(flow_latencies(f), 99.0) / 1000.0);
+    printf("filing_served_share_%s=%.4f\n", suffix,
+           (double)c->acked / (double)MAX(c->offered, 1));
+}
+
+/* Measures short work beside long work: filings at a steady rate, renewals
+   in a closed loop, each alone and then together. */
+bool
+batches_run(const struct load_options *o)
+{
+    struct ev_loop *loop = ev_default_loop(EVFLAG_AUTO);
+    const double capacity = primary_capacity(o);
+    struct ramp rate = {.base = BATCHES_FILING_SHARE * capacity,
+                        .peak = BATCHES_FILING_SHARE * capacity,
+                        .length_s = 1.0};
+
+    if (capacity <= 0.0) {
+        LOG_ERROR("capacity", NULL, "the primary's capacity is unknown");
+        return false;
+    }
+    struct flow *filings =
+        open_flow(o, "filing", BATCHES_FILING_CLIENTS, &rate, write_increment,
+                  (uint64_t)o->seed);
+    struct flow *renewals =
+        open_flow(o, "renewal", BATCHES_RENEWAL_CLIENTS, NULL, write_renewal,
+                  (uint64_t)o->seed + 1);
+    const bool ok = flow_wait_connected(loop, filings) &&
+                    flow_wait_connected(loop, renewals);
+    if (ok) {
+        run_window(loop, o->seconds, filings, NULL);
+        report_filings(filings, "alone");
+        run_window(loop, o->seconds, NULL, renewals);
+        const int64_t alone = flow_counts(renewals)->finished_in_window;
+        run_window(loop, o->seconds, filings, renewals);
+        const int64_t together = flow_counts(renewals)->finished_in_window;
+        report_filings(filings, "with_batches");
+        printf("batches_alone=%" PRId64 "\n", alone);
+        printf("batches_with_filings=%" PRId64 "\n", together);
+        printf("batch_throughput_ratio=%.3f\n",
+               (double)together / (double)MAX(alone, 1));
+    }
+    flow_destroy(filings);
+    flow_destroy(renewals);
+    return ok;
+}
+
+/* Prints the figures of the peak. */
+static void
+report_crest(struct flow *reservations, struct flow *browsing,
+             int64_t reservations_at_peak, double capacity, double seconds)
+{
+    const struct flow_counts *r = flow_counts(reservations);
+    const struct flow_counts *b = flow_counts(browsing);
+    const double goodput =
+        (double)(reservations_at_peak + b->finished_in_window) / seconds;
+
+    printf("crest_capacity_per_second=%.0f\n", capacity);
+    printf("crest_browse_offered_per_second=%.0f\n",
+           (double)b->offered / seconds);
+    printf("crest_reservations_offered=%" PRId64 "\n", r->offered);
+    printf("crest_reservation_served_share=%.5f\n",
+           (double)r->acked / (double)MAX(r->offered, 1));
+    printf("crest_reservation_p99_ms=%.2f\n",
+           (double)samples_percentile(flow_latencies(reservations), 99.0) /
+               1000.0);
+    printf("crest_browse_served_share=%.4f\n",
+           (double)b->acked / (double)MAX(b->offered, 1));
+    printf("crest_goodput_ratio=%.3f\n", goodput / capacity);
+}
+
+/* Measures a demand swing: the rate rises to ten times within two seconds
+   and stays there. The window covers the rise for the latencies and shares
+   of reservations; goodput is taken at the full rate. */
+bool
+crest_run(const struct load_options *o)
+{
+    struct ev_loop *loop = ev_default_loop(EVFLAG_AUTO);
+    const double primary = primary_capacity(o);
+    const double replicas = replica_capacity(o);
+
+    if (primary <= 0.0 || replicas <= 0.0) {
+        LOG_ERROR("capacity", NULL, "the members' capacity is unknown");
+        return false;
+    }
+    struct ramp reserve = {.base = CREST_RESERVATION_SHARE * primary /
+                                   CREST_FACTOR,
+                           .peak = CREST_RESERVATION_SHARE * primary,
+                           .from_s = 1.0,
+                           .length_s = CREST_RAMP_S};
+    struct ramp browse = {.base = CREST_BROWSE_SHARE * replicas / CREST_FACTOR,
+                          .peak = CREST_BROWSE_SHARE * replicas,
+                          .from_s = 1.0,
+                          .length_s = CREST_RAMP_S};
+    struct flow *reservations =
+        open_flow(o, "reservation", CREST_RESERVATION_CLIENTS, &reserve,
+                  write_increment, (uint64_t)o->seed);
+    struct flow *browsing =
+        open_flow(o, "browse", CREST_BROWSE_CLIENTS, &browse, write_lookup,
+                  (uint64_t)o->seed + 1);
+    const bool ok = flow_wait_connected(loop, reservations) &&
+                    flow_wait_connected(loop, browsing);
+    if (ok) {
+        flow_start(reservations);
+        flow_start(browsing);
+        flow_wait(loop, 1.0);
+        flow_open_window(reservations);
+        flow_wait(loop, CREST_RAMP_S);
+        flow_open_window(browsing);
+        const int64_t before = flow_counts(reservations)->finished_in_window;
+        flow_wait(loop, o->seconds);
+        flow_close_window(reservations);
+        flow_close_window(browsing);
+        const int64_t at_peak =
+            flow_counts(reservations)->finished_in_window - before;
+        flow_wait_settled(loop, reservations);
+        flow_wait_settled(loop, browsing);
+        report_crest(reservations, browsing, at_peak, primary + replicas,
+                     o->seconds);
+    }
+    flow_destroy(reservations);
+    flow_destroy(browsing);
+    return ok;
+}
--- a/tools/load/session.c
+++ b/tools/load/session.c
@@ -2,6 +2,9 @@
 
 #include "load/client.h"
 
+#define LOG_MODULE "session"
+#include "base/log.h"
+
 #include <stdio.h>
 #include <string.h>
 
@@ -425,6 +428,10 @@
     s->world->acked += acked;
     s->world->unknown += a->outcome == CLIENT_UNKNOWN;
     s->world->not_run += a->outcome == CLIENT_NOT_RUN;
+    if (!acked) {
+        LOG_DEBUG("answer", s->name, "%s %s: outcome %d sqlstate %s", s->kind,
+                  t->sql, (int)a->outcome, a->sqlstate);
+    }
     if (t->kind == STEP_WRITE) {
         checker_wrote(t->row, outcome_of(a));
     }
@@ -494,7 +501,7 @@
 
     s->world = w;
     rng_seed(&s->rng, seed);
-    s->proxy = number;
+    s->proxy = number % (int)g_strv_length(w->options->proxies);
     snprintf(s->name, sizeof(s->name), "s%d-%d",
              (int)(w->options->seed % 1000000), number);
     snprintf(key, sizeof(key), "%s-counter", s->name);
