--- a/tools/capacity/fleet_sim.c
+++ b/tools/capacity/fleet_sim.c
@@ -272,6 +272,9 @@
     n->o = NULL;
     n->epoch++;
     n->incarnation += 1000;
+    /* The budget is one of a process; a new one cannot know what its
+       predecessor sent within the last second. */
+    n->sent_n = 0;
     n->state = SIM_RUNNING;
     const struct membership_actions actions = {
         .send_heartbeat = send_heartbeat,
