Date each proxy's word on the owner by stamps in heartbeats

Change: heartbeats carry the sender's stamp and the echo of the receiver's latest stamp, so a report counts from a time of the receiver's own clock in both directions; a word counts for 2,000 ms in place of 1,000.

--- a/src/fleet/loan.h
+++ b/src/fleet/loan.h
@@ -24,8 +24,9 @@
    1000 ms of its last use; 200 ms of that are left for the network. */
 #define LOAN_IDLE_SESSION_MS 800
 /* A proxy's word on who lends counts for this long, from the time at which
-   the lender asked for it. */
-#define LOAN_CONFIRM_MS 1000
+   the lender asked for it. Of two proxies one calls the other every 500 ms,
+   so the called one has a word that is up to two periods old. */
+#define LOAN_CONFIRM_MS 2000
 
 /* wanted is the whole number asked for on this member, not an addition. */
 struct loan_request {
--- a/src/fleet/membership_send.c
+++ b/src/fleet/membership_send.c
@@ -5,7 +5,7 @@
 #include <string.h>
 
 /* XDR bytes of a heartbeat without updates and with empty names. */
-#define HEARTBEAT_BYTES 48
+#define HEARTBEAT_BYTES 64
 #define UPDATE_BYTES 16
 #define PROBE_CALL_BYTES (RPC_CALL_OVERHEAD_BYTES + 8)
 #define PROBE_ANSWER_BYTES (RPC_REPLY_OVERHEAD_BYTES + 4)
--- a/src/fleet/peer.x
+++ b/src/fleet/peer.x
@@ -37,7 +37,9 @@
 };
 
 /* name and domain are empty when the receiver has them from HELLO. view is a
-   hash over the sender's member list. */
+   hash over the sender's member list. stamp is the sender's clock in
+   milliseconds and echo the receiver's latest stamp that the sender has seen,
+   so that the receiver knows since when the report is true at least. */
 struct peer_heartbeat {
     unsigned int id;
     unsigned int incarnation;
@@ -46,6 +48,8 @@
     unsigned int phase;
     peer_digest tickets;
     unsigned hyper view;
+    unsigned hyper stamp;
+    unsigned hyper echo;
     peer_update updates<PEER_UPDATES_MAX>;
 };
 
--- a/src/fleet/peer_xdr.h
+++ b/src/fleet/peer_xdr.h
@@ -57,6 +57,8 @@
 	u_int phase;
 	peer_digest tickets;
 	u_quad_t view;
+	u_quad_t stamp;
+	u_quad_t echo;
 	struct {
 		u_int updates_len;
 		peer_update *updates_val;
--- a/src/fleet/peers.c
+++ b/src/fleet/peers.c
@@ -18,6 +18,7 @@
 struct peer {
     struct peers *peers;
     uint32_t id;
+    uint64_t stamp; /* the latest one it sent */
     struct rpc_client *client;
 };
 
@@ -34,7 +35,6 @@
     struct peers *peers;
     uint32_t to;
     uint32_t target;
-    clock_ms at;
 };
 
 struct peers {
@@ -85,17 +85,31 @@
 
 /* Tells the users of a heartbeat what the other side reported. */
 static void
-note_report(struct peers *p, const peer_heartbeat *hb, clock_ms as_of)
+note_report(struct peers *p, const peer_heartbeat *hb)
 {
+    struct peer *peer = find_peer(p, hb->id);
+
+    if (peer == NULL) {
+        return;
+    }
+    peer->stamp = MAX(peer->stamp, hb->stamp);
     if (p->ops->ticket_digest != NULL) {
         p->ops->ticket_digest(p->ctx, hb->id, &hb->tickets);
     }
-    if (as_of != CLOCK_NEVER && p->ops->agreed != NULL &&
+    if (hb->echo != 0 && p->ops->agreed != NULL &&
         hb->view == membership_view(p->membership)) {
-        p->ops->agreed(p->ctx, hb->id, as_of);
+        p->ops->agreed(p->ctx, hb->id, (clock_ms)hb->echo);
     }
 }
 
+/* Adds the stamps by which the receiver dates the report. */
+static void
+stamp_heartbeat(const struct peer *to, peer_heartbeat *hb)
+{
+    hb->stamp = (uint64_t)clock_now();
+    hb->echo = to == NULL ? 0 : to->stamp;
+}
+
 /* Takes the answer to a heartbeat. */
 static void
 on_heartbeat_answer(void *ctx, enum rpc_status status, void *result)
@@ -104,7 +118,7 @@
 
     if (status == RPC_STATUS_OK) {
         membership_on_answer(s->peers->membership, clock_now(), s->to, result);
-        note_report(s->peers, result, s->at);
+        note_report(s->peers, result);
     }
     g_free(s);
 }
@@ -115,13 +129,15 @@
 {
     struct peers *p = ctx;
     struct peer *peer = find_peer(p, to);
+    peer_heartbeat out = *hb;
 
     if (peer == NULL) {
         return;
     }
     struct sent *s = g_new0(struct sent, 1);
-    *s = (struct sent){.peers = p, .to = to, .at = clock_now()};
-    rpc_client_call(peer->client, &heartbeat_call, hb, MEMBERSHIP_CALL_MS,
+    *s = (struct sent){.peers = p, .to = to};
+    stamp_heartbeat(peer, &out);
+    rpc_client_call(peer->client, &heartbeat_call, &out, MEMBERSHIP_CALL_MS,
                     on_heartbeat_answer, s);
 }
 
@@ -202,7 +218,8 @@
         rpc_call_fail(call);
         return;
     }
-    note_report(p, args, CLOCK_NEVER);
+    note_report(p, args);
+    stamp_heartbeat(find_peer(p, ((const peer_heartbeat *)args)->id), &answer);
     rpc_call_reply(call, RPC_XDR(xdr_peer_heartbeat), &answer);
 }
 
