--- a/src/admission/retry_budget.c
+++ b/src/admission/retry_budget.c
@@ -1,6 +1,6 @@
 #include "admission/retry_budget.h"
 
-#define MILLI 1000
+#define MILLI ((int64_t)1000)
 /* A tenth of a retry is earned per call, so retries add at most 10 % load in
    the long run. */
 #define EARNED_MILLI 100
