--- a/tests/admission/model_queue.c
+++ b/tests/admission/model_queue.c
@@ -59,6 +59,7 @@
     struct rng rng;
     struct admission *proxies[MAX_PROXIES];
     GArray *heap;
+    GPtrArray *statements; /* all ever allocated */
     uint64_t events;
     int64_t now;
     struct statement *free, *queue[MEMBERS], **tail[MEMBERS];
@@ -160,12 +161,17 @@
 static void
 submit(struct model *m, int proxy, int kind)
 {
-    struct statement *s =
-        m->free != NULL ? m->free : g_new(struct statement, 1);
+    struct statement *s = m->free;
     double size = uniform(m);
     double mean = m->plan->mean_ms[kind] * MS;
 
-    m->free = s == m->free ? s->next : m->free;
+    if (s == NULL) {
+        s = g_new(struct statement, 1);
+        g_ptr_array_add(m->statements, s);
+    }
+    else {
+        m->free = s->next;
+    }
     memset(s, 0, sizeof(*s));
     s->model = m;
     s->proxy = proxy;
@@ -300,6 +306,7 @@
     memset(m, 0, sizeof(*m));
     m->plan = plan;
     m->heap = g_array_new(FALSE, FALSE, sizeof(struct event));
+    m->statements = g_ptr_array_new_with_free_func(g_free);
     rng_seed(&m->rng, seed);
     for (int i = 0; i < MEMBERS; i++) {
         m->tail[i] = &m->queue[i];
@@ -338,6 +345,7 @@
         admission_destroy(m->proxies[p]);
     }
     g_array_free(m->heap, TRUE);
+    g_ptr_array_free(m->statements, TRUE);
 }
 
 static int
