--- a/tests/admission/model_queue.c
+++ b/tests/admission/model_queue.c
@@ -15,9 +15,10 @@
    Usage: model_queue SEED [check]; with check, exit 1 outside the bounds. */
 
 #define MEMBERS 3
+#define ALL_MEMBERS ((1U << MEMBERS) - 1)
 #define SLOTS 2
 #define MAX_PROXIES 5
-#define MS 1000
+#define MS ((int64_t)1000)
 #define SECOND (1000 * MS)
 #define LATENCY_US MS
 #define MAX_SAMPLES 200000
@@ -58,6 +59,7 @@
     struct rng rng;
     struct admission *proxies[MAX_PROXIES];
     GArray *heap;
+    GPtrArray *statements; /* all ever allocated */
     uint64_t events;
     int64_t now;
     struct statement *free, *queue[MEMBERS], **tail[MEMBERS];
@@ -159,12 +161,17 @@
 static void
 submit(struct model *m, int proxy, int kind)
 {
-    struct statement *s =
-        m->free != NULL ? m->free : g_new(struct statement, 1);
+    struct statement *s = m->free;
     double size = uniform(m);
     double mean = m->plan->mean_ms[kind] * MS;
 
-    m->free = s == m->free ? s->next : m->free;
+    if (s == NULL) {
+        s = g_new(struct statement, 1);
+        g_ptr_array_add(m->statements, s);
+    }
+    else {
+        m->free = s->next;
+    }
     memset(s, 0, sizeof(*s));
     s->model = m;
     s->proxy = proxy;
@@ -176,10 +183,10 @@
     }
     s->req.kind = kind;
     s->req.fingerprint = (uint64_t)kind + 1;
-    /* The first kind writes; of the batches every other one does. */
-    s->req.members = kind == LOOK || (kind == BATCHES && (m->events & 1))
-                         ? (1U << MEMBERS) - 1
-                         : 1;
+    /* The first kind writes, and so do the batches of the proxy that holds the
+       permit of the primary. */
+    s->req.members =
+        kind == LOOK || (kind == BATCHES && proxy != 0) ? ALL_MEMBERS : 1;
     if (measured(m, s)) {
         m->offered[kind]++;
     }
@@ -242,42 +249,48 @@
     return 1 + (m->plan->ramp - 1) * MIN(part, 1.0);
 }
 
+/* Moves a granted statement on. */
 static void
-handle(struct model *m, struct event e)
+advance(struct model *m, enum event_type type, struct statement *s)
 {
-    struct statement *s = e.statement;
-    int member = s == NULL ? 0 : s->req.member;
+    int member = s->req.member;
 
-    switch (e.type) {
-    case ARRIVE:
-        submit(m, (int)rng_below(&m->rng, (uint64_t)m->plan->proxies), e.what);
-        push(m,
-             m->now + 1 +
-                 (int64_t)(-log(uniform(m)) * SECOND /
-                           (m->plan->rate[e.what] * demand(m))),
-             ARRIVE, e.what, NULL);
-        break;
-    case BATCH:
-        submit(m, e.what, BATCHES);
-        break;
-    case REACH:
+    if (type == REACH) {
         s->next = NULL;
         *m->tail[member] = s;
         m->tail[member] = &s->next;
         serve(m, member);
-        break;
-    case FINISH:
+    }
+    else if (type == FINISH) {
         m->busy[member]--;
         push(m, m->now + LATENCY_US, ANSWER, 0, s);
         serve(m, member);
-        break;
-    case ANSWER:
+    }
+    else {
         answer(m, s);
-        break;
-    default:
+    }
+}
+
+static void
+handle(struct model *m, struct event e)
+{
+    if (e.statement != NULL) {
+        advance(m, e.type, e.statement);
+    }
+    else if (e.type == ARRIVE) {
+        submit(m, (int)rng_below(&m->rng, (uint64_t)m->plan->proxies), e.what);
+        push(m,
+             m->now + 1 +
+                 (int64_t)(-log(uniform(m)) * SECOND /
+                           (m->plan->rate[e.what] * demand(m))),
+             ARRIVE, e.what, NULL);
+    }
+    else if (e.type == BATCH) {
+        submit(m, e.what, BATCHES);
+    }
+    else {
         (void)admission_tick(m->proxies[e.what], m->now / MS);
         push(m, m->now + 5 * MS, TICK, e.what, NULL);
-        break;
     }
 }
 
@@ -293,6 +306,7 @@
     memset(m, 0, sizeof(*m));
     m->plan = plan;
     m->heap = g_array_new(FALSE, FALSE, sizeof(struct event));
+    m->statements = g_ptr_array_new_with_free_func(g_free);
     rng_seed(&m->rng, seed);
     for (int i = 0; i < MEMBERS; i++) {
         m->tail[i] = &m->queue[i];
@@ -331,6 +345,7 @@
         admission_destroy(m->proxies[p]);
     }
     g_array_free(m->heap, TRUE);
+    g_ptr_array_free(m->statements, TRUE);
 }
 
 static int
