--- a/src/fleet/membership.c
+++ b/src/fleet/membership.c
@@ -67,17 +67,16 @@
     if (before != MEMBER_LIVE || phase != MEMBER_LIVE || known) {
         membership_queue_update(m, x);
     }
+    x->probing = false;
     if (phase == MEMBER_SUSPECT) {
         x->deadline = now + suspicion_ms(m);
         member_watch(m, x);
     }
     if (phase == MEMBER_LIVE || phase == MEMBER_LEAVING) {
         x->heard = now;
-        x->probing = false;
     }
     if (phase == MEMBER_DEAD) {
         m->counters.deaths++;
-        x->probing = false;
     }
     membership_notify(m, x, before);
 }
@@ -143,38 +142,50 @@
     membership_set(m, now, x, incarnation, phase);
 }
 
-/* Asks others to try a member that did not answer. */
-void
-membership_start_probing(struct membership *m, clock_ms now, struct member *x)
+#ifndef MEMBERSHIP_BREAK_PROBE
+/* Asks others to try a member that did not answer. Sets probe_wanted while
+   the budget allowed no probe although there is someone to ask. */
+static void
+send_probes(struct membership *m, clock_ms now, struct member *x)
 {
-    unsigned sent = 0;
-
-    x->probing = true;
-    x->probes_open = 0;
-    x->deadline = now + (membership_small(m) ? MEMBERSHIP_SUSPECT_MS -
-                                                   2 * MEMBERSHIP_HEARTBEAT_MS
-                                             : MEMBERSHIP_PROBE_CALL_MS);
-    member_watch(m, x);
-#ifdef MEMBERSHIP_BREAK_PROBE
-    return;
-#endif
     unsigned wanted =
         membership_small(m) ? MEMBERSHIP_PROBES_SMALL : MEMBERSHIP_PROBES;
     unsigned n = m->members->len;
     unsigned start = (unsigned)rng_below(&m->rng, n);
-    for (unsigned i = 0; i < n && sent < wanted; i++) {
+    unsigned sent = 0;
+    bool refused = false;
+
+    for (unsigned i = 0; i < n && sent < wanted && !refused; i++) {
         const struct member *via = m->members->pdata[(start + i) % n];
 
         if (via == m->self || via == x || via->phase >= MEMBER_SUSPECT ||
             via->probing) {
             continue;
         }
-        if (!membership_send_probe(m, now, via, x)) {
-            break;
-        }
-        sent++;
+        refused = !membership_send_probe(m, now, via, x);
+        sent += !refused;
     }
     x->probes_open = (uint8_t)sent;
+    x->probe_wanted = refused && sent == 0;
+    x->deadline = now + (membership_small(m) ? MEMBERSHIP_SUSPECT_MS -
+                                                   2 * MEMBERSHIP_HEARTBEAT_MS
+                                             : MEMBERSHIP_PROBE_CALL_MS);
+}
+
+#endif
+
+/* Begins to check a member through others before it is called suspect. */
+void
+membership_start_probing(struct membership *m, clock_ms now, struct member *x)
+{
+    x->probing = true;
+    x->probe_wanted = false;
+    x->probes_open = 0;
+    x->deadline = now;
+    member_watch(m, x);
+#ifndef MEMBERSHIP_BREAK_PROBE
+    send_probes(m, now, x);
+#endif
 }
 
 /* Calls x suspect, unless this member itself seems to be cut off. */
@@ -198,7 +209,10 @@
     for (unsigned i = 0; i < m->watch->len;) {
         struct member *x = m->watch->pdata[i];
 
-        if (x->probing && now >= x->deadline) {
+        if (x->probing && x->probe_wanted) {
+            membership_start_probing(m, now, x);
+        }
+        else if (x->probing && now >= x->deadline) {
             raise_suspicion(m, now, x);
         }
         else if (x->phase == MEMBER_SUSPECT && now >= x->deadline) {
--- a/src/fleet/membership.h
+++ b/src/fleet/membership.h
@@ -15,10 +15,11 @@
 /* Up to this many members everyone sends to everyone. */
 #define MEMBERSHIP_SMALL_MAX 8
 #define MEMBERSHIP_HEARTBEAT_MS 500
-/* With seven or eight members 500 ms would take 1,800 of the 2,000 bytes a
-   second and leave too little to updates and probes. */
+/* With seven or eight members 500 ms would take 1,740 of the 2,000 bytes a
+   second. At 700 ms, probes after a fault kept delaying heartbeats, which
+   caused more probes without end (test_random_small, seed 1451). */
 #define MEMBERSHIP_HEARTBEAT_MANY 6
-#define MEMBERSHIP_HEARTBEAT_MANY_MS 700
+#define MEMBERSHIP_HEARTBEAT_MANY_MS 900
 /* Above MEMBERSHIP_SMALL_MAX members. Four calls and four answers a second
    leave about half of the byte budget to updates. */
 #define MEMBERSHIP_ROUND_MS 1000
--- a/src/fleet/membership_internal.h
+++ b/src/fleet/membership_internal.h
@@ -19,10 +19,11 @@
     uint32_t incarnation;
     uint8_t phase;
     bool listed;
-    bool probing;   /* checked through others */
-    bool watched;   /* in the watch array */
-    bool contacted; /* has our details */
-    bool queued;    /* in an update queue */
+    bool probing;      /* checked through others */
+    bool probe_wanted; /* no probe fitted the budget yet */
+    bool watched;      /* in the watch array */
+    bool contacted;    /* has our details */
+    bool queued;       /* in an update queue */
     uint8_t sends;
     uint8_t probes_open;
     uint16_t domain;
@@ -101,11 +102,10 @@
 void membership_start_probing(struct membership *m, clock_ms now,
                               struct member *x);
 
+clock_ms membership_heartbeat_ms(const struct membership *m);
 void membership_queue_update(struct membership *m, struct member *x);
 void membership_unqueue_update(struct membership *m, struct member *x);
 unsigned membership_send_limit(const struct membership *m);
-bool membership_send_heartbeat(struct membership *m, clock_ms now,
-                               struct member *to);
 bool membership_send_probe(struct membership *m, clock_ms now,
                            const struct member *via,
                            const struct member *target);
--- a/src/fleet/membership_send.c
+++ b/src/fleet/membership_send.c
@@ -42,6 +42,11 @@
     return 4 + (((uint32_t)strlen(s) + 3) & ~3U);
 }
 
+/* Left free by a heartbeat that is sent for another member's probe: two
+   answers. With the full reserve, helpers refused so often that a single bad
+   link led to a suspicion (test_bad_link_is_harmless, seed 26). */
+#define HELPER_RESERVE_BYTES 216
+
 /* Returns what has to stay free for answers. */
 static uint32_t
 answer_reserve(const struct membership *m)
@@ -105,8 +110,8 @@
 }
 
 /* Returns the time between two exchanges of a pair in a small fleet. */
-static clock_ms
-heartbeat_ms(const struct membership *m)
+clock_ms
+membership_heartbeat_ms(const struct membership *m)
 {
     return m->members->len > MEMBERSHIP_HEARTBEAT_MANY
                ? MEMBERSHIP_HEARTBEAT_MANY_MS
@@ -120,10 +125,10 @@
 {
     uint32_t pair = RPC_CALL_OVERHEAD_BYTES + RPC_REPLY_OVERHEAD_BYTES +
                     2 * HEARTBEAT_BYTES;
-    uint32_t pairs =
-        membership_small(m)
-            ? (m->members->len - 1) * 1000 / (uint32_t)heartbeat_ms(m) / 2
-            : MEMBERSHIP_FANOUT * 1000 / MEMBERSHIP_ROUND_MS;
+    uint32_t pairs = membership_small(m)
+                         ? (m->members->len - 1) * 1000 /
+                               (uint32_t)membership_heartbeat_ms(m) / 2
+                         : MEMBERSHIP_FANOUT * 1000 / MEMBERSHIP_ROUND_MS;
     uint32_t base = pair * pairs + PROBE_SHARE_BYTES;
 
     if (base + UPDATES_LEAST_BYTES >= MEMBERSHIP_BUDGET_BYTES) {
@@ -144,7 +149,7 @@
         used += m->update_slots[i];
     }
 #ifdef MEMBERSHIP_BREAK_BUDGET
-    return 1000000;
+    share += 1000000;
 #endif
     return used >= share ? 0 : share - used;
 }
@@ -323,15 +328,14 @@
     return true;
 }
 
-/* Sends a heartbeat call when the budget allows it. */
-bool
-membership_send_heartbeat(struct membership *m, clock_ms now,
-                          struct member *to)
+/* Sends a heartbeat call when the budget allows it and leaves reserve. */
+static bool
+send_heartbeat(struct membership *m, clock_ms now, struct member *to,
+               uint32_t reserve)
 {
     peer_heartbeat hb;
 
-    if (!heartbeat_build(m, now, to, RPC_CALL_OVERHEAD_BYTES,
-                         answer_reserve(m), &hb)) {
+    if (!heartbeat_build(m, now, to, RPC_CALL_OVERHEAD_BYTES, reserve, &hb)) {
         return false;
     }
     m->counters.heartbeats++;
@@ -364,7 +368,10 @@
 membership_send_probe(struct membership *m, clock_ms now,
                       const struct member *via, const struct member *target)
 {
-    if (budget_left(m, now) < PROBE_CALL_BYTES + answer_reserve(m)) {
+    /* A heartbeat has to fit beside it, since missing heartbeats cause more
+       probes. */
+    if (budget_left(m, now) < PROBE_CALL_BYTES + RPC_CALL_OVERHEAD_BYTES +
+                                  HEARTBEAT_BYTES + answer_reserve(m)) {
         m->counters.over_budget++;
         return false;
     }
@@ -418,7 +425,7 @@
         return;
     }
     if (!x || m->pending_n == PENDING_PROBES_MAX ||
-        !membership_send_heartbeat(m, now, x)) {
+        !send_heartbeat(m, now, x, HELPER_RESERVE_BYTES)) {
         answer_probe(m, now, requester, target, false);
         return;
     }
@@ -443,7 +450,7 @@
 static void
 tick_small(struct membership *m, clock_ms now)
 {
-    clock_ms step = heartbeat_ms(m);
+    clock_ms step = membership_heartbeat_ms(m);
 
     for (unsigned i = 0; i < m->members->len; i++) {
         struct member *x = m->members->pdata[i];
@@ -458,11 +465,11 @@
             x->due = now + 1 + (clock_ms)rng_below(&m->rng, (uint64_t)step);
         }
         /* What does not fit the budget now is late by a tick, not lost. */
-        if (starts && !membership_send_heartbeat(m, now, x)) {
+        if (starts && !send_heartbeat(m, now, x, answer_reserve(m))) {
             x->due = now + MEMBERSHIP_TICK_MS;
         }
         if (x->phase < MEMBER_SUSPECT && !x->probing &&
-            now - x->heard >= 2 * (clock_ms)MEMBERSHIP_HEARTBEAT_MS) {
+            now - x->heard >= step + MEMBERSHIP_HEARTBEAT_MS) {
             membership_start_probing(m, now, x);
         }
     }
@@ -535,7 +542,7 @@
     if (m->targets_n > 0) {
         struct member *x = membership_find(m, m->targets[--m->targets_n]);
 
-        if (x && !membership_send_heartbeat(m, now, x)) {
+        if (x && !send_heartbeat(m, now, x, answer_reserve(m))) {
             m->targets_n++;
             m->next_send = now + MEMBERSHIP_TICK_MS;
         }
--- a/src/fleet/rpc_server.c
+++ b/src/fleet/rpc_server.c
@@ -1,5 +1,7 @@
 /* accept4 */
+#ifndef _GNU_SOURCE
 #define _GNU_SOURCE
+#endif
 #include "fleet/rpc_server.h"
 
 #include "base/clock.h"
--- a/tests/fleet/test_membership.c
+++ b/tests/fleet/test_membership.c
@@ -249,6 +249,9 @@
     for (uint64_t seed = 1; seed <= SMALL_SEEDS; seed++) {
         run_random(3 + (unsigned)(seed % 6), 0, seed);
     }
+    /* Probes and heartbeats of eight members kept each other out of the
+       budget for good. */
+    run_random(8, 0, 1451);
 }
 
 /* Guards against the same in a fleet with a bounded fan-out. */
@@ -295,7 +298,8 @@
 test_bad_link_is_harmless(void **state)
 {
     (void)state;
-    for (uint64_t seed = 1; seed <= 10; seed++) {
+    /* Up to 26, at which helpers refused probes for want of budget. */
+    for (uint64_t seed = 1; seed <= 26; seed++) {
         unsigned nodes = seed % 2 ? 5 : 30;
         struct sim *s = quiet_fleet(nodes, seed);
         struct lenders l = {0};
