--- a/tests/fleet/test_membership.c
+++ b/tests/fleet/test_membership.c
@@ -311,8 +311,10 @@
         run_checked(s, 60000, &l, seed);
         assert_int_equal(s->deaths_seen, 0);
         for (unsigned i = 0; i < nodes; i++) {
-            assert_int_equal(membership_counters(s->nodes[i].m)->suspicions,
-                             0);
+            if (membership_counters(s->nodes[i].m)->suspicions > 0) {
+                fail_msg("seed %lu: node %u raised a suspicion",
+                         (unsigned long)seed, i);
+            }
         }
         sim_destroy(s);
     }
