--- a/src/fleet/peer.x
+++ b/src/fleet/peer.x
@@ -37,9 +37,10 @@
 };
 
 /* name and domain are empty when the receiver has them from HELLO. view is a
-   hash over the sender's member list. stamp is the sender's clock in
-   milliseconds and echo the receiver's latest stamp that the sender has seen,
-   so that the receiver knows since when the report is true at least. */
+   hash over the sender's member list. stamp is the low half of the
+   sender's clock in milliseconds and echo the receiver's latest stamp that the
+   sender has seen, 0 for none, so that the receiver knows since when the
+   report is true at least. */
 struct peer_heartbeat {
     unsigned int id;
     unsigned int incarnation;
@@ -48,8 +49,8 @@
     unsigned int phase;
     peer_digest tickets;
     unsigned hyper view;
-    unsigned hyper stamp;
-    unsigned hyper echo;
+    unsigned int stamp;
+    unsigned int echo;
     peer_update updates<PEER_UPDATES_MAX>;
 };
 
--- a/src/fleet/peers.c
+++ b/src/fleet/peers.c
@@ -18,7 +18,7 @@
 struct peer {
     struct peers *peers;
     uint32_t id;
-    uint64_t stamp; /* the latest one it sent */
+    uint32_t stamp; /* the latest one it sent, 0 for none */
     struct rpc_client *client;
 };
 
@@ -92,13 +92,19 @@
     if (peer == NULL) {
         return;
     }
-    peer->stamp = MAX(peer->stamp, hb->stamp);
+    /* Stamps wrap after 49 days; the later of two is less than half a turn
+       ahead. */
+    if (peer->stamp == 0 || (int32_t)(hb->stamp - peer->stamp) > 0) {
+        peer->stamp = hb->stamp;
+    }
     if (p->ops->ticket_digest != NULL) {
         p->ops->ticket_digest(p->ctx, hb->id, &hb->tickets);
     }
     if (hb->echo != 0 && p->ops->agreed != NULL &&
         hb->view == membership_view(p->membership)) {
-        p->ops->agreed(p->ctx, hb->id, (clock_ms)hb->echo);
+        const clock_ms now = clock_now();
+        p->ops->agreed(p->ctx, hb->id,
+                       now - (clock_ms)((uint32_t)now - hb->echo));
     }
 }
 
@@ -106,7 +112,9 @@
 static void
 stamp_heartbeat(const struct peer *to, peer_heartbeat *hb)
 {
-    hb->stamp = (uint64_t)clock_now();
+    const uint32_t stamp = (uint32_t)clock_now();
+
+    hb->stamp = stamp == 0 ? 1 : stamp;
     hb->echo = to == NULL ? 0 : to->stamp;
 }
 
--- a/tests/fleet/test_membership.c
+++ b/tests/fleet/test_membership.c
@@ -249,6 +249,9 @@
     for (uint64_t seed = 1; seed <= SMALL_SEEDS; seed++) {
         run_random(3 + (unsigned)(seed % 6), 0, seed);
     }
+    /* Probes and heartbeats of eight members kept each other out of the
+       budget for good. */
+    run_random(8, 0, 1451);
 }
 
 /* Guards against the same in a fleet with a bounded fan-out. */
@@ -295,7 +298,8 @@
 test_bad_link_is_harmless(void **state)
 {
     (void)state;
-    for (uint64_t seed = 1; seed <= 10; seed++) {
+    /* Up to 26, at which helpers refused probes for want of budget. */
+    for (uint64_t seed = 1; seed <= 26; seed++) {
         unsigned nodes = seed % 2 ? 5 : 30;
         struct sim *s = quiet_fleet(nodes, seed);
         struct lenders l = {0};
@@ -307,8 +311,10 @@
         run_checked(s, 60000, &l, seed);
         assert_int_equal(s->deaths_seen, 0);
         for (unsigned i = 0; i < nodes; i++) {
-            assert_int_equal(membership_counters(s->nodes[i].m)->suspicions,
-                             0);
+            if (membership_counters(s->nodes[i].m)->suspicions > 0) {
+                fail_msg("seed %lu: node %u raised a suspicion",
+                         (unsigned long)seed, i);
+            }
         }
         sim_destroy(s);
     }
