--- a/fakes/conn.c
+++ b/fakes/conn.c
@@ -106,28 +106,47 @@
 }
 
 /* Handles the messages that are buffered, as far as nothing has to be waited
-   for, and writes the answers at once. */
-static void
-process(struct conn *c)
+   for and the output is not full. Returns true when only full output keeps
+   the rest from being handled. */
+static bool
+handle_buffered(struct conn *c)
 {
-    while (c->wait == CONN_WAIT_NONE && !c->close_after_flush &&
-           c->out->len - c->out_pos < CONN_OUT_HIGH_BYTES &&
-           protocol_next(c)) {
+    bool full = false;
+
+    while (c->wait == CONN_WAIT_NONE && !c->close_after_flush) {
+        full = c->out->len - c->out_pos >= CONN_OUT_HIGH_BYTES;
+        if (full || !protocol_next(c)) {
+            break;
+        }
     }
     if (c->in_pos > 0) {
         g_string_erase(c->in, 0, (gssize)c->in_pos);
         c->in_pos = 0;
     }
-    arm_idle(c);
-    if (c->in->len < CONN_IN_HIGH_BYTES && !c->eof && !c->silent) {
-        ev_io_start(c->host->loop, &c->rd);
-    }
-    if (c->eof && c->wait == CONN_WAIT_NONE) {
-        c->close_after_flush = true;
-    }
-    if (!c->hold) {
-        flush(c);
-    }
+    return full && c->in->len > 0;
+}
+
+/* Handles what is buffered and writes the answers at once. Output that was
+   full and that the socket took at once sends no event, so the messages behind
+   it are handled here. */
+static void
+process(struct conn *c)
+{
+    bool more;
+
+    do {
+        more = handle_buffered(c);
+        arm_idle(c);
+        if (c->in->len < CONN_IN_HIGH_BYTES && !c->eof && !c->silent) {
+            ev_io_start(c->host->loop, &c->rd);
+        }
+        if (c->eof && c->wait == CONN_WAIT_NONE) {
+            c->close_after_flush = true;
+        }
+        if (c->hold || !flush(c)) {
+            return;
+        }
+    } while (more && c->out->len == 0);
 }
 
 /* Continues a connection whose wait is over. */
