Fix clang-tidy findings in admission and its loan run

Cause: clang-tidy named a dead store, a shift by a member that was not found, and an integer widening in the loan run. Change: assert that a member is found; the other two are rewritten. Conclusion: no change of behaviour.

--- a/src/admission/admission.c
+++ b/src/admission/admission.c
@@ -356,12 +356,13 @@
 static void
 expire(struct admission *a, struct kind *k)
 {
-    struct admission_request *req = k->queue.head.next;
+    struct admission_request *req;
 
     if (a->now < k->next_expiry || ADMISSION_BREAK == ADMISSION_BREAK_EXPIRY) {
         return;
     }
     k->next_expiry = CLOCK_NEVER;
+    req = k->queue.head.next;
     while (req != &k->queue.head) {
         struct admission_request *next = req->next;
 
--- a/src/admission/dispatch.c
+++ b/src/admission/dispatch.c
@@ -174,6 +174,7 @@
             best_score = score;
         }
     }
+    g_assert(best >= 0);
     return best;
 }
 
--- a/tests/fleet/test_loan.c
+++ b/tests/fleet/test_loan.c
@@ -416,7 +416,7 @@
     }
     run_until(r, r->now + SETTLE_MS);
     r->proxies[1].wanted[0][0] = r->surplus;
-    run_until(r, r->now + 2 * (1 + LATENCY_MS) + 1);
+    run_until(r, r->now + (clock_ms)2 * (1 + LATENCY_MS) + 1);
     held = r->proxies[1].limit[0][0];
     CHECK(r, "round_trip", held == r->surplus);
     run_until(r, r->now + 5000);
