Bound the load tool's waits by the clock

clang-tidy refuses floating-point loop counters, and a count of steps drifts from the time that passed. When no member is primary the tool now tells what each member said.

--- a/tools/load/answer.c
+++ b/tools/load/answer.c
@@ -116,8 +116,8 @@
     if (r.open) {
         client_send(&r.client, sql);
     }
-    for (double s = 0.0; !r.done && !r.failed && s < ANSWER_LIMIT_S;
-         s += ANSWER_SAMPLE_S) {
+    const int64_t deadline = flow_deadline(ANSWER_LIMIT_S);
+    while (!r.done && !r.failed && clock_now_us() < deadline) {
         flow_wait(loop, ANSWER_SAMPLE_S);
         /* A statement that delivers rows is not stuck. */
         ev_timer_again(loop, &r.client.timeout);
--- a/tools/load/consistency.c
+++ b/tools/load/consistency.c
@@ -2,6 +2,8 @@
 #include "load/flow.h"
 #include "load/session.h"
 
+#include "base/clock.h"
+
 #define LOG_MODULE "consistency"
 #include "base/log.h"
 
@@ -86,14 +88,16 @@
         sessions[i] = session_create(w, i, rng_next(&rng));
         session_start(sessions[i]);
     }
-    for (double s = 0.0; s < o->seconds; s += CONSISTENCY_STEP_S) {
+    int64_t deadline = flow_deadline(o->seconds);
+    while (clock_now_us() < deadline) {
         change_lag(direct, o, &rng);
         flow_wait(w->loop, CONSISTENCY_STEP_S);
     }
     for (int i = 0; i < o->clients; i++) {
         session_stop(sessions[i]);
     }
-    for (double s = 0.0; s < CONSISTENCY_SETTLE_S; s += 0.1) {
+    deadline = flow_deadline(CONSISTENCY_SETTLE_S);
+    while (clock_now_us() < deadline) {
         int left = 0;
         for (int i = 0; i < o->clients; i++) {
             left += !session_is_stopped(sessions[i]);
--- a/tools/load/direct.c
+++ b/tools/load/direct.c
@@ -32,6 +32,7 @@
     if (PQstatus(conn) == CONNECTION_OK) {
         return conn;
     }
+    LOG_INFO("connect", t.address, "%s", PQerrorMessage(conn));
     PQfinish(conn);
     return NULL;
 }
@@ -69,6 +70,7 @@
         char *text =
             conn == NULL ? NULL : direct_query(conn, "SELECT group_state()");
         char **field = g_strsplit(text == NULL ? "" : text, " ", 0);
+        LOG_INFO("state", o->members[i], "%s", text == NULL ? "-" : text);
         if (g_strv_length(field) >= 3 && strcmp(field[2], "primary") == 0) {
             const guint64 term = g_ascii_strtoull(field[0], NULL, 10);
             if (best == DIRECT_NO_PRIMARY || term > best_term) {
@@ -94,6 +96,9 @@
         member = look_for_primary(o);
     }
     if (member == DIRECT_NO_PRIMARY) {
+        /* Once more, telling why each member is not. */
+        log_set_level(LOG_LEVEL_INFO);
+        look_for_primary(o);
         LOG_ERROR("primary", NULL, "no member of %s is primary", o->database);
     }
     return member;
--- a/tools/load/failover.c
+++ b/tools/load/failover.c
@@ -76,8 +76,8 @@
         return false;
     }
     w->fault_us = clock_now_us();
-    for (double s = 0.0; w->acked_us == 0 && s < FAILOVER_LIMIT_S;
-         s += FAILOVER_STEP_S) {
+    const int64_t deadline = flow_deadline(FAILOVER_LIMIT_S);
+    while (w->acked_us == 0 && clock_now_us() < deadline) {
         flow_wait(loop, FAILOVER_STEP_S);
     }
     if (w->acked_us != 0) {
--- a/tools/load/flow.c
+++ b/tools/load/flow.c
@@ -268,8 +268,9 @@
 flow_create(struct ev_loop *loop, const struct flow_options *o)
 {
     struct flow *f = g_new0(struct flow, 1);
-    int n = 0;
+    const int n = (int)g_strv_length((char **)o->addresses);
 
+    g_assert(n > 0);
     f->loop = loop;
     f->options = *o;
     rng_seed(&f->rng, o->seed);
@@ -282,9 +283,6 @@
     f->timer.data = f;
     ev_io_start(loop, &f->timer);
     f->clients = g_new0(struct flow_client, o->connections);
-    while (o->addresses[n] != NULL) {
-        n++;
-    }
     for (int i = 0; i < o->connections; i++) {
         struct flow_client *k = &f->clients[i];
         k->flow = f;
@@ -411,12 +409,21 @@
     ev_timer_stop(loop, &t);
 }
 
+/* Returns the time that lies seconds ahead. */
+int64_t
+flow_deadline(double seconds)
+{
+    return clock_now_us() + (int64_t)(seconds * 1e6);
+}
+
 /* Runs the loop until the flow's connections are open. */
 bool
 flow_wait_connected(struct ev_loop *loop, struct flow *f)
 {
-    for (double s = 0.0; !flow_is_connected(f); s += FLOW_STEP_S) {
-        if (s > FLOW_CONNECT_LIMIT_S) {
+    const int64_t deadline = flow_deadline(FLOW_CONNECT_LIMIT_S);
+
+    while (!flow_is_connected(f)) {
+        if (clock_now_us() > deadline) {
             LOG_ERROR("connect", f->options.addresses[0],
                       "%u of %d connections are open",
                       g_queue_get_length(&f->idle), f->options.connections);
@@ -431,9 +438,10 @@
 void
 flow_wait_settled(struct ev_loop *loop, struct flow *f)
 {
+    const int64_t deadline = flow_deadline(FLOW_SETTLE_LIMIT_S);
+
     flow_stop(f);
-    for (double s = 0.0; !flow_is_settled(f) && s < FLOW_SETTLE_LIMIT_S;
-         s += FLOW_STEP_S) {
+    while (!flow_is_settled(f) && clock_now_us() < deadline) {
         flow_wait(loop, FLOW_STEP_S);
     }
 }
--- a/tools/load/flow.h
+++ b/tools/load/flow.h
@@ -50,6 +50,8 @@
 const struct flow_counts *flow_counts(const struct flow *f);
 struct samples *flow_latencies(struct flow *f);
 
+/* Returns the monotonic time in microseconds that lies seconds ahead. */
+int64_t flow_deadline(double seconds);
 /* Runs the loop for a time. */
 void flow_wait(struct ev_loop *loop, double seconds);
 /* Runs the loop until the flow's connections are open; false when some could
--- a/tools/load/idle.c
+++ b/tools/load/idle.c
@@ -3,6 +3,8 @@
 #include "load/options.h"
 #include "load/pid_usage.h"
 
+#include "base/clock.h"
+
 #define LOG_MODULE "idle"
 #include "base/log.h"
 
@@ -83,8 +85,9 @@
         client_init(&list[i].client, loop, &callbacks, &list[i]);
         client_connect(&list[i].client, &t);
     }
-    for (double s = 0.0; *ready < end && *failed == 0; s += 0.01) {
-        if (s > IDLE_WAVE_LIMIT_S) {
+    const int64_t deadline = flow_deadline(IDLE_WAVE_LIMIT_S);
+    while (*ready < end && *failed == 0) {
+        if (clock_now_us() > deadline) {
             LOG_ERROR("connect", o->proxies[0], "%d of %d callers are ready",
                       *ready, end);
             return false;
