--- a/scripts/site-settings.sh
+++ b/scripts/site-settings.sh
@@ -97,12 +97,12 @@
         printf 'health_listen=127.0.0.1:%d\n' $((base + 20 + n))
         printf 'control_listen=127.0.0.1:%d\n' $((base + 40 + n))
         printf 'log_level=warning\ndrain_limit_ms=10000\nmax_callers=10000\n'
+        printf '\n[peers]\nkey_file=%s/peer.key\n' "$folder"
         if [ "$alone" != "--alone" ]; then
-            printf '\n[peers]\nkey_file=%s/peer.key\n' "$folder"
             peer=1
             while [ "$peer" -le "$proxies" ]; do
-                [ "$peer" -eq "$n" ] || printf '%s-%d=127.0.0.1:%d\n' \
-                    "$site" "$peer" $((base + 40 + peer))
+                printf '%d=127.0.0.1:%d domain-%d\n' "$peer" \
+                    $((base + 40 + peer)) $(((peer - 1) % domains + 1))
                 peer=$((peer + 1))
             done
         fi
--- a/src/fleet/peers.c
+++ b/src/fleet/peers.c
@@ -124,8 +124,9 @@
 {
     struct sent *s = ctx;
 
+    /* result is NULL when there was no answer. */
+    membership_on_answer(s->peers->membership, clock_now(), s->to, result);
     if (status == RPC_STATUS_OK) {
-        membership_on_answer(s->peers->membership, clock_now(), s->to, result);
         note_report(s->peers, result);
     }
     g_free(s);
--- a/src/upstream/lending.c
+++ b/src/upstream/lending.c
@@ -2,7 +2,6 @@
 
 #include <stdlib.h>
 #include <string.h>
-#include <time.h>
 
 #define LOG_MODULE "lending"
 #include "base/log.h"
@@ -240,9 +239,9 @@
             .batch_permits = MAX(database->slots - 1, 0),
         },
         now);
-    l->holder =
-        loan_holder_create(&holder_ops, l, index, l->self,
-                           database->member_count, (uint64_t)time(NULL) << 20);
+    l->holder = loan_holder_create(&holder_ops, l, index, l->self,
+                                   database->member_count,
+                                   (uint64_t)g_get_real_time());
     group_set_lending(group, refresh, on_waiting, l);
     refresh(l);
     ev_timer_init(&l->tick, on_tick, 0.0, LENDING_TICK_S);
