--- a/fakes/calls.c
+++ b/fakes/calls.c
@@ -10,7 +10,8 @@
 {
     char *text = g_malloc(GROUP_STATE_BYTES);
 
-    group_state(c->member->db->group, c->member->index, clock_now(), text);
+    fake_group_state(c->member->db->group, c->member->index, clock_now(),
+                     text);
     exec_text(c, text);
 }
 
@@ -21,25 +22,25 @@
     struct host_database *db = c->member->db;
     const unsigned self = c->member->index;
     const uint64_t term = g_ascii_strtoull(c->run.args[0], NULL, 10);
-    enum group_status status = GROUP_REFUSED;
+    enum fake_group_status status = GROUP_REFUSED;
     unsigned primary = 0;
 
     switch (c->run.st->function) {
     case SQL_GROUP_SEAL: {
         char *text = g_malloc(GROUP_STATE_BYTES);
-        group_seal(db->group, self, term, text);
+        fake_group_seal(db->group, self, term, text);
         exec_text(c, text);
         return;
     }
     case SQL_GROUP_PROMOTE:
-        status = group_promote(db->group, self, term, clock_now());
+        status = fake_group_promote(db->group, self, term, clock_now());
         break;
     default:
         for (primary = 0; primary < db->n; primary++) {
             if (db->members[primary].port ==
                 (int)g_ascii_strtoll(c->run.args[2], NULL, 10)) {
-                status =
-                    group_follow(db->group, self, term, primary, clock_now());
+                status = fake_group_follow(db->group, self, term, primary,
+                                           clock_now());
             }
         }
         break;
@@ -127,6 +128,20 @@
     g_string_free(out, TRUE);
 }
 
+/* Answers pg_cancel_backend(), as PostgreSQL does for connections of other
+   sessions. */
+static void
+run_cancel(struct conn *c)
+{
+    const uint32_t pid = (uint32_t)g_ascii_strtoull(c->run.args[0], NULL, 10);
+
+    if (!c->control) {
+        exec_error(c, "42501", "only " HOST_CONTROL_USER " may do this");
+        return;
+    }
+    exec_text(c, g_strdup(conn_cancel_pid(c->host, pid) ? "t" : "f"));
+}
+
 /* Runs a function call; it may start to wait instead. */
 void
 calls_run(struct conn *c)
@@ -170,6 +185,9 @@
     case SQL_FAKE_STATS:
         run_fake(c);
         return;
+    case SQL_CANCEL_BACKEND:
+        run_cancel(c);
+        return;
     case SQL_FAKE_SESSION:
         run_session(c);
         return;
@@ -191,7 +209,7 @@
         g_autofree char *key =
             g_strdup_printf("%c%s", STORE_REQUESTS, c->run.args[0]);
         const char *v = store_get(
-            group_visible(c->member->db->group, c->member->index), key);
+            fake_group_visible(c->member->db->group, c->member->index), key);
         exec_text(c, g_strdup(v != NULL ? v : "absent"));
     }
     c->run.stage = EXEC_COMMIT;
--- a/fakes/conn.c
+++ b/fakes/conn.c
@@ -32,7 +32,7 @@
     }
     g_queue_remove(&c->member->slot_queue, c);
     g_queue_remove(&c->member->lock_queue, c);
-    group_forget(c->member->db->group, c->member->index, c);
+    fake_group_forget(c->member->db->group, c->member->index, c);
     exec_drop(c);
     exec_end_transaction(c, false);
     host_leave(c);
@@ -198,12 +198,25 @@
     g_queue_remove(&c->member->slot_queue, c);
     g_queue_remove(&c->member->lock_queue, c);
     g_clear_pointer(&c->lock_key, g_free);
-    group_forget(c->member->db->group, c->member->index, c);
+    fake_group_forget(c->member->db->group, c->member->index, c);
     c->abort_code = code;
     c->abort_message = message;
     host_ready(c->host, c);
 }
 
+/* Cancels the statement of a connection; false when there is none. */
+bool
+conn_cancel_pid(struct host *h, uint32_t pid)
+{
+    struct conn *c = g_hash_table_lookup(h->by_pid, GUINT_TO_POINTER(pid));
+
+    if (c == NULL || c->silent) {
+        return false;
+    }
+    conn_abort(c, "57014", "canceling statement due to user request");
+    return true;
+}
+
 /* Cancels the statement of the connection with this key. */
 void
 conn_cancel(struct host *h, uint32_t pid, uint32_t key)
--- a/fakes/conn.h
+++ b/fakes/conn.h
@@ -104,7 +104,7 @@
     uint32_t pid;
     uint32_t key;
     enum conn_wait wait;
-    enum group_status wake_status;
+    enum fake_group_status wake_status;
     const char *abort_code; /* set when a wait was cut short */
     const char *abort_message;
     char *lock_key; /* waited for */
@@ -134,6 +134,7 @@
 void conn_resume(struct conn *c);
 void conn_wait(struct conn *c, enum conn_wait wait);
 void conn_abort(struct conn *c, const char *code, const char *message);
+bool conn_cancel_pid(struct host *h, uint32_t pid);
 void conn_cancel(struct host *h, uint32_t pid, uint32_t key);
 void conn_silence(struct conn *c);
 bool conn_peer_left(struct conn *c);
--- a/fakes/exec.c
+++ b/fakes/exec.c
@@ -74,7 +74,7 @@
 
 /* Runs in the group when a commit or confirmation is decided. */
 static void
-group_answered(void *ctx, enum group_status status)
+fake_group_answered(void *ctx, enum fake_group_status status)
 {
     struct conn *c = ctx;
 
@@ -84,7 +84,8 @@
 
 /* Starts to wait for a group's answer or reports why there will be none. */
 static void
-wait_for_group(struct conn *c, enum group_status status, enum conn_wait wait)
+wait_for_group(struct conn *c, enum fake_group_status status,
+               enum conn_wait wait)
 {
     switch (status) {
     case GROUP_PENDING:
@@ -111,8 +112,8 @@
 {
     c->run.stage = EXEC_BARRIER;
     wait_for_group(c,
-                   group_commit(c->member->db->group, c->member->index, NULL,
-                                0, group_answered, c),
+                   fake_group_commit(c->member->db->group, c->member->index,
+                                     NULL, 0, fake_group_answered, c),
                    CONN_WAIT_COMMIT);
 }
 
@@ -122,8 +123,8 @@
 {
     c->run.stage = EXEC_CONFIRMED;
     wait_for_group(c,
-                   group_confirm(c->member->db->group, c->member->index,
-                                 group_answered, c),
+                   fake_group_confirm(c->member->db->group, c->member->index,
+                                      fake_group_answered, c),
                    CONN_WAIT_CONFIRM);
 }
 
@@ -136,9 +137,9 @@
     c->run.stage = EXEC_COMMITTED;
     c->run.ending = true;
     wait_for_group(c,
-                   group_commit(c->member->db->group, c->member->index,
-                                (const struct op *)(void *)s->ops->data,
-                                s->ops->len, group_answered, c),
+                   fake_group_commit(c->member->db->group, c->member->index,
+                                     (const struct op *)(void *)s->ops->data,
+                                     s->ops->len, fake_group_answered, c),
                    CONN_WAIT_COMMIT);
     /* Uncommitted rows in the log now guard the keys. */
     host_unlock_all(c->member, c);
@@ -334,7 +335,7 @@
             exec_error(c, "25006", "cannot write in a read-only transaction");
             return;
         }
-        if (!group_is_primary(c->member->db->group, c->member->index)) {
+        if (!fake_group_is_primary(c->member->db->group, c->member->index)) {
             exec_error(c, "25006", "this member is not the primary");
             return;
         }
--- a/fakes/group.c
+++ b/fakes/group.c
@@ -13,10 +13,10 @@
 }
 
 /* Creates a group whose member 0 leads GROUP_FIRST_TERM. */
-struct group *
-group_create(const struct group_options *options, clock_ms now)
+struct fake_group *
+fake_group_create(const struct fake_group_options *options, clock_ms now)
 {
-    struct group *g = g_new0(struct group, 1);
+    struct fake_group *g = g_new0(struct fake_group, 1);
 
     g_assert(options->members > 0 && options->members <= GROUP_MEMBERS_MAX);
     g->n = options->members;
@@ -29,21 +29,21 @@
         m->alive = true;
         m->following = i != 0;
         m->sealed = GROUP_FIRST_TERM;
-        m->log = g_ptr_array_new_with_free_func(group_entry_unref);
+        m->log = g_ptr_array_new_with_free_func(fake_group_entry_unref);
         m->visible = store_create();
         m->tip = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
                                        tip_value_free);
         m->heard_at = now;
         m->fresh_at = now;
     }
-    group_promote(g, 0, GROUP_FIRST_TERM, now);
-    group_run(g, now);
+    fake_group_promote(g, 0, GROUP_FIRST_TERM, now);
+    fake_group_run(g, now);
     return g;
 }
 
 /* Frees the group; callbacks of waiting calls are not run. */
 void
-group_destroy(struct group *g)
+fake_group_destroy(struct fake_group *g)
 {
     for (unsigned i = 0; i < g->n; i++) {
         struct member *m = &g->members[i];
@@ -54,7 +54,7 @@
         g_queue_clear_full(&m->confirms, g_free);
         for (unsigned k = 0; k < g->n; k++) {
             g_queue_clear_full(&g->links[i][k],
-                               (GDestroyNotify)group_message_free);
+                               (GDestroyNotify)fake_group_message_free);
         }
     }
     g_free(g);
@@ -62,7 +62,7 @@
 
 /* Returns the number of members. */
 unsigned
-group_members(const struct group *g)
+fake_group_members(const struct fake_group *g)
 {
     return g->n;
 }
@@ -70,7 +70,7 @@
 /* Drops log entries that every member shows already; nothing can ask for
    them again. Runs in large steps, because it moves the rest of the log. */
 static void
-compact(struct group *g)
+compact(struct fake_group *g)
 {
     const uint64_t step = 65536;
     uint64_t low = UINT64_MAX;
@@ -83,7 +83,7 @@
         if (low < m->base + step) {
             continue;
         }
-        m->base_term = group_term_at(m, low);
+        m->base_term = fake_group_term_at(m, low);
         g_ptr_array_remove_range(m->log, 0, (unsigned)(low - m->base));
         m->base = low;
     }
@@ -91,7 +91,7 @@
 
 /* Delivers one due message; returns false when there was none. */
 static bool
-deliver_one(struct group *g)
+deliver_one(struct fake_group *g)
 {
     for (unsigned from = 0; from < g->n; from++) {
         for (unsigned to = 0; to < g->n; to++) {
@@ -104,9 +104,9 @@
             const struct member *a = &g->members[from];
             const struct member *b = &g->members[to];
             if (a->alive && b->alive && !a->isolated && !b->isolated) {
-                group_deliver(g, to, msg);
+                fake_group_deliver(g, to, msg);
             }
-            group_message_free(msg);
+            fake_group_message_free(msg);
             return true;
         }
     }
@@ -116,7 +116,7 @@
 /* Sends what primaries have to send and delivers what is due. Callbacks of
    waiting calls run inside; they must not call the group. */
 void
-group_run(struct group *g, clock_ms now)
+fake_group_run(struct fake_group *g, clock_ms now)
 {
     bool again = true;
 
@@ -135,8 +135,8 @@
             if (m->dirty) {
                 m->dirty = false;
                 if (m->primary && m->alive) {
-                    group_send_all(g, i);
-                    group_advance(g, i);
+                    fake_group_send_all(g, i);
+                    fake_group_advance(g, i);
                     again = true;
                 }
             }
@@ -149,7 +149,7 @@
 
 /* Returns when group_run() has work again; now when it has some already. */
 clock_ms
-group_next_due(const struct group *g, clock_ms now)
+fake_group_next_due(const struct fake_group *g, clock_ms now)
 {
     clock_ms due = g->heartbeat_at;
 
@@ -171,7 +171,8 @@
 /* Returns the newest value of a row in a primary's log, committed or not;
    NULL when the row is absent. */
 const char *
-group_tip_value(const struct group *g, unsigned member, const char *key)
+fake_group_tip_value(const struct fake_group *g, unsigned member,
+                     const char *key)
 {
     const struct member *m = &g->members[member];
     const struct tip_value *v = g_hash_table_lookup(m->tip, key);
@@ -181,12 +182,12 @@
 
 /* Turns operations into absolute values against the tip. A row may be
    changed more than once, so earlier results are searched first. */
-static enum group_status
-resolve(const struct group *g, unsigned member, const struct op *ops,
+static enum fake_group_status
+resolve(const struct fake_group *g, unsigned member, const struct op *ops,
         unsigned n_ops, struct entry *e)
 {
     for (unsigned i = 0; i < n_ops; i++) {
-        const char *current = group_tip_value(g, member, ops[i].key);
+        const char *current = fake_group_tip_value(g, member, ops[i].key);
         for (unsigned k = e->n_ops; k-- > 0;) {
             if (strcmp(e->ops[k].key, ops[i].key) == 0) {
                 current = e->ops[k].value;
@@ -221,32 +222,33 @@
 /* Appends operations as one entry on a primary. done runs with GROUP_OK when
    a majority holds the entry in the primary's own term, or GROUP_REPLACED.
    n_ops may be 0: such an entry orders the answer behind all earlier ones. */
-enum group_status
-group_commit(struct group *g, unsigned member, const struct op *ops,
-             unsigned n_ops, group_done *done, void *ctx)
+enum fake_group_status
+fake_group_commit(struct fake_group *g, unsigned member, const struct op *ops,
+                  unsigned n_ops, fake_group_done *done, void *ctx)
 {
     struct member *m = &g->members[member];
 
     if (!m->primary || !m->alive) {
         return GROUP_NOT_PRIMARY;
     }
-    struct entry *e = group_entry_new(m->sealed, n_ops);
-    const enum group_status status = resolve(g, member, ops, n_ops, e);
+    struct entry *e = fake_group_entry_new(m->sealed, n_ops);
+    const enum fake_group_status status = resolve(g, member, ops, n_ops, e);
     if (status != GROUP_OK) {
-        group_entry_unref(e);
+        fake_group_entry_unref(e);
         return status;
     }
-    group_append(g, member, e);
-    push_waiter(
-        &m->commits,
-        (struct waiter){.position = group_last(m), .done = done, .ctx = ctx});
+    fake_group_append(g, member, e);
+    push_waiter(&m->commits, (struct waiter){.position = fake_group_last(m),
+                                             .done = done,
+                                             .ctx = ctx});
     return GROUP_PENDING;
 }
 
 /* Waits until a majority has confirmed the primary's term after this call
    and everything in its log at the time of the call is committed. */
-enum group_status
-group_confirm(struct group *g, unsigned member, group_done *done, void *ctx)
+enum fake_group_status
+fake_group_confirm(struct fake_group *g, unsigned member,
+                   fake_group_done *done, void *ctx)
 {
     struct member *m = &g->members[member];
 
@@ -254,7 +256,7 @@
         return GROUP_NOT_PRIMARY;
     }
     m->dirty = true;
-    push_waiter(&m->confirms, (struct waiter){.position = group_last(m),
+    push_waiter(&m->confirms, (struct waiter){.position = fake_group_last(m),
                                               .round = m->round + 1,
                                               .done = done,
                                               .ctx = ctx});
@@ -279,7 +281,7 @@
 
 /* Drops the waiting calls of ctx; entries already appended stay. */
 void
-group_forget(struct group *g, unsigned member, const void *ctx)
+fake_group_forget(struct fake_group *g, unsigned member, const void *ctx)
 {
     forget_in(&g->members[member].commits, ctx);
     forget_in(&g->members[member].confirms, ctx);
@@ -288,7 +290,7 @@
 /* Time since a replica heard from its primary, or since a majority answered
    a primary. */
 static clock_ms
-silence(const struct group *g, const struct member *m, clock_ms now)
+silence(const struct fake_group *g, const struct member *m, clock_ms now)
 {
     clock_ms sent_at[GROUP_MEMBERS_MAX] = {0};
 
@@ -311,8 +313,8 @@
    members. sealed is the highest term sealed here; a primary leads it. A
    primary without a majority for 500 ms reports its silence as staleness. */
 size_t
-group_state(const struct group *g, unsigned member, clock_ms now,
-            char out[GROUP_STATE_BYTES])
+fake_group_state(const struct fake_group *g, unsigned member, clock_ms now,
+                 char out[GROUP_STATE_BYTES])
 {
     const clock_ms unconfirmed_limit_ms = 500;
     const struct member *m = &g->members[member];
@@ -333,34 +335,34 @@
    the last entry in the log, by which the most advanced member is chosen, or
    `refused SEALED POSITION`. A term has one owner, so sealing the same term
    again is granted. */
-enum group_status
-group_seal(struct group *g, unsigned member, uint64_t term,
-           char out[GROUP_STATE_BYTES])
+enum fake_group_status
+fake_group_seal(struct fake_group *g, unsigned member, uint64_t term,
+                char out[GROUP_STATE_BYTES])
 {
     struct member *m = &g->members[member];
 
     if (term < m->sealed) {
         snprintf(out, GROUP_STATE_BYTES, "refused %" PRIu64 " %" PRIu64,
-                 m->sealed, group_last(m));
+                 m->sealed, fake_group_last(m));
         return GROUP_REFUSED;
     }
     if (term > m->sealed) {
         m->sealed = term;
         m->following = false;
-        group_step_down(g, m);
+        fake_group_step_down(g, m);
     }
     snprintf(out, GROUP_STATE_BYTES, "granted %" PRIu64 " %" PRIu64,
-             group_term_at(m, group_last(m)), group_last(m));
+             fake_group_term_at(m, fake_group_last(m)), fake_group_last(m));
     return GROUP_OK;
 }
 
 /* Counts a promotion that breaks the rules of the design. */
 static void
-check_promotion(struct group *g, unsigned member, uint64_t term)
+check_promotion(struct fake_group *g, unsigned member, uint64_t term)
 {
     const struct member *m = &g->members[member];
-    const uint64_t last = group_last(m);
-    const uint64_t last_term = group_term_at(m, last);
+    const uint64_t last = fake_group_last(m);
+    const uint64_t last_term = fake_group_term_at(m, last);
 
     if (last_term < g->acked_term ||
         (last_term == g->acked_term && last < g->acked_position)) {
@@ -377,8 +379,9 @@
 
 /* Makes the member primary of a term that is sealed on it. Promoting it
    again in the same term changes nothing. */
-enum group_status
-group_promote(struct group *g, unsigned member, uint64_t term, clock_ms now)
+enum fake_group_status
+fake_group_promote(struct fake_group *g, unsigned member, uint64_t term,
+                   clock_ms now)
 {
     struct member *m = &g->members[member];
 
@@ -391,12 +394,12 @@
     check_promotion(g, member, term);
     m->primary = true;
     for (unsigned i = 0; i < g->n; i++) {
-        m->next[i] = group_last(m) + 1;
+        m->next[i] = fake_group_last(m) + 1;
         m->match[i] = 0;
         m->received_round[i] = 0;
         m->received_sent_at[i] = now;
     }
-    for (uint64_t p = m->commit + 1; p <= group_last(m); p++) {
+    for (uint64_t p = m->commit + 1; p <= fake_group_last(m); p++) {
         const struct entry *e = g_ptr_array_index(m->log, p - m->base - 1);
         for (unsigned i = 0; i < e->n_ops; i++) {
             struct tip_value *v = g_new(struct tip_value, 1);
@@ -405,16 +408,16 @@
             g_hash_table_replace(m->tip, g_strdup(e->ops[i].key), v);
         }
     }
-    group_append(g, member, group_entry_new(term, 0));
-    m->own_first = group_last(m);
+    fake_group_append(g, member, fake_group_entry_new(term, 0));
+    m->own_first = fake_group_last(m);
     return GROUP_OK;
 }
 
 /* Makes the member accept replication of a term, sealing it when it is
    higher. A primary of that same term refuses. */
-enum group_status
-group_follow(struct group *g, unsigned member, uint64_t term, unsigned primary,
-             clock_ms now)
+enum fake_group_status
+fake_group_follow(struct fake_group *g, unsigned member, uint64_t term,
+                  unsigned primary, clock_ms now)
 {
     struct member *m = &g->members[member];
 
@@ -424,7 +427,7 @@
     }
     if (term > m->sealed) {
         m->sealed = term;
-        group_step_down(g, m);
+        fake_group_step_down(g, m);
     }
     if (!m->following) {
         m->following = true;
@@ -435,62 +438,62 @@
 
 /* Tells whether the member leads its sealed term. */
 bool
-group_is_primary(const struct group *g, unsigned member)
+fake_group_is_primary(const struct fake_group *g, unsigned member)
 {
     return g->members[member].primary;
 }
 
 /* Returns the highest term sealed on the member. */
 uint64_t
-group_sealed_term(const struct group *g, unsigned member)
+fake_group_sealed_term(const struct fake_group *g, unsigned member)
 {
     return g->members[member].sealed;
 }
 
 /* Returns the position of the last visible entry. */
 uint64_t
-group_position(const struct group *g, unsigned member)
+fake_group_position(const struct fake_group *g, unsigned member)
 {
     return g->members[member].commit;
 }
 
 /* Returns the term of the last visible entry. */
 uint64_t
-group_visible_term(const struct group *g, unsigned member)
+fake_group_visible_term(const struct fake_group *g, unsigned member)
 {
     return g->members[member].visible_term;
 }
 
 /* Tells whether the member's log has an entry of this term at a position. */
 bool
-group_holds(const struct group *g, unsigned member, uint64_t position,
-            uint64_t term)
+fake_group_holds(const struct fake_group *g, unsigned member,
+                 uint64_t position, uint64_t term)
 {
     const struct member *m = &g->members[member];
 
-    return position <= m->base ||
-           (position <= group_last(m) && group_term_at(m, position) == term);
+    return position <= m->base || (position <= fake_group_last(m) &&
+                                   fake_group_term_at(m, position) == term);
 }
 
 /* Returns the position of the last entry in the log. */
 uint64_t
-group_log_end(const struct group *g, unsigned member)
+fake_group_log_end(const struct fake_group *g, unsigned member)
 {
-    return group_last(&g->members[member]);
+    return fake_group_last(&g->members[member]);
 }
 
 /* Returns the term of the last entry in the log. */
 uint64_t
-group_log_term(const struct group *g, unsigned member)
+fake_group_log_term(const struct fake_group *g, unsigned member)
 {
     const struct member *m = &g->members[member];
 
-    return group_term_at(m, group_last(m));
+    return fake_group_term_at(m, fake_group_last(m));
 }
 
 /* Returns the live primary of the highest term, -1 when there is none. */
 int
-group_current_primary(const struct group *g)
+fake_group_current_primary(const struct fake_group *g)
 {
     int best = -1;
 
@@ -506,14 +509,14 @@
 
 /* Returns the rows that the member shows. */
 const struct store *
-group_visible(const struct group *g, unsigned member)
+fake_group_visible(const struct fake_group *g, unsigned member)
 {
     return g->members[member].visible;
 }
 
 /* Returns the counts of broken rules. */
-const struct group_violations *
-group_get_violations(const struct group *g)
+const struct fake_group_violations *
+fake_group_get_violations(const struct fake_group *g)
 {
     return &g->violations;
 }
@@ -521,7 +524,8 @@
 /* Stops or starts a member. Its log, sealed term and role survive, so a
    primary that comes back still believes that it leads. */
 void
-group_set_alive(struct group *g, unsigned member, bool alive, clock_ms now)
+fake_group_set_alive(struct fake_group *g, unsigned member, bool alive,
+                     clock_ms now)
 {
     struct member *m = &g->members[member];
 
@@ -538,14 +542,14 @@
 
 /* Cuts the member off from the others, or connects it again. */
 void
-group_set_isolated(struct group *g, unsigned member, bool isolated)
+fake_group_set_isolated(struct fake_group *g, unsigned member, bool isolated)
 {
     g->members[member].isolated = isolated;
 }
 
 /* Delays replication to the member by lag_ms on top of the usual delay. */
 void
-group_set_lag(struct group *g, unsigned member, clock_ms lag_ms)
+fake_group_set_lag(struct fake_group *g, unsigned member, clock_ms lag_ms)
 {
     g->members[member].lag_ms = lag_ms;
 }
--- a/fakes/group_internal.h
+++ b/fakes/group_internal.h
@@ -39,7 +39,7 @@
 struct waiter {
     uint64_t position; /* must be committed */
     uint64_t round;    /* must be received by a majority; 0 when not needed */
-    group_done *done;
+    fake_group_done *done;
     void *ctx;
 };
 
@@ -77,7 +77,7 @@
     char *value;
 };
 
-struct group {
+struct fake_group {
     unsigned n;
     clock_ms delay_ms;
     bool auto_follow;
@@ -87,21 +87,22 @@
     unsigned promoted_member;
     uint64_t acked_term;
     uint64_t acked_position;
-    struct group_violations violations;
+    struct fake_group_violations violations;
     struct member members[GROUP_MEMBERS_MAX];
     GQueue links[GROUP_MEMBERS_MAX][GROUP_MEMBERS_MAX]; /* [from][to] */
 };
 
-void group_step_down(struct group *g, struct member *m);
-void group_advance(struct group *g, unsigned member);
-void group_append(struct group *g, unsigned member, struct entry *e);
-void group_send_all(struct group *g, unsigned member);
-void group_deliver(struct group *g, unsigned to, struct message *msg);
-void group_message_free(struct message *msg);
+void fake_group_step_down(struct fake_group *g, struct member *m);
+void fake_group_advance(struct fake_group *g, unsigned member);
+void fake_group_append(struct fake_group *g, unsigned member, struct entry *e);
+void fake_group_send_all(struct fake_group *g, unsigned member);
+void fake_group_deliver(struct fake_group *g, unsigned to,
+                        struct message *msg);
+void fake_group_message_free(struct message *msg);
 
-struct entry *group_entry_new(uint64_t term, unsigned n_ops);
-void group_entry_unref(void *p);
-uint64_t group_last(const struct member *m);
-uint64_t group_term_at(const struct member *m, uint64_t position);
+struct entry *fake_group_entry_new(uint64_t term, unsigned n_ops);
+void fake_group_entry_unref(void *p);
+uint64_t fake_group_last(const struct member *m);
+uint64_t fake_group_term_at(const struct member *m, uint64_t position);
 
 #endif
--- a/fakes/group_log.c
+++ b/fakes/group_log.c
@@ -5,7 +5,7 @@
 
 /* Creates an entry with room for n_ops operations. */
 struct entry *
-group_entry_new(uint64_t term, unsigned n_ops)
+fake_group_entry_new(uint64_t term, unsigned n_ops)
 {
     struct entry *e =
         g_malloc0(sizeof(struct entry) + n_ops * sizeof(struct op));
@@ -17,7 +17,7 @@
 
 /* Drops one reference to an entry. */
 void
-group_entry_unref(void *p)
+fake_group_entry_unref(void *p)
 {
     struct entry *e = p;
 
@@ -32,7 +32,7 @@
 
 /* Frees a message. */
 void
-group_message_free(struct message *msg)
+fake_group_message_free(struct message *msg)
 {
     if (msg->entries != NULL) {
         g_ptr_array_free(msg->entries, TRUE);
@@ -42,7 +42,7 @@
 
 /* Returns the position of the last entry of a log. */
 uint64_t
-group_last(const struct member *m)
+fake_group_last(const struct member *m)
 {
     return m->base + m->log->len;
 }
@@ -50,7 +50,7 @@
 /* Returns the term of the entry at a position that is not below the base;
    0 before the first entry. */
 uint64_t
-group_term_at(const struct member *m, uint64_t position)
+fake_group_term_at(const struct member *m, uint64_t position)
 {
     if (position == m->base) {
         return m->base_term;
@@ -62,7 +62,7 @@
 /* Puts a message on the link between two members. A link keeps its order
    when its delay changes, as one TCP connection does. */
 static void
-post(struct group *g, unsigned from, unsigned to, struct message msg)
+post(struct fake_group *g, unsigned from, unsigned to, struct message msg)
 {
     const clock_ms lag =
         msg.kind == MESSAGE_APPEND ? g->members[to].lag_ms : 0;
@@ -76,7 +76,7 @@
 
 /* Fails everything that waits on a member which no longer leads. */
 void
-group_step_down(struct group *g, struct member *m)
+fake_group_step_down(struct fake_group *g, struct member *m)
 {
     struct waiter *w = NULL;
 
@@ -115,7 +115,7 @@
 
 /* Returns the highest value that a majority reached. */
 static uint64_t
-majority_of(const struct group *g, const uint64_t *values)
+majority_of(const struct fake_group *g, const uint64_t *values)
 {
     uint64_t sorted[GROUP_MEMBERS_MAX] = {0};
 
@@ -131,7 +131,7 @@
 
 /* Notes an acknowledgement and counts one that a newer term overtook. */
 static void
-note_ack(struct group *g, const struct member *m, uint64_t position)
+note_ack(struct fake_group *g, const struct member *m, uint64_t position)
 {
     if (m->sealed < g->acked_term) {
         g->violations.replaced_acks++;
@@ -144,15 +144,15 @@
 /* Commits what a majority holds in the primary's own term and answers the
    calls that waited for it. */
 void
-group_advance(struct group *g, unsigned member)
+fake_group_advance(struct fake_group *g, unsigned member)
 {
     struct member *m = &g->members[member];
     struct waiter *w = NULL;
 
-    m->match[member] = group_last(m);
+    m->match[member] = fake_group_last(m);
     m->received_round[member] = m->round;
     const uint64_t held = majority_of(g, m->match);
-    if (held > m->commit && group_term_at(m, held) == m->sealed) {
+    if (held > m->commit && fake_group_term_at(m, held) == m->sealed) {
         apply_to(m, held);
     }
     while ((w = g_queue_peek_head(&m->commits)) != NULL &&
@@ -174,14 +174,14 @@
 
 /* Appends an entry on a primary; group_run() sends it. Takes over e. */
 void
-group_append(struct group *g, unsigned member, struct entry *e)
+fake_group_append(struct fake_group *g, unsigned member, struct entry *e)
 {
     struct member *m = &g->members[member];
 
     g_ptr_array_add(m->log, e);
     for (unsigned i = 0; i < e->n_ops; i++) {
         struct tip_value *v = g_new(struct tip_value, 1);
-        *v = (struct tip_value){.position = group_last(m),
+        *v = (struct tip_value){.position = fake_group_last(m),
                                 .value = g_strdup(e->ops[i].value)};
         g_hash_table_replace(m->tip, g_strdup(e->ops[i].key), v);
     }
@@ -191,7 +191,7 @@
 /* Sends each other member the entries that it was not sent yet; without any,
    the message is a heartbeat. */
 void
-group_send_all(struct group *g, unsigned member)
+fake_group_send_all(struct fake_group *g, unsigned member)
 {
     struct member *m = &g->members[member];
 
@@ -202,11 +202,11 @@
         }
         const uint64_t first = MAX(m->next[to], m->base + 1);
         const uint64_t last =
-            MIN(group_last(m), first + APPEND_MAX_ENTRIES - 1);
+            MIN(fake_group_last(m), first + APPEND_MAX_ENTRIES - 1);
         GPtrArray *entries = NULL;
         if (last >= first) {
             entries = g_ptr_array_new_full((unsigned)(last - first + 1),
-                                           group_entry_unref);
+                                           fake_group_entry_unref);
             for (uint64_t p = first; p <= last; p++) {
                 struct entry *e = g_ptr_array_index(m->log, p - m->base - 1);
                 e->refs++;
@@ -219,7 +219,7 @@
                               .term = m->sealed,
                               .round = m->round,
                               .position = first - 1,
-                              .prev_term = group_term_at(m, first - 1),
+                              .prev_term = fake_group_term_at(m, first - 1),
                               .commit = m->commit,
                               .entries = entries});
         m->next[to] = MAX(last + 1, first);
@@ -229,7 +229,7 @@
 /* Cuts a log behind a position. Returns false, and counts it, when that
    would take back visible entries. */
 static bool
-truncate_log(struct group *g, struct member *m, uint64_t position)
+truncate_log(struct fake_group *g, struct member *m, uint64_t position)
 {
     if (position < m->commit) {
         g->violations.diverged++;
@@ -241,7 +241,7 @@
 
 /* Merges the entries of a message into a log that matches before them. */
 static bool
-merge(struct group *g, struct member *m, const struct message *msg)
+merge(struct fake_group *g, struct member *m, const struct message *msg)
 {
     const unsigned n = msg->entries == NULL ? 0 : msg->entries->len;
 
@@ -251,8 +251,8 @@
         if (p <= m->base) {
             continue;
         }
-        if (p <= group_last(m)) {
-            if (group_term_at(m, p) == e->term) {
+        if (p <= fake_group_last(m)) {
+            if (fake_group_term_at(m, p) == e->term) {
                 continue;
             }
             if (!truncate_log(g, m, p - 1)) {
@@ -267,7 +267,7 @@
 
 /* Handles entries or a heartbeat on a follower. */
 static void
-receive_append(struct group *g, unsigned to, const struct message *msg)
+receive_append(struct fake_group *g, unsigned to, const struct message *msg)
 {
     struct member *m = &g->members[to];
     struct message answer = {.kind = MESSAGE_REFUSAL,
@@ -277,7 +277,7 @@
                              .position = m->sealed};
 
     if (msg->term > m->sealed && g->auto_follow) {
-        group_follow(g, to, msg->term, msg->from, g->now);
+        fake_group_follow(g, to, msg->term, msg->from, g->now);
     }
     if (msg->term != m->sealed || (!m->following && !g->auto_follow) ||
         m->primary) {
@@ -287,13 +287,13 @@
     m->following = true;
     m->heard_at = g->now;
     answer.kind = MESSAGE_MISMATCH;
-    if (msg->position > group_last(m)) {
-        answer.position = group_last(m);
+    if (msg->position > fake_group_last(m)) {
+        answer.position = fake_group_last(m);
         post(g, to, msg->from, answer);
         return;
     }
     if (msg->position >= m->base &&
-        group_term_at(m, msg->position) != msg->prev_term) {
+        fake_group_term_at(m, msg->position) != msg->prev_term) {
         if (truncate_log(g, m, msg->position - 1)) {
             /* Asks for everything behind the commit at once: going back one
                entry per round trip takes too long after a partition. */
@@ -318,7 +318,7 @@
 
 /* Handles a message on the member that it was sent to. */
 void
-group_deliver(struct group *g, unsigned to, struct message *msg)
+fake_group_deliver(struct fake_group *g, unsigned to, struct message *msg)
 {
     struct member *m = &g->members[to];
     const unsigned from = msg->from;
@@ -336,8 +336,8 @@
         m->received_round[from] = MAX(m->received_round[from], msg->round);
         m->received_sent_at[from] =
             MAX(m->received_sent_at[from], msg->sent_at);
-        m->dirty |= m->next[from] <= group_last(m);
-        group_advance(g, to);
+        m->dirty |= m->next[from] <= fake_group_last(m);
+        fake_group_advance(g, to);
         break;
     case MESSAGE_MISMATCH:
         m->next[from] =
@@ -346,7 +346,7 @@
         break;
     case MESSAGE_REFUSAL:
         if (msg->position > m->sealed) {
-            group_step_down(g, m);
+            fake_group_step_down(g, m);
         }
         break;
     case MESSAGE_APPEND:
--- a/fakes/host.c
+++ b/fakes/host.c
@@ -102,7 +102,7 @@
         due = CLOCK_NEVER;
         for (guint i = 0; i < h->databases->len; i++) {
             struct host_database *db = g_ptr_array_index(h->databases, i);
-            group_run(db->group, now);
+            fake_group_run(db->group, now);
         }
         while ((c = g_queue_pop_head(&h->ready)) != NULL) {
             c->is_ready = false;
@@ -110,7 +110,7 @@
         }
         for (guint i = 0; i < h->databases->len; i++) {
             struct host_database *db = g_ptr_array_index(h->databases, i);
-            due = MIN(due, group_next_due(db->group, now));
+            due = MIN(due, fake_group_next_due(db->group, now));
         }
     } while (due <= now);
     ev_timer_stop(loop, &h->wake);
@@ -149,7 +149,7 @@
                     "--database %s: expected NAME=port,port,port", spec);
         return false;
     }
-    const struct group_options options = {
+    const struct fake_group_options options = {
         .members = n,
         .delay_ms = h->options.replication_delay_ms,
         .auto_follow = h->options.auto_follow,
@@ -158,7 +158,7 @@
     db->host = h;
     db->name = g_strdup(halves[0]);
     db->n = n;
-    db->group = group_create(&options, clock_now());
+    db->group = fake_group_create(&options, clock_now());
     g_ptr_array_add(h->databases, db);
     for (unsigned i = 0; i < n; i++) {
         struct host_member *m = &db->members[i];
@@ -195,7 +195,7 @@
                 g_hash_table_destroy(m->locks);
             }
         }
-        group_destroy(db->group);
+        fake_group_destroy(db->group);
         g_free(db->name);
         g_free(db);
     }
@@ -423,22 +423,22 @@
     const int64_t number =
         words[1] != NULL ? g_ascii_strtoll(words[1], NULL, 10) : 0;
     if (strcmp(kind, "kill") == 0) {
-        group_set_alive(db->group, m->index, false, now);
+        fake_group_set_alive(db->group, m->index, false, now);
         close_port(m);
         close_all(m, c);
     }
     else if (strcmp(kind, "revive") == 0) {
-        group_set_alive(db->group, m->index, true, now);
+        fake_group_set_alive(db->group, m->index, true, now);
         if (m->listen_fd < 0 && !open_port(m)) {
             return false;
         }
     }
     else if (strcmp(kind, "isolate") == 0) {
-        group_set_isolated(db->group, m->index, true);
+        fake_group_set_isolated(db->group, m->index, true);
     }
     else if (strcmp(kind, "heal") == 0) {
-        group_set_isolated(db->group, m->index, false);
-        group_set_lag(db->group, m->index, 0);
+        fake_group_set_isolated(db->group, m->index, false);
+        fake_group_set_lag(db->group, m->index, 0);
         m->slow = 1;
     }
     else if (strcmp(kind, "silent") == 0) {
@@ -449,7 +449,7 @@
         }
     }
     else if (strcmp(kind, "lag") == 0) {
-        group_set_lag(db->group, m->index, number);
+        fake_group_set_lag(db->group, m->index, number);
     }
     else if (strcmp(kind, "slow") == 0) {
         m->slow = (unsigned)MAX(number, 1);
@@ -465,8 +465,9 @@
 void
 host_stats(const struct host_database *db, GString *out)
 {
-    const struct group_violations *v = group_get_violations(db->group);
-    const int primary = group_current_primary(db->group);
+    const struct fake_group_violations *v =
+        fake_group_get_violations(db->group);
+    const int primary = fake_group_current_primary(db->group);
     int max_long = 0;
 
     for (unsigned i = 0; i < db->n; i++) {
@@ -487,8 +488,8 @@
         db->refused, db->refused, db->refused_control, max_long,
         db->slots_full_of_long, db->mixed_statements, db->reads_primary,
         db->reads_replica, primary,
-        primary < 0 ? 0 : group_sealed_term(db->group, (unsigned)primary),
-        primary < 0 ? 0 : group_position(db->group, (unsigned)primary),
+        primary < 0 ? 0 : fake_group_sealed_term(db->group, (unsigned)primary),
+        primary < 0 ? 0 : fake_group_position(db->group, (unsigned)primary),
         v->lost_acknowledged, v->diverged, v->double_promotion,
         v->replaced_acks);
     for (unsigned i = 0; i < db->n; i++) {
--- a/fakes/host.h
+++ b/fakes/host.h
@@ -44,7 +44,7 @@
 struct host_database {
     struct host *host;
     char *name;
-    struct group *group;
+    struct fake_group *group;
     unsigned n;
     struct host_member members[GROUP_MEMBERS_MAX];
     int connections;
--- a/fakes/sql.c
+++ b/fakes/sql.c
@@ -41,6 +41,7 @@
     {"fake_sleep", SQL_FAKE_SLEEP, 1},
     {"fake_fault", SQL_FAKE_FAULT, 2},
     {"fake_stats", SQL_FAKE_STATS, 0},
+    {"pg_cancel_backend", SQL_CANCEL_BACKEND, 1},
     {"fake_session", SQL_FAKE_SESSION, 0},
 };
 
--- a/fakes/sql.h
+++ b/fakes/sql.h
@@ -48,6 +48,7 @@
     SQL_FAKE_SLEEP,
     SQL_FAKE_FAULT,
     SQL_FAKE_STATS,
+    SQL_CANCEL_BACKEND,
     SQL_FAKE_SESSION,
 };
 
--- a/fakes/tables.c
+++ b/fakes/tables.c
@@ -7,7 +7,7 @@
 read_row(struct conn *c, const char *key, char **out)
 {
     const struct store *rows =
-        group_visible(c->member->db->group, c->member->index);
+        fake_group_visible(c->member->db->group, c->member->index);
 
     return session_overlay(&c->session, key, store_get(rows, key), out);
 }
@@ -21,7 +21,7 @@
     g_autofree char *key = NULL;
     char *value = NULL;
 
-    if (group_is_primary(c->member->db->group, c->member->index)) {
+    if (fake_group_is_primary(c->member->db->group, c->member->index)) {
         c->member->db->reads_primary++;
     }
     else {
@@ -29,7 +29,7 @@
     }
     if (st->kind == SQL_SELECT_COUNT) {
         const struct store *rows =
-            group_visible(c->member->db->group, c->member->index);
+            fake_group_visible(c->member->db->group, c->member->index);
         uint64_t n = store_count(rows, st->table);
         GHashTable *seen = g_hash_table_new(g_str_hash, g_str_equal);
         for (unsigned i = 0; i < c->session.ops->len; i++) {
@@ -91,7 +91,7 @@
         return;
     }
     const char *tip =
-        group_tip_value(c->member->db->group, c->member->index, key);
+        fake_group_tip_value(c->member->db->group, c->member->index, key);
     if (!session_overlay(s, key, tip, &current)) {
         exec_error(c, "22P02", "value is not a number in range");
         return;
@@ -119,7 +119,7 @@
                          .key = key,
                          .value = operand};
     const char *tip =
-        group_tip_value(c->member->db->group, c->member->index, key);
+        fake_group_tip_value(c->member->db->group, c->member->index, key);
 
     if (!session_overlay(&c->session, key, tip, &current) ||
         !op_apply(&o, current, &next)) {
--- /dev/null
+++ b/tests/caller/test_front.c
@@ -0,0 +1,647 @@
+#include "caller/front.h"
+#include "fakes/host.h"
+#include "wire/frame.h"
+
+#include <arpa/inet.h>
+#include <limits.h>
+#include <netinet/in.h>
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdio.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <cmocka.h>
+
+/* Ends a test whose answer does not come; far above any answer's time. */
+#define WATCHDOG_S 30.0
+
+/* A database group and a proxy before it, in one loop. */
+struct site {
+    struct ev_loop *loop;
+    struct host *host;
+    struct host_database *db;
+    struct settings *settings;
+    struct group *groups[1];
+    struct front *front;
+    uint16_t port;
+    ev_timer watchdog;
+    bool drained;
+};
+
+/* A raw client of the proxy. */
+struct client {
+    struct site *site;
+    int fd;
+    GString *in;
+    GString *types;   /* of the messages since the last wait */
+    char sqlstate[8]; /* of the last error */
+    char hint[64];    /* of the last error */
+    char column[256]; /* first column of the last row */
+    char token[128];  /* last reported token */
+    char status;      /* of the last ReadyForQuery */
+    unsigned ready;
+    uint32_t pid;
+    uint32_t secret;
+    bool closed;
+};
+
+/* Fails a test that hangs. */
+static void
+on_watchdog(struct ev_loop *loop, ev_timer *w, int revents)
+{
+    (void)loop;
+    (void)w;
+    (void)revents;
+    fail_msg("no answer came");
+}
+
+/* Returns a free loopback port. */
+static uint16_t
+free_port(void)
+{
+    struct sockaddr_in a = {.sin_family = AF_INET,
+                            .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
+    socklen_t n = sizeof(a);
+    const int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+    assert_int_equal(bind(fd, (struct sockaddr *)&a, sizeof(a)), 0);
+    assert_int_equal(getsockname(fd, (struct sockaddr *)&a, &n), 0);
+    close(fd);
+    return ntohs(a.sin_port);
+}
+
+/* Writes and loads the proxy's settings. */
+static struct settings *
+load_settings(const struct site *s)
+{
+    char path[] = "/tmp/galenastep-test-XXXXXX";
+    char *error = NULL;
+    const int fd = mkstemp(path);
+
+    assert_true(fd >= 0);
+    dprintf(
+        fd,
+        "[proxy]\nid=1\nname=p\nfailure_domain=a\nlisten=127.0.0.1:%u\n"
+        "max_message_bytes=65536\n"
+        "[kind filing]\nmax_staleness_ms=0\n"
+        "[kind lookup]\npriority=1\nmax_staleness_ms=10000\n"
+        "[database boats]\nmembers=127.0.0.1:%d,127.0.0.1:%d,127.0.0.1:%d\n"
+        "connections=3\n",
+        s->port, s->db->members[0].port, s->db->members[1].port,
+        s->db->members[2].port);
+    close(fd);
+    struct settings *settings = settings_load(path, &error);
+    unlink(path);
+    assert_null(error);
+    return settings;
+}
+
+/* Starts a group of three members and a proxy that knows its primary. */
+static void
+site_start(struct site *s)
+{
+    const struct host_options options = {.connections = 3, .slots = 2};
+    char *error = NULL;
+
+    *s = (struct site){.loop = ev_loop_new(EVFLAG_AUTO)};
+    s->host = host_create(s->loop, &options);
+    assert_true(host_add_database(s->host, "boats=0,0,0", NULL));
+    s->db = g_ptr_array_index(s->host->databases, 0);
+    s->port = free_port();
+    s->settings = load_settings(s);
+    s->groups[0] = group_create(&(struct group_config){
+        .loop = s->loop,
+        .database = &s->settings->databases[0],
+        .kinds = s->settings->kinds,
+        .kind_count = s->settings->kind_count,
+        .proxy_count = 1,
+        .proxy_id = 1,
+        .seed = 1,
+    });
+    s->front = front_create(s->loop, s->settings, s->groups, &error);
+    assert_null(error);
+    ev_timer_init(&s->watchdog, on_watchdog, WATCHDOG_S, 0.0);
+    ev_timer_start(s->loop, &s->watchdog);
+    while (group_primary(s->groups[0]) == ROUTE_NO_PRIMARY ||
+           !group_view(s->groups[0], 1)->alive ||
+           !group_view(s->groups[0], 2)->alive) {
+        ev_run(s->loop, EVRUN_ONCE);
+    }
+}
+
+/* Stops everything. */
+static void
+site_stop(struct site *s)
+{
+    ev_timer_stop(s->loop, &s->watchdog);
+    front_destroy(s->front);
+    group_destroy(s->groups[0]);
+    settings_free(s->settings);
+    host_destroy(s->host);
+    ev_loop_destroy(s->loop);
+}
+
+/* Notes one message from the proxy. */
+static void
+client_take(struct client *c, const struct frame *f)
+{
+    g_string_append_c(c->types, f->type);
+    if (f->type == 'Z') {
+        c->ready++;
+        c->status = f->body.p[0];
+    }
+    if (f->type == 'E') {
+        const struct sview state = frame_error_field(f->body, 'C');
+        const struct sview hint = frame_error_field(f->body, 'H');
+        snprintf(c->sqlstate, sizeof(c->sqlstate), "%.*s", (int)state.n,
+                 state.p);
+        snprintf(c->hint, sizeof(c->hint), "%.*s", (int)hint.n, hint.p);
+    }
+    if (f->type == 'D') {
+        const struct sview v = frame_first_column(f->body);
+        snprintf(c->column, sizeof(c->column), "%.*s", (int)v.n, v.p);
+    }
+    if (f->type == 'K') {
+        struct frame_reader r = {.rest = f->body};
+        c->pid = frame_read_u32(&r);
+        c->secret = frame_read_u32(&r);
+    }
+    if (f->type == 'S' && strcmp(f->body.p, "galenastep.token") == 0) {
+        snprintf(c->token, sizeof(c->token), "%s",
+                 f->body.p + sizeof("galenastep.token"));
+    }
+}
+
+/* Reads what has come, without waiting. */
+static void
+client_poll(struct client *c)
+{
+    char buffer[65536];
+    struct frame f;
+    const ssize_t n = recv(c->fd, buffer, sizeof(buffer), MSG_DONTWAIT);
+
+    if (n == 0) {
+        c->closed = true;
+    }
+    if (n > 0) {
+        g_string_append_len(c->in, buffer, n);
+    }
+    while (frame_next((struct sview){c->in->str, c->in->len}, 1 << 20, &f) ==
+           FRAME_COMPLETE) {
+        client_take(c, &f);
+        g_string_erase(c->in, 0, (gssize)f.total_bytes);
+    }
+}
+
+/* Runs the loop until so many ReadyForQuery have come in all, or the end of
+   the connection. */
+static void
+client_wait(struct client *c, unsigned ready)
+{
+    while (c->ready < ready && !c->closed) {
+        ev_run(c->site->loop, EVRUN_ONCE);
+        client_poll(c);
+    }
+}
+
+/* Sends bytes and empties the buffer. */
+static void
+client_send(struct client *c, GString *out)
+{
+    assert_int_equal(send(c->fd, out->str, out->len, MSG_NOSIGNAL),
+                     (ssize_t)out->len);
+    g_string_free(out, TRUE);
+    g_string_truncate(c->types, 0);
+    c->sqlstate[0] = '\0';
+    c->hint[0] = '\0';
+    c->column[0] = '\0';
+}
+
+/* Connects as a kind of caller. */
+static void
+client_open(struct client *c, struct site *s, const char *kind,
+            const char *token)
+{
+    const struct sockaddr_in a = {
+        .sin_family = AF_INET,
+        .sin_port = htons(s->port),
+        .sin_addr.s_addr = htonl(INADDR_LOOPBACK),
+    };
+    GString *out = g_string_new(NULL);
+
+    *c = (struct client){.site = s,
+                         .fd = socket(AF_INET, SOCK_STREAM, 0),
+                         .in = g_string_new(NULL),
+                         .types = g_string_new(NULL)};
+    assert_int_equal(connect(c->fd, (const struct sockaddr *)&a, sizeof(a)),
+                     0);
+    frame_put_u32(out, 0);
+    frame_put_u32(out, FRAME_STARTUP_VERSION);
+    frame_put_cstring(out, "user");
+    frame_put_cstring(out, "clerk");
+    frame_put_cstring(out, "database");
+    frame_put_cstring(out, "boats");
+    frame_put_cstring(out, "galenastep.kind");
+    frame_put_cstring(out, kind);
+    if (token != NULL) {
+        frame_put_cstring(out, "galenastep.token");
+        frame_put_cstring(out, token);
+    }
+    g_string_append_c(out, '\0');
+    frame_end(out, 0);
+    client_send(c, out);
+    client_wait(c, 1);
+}
+
+/* Closes the connection. */
+static void
+client_close(struct client *c)
+{
+    close(c->fd);
+    g_string_free(c->in, TRUE);
+    g_string_free(c->types, TRUE);
+}
+
+/* Sends one Query without waiting for its answer. */
+static void
+client_start(struct client *c, const char *sql)
+{
+    GString *out = g_string_new(NULL);
+
+    frame_put_query(out, sql);
+    client_send(c, out);
+}
+
+/* Sends one Query and waits for its whole answer. */
+static void
+client_query(struct client *c, const char *sql)
+{
+    client_start(c, sql);
+    client_wait(c, c->ready + 1);
+}
+
+/* Appends Parse. */
+static void
+put_parse(GString *out, const char *name, const char *sql)
+{
+    const size_t at = frame_begin(out, 'P');
+
+    frame_put_cstring(out, name);
+    frame_put_cstring(out, sql);
+    frame_put_u16(out, 0);
+    frame_end(out, at);
+}
+
+/* Appends Bind with one text parameter, Execute and Sync. */
+static void
+put_run(GString *out, const char *name, const char *value)
+{
+    size_t at = frame_begin(out, 'B');
+
+    frame_put_cstring(out, "");
+    frame_put_cstring(out, name);
+    frame_put_u16(out, 0);
+    frame_put_u16(out, 1);
+    frame_put_u32(out, (uint32_t)strlen(value));
+    g_string_append(out, value);
+    frame_put_u16(out, 0);
+    frame_end(out, at);
+    at = frame_begin(out, 'E');
+    frame_put_cstring(out, "");
+    frame_put_u32(out, 0);
+    frame_end(out, at);
+    frame_end(out, frame_begin(out, 'S'));
+}
+
+/* Guards against a named statement that is missing on the connection which
+   serves the next transaction: the proxy has one connection to each member
+   and another caller resets it in between. */
+static void
+test_prepared_statements_survive_pooling(void **state)
+{
+    (void)state;
+    struct site s;
+    struct client a;
+    struct client b;
+    site_start(&s);
+    client_open(&a, &s, "filing", "none");
+    client_open(&b, &s, "filing", "none");
+
+    client_query(&a, "INSERT INTO entries (id, value) VALUES ('x', '7')");
+    GString *out = g_string_new(NULL);
+    put_parse(out, "find", "SELECT value FROM entries WHERE id = $1");
+    frame_end(out, frame_begin(out, 'S'));
+    client_send(&a, out);
+    client_wait(&a, a.ready + 1);
+    assert_string_equal(a.types->str, "1Z");
+    client_query(&b, "DISCARD ALL");
+    client_query(&b, "SET work.mem = '5'");
+    client_query(&b, "UPDATE entries SET value = '8' WHERE id = 'x'");
+    for (int i = 0; i < 3; i++) {
+        out = g_string_new(NULL);
+        put_run(out, "find", "x");
+        client_send(&a, out);
+        client_wait(&a, a.ready + 1);
+        assert_string_equal(a.column, "8");
+    }
+    /* The same name again is an error of the caller, and changes nothing. */
+    out = g_string_new(NULL);
+    put_parse(out, "find", "SELECT 1");
+    frame_end(out, frame_begin(out, 'S'));
+    client_send(&a, out);
+    client_wait(&a, a.ready + 1);
+    assert_string_equal(a.sqlstate, "42P05");
+    /* A statement whose text fails is not there afterwards. */
+    out = g_string_new(NULL);
+    put_parse(out, "bad", "SELEC 1");
+    frame_end(out, frame_begin(out, 'S'));
+    client_send(&a, out);
+    client_wait(&a, a.ready + 1);
+    assert_string_equal(a.hint, "outcome=failed");
+    out = g_string_new(NULL);
+    put_run(out, "bad", "x");
+    client_send(&a, out);
+    client_wait(&a, a.ready + 1);
+    assert_string_equal(a.sqlstate, "26000");
+    client_close(&a);
+    client_close(&b);
+    site_stop(&s);
+}
+
+/* Guards against settings of one session reaching another one, and against
+   losing them when the session's next statement runs elsewhere. */
+static void
+test_settings_stay_with_their_session(void **state)
+{
+    (void)state;
+    struct site s;
+    struct client a;
+    struct client b;
+    site_start(&s);
+    client_open(&a, &s, "filing", "none");
+    client_open(&b, &s, "filing", "none");
+
+    client_query(&a, "SET work.mem = '5'");
+    client_query(&b, "SELECT fake_session()");
+    assert_null(strstr(b.column, "work.mem"));
+    client_query(&a, "SELECT current_setting('work.mem')");
+    assert_string_equal(a.column, "5");
+    client_query(&a, "BEGIN");
+    client_query(&a, "SET work.mem = '6'");
+    client_query(&a, "ROLLBACK");
+    client_query(&a, "SELECT current_setting('work.mem')");
+    assert_string_equal(a.column, "5");
+    client_query(&a, "BEGIN");
+    client_query(&a, "SET work.mem = '6'");
+    client_query(&a, "COMMIT");
+    client_query(&b, "SELECT fake_session()");
+    assert_null(strstr(b.column, "work.mem"));
+    client_query(&a, "SELECT current_setting('work.mem')");
+    assert_string_equal(a.column, "6");
+    client_close(&a);
+    client_close(&b);
+    site_stop(&s);
+}
+
+/* Guards against work of two transactions on one connection: the second
+   caller waits while the first one has its transaction open. */
+static void
+test_transactions_do_not_mix(void **state)
+{
+    (void)state;
+    struct site s;
+    struct client a;
+    struct client b;
+    site_start(&s);
+    client_open(&a, &s, "filing", "none");
+    client_open(&b, &s, "filing", "none");
+
+    client_query(&a, "BEGIN");
+    assert_int_equal(a.status, 'T');
+    client_query(&a, "UPDATE entries SET value = value + 1 WHERE id = 'n'");
+    client_start(&b, "UPDATE entries SET value = value + 10 WHERE id = 'n'");
+    for (int i = 0; i < 50; i++) {
+        ev_run(s.loop, EVRUN_ONCE);
+        client_poll(&b);
+    }
+    assert_string_equal(b.types->str, "");
+    client_query(&a, "SELECT value FROM entries WHERE id = 'n'");
+    assert_string_equal(a.column, "1");
+    client_query(&a, "COMMIT");
+    client_wait(&b, 2);
+    client_query(&a, "SELECT value FROM entries WHERE id = 'n'");
+    assert_string_equal(a.column, "11");
+    client_close(&a);
+    client_close(&b);
+    site_stop(&s);
+}
+
+/* Guards against a refused statement that leaves the open transaction alive,
+   so that the rest of it would be committed without the statement. */
+static void
+test_refusal_fails_the_transaction(void **state)
+{
+    (void)state;
+    struct site s;
+    struct client a;
+    site_start(&s);
+    client_open(&a, &s, "filing", "none");
+
+    client_query(&a, "LISTEN x");
+    assert_string_equal(a.sqlstate, "0A000");
+    assert_string_equal(a.hint, "outcome=not_run");
+    assert_int_equal(a.status, 'I');
+    client_query(&a, "COPY entries FROM STDIN");
+    assert_string_equal(a.sqlstate, "0A000");
+    client_query(&a, "BEGIN");
+    client_query(&a, "UPDATE entries SET value = '1' WHERE id = 'r'");
+    client_query(&a, "LISTEN x");
+    assert_string_equal(a.sqlstate, "0A000");
+    assert_int_equal(a.status, 'E');
+    client_query(&a, "COMMIT");
+    client_query(&a, "SELECT count(*) FROM entries");
+    assert_string_equal(a.column, "0");
+    client_close(&a);
+    site_stop(&s);
+}
+
+/* Guards against a session without a token reading from a replica that has
+   not caught up, and against a token that is not reported. */
+static void
+test_unknown_history_reads_confirmed(void **state)
+{
+    (void)state;
+    struct site s;
+    struct client a;
+    struct client b;
+    site_start(&s);
+    client_open(&a, &s, "filing", NULL);
+
+    client_query(&a, "INSERT INTO entries (id, value) VALUES ('k', '1')");
+    assert_non_null(strstr(a.token, "v1:boats:"));
+    client_open(&b, &s, "lookup", NULL);
+    client_query(&b, "SELECT value FROM entries WHERE id = 'k'");
+    assert_string_equal(b.column, "1");
+    const struct counters *n = front_counters(s.front);
+    assert_int_equal(n->value[0][1][COUNTER_READS_CONFIRMED], 1);
+    /* From now on the token is known, and replicas that have heard of the
+       commit serve. */
+    while (group_view(s.groups[0], 1)->position <
+               group_view(s.groups[0], 0)->position ||
+           group_view(s.groups[0], 2)->position <
+               group_view(s.groups[0], 0)->position) {
+        ev_run(s.loop, EVRUN_ONCE);
+    }
+    for (int i = 0; i < 10; i++) {
+        client_query(&b, "SELECT value FROM entries WHERE id = 'k'");
+        assert_string_equal(b.column, "1");
+    }
+    assert_true(n->value[0][1][COUNTER_READS_REPLICA] >= 9);
+    client_query(&b, "SET galenastep.token = 'nonsense'");
+    assert_string_equal(b.sqlstate, "22023");
+    client_close(&a);
+    client_close(&b);
+    site_stop(&s);
+}
+
+/* Guards against taking memory for a message that is over the bound, and
+   against ending more than the connection that sent it. */
+static void
+test_oversized_message_ends_its_connection(void **state)
+{
+    (void)state;
+    struct site s;
+    struct client a;
+    struct client b;
+    site_start(&s);
+    client_open(&a, &s, "filing", NULL);
+    client_open(&b, &s, "filing", NULL);
+
+    GString *out = g_string_new(NULL);
+    g_string_append_c(out, 'Q');
+    frame_put_u32(out, 1 << 30);
+    client_send(&a, out);
+    client_wait(&a, UINT_MAX);
+    assert_string_equal(a.sqlstate, "54000");
+    assert_true(a.closed);
+    client_query(&b, "SELECT 1");
+    assert_string_equal(b.column, "1");
+    client_close(&a);
+    client_close(&b);
+    site_stop(&s);
+}
+
+/* Guards against a cancel request that reaches no member, and one with a wrong
+   secret that does. */
+static void
+test_cancel_reaches_the_statement(void **state)
+{
+    (void)state;
+    struct site s;
+    struct client a;
+    site_start(&s);
+    client_open(&a, &s, "filing", NULL);
+
+    client_start(&a, "SELECT fake_sleep(20000)");
+    for (int i = 0; i < 20; i++) {
+        ev_run(s.loop, EVRUN_ONCE);
+    }
+    assert_false(front_cancel(s.front, a.pid, a.secret + 1));
+    assert_true(front_cancel(s.front, a.pid, a.secret));
+    client_wait(&a, 2);
+    assert_string_equal(a.sqlstate, "57014");
+    client_query(&a, "SELECT 1");
+    assert_string_equal(a.column, "1");
+    client_close(&a);
+    site_stop(&s);
+}
+
+/* Guards against telling "not run" of a write that was handed to a member
+   which then died: its outcome is unknown. */
+static void
+test_lost_write_is_unknown(void **state)
+{
+    (void)state;
+    struct site s;
+    struct client a;
+    GString *answer = g_string_new(NULL);
+    site_start(&s);
+    client_open(&a, &s, "filing", NULL);
+
+    client_start(&a, "SELECT fake_sleep(20000)");
+    while (s.db->members[0].running == 0) {
+        ev_run(s.loop, EVRUN_ONCE);
+    }
+    struct conn *any = g_queue_peek_head(&s.db->members[1].conns);
+    assert_true(host_fault(any, "kill", "0", answer));
+    client_wait(&a, 2);
+    assert_string_equal(a.sqlstate, "08007");
+    assert_string_equal(a.hint, "outcome=unknown");
+    /* The next write waits for the new primary and is served. */
+    client_query(&a, "UPDATE entries SET value = value + 1 WHERE id = 'u'");
+    assert_string_equal(a.sqlstate, "");
+    client_query(&a, "SELECT value FROM entries WHERE id = 'u'");
+    assert_string_equal(a.column, "1");
+    g_string_free(answer, TRUE);
+    client_close(&a);
+    site_stop(&s);
+}
+
+/* Notes the end of a graceful shutdown. */
+static void
+on_drained(void *ctx)
+{
+    ((struct site *)ctx)->drained = true;
+}
+
+/* Guards against a graceful shutdown that cuts an open transaction, or that
+   leaves idle callers connected. */
+static void
+test_drain_lets_transactions_end(void **state)
+{
+    (void)state;
+    struct site s;
+    struct client a;
+    struct client b;
+    site_start(&s);
+    client_open(&a, &s, "filing", NULL);
+    client_open(&b, &s, "filing", NULL);
+
+    client_query(&a, "BEGIN");
+    client_query(&a, "UPDATE entries SET value = '1' WHERE id = 'd'");
+    front_drain(s.front, on_drained, &s);
+    client_wait(&b, UINT_MAX);
+    assert_string_equal(b.sqlstate, "57P01");
+    assert_false(s.drained);
+    client_query(&a, "UPDATE entries SET value = '2' WHERE id = 'd'");
+    assert_int_equal(a.status, 'T');
+    client_query(&a, "COMMIT");
+    assert_non_null(strstr(a.types->str, "C"));
+    client_wait(&a, UINT_MAX);
+    assert_string_equal(a.sqlstate, "57P01");
+    while (!s.drained) {
+        ev_run(s.loop, EVRUN_ONCE);
+    }
+    client_close(&a);
+    client_close(&b);
+    site_stop(&s);
+}
+
+int
+main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(test_prepared_statements_survive_pooling),
+        cmocka_unit_test(test_settings_stay_with_their_session),
+        cmocka_unit_test(test_transactions_do_not_mix),
+        cmocka_unit_test(test_refusal_fails_the_transaction),
+        cmocka_unit_test(test_unknown_history_reads_confirmed),
+        cmocka_unit_test(test_oversized_message_ends_its_connection),
+        cmocka_unit_test(test_cancel_reaches_the_statement),
+        cmocka_unit_test(test_lost_write_is_unknown),
+        cmocka_unit_test(test_drain_lets_transactions_end),
+    };
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/tests/fakes/test_server.c
+++ b/tests/fakes/test_server.c
@@ -224,7 +224,7 @@
     GString *types = g_string_new(NULL);
     GString *out = g_string_new(NULL);
     struct client c = client_open(&s, types);
-    const struct store *rows = group_visible(s.db->group, 0);
+    const struct store *rows = fake_group_visible(s.db->group, 0);
 
     frame_put_query(out, "insert into entries (id, value) values ('a', '1');"
                          "nonsense");
