Run writes with a request key at most once, with the first run's answer

Cause: a write whose commit answer was lost could only be reported as unknown. Change: a single write with galenastep.request_key runs in a transaction that claims the key, runs the statement, stores its answer and commits; a repeat finds the key and gets the stored answer; a lost connection or commit makes the proxy run it again by itself, at most 20 times and within the deadline. Before: 08007 for a write in flight at the primary's death. After: the same write with a key is answered and counted once (test_request_key_runs_once). Keys for explicit transactions are left to the caller, who can call group_request_claim() in them.

--- a/src/caller/body.c
+++ b/src/caller/body.c
@@ -225,10 +225,10 @@
             a->statement->confirmed = true;
         }
         if (!c->exchange.discarding) {
-            frame_end(
-                c->out,
-                frame_begin(c->out, a->kind == ACK_PARSE_LOCAL ? '1' : '3'));
-            c->exchange.forwarded = true;
+            GString *out = exchange_sink(c);
+            const char type = a->kind == ACK_PARSE_LOCAL ? '1' : '3';
+            frame_end(out, frame_begin(out, type));
+            c->exchange.forwarded = !c->exchange.keyed;
         }
         pop_ack(&c->exchange);
     }
--- a/src/caller/caller.c
+++ b/src/caller/caller.c
@@ -248,6 +248,9 @@
     if (c->portals != NULL) {
         g_hash_table_destroy(c->portals);
     }
+    if (c->keyed_answer != NULL) {
+        g_string_free(c->keyed_answer, TRUE);
+    }
     if (c->exchange.acks != NULL) {
         g_array_free(c->exchange.acks, TRUE);
     }
--- a/src/caller/caller.h
+++ b/src/caller/caller.h
@@ -67,9 +67,13 @@
     SECTION_GUARD,    /* the member's state before a read */
     SECTION_BODY,     /* the caller's own messages */
     SECTION_STATE,    /* the member's state afterwards */
-    SECTION_ROLLBACK, /* undoes a BEGIN whose guard failed; dropped */
+    SECTION_ROLLBACK, /* undoes a transaction of the proxy; dropped */
+    SECTION_KEY_BEGIN,
+    SECTION_KEY_CLAIM, /* stores the request key, or finds it stored */
+    SECTION_KEY_STORE, /* stores the answer beside the key */
+    SECTION_KEY_COMMIT,
 };
-#define EXCHANGE_MAX_SECTIONS 5
+#define EXCHANGE_MAX_SECTIONS 8
 
 /* What one forwarded or synthesised extended message will be answered with. */
 enum ack_kind {
@@ -95,12 +99,15 @@
     GArray *acks; /* of struct ack; NULL until the extended protocol is used */
     guint ack_head;
     bool guard_passed;
-    bool discarding;    /* the answer is dropped: the request runs elsewhere */
-    bool forwarded;     /* a byte of the answer went to the caller */
-    bool body_failed;   /* the database answered with an error */
-    bool body_done;     /* the body's ReadyForQuery arrived */
-    char tx_status;     /* from the body's ReadyForQuery */
-    char tag[32];       /* last CommandComplete */
+    bool discarding;  /* the answer is dropped: the request runs elsewhere */
+    bool forwarded;   /* a byte of the answer went to the caller */
+    bool body_failed; /* the database answered with an error */
+    bool body_done;   /* the body's ReadyForQuery arrived */
+    char tx_status;   /* from the latest ReadyForQuery of the body */
+    char tag[32];     /* last CommandComplete */
+    bool keyed;       /* runs in a transaction with its request key */
+    bool replay;      /* the key was stored: answer what stands there */
+    bool commit_failed;
     size_t passthrough; /* bytes left of a large message being relayed */
     clock_ms deadline;  /* without a sign of life until then: silent */
 };
@@ -137,6 +144,8 @@
     struct group_request request;
     struct batch batch;
     struct exchange exchange;
+    GString *keyed_answer; /* withheld until the key's commit */
+    int keyed_attempts;
     bool on_running;
     GList running_link;
     char peer[64];
@@ -172,10 +181,21 @@
 
 /* exchange.c */
 void exchange_begin(struct caller *c, struct upstream_conn *u);
+void exchange_add_section(struct exchange *e, enum section s);
+GString *exchange_sink(struct caller *c);
 void exchange_continue(struct caller *c);
 void exchange_check_deadline(struct caller *c, clock_ms now);
 extern const struct upstream_conn_ops exchange_ops;
 
+/* keyed.c */
+bool keyed_applies(const struct caller *c);
+void keyed_begin(struct caller *c, struct upstream_conn *u);
+void keyed_take_claim(struct caller *c, const struct frame *f);
+void keyed_take_commit(struct caller *c, const struct frame *f);
+void keyed_after_body(struct caller *c);
+bool keyed_finish(struct caller *c);
+bool keyed_retry(struct caller *c);
+
 /* body.c */
 void body_write(struct caller *c, struct upstream_conn *u);
 bool body_take_ack(struct caller *c, char type);
--- a/src/caller/exchange.c
+++ b/src/caller/exchange.c
@@ -13,8 +13,8 @@
 #define EXCHANGE_WHOLE_MESSAGE_BYTES 32768
 
 /* Adds a part that ends with ReadyForQuery. */
-static void
-add_section(struct exchange *e, enum section s)
+void
+exchange_add_section(struct exchange *e, enum section s)
 {
     e->sections[e->count++] = s;
 }
@@ -65,12 +65,15 @@
         frame_put_query(u->out, sql->str);
         g_string_free(sql, TRUE);
         u->settings_hash = c->settings.hash;
-        add_section(e, SECTION_SETTINGS);
+        exchange_add_section(e, SECTION_SETTINGS);
+    }
+    if (keyed_applies(c)) {
+        keyed_begin(c, u);
     }
     if (!in_transaction && needs_guard(b->class)) {
         frame_put_query(u->out,
                         c->token.known ? GROUP_SQL_STATE : GROUP_SQL_CONFIRM);
-        add_section(e, SECTION_GUARD);
+        exchange_add_section(e, SECTION_GUARD);
         e->guard_passed = false;
     }
     if (b->refusal_state != NULL) {
@@ -81,10 +84,10 @@
     else {
         body_write(c, u);
     }
-    add_section(e, SECTION_BODY);
-    if (needs_state(b, in_transaction) && !b->flushed) {
+    exchange_add_section(e, SECTION_BODY);
+    if (needs_state(b, in_transaction) && !b->flushed && !e->keyed) {
         frame_put_query(u->out, GROUP_SQL_STATE);
-        add_section(e, SECTION_STATE);
+        exchange_add_section(e, SECTION_STATE);
     }
     e->deadline = clock_now() + c->front->settings->kinds[c->kind].deadline_ms;
     upstream_conn_flush(u);
@@ -141,13 +144,21 @@
     }
 }
 
+/* Returns where the answer goes: to the caller, or aside until the commit of
+   the request's key. */
+GString *
+exchange_sink(struct caller *c)
+{
+    return c->exchange.keyed ? c->keyed_answer : c->out;
+}
+
 /* Passes a message on to the caller. */
 static void
 forward(struct caller *c, struct sview bytes)
 {
     if (!c->exchange.discarding) {
-        g_string_append_len(c->out, bytes.p, (gssize)bytes.n);
-        c->exchange.forwarded = true;
+        g_string_append_len(exchange_sink(c), bytes.p, (gssize)bytes.n);
+        c->exchange.forwarded = !c->exchange.keyed;
     }
 }
 
@@ -158,15 +169,16 @@
     struct exchange *e = &c->exchange;
     const struct batch *b = &c->batch;
     struct frame_reader r = {.rest = f->body};
+    GString *out = exchange_sink(c);
 
     e->body_failed = true;
     body_drop_acks(c, c->request.conn);
     if (e->discarding) {
         return;
     }
-    e->forwarded = true;
+    e->forwarded = !e->keyed;
     if (b->refusal_state != NULL) {
-        frame_put_error(c->out, "ERROR", b->refusal_state, b->refusal, NULL,
+        frame_put_error(out, "ERROR", b->refusal_state, b->refusal, NULL,
                         "outcome=not_run");
         return;
     }
@@ -174,25 +186,25 @@
     const bool unknown =
         sview_equal(frame_error_field(f->body, 'C'), SVIEW("08007"));
     const char *outcome = unknown ? "outcome=unknown" : "outcome=failed";
-    const size_t at = frame_begin(c->out, 'E');
+    const size_t at = frame_begin(out, 'E');
     bool hinted = false;
     while (!r.failed && r.rest.n > 0 && r.rest.p[0] != '\0') {
         const char field = frame_read_bytes(&r, 1).p[0];
         const struct sview v = frame_read_cstring(&r);
-        g_string_append_c(c->out, field);
-        g_string_append_len(c->out, v.p, (gssize)v.n);
+        g_string_append_c(out, field);
+        g_string_append_len(out, v.p, (gssize)v.n);
         if (field == 'H') {
-            g_string_append_printf(c->out, "; %s", outcome);
+            g_string_append_printf(out, "; %s", outcome);
             hinted = true;
         }
-        g_string_append_c(c->out, '\0');
+        g_string_append_c(out, '\0');
     }
     if (!hinted) {
-        g_string_append_c(c->out, 'H');
-        frame_put_cstring(c->out, outcome);
+        g_string_append_c(out, 'H');
+        frame_put_cstring(out, outcome);
     }
-    g_string_append_c(c->out, '\0');
-    frame_end(c->out, at);
+    g_string_append_c(out, '\0');
+    frame_end(out, at);
 }
 
 /* Takes one message of the answer to the caller's own messages. */
@@ -230,6 +242,13 @@
         body_emit_local(c);
         e->body_done = true;
         e->tx_status = f->body.n == 1 ? f->body.p[0] : 'E';
+        if (e->keyed) {
+            keyed_after_body(c);
+        }
+    }
+    if (e->keyed && (current_section(e) == SECTION_KEY_COMMIT ||
+                     current_section(e) == SECTION_ROLLBACK)) {
+        e->tx_status = f->body.n == 1 ? f->body.p[0] : 'E';
     }
     e->current++;
     if (e->current < e->count) {
@@ -239,7 +258,10 @@
         frame_put_query(c->request.conn->out, "ROLLBACK");
         upstream_conn_flush(c->request.conn);
         e->tx_status = 'I';
-        add_section(e, SECTION_ROLLBACK);
+        exchange_add_section(e, SECTION_ROLLBACK);
+        return;
+    }
+    if (e->keyed && !keyed_finish(c)) {
         return;
     }
     if (!e->discarding) {
@@ -279,6 +301,12 @@
     else if (s == SECTION_STATE) {
         take_state(c, f);
     }
+    else if (s == SECTION_KEY_CLAIM) {
+        keyed_take_claim(c, f);
+    }
+    else if (s == SECTION_KEY_STORE || s == SECTION_KEY_COMMIT) {
+        keyed_take_commit(c, f);
+    }
     else if (s == SECTION_SETTINGS && f->type == 'E') {
         /* A setting that the member refuses must not silently be left out. */
         c->request.conn->settings_hash = CONN_SETTINGS_UNKNOWN;
@@ -319,7 +347,7 @@
     body_write(c, u);
     if (!c->batch.flushed && needs_state(&c->batch, in_transaction)) {
         frame_put_query(u->out, GROUP_SQL_STATE);
-        add_section(e, SECTION_STATE);
+        exchange_add_section(e, SECTION_STATE);
     }
     upstream_conn_flush(u);
 }
@@ -408,7 +436,10 @@
     e->tx_status = 'I';
     c->holds = false;
     group_finish(c->group, &c->request, GROUP_RETURN_CLOSED);
-    if (!running || in_transaction) {
+    if (running && e->keyed && keyed_retry(c)) {
+        return;
+    }
+    if (!running || (in_transaction && !e->keyed)) {
         const bool commit = running && b->ends;
         caller_count(c, commit ? COUNTER_UNKNOWN_OUTCOME
                                : COUNTER_TRANSACTION_LOST);
--- /dev/null
+++ b/src/caller/keyed.c
@@ -0,0 +1,268 @@
+#include "caller/caller.h"
+
+#include <string.h>
+
+#define LOG_MODULE "keyed"
+#include "base/log.h"
+
+/* A request key makes a write safe to send again: the key is stored in the
+   write's own transaction, together with the answer, so a second run finds it
+   and only reads the answer. */
+
+/* Larger answers are stored without their rows. */
+#define KEYED_STORED_BYTES 8192
+#define KEYED_MAX_ATTEMPTS 20
+
+/* Tells whether the batch is a single write outside a transaction that has a
+   request key. */
+bool
+keyed_applies(const struct caller *c)
+{
+    const struct batch *b = &c->batch;
+
+    return c->request_key != NULL && c->exchange.tx_status == 'I' &&
+           b->class == STATEMENT_WRITE && !b->multiple && !b->flushed &&
+           b->refusal_state == NULL;
+}
+
+/* Appends the request key as an SQL literal. */
+static void
+append_key(const struct caller *c, GString *sql)
+{
+    char **parts = g_strsplit(c->request_key, "'", -1);
+    char *quoted = g_strjoinv("''", parts);
+
+    g_string_append_printf(sql, "'%s'", quoted);
+    g_free(quoted);
+    g_strfreev(parts);
+}
+
+/* Opens the transaction and claims the key, ahead of the caller's write. When
+   the key is stored already, the claim fails and the write is not run. */
+void
+keyed_begin(struct caller *c, struct upstream_conn *u)
+{
+    struct exchange *e = &c->exchange;
+    GString *sql = g_string_new("SELECT group_request_claim(");
+
+    if (c->keyed_answer == NULL) {
+        c->keyed_answer = g_string_new(NULL);
+    }
+    g_string_truncate(c->keyed_answer, 0);
+    e->keyed = true;
+    frame_put_query(u->out, "BEGIN");
+    exchange_add_section(e, SECTION_KEY_BEGIN);
+    append_key(c, sql);
+    g_string_append_c(sql, ')');
+    frame_put_query(u->out, sql->str);
+    exchange_add_section(e, SECTION_KEY_CLAIM);
+    g_string_free(sql, TRUE);
+}
+
+/* Appends bytes as hexadecimal digits. */
+static void
+append_hex(GString *out, struct sview bytes)
+{
+    for (size_t i = 0; i < bytes.n; i++) {
+        g_string_append_printf(out, "%02x", (unsigned char)bytes.p[i]);
+    }
+}
+
+/* Reads hexadecimal digits; false when there is anything else. */
+static bool
+read_hex(struct sview text, GString *out)
+{
+    for (size_t i = 0; i + 1 < text.n; i += 2) {
+        const int high = g_ascii_xdigit_value(text.p[i]);
+        const int low = g_ascii_xdigit_value(text.p[i + 1]);
+        if (high < 0 || low < 0) {
+            return false;
+        }
+        g_string_append_c(out, (char)(high << 4 | low));
+    }
+    return text.n % 2 == 0;
+}
+
+/* Takes the answer to the claim. */
+void
+keyed_take_claim(struct caller *c, const struct frame *f)
+{
+    if (f->type != 'E') {
+        return;
+    }
+    const struct sview state = frame_error_field(f->body, 'C');
+    const struct sview stored = frame_error_field(f->body, 'D');
+    GString *answer = g_string_new(NULL);
+    if (sview_equal(state, SVIEW("23505")) && read_hex(stored, answer)) {
+        c->exchange.replay = true;
+        g_string_truncate(c->keyed_answer, 0);
+        g_string_append_len(c->keyed_answer, answer->str, (gssize)answer->len);
+    }
+    g_string_free(answer, TRUE);
+}
+
+/* Takes the answers to the stored result and the commit. */
+void
+keyed_take_commit(struct caller *c, const struct frame *f)
+{
+    if (f->type == 'E') {
+        c->exchange.commit_failed = true;
+    }
+    if (f->type == 'C') {
+        const struct sview tag = {.p = f->body.p,
+                                  .n = strnlen(f->body.p, f->body.n)};
+        if (sview_equal(tag, SVIEW("ROLLBACK"))) {
+            c->exchange.commit_failed = true;
+        }
+    }
+}
+
+/* Returns the messages of the answer that a later run of the request gets:
+   row description, rows and tag, or the tag alone when they are too many. */
+static void
+append_stored(const struct caller *c, GString *sql)
+{
+    const bool whole = c->keyed_answer->len <= KEYED_STORED_BYTES;
+    struct sview in = {c->keyed_answer->str, c->keyed_answer->len};
+    struct frame f;
+
+    while (frame_next(in, in.n, &f) == FRAME_COMPLETE) {
+        if (f.type == 'C' || (whole && (f.type == 'T' || f.type == 'D'))) {
+            append_hex(sql, (struct sview){in.p, f.total_bytes});
+        }
+        in.p += f.total_bytes;
+        in.n -= f.total_bytes;
+    }
+}
+
+/* Goes on when the write has been answered: stores the answer and commits, or
+   ends the transaction when the write failed or the key was stored before. */
+void
+keyed_after_body(struct caller *c)
+{
+    struct exchange *e = &c->exchange;
+    struct upstream_conn *u = c->request.conn;
+
+    if (e->replay || e->tx_status != 'T') {
+        frame_put_query(u->out, "ROLLBACK");
+        exchange_add_section(e, SECTION_ROLLBACK);
+    }
+    else {
+        GString *sql = g_string_new("SELECT group_request_store(");
+        append_key(c, sql);
+        g_string_append(sql, ", '");
+        append_stored(c, sql);
+        g_string_append(sql, "')");
+        frame_put_query(u->out, sql->str);
+        exchange_add_section(e, SECTION_KEY_STORE);
+        frame_put_query(u->out, "COMMIT");
+        exchange_add_section(e, SECTION_KEY_COMMIT);
+        g_string_free(sql, TRUE);
+    }
+    frame_put_query(u->out, GROUP_SQL_STATE);
+    exchange_add_section(e, SECTION_STATE);
+    upstream_conn_flush(u);
+}
+
+/* Appends those messages of the stored answer that have one of the types. */
+static void
+append_types(struct caller *c, const char *types)
+{
+    struct sview in = {c->keyed_answer->str, c->keyed_answer->len};
+    struct frame f;
+
+    while (frame_next(in, in.n, &f) == FRAME_COMPLETE) {
+        if (strchr(types, f.type) != NULL) {
+            g_string_append_len(c->out, in.p, (gssize)f.total_bytes);
+        }
+        in.p += f.total_bytes;
+        in.n -= f.total_bytes;
+    }
+}
+
+/* Answers a repeated request with what was stored, in the order in which the
+   caller's messages ask for it. */
+static void
+answer_replay(struct caller *c)
+{
+    struct sview in = caller_input(c);
+    struct frame f;
+
+    caller_count(c, COUNTER_KEYED_REPLAYS);
+    if (!c->batch.extended) {
+        append_types(c, "TDC");
+        return;
+    }
+    in.n = c->batch.bytes;
+    while (in.n > 0 && frame_next(in, in.n, &f) == FRAME_COMPLETE) {
+        if (f.type == 'P') {
+            frame_end(c->out, frame_begin(c->out, '1'));
+        }
+        else if (f.type == 'B') {
+            frame_end(c->out, frame_begin(c->out, '2'));
+        }
+        else if (f.type == 'C') {
+            frame_end(c->out, frame_begin(c->out, '3'));
+        }
+        else if (f.type == 'D') {
+            const size_t before = c->out->len;
+            append_types(c, "T");
+            if (c->out->len == before) {
+                frame_end(c->out, frame_begin(c->out, 'n'));
+            }
+        }
+        else if (f.type == 'E') {
+            append_types(c, "DC");
+        }
+        in.p += f.total_bytes;
+        in.n -= f.total_bytes;
+    }
+}
+
+/* Ends a keyed exchange whose parts were all answered. Returns false when the
+   request runs again. */
+bool
+keyed_finish(struct caller *c)
+{
+    struct exchange *e = &c->exchange;
+
+    if (e->commit_failed && !e->replay) {
+        /* Another run of the same key may have committed first, or the
+           primary was replaced within the commit; the next run finds out. */
+        e->tx_status = 'I';
+        c->holds = false;
+        group_finish(c->group, &c->request, GROUP_RETURN_DISCARD);
+        if (!keyed_retry(c)) {
+            caller_count(c, COUNTER_UNKNOWN_OUTCOME);
+            request_fail(c, "08007",
+                         "the commit of the request's key did not succeed",
+                         "outcome=unknown");
+        }
+        return false;
+    }
+    if (e->replay) {
+        e->body_failed = false;
+        answer_replay(c);
+    }
+    else {
+        g_string_append_len(c->out, c->keyed_answer->str,
+                            (gssize)c->keyed_answer->len);
+    }
+    g_string_truncate(c->keyed_answer, 0);
+    g_free(c->request_key);
+    c->request_key = NULL;
+    return true;
+}
+
+/* Runs the request again after its connection or its commit was lost: if the
+   first run took effect, the claim finds the key. Returns false when it was
+   tried too often. */
+bool
+keyed_retry(struct caller *c)
+{
+    if (++c->keyed_attempts > KEYED_MAX_ATTEMPTS) {
+        return false;
+    }
+    request_retry(c, COUNTER_RETRY_KEYED);
+    return true;
+}
--- a/src/caller/request.c
+++ b/src/caller/request.c
@@ -280,6 +280,7 @@
             c->front->settings->kinds[c->kind].max_staleness_ms,
     };
     c->request.admission.deadline_at = 0;
+    c->keyed_attempts = 0;
     submit(c);
 }
 
--- a/tests/caller/test_front.c
+++ b/tests/caller/test_front.c
@@ -589,6 +589,53 @@
     site_stop(&s);
 }
 
+/* Guards against a write that runs twice when it is sent again with its
+   request key, also when the answer to its commit was lost with the primary,
+   and against another answer than the first run's. */
+static void
+test_request_key_runs_once(void **state)
+{
+    (void)state;
+    struct site s;
+    struct client a;
+    GString *answer = g_string_new(NULL);
+    site_start(&s);
+    client_open(&a, &s, "filing", NULL);
+
+    for (int i = 0; i < 2; i++) {
+        client_query(&a, "SET galenastep.request_key = 'fee-1'");
+        client_query(&a,
+                     "UPDATE entries SET value = value + 5 WHERE id = 'f'");
+        assert_string_equal(a.sqlstate, "");
+        assert_non_null(strstr(a.types->str, "C"));
+    }
+    client_query(&a, "SELECT value FROM entries WHERE id = 'f'");
+    assert_string_equal(a.column, "5");
+    /* A failed write leaves its key free. */
+    client_query(&a, "SET galenastep.request_key = 'fee-2'");
+    client_query(&a, "INSERT INTO entries (id, value) VALUES ('f', '1')");
+    assert_string_equal(a.sqlstate, "23505");
+    assert_string_equal(a.hint, "outcome=failed");
+    client_query(&a, "SET galenastep.request_key = 'fee-2'");
+    client_query(&a, "UPDATE entries SET value = value + 5 WHERE id = 'f'");
+    client_query(&a, "SELECT value FROM entries WHERE id = 'f'");
+    assert_string_equal(a.column, "10");
+    /* The primary dies while the write is in flight: the proxy runs it again
+       on the next one by itself. */
+    client_query(&a, "SET galenastep.request_key = 'fee-3'");
+    client_start(&a, "UPDATE entries SET value = value + 5 WHERE id = 'f'");
+    ev_run(s.loop, EVRUN_ONCE);
+    struct conn *any = g_queue_peek_head(&s.db->members[1].conns);
+    assert_true(host_fault(any, "kill", "0", answer));
+    client_wait(&a, a.ready + 1);
+    assert_string_equal(a.sqlstate, "");
+    client_query(&a, "SELECT value FROM entries WHERE id = 'f'");
+    assert_string_equal(a.column, "15");
+    g_string_free(answer, TRUE);
+    client_close(&a);
+    site_stop(&s);
+}
+
 /* Notes the end of a graceful shutdown. */
 static void
 on_drained(void *ctx)
@@ -641,6 +688,7 @@
         cmocka_unit_test(test_oversized_message_ends_its_connection),
         cmocka_unit_test(test_cancel_reaches_the_statement),
         cmocka_unit_test(test_lost_write_is_unknown),
+        cmocka_unit_test(test_request_key_runs_once),
         cmocka_unit_test(test_drain_lets_transactions_end),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
