--- a/src/caller/caller.h
+++ b/src/caller/caller.h
@@ -1,6 +1,7 @@
 #ifndef CALLER_CALLER_H
 #define CALLER_CALLER_H
 
+#include "admission/retry_budget.h"
 #include "caller/counters.h"
 #include "caller/front.h"
 #include "caller/prepared.h"
@@ -17,6 +18,8 @@
     struct group **groups; /* one for each database, in settings order */
     struct statement_cache *statements;
     struct counters counters;
+    struct retry_budget budgets[SETTINGS_MAX_DATABASES];
+    struct rng rng;
     GHashTable *callers; /* process id -> struct caller */
     GQueue running;      /* callers with an exchange in flight */
     int listen_fd;
@@ -33,6 +36,7 @@
 enum caller_state {
     CALLER_STARTUP,
     CALLER_READY,   /* between requests, or idle in a transaction */
+    CALLER_BACKOFF, /* waits before a retry */
     CALLER_QUEUED,  /* waits for a connection */
     CALLER_RUNNING, /* an exchange is in flight */
     CALLER_CLOSING, /* writes what is queued, then closes */
@@ -145,7 +149,8 @@
     struct batch batch;
     struct exchange exchange;
     GString *keyed_answer; /* withheld until the key's commit */
-    int keyed_attempts;
+    int attempts;          /* retries of the present request */
+    ev_timer backoff;
     bool on_running;
     GList running_link;
     char peer[64];
@@ -175,6 +180,7 @@
 void request_continue(struct caller *c);
 void request_abandon(struct caller *c);
 void request_retry(struct caller *c, enum counter why);
+void request_retry_later(struct caller *c, enum counter why);
 void request_end(struct caller *c);
 void request_fail(struct caller *c, const char *sqlstate, const char *message,
                   const char *outcome);
@@ -194,7 +200,6 @@
 void keyed_take_commit(struct caller *c, const struct frame *f);
 void keyed_after_body(struct caller *c);
 bool keyed_finish(struct caller *c);
-bool keyed_retry(struct caller *c);
 
 /* body.c */
 void body_write(struct caller *c, struct upstream_conn *u);
--- a/src/caller/exchange.c
+++ b/src/caller/exchange.c
@@ -436,10 +436,12 @@
     e->tx_status = 'I';
     c->holds = false;
     group_finish(c->group, &c->request, GROUP_RETURN_CLOSED);
-    if (running && e->keyed && keyed_retry(c)) {
+    if (running && e->keyed) {
+        /* If the lost run took effect, the next one finds the key. */
+        request_retry_later(c, COUNTER_RETRY_KEYED);
         return;
     }
-    if (!running || (in_transaction && !e->keyed)) {
+    if (!running || in_transaction) {
         const bool commit = running && b->ends;
         caller_count(c, commit ? COUNTER_UNKNOWN_OUTCOME
                                : COUNTER_TRANSACTION_LOST);
@@ -458,7 +460,7 @@
         return;
     }
     if (needs_guard(b->class) && !e->forwarded) {
-        request_retry(c, COUNTER_RETRY_READ_LOST);
+        request_retry_later(c, COUNTER_RETRY_READ_LOST);
         return;
     }
     if (e->body_done) {
--- a/src/caller/front.c
+++ b/src/caller/front.c
@@ -139,6 +139,10 @@
     /* Distinct between proxies, since any of them may get the cancel. */
     f->next_pid = (uint32_t)s->id << 16;
     g_queue_init(&f->running);
+    for (int i = 0; i < s->database_count; i++) {
+        retry_budget_init(&f->budgets[i]);
+    }
+    rng_seed(&f->rng, (uint64_t)clock_now_us() ^ (uint64_t)s->id << 48);
     ev_io_init(&f->accept_io, on_accept, fd, EV_READ);
     f->accept_io.data = f;
     ev_io_start(loop, &f->accept_io);
@@ -241,8 +245,8 @@
     if (c == NULL || c->secret != secret) {
         return false;
     }
-    if (c->state == CALLER_QUEUED) {
-        group_cancel(c->group, &c->request);
+    if (c->state == CALLER_QUEUED || c->state == CALLER_BACKOFF) {
+        request_abandon(c);
         caller_count(c, COUNTER_CANCELS);
         request_fail(c, "57014", "canceling statement due to user request",
                      c->batch.sent ? "outcome=unknown" : "outcome=not_run");
--- a/src/caller/keyed.c
+++ b/src/caller/keyed.c
@@ -11,7 +11,6 @@
 
 /* Larger answers are stored without their rows. */
 #define KEYED_STORED_BYTES 8192
-#define KEYED_MAX_ATTEMPTS 20
 
 /* Tells whether the batch is a single write outside a transaction that has a
    request key. */
@@ -232,12 +231,7 @@
         e->tx_status = 'I';
         c->holds = false;
         group_finish(c->group, &c->request, GROUP_RETURN_DISCARD);
-        if (!keyed_retry(c)) {
-            caller_count(c, COUNTER_UNKNOWN_OUTCOME);
-            request_fail(c, "08007",
-                         "the commit of the request's key did not succeed",
-                         "outcome=unknown");
-        }
+        request_retry_later(c, COUNTER_RETRY_KEYED);
         return false;
     }
     if (e->replay) {
@@ -253,16 +247,3 @@
     c->request_key = NULL;
     return true;
 }
-
-/* Runs the request again after its connection or its commit was lost: if the
-   first run took effect, the claim finds the key. Returns false when it was
-   tried too often. */
-bool
-keyed_retry(struct caller *c)
-{
-    if (++c->keyed_attempts > KEYED_MAX_ATTEMPTS) {
-        return false;
-    }
-    request_retry(c, COUNTER_RETRY_KEYED);
-    return true;
-}
--- a/src/caller/request.c
+++ b/src/caller/request.c
@@ -280,7 +280,8 @@
             c->front->settings->kinds[c->kind].max_staleness_ms,
     };
     c->request.admission.deadline_at = 0;
-    c->keyed_attempts = 0;
+    c->attempts = 0;
+    retry_budget_on_call(&c->front->budgets[c->database]);
     submit(c);
 }
 
@@ -326,10 +327,57 @@
     submit(c);
 }
 
+/* The wait before a retry is over. */
+static void
+on_backoff(struct ev_loop *loop, ev_timer *w, int revents)
+{
+    struct caller *c = w->data;
+
+    (void)loop;
+    (void)revents;
+    submit(c);
+}
+
+/* Sends a request again that was lost with its connection: a read, or a write
+   with a request key. The retries of all callers of a database share a budget,
+   and each waits with full jitter within the request's deadline. */
+void
+request_retry_later(struct caller *c, enum counter why)
+{
+    static const struct retry_backoff backoff = {.base = 10, .ceiling = 500};
+    const clock_ms now = clock_now();
+    clock_ms at;
+
+    leave_running(c);
+    if (!retry_budget_take(&c->front->budgets[c->database]) ||
+        !retry_backoff_next(&backoff, &c->front->rng, now,
+                            c->request.admission.deadline_at, ++c->attempts,
+                            &at)) {
+        caller_count(c, COUNTER_RETRY_BUDGET_EMPTY);
+        caller_count(c, COUNTER_UNKNOWN_OUTCOME);
+        request_fail(c, "08007",
+                     "connection to the database was lost, and no retry is "
+                     "left",
+                     "outcome=unknown");
+        caller_flush(c);
+        ev_feed_event(c->front->loop, &c->rd, EV_CUSTOM);
+        return;
+    }
+    caller_count(c, why);
+    c->state = CALLER_BACKOFF;
+    ev_timer_init(&c->backoff, on_backoff, (double)(at - now) / 1000.0, 0.0);
+    c->backoff.data = c;
+    ev_timer_start(c->front->loop, &c->backoff);
+}
+
 /* Withdraws or cancels the request of a caller that goes away. */
 void
 request_abandon(struct caller *c)
 {
+    if (c->state == CALLER_BACKOFF) {
+        ev_timer_stop(c->front->loop, &c->backoff);
+        return;
+    }
     if (c->state == CALLER_QUEUED) {
         group_cancel(c->group, &c->request);
         return;
