Wire change tickets into the daemon

Cause: tickets could be checked and merged, but no proxy took or spread them. Change: daemon/tickets joins the table service, the peers and the operators' commands; daemon/apply puts staleness bounds in force. Before: galenastepctl ticket answered that nothing is registered.

--- a/src/caller/exchange.c
+++ b/src/caller/exchange.c
@@ -100,7 +100,7 @@
 {
     struct exchange *e = &c->exchange;
     const int member = c->request.conn->member;
-    const int64_t bound = c->front->settings->kinds[c->kind].max_staleness_ms;
+    const int64_t bound = group_max_staleness(c->group, c->kind);
     struct group_state s;
 
     if (f->type == 'E') {
--- a/src/caller/request.c
+++ b/src/caller/request.c
@@ -276,8 +276,7 @@
     c->request.route = (struct route_query){
         .need =
             may_use_replica(&c->batch) ? ROUTE_NEED_READ : ROUTE_NEED_PRIMARY,
-        .max_staleness_ms =
-            c->front->settings->kinds[c->kind].max_staleness_ms,
+        .max_staleness_ms = group_max_staleness(c->group, c->kind),
     };
     c->request.admission.deadline_at = 0;
     c->attempts = 0;
--- a/src/daemon/daemon.c
+++ b/src/daemon/daemon.c
@@ -1,8 +1,10 @@
 #include "daemon/daemon.h"
 
 #include "caller/front.h"
+#include "daemon/apply.h"
 #include "daemon/health.h"
 #include "daemon/operators.h"
+#include "daemon/tickets.h"
 #include "upstream/lending.h"
 
 #define LOG_MODULE "daemon"
@@ -23,6 +25,7 @@
     struct operators_config operators;
     struct peers *peers;
     struct lending *lending[SETTINGS_MAX_DATABASES];
+    struct tickets *tickets;
     GArray *procedures; /* of struct rpc_procedure */
     struct rpc_server *server;
     ev_signal term;
@@ -209,9 +212,60 @@
     }
 }
 
+/* A peer sent tickets. */
+static void
+on_ticket_push(void *ctx, const peer_ticket *ticket)
+{
+    tickets_on_push(((struct daemon *)ctx)->tickets, ticket);
+}
+
+/* A peer asks for tickets. */
+static void
+on_ticket_pull(void *ctx, const peer_ticket_pull *pull)
+{
+    tickets_on_pull(((struct daemon *)ctx)->tickets, pull);
+}
+
+/* A peer says which tickets it has. */
+static void
+on_ticket_digest(void *ctx, uint32_t peer, const peer_digest *digest)
+{
+    struct daemon *d = ctx;
+
+    if (d->tickets != NULL) {
+        tickets_on_digest(d->tickets, peer, digest);
+    }
+}
+
+/* A proxy came or went. */
+static void
+on_member_changed(void *ctx, const struct member_info *m,
+                  enum member_phase before)
+{
+    struct daemon *d = ctx;
+
+    (void)before;
+    if (d->tickets != NULL) {
+        tickets_on_member(d->tickets, m);
+    }
+}
+
+/* A ticket gave an object a new state. */
+static bool
+on_apply(void *ctx, const struct ticket_object *o)
+{
+    struct daemon *d = ctx;
+
+    return apply_object(d->settings, d->groups, o);
+}
+
 static const struct peers_ops peers_callbacks = {
     .loan_request = on_loan_request,
     .loan_return = on_loan_return,
+    .ticket_push = on_ticket_push,
+    .ticket_pull = on_ticket_pull,
+    .ticket_digest = on_ticket_digest,
+    .member_changed = on_member_changed,
     .agreed = on_agreed,
     .cancel = on_cancel,
 };
@@ -246,7 +300,15 @@
         .drain = begin_drain,
         .ctx = d,
     };
+    d->tickets = tickets_create(&(struct tickets_config){
+        .loop = d->loop,
+        .settings = s,
+        .peers = d->peers,
+        .apply = on_apply,
+        .ctx = d,
+    });
     d->control = control_create();
+    tickets_register(d->tickets, d->control);
     operators_register(d->control, &d->operators);
     control_append_procedures(d->control, d->procedures);
     d->server = rpc_server_create(
@@ -263,6 +325,7 @@
     if (d->server != NULL) {
         rpc_server_destroy(d->server);
     }
+    tickets_destroy(d->tickets);
     for (int i = 0; i < d->settings->database_count; i++) {
         lending_destroy(d->lending[i]);
     }
--- a/src/upstream/group.c
+++ b/src/upstream/group.c
@@ -16,6 +16,7 @@
     int failures[SETTINGS_MAX_MEMBERS]; /* probes in a row without answer */
     int primary;
     uint64_t term;
+    int64_t max_staleness_ms[SETTINGS_MAX_KINDS];
     bool hold; /* new work for the primary waits during a planned switch */
     struct pool *pool;
     struct admission *admission;
@@ -378,6 +379,20 @@
     g->lending = ctx;
 }
 
+/* Sets how stale a read of a caller kind may be, in milliseconds. */
+void
+group_set_max_staleness(struct group *g, int kind, int64_t bound_ms)
+{
+    g->max_staleness_ms[kind] = bound_ms;
+}
+
+/* Returns how stale a read of a caller kind may be, in milliseconds. */
+int64_t
+group_max_staleness(const struct group *g, int kind)
+{
+    return g->max_staleness_ms[kind];
+}
+
 /* Marks a member as leaving: it gets no new reads. */
 void
 group_set_leaving(struct group *g, int member, bool leaving)
@@ -515,6 +530,9 @@
     g->database = database;
     g->primary = ROUTE_NO_PRIMARY;
     g_queue_init(&g->queued);
+    for (int i = 0; i < config->kind_count; i++) {
+        g->max_staleness_ms[i] = config->kinds[i].max_staleness_ms;
+    }
     g->pool = pool_create(loop, database);
     g->admission = create_admission(g, config->kinds, config->kind_count);
     g->watch = watch_create(&(struct watch_config){
--- a/src/upstream/group.h
+++ b/src/upstream/group.h
@@ -79,6 +79,9 @@
 void group_note_state(struct group *g, int member,
                       const struct group_state *s);
 void group_distrust(struct group *g, int member);
+/* How stale a read of a caller kind may be. */
+void group_set_max_staleness(struct group *g, int kind, int64_t bound_ms);
+int64_t group_max_staleness(const struct group *g, int kind);
 void group_set_leaving(struct group *g, int member, bool leaving);
 void group_set_draining(struct group *g);
 void group_cancel_statement(struct group *g, struct upstream_conn *c);
