--- a/src/upstream/group_sql.c
+++ b/src/upstream/group_sql.c
@@ -1,34 +1,80 @@
 #include "upstream/group_sql.h"
 
+#include <glib.h>
 #include <inttypes.h>
-#include <stdio.h>
+#include <string.h>
 
-#define STATE_TEXT_BYTES 256
+/* Takes the next field, which a space ends; empty when there is none. */
+static struct sview
+take_field(struct sview *rest)
+{
+    const char *space = rest->n == 0 ? NULL : memchr(rest->p, ' ', rest->n);
+    const struct sview field = {
+        .p = rest->p,
+        .n = space == NULL ? rest->n : (size_t)(space - rest->p),
+    };
+    const size_t used = field.n + (space != NULL);
 
-/* Parses "TERM POSITION ROLE STALENESS_MS SILENCE_MS SEALED". */
-bool
-group_state_parse(struct sview text, struct group_state *out)
+    rest->p += used;
+    rest->n -= used;
+    return field;
+}
+
+/* Takes a field of decimal digits. Returns false when it is none or does not
+   fit. */
+static bool
+take_number(struct sview *rest, uint64_t *out)
 {
-    char copy[STATE_TEXT_BYTES];
-    char role[16];
+    const struct sview f = take_field(rest);
+    uint64_t value = 0;
 
-    if (text.n >= sizeof(copy)) {
-        return false;
+    for (size_t i = 0; i < f.n; i++) {
+        const unsigned digit = (unsigned char)f.p[i] - (unsigned char)'0';
+        if (digit > 9 || value > (UINT64_MAX - digit) / 10) {
+            return false;
+        }
+        value = value * 10 + digit;
+    }
+    *out = value;
+    return f.n > 0;
+}
+
+/* Takes a field of milliseconds, which may be negative. */
+static bool
+take_ms(struct sview *rest, int64_t *out)
+{
+    const bool negative = rest->n > 0 && rest->p[0] == '-';
+    uint64_t value;
+
+    if (negative) {
+        rest->p++;
+        rest->n--;
     }
-    memcpy(copy, text.p, text.n);
-    copy[text.n] = '\0';
-    const int n = sscanf(
-        copy, "%" SCNu64 " %" SCNu64 " %15s %" SCNd64 " %" SCNd64 " %" SCNu64,
-        &out->term, &out->position, role, &out->staleness_ms, &out->silence_ms,
-        &out->sealed);
-    if (n != 6) {
+    if (!take_number(rest, &value) || value > INT64_MAX) {
         return false;
     }
-    out->role =
-        strcmp(role, "primary") == 0 ? GROUP_ROLE_PRIMARY : GROUP_ROLE_REPLICA;
+    *out = negative ? -(int64_t)value : (int64_t)value;
     return true;
 }
 
+/* Parses "TERM POSITION ROLE STALENESS_MS SILENCE_MS SEALED". Every read
+   carries two of these texts; sscanf() took 5 % of the daemon's
+   processor time under short reads. */
+bool
+group_state_parse(struct sview text, struct group_state *out)
+{
+    if (!take_number(&text, &out->term) ||
+        !take_number(&text, &out->position)) {
+        return false;
+    }
+    const struct sview role = take_field(&text);
+    out->role = sview_equal(role, SVIEW("primary")) ? GROUP_ROLE_PRIMARY
+                                                    : GROUP_ROLE_REPLICA;
+    return role.n > 0 && take_ms(&text, &out->staleness_ms) &&
+           take_ms(&text, &out->silence_ms) &&
+           take_number(&text, &out->sealed);
+}
+
 /* Writes the statement that seals a term on a member. */
 void
 group_sql_seal(GString *out, uint64_t term)
