--- a/src/caller/front.c
+++ b/src/caller/front.c
@@ -180,9 +180,19 @@
     g_free(f);
 }
 
+/* Tells whether a queued batch may be refused at a shutdown: it was never
+   sent, and its wait for a permit could outlast the drain limit. */
+static bool
+is_waiting_batch(const struct caller *c)
+{
+    return c->state == CALLER_QUEUED && !c->batch.sent &&
+           c->front->settings->kinds[c->kind].class == SETTINGS_CLASS_BATCH;
+}
+
 /* Begins a graceful shutdown: no new callers, idle callers are closed between
-   transactions, the others when theirs ends. drained() is called when nobody
-   is left. */
+   transactions, the others when theirs ends. Short requests that wait are
+   served; batches that wait are told that they were not run. drained() is
+   called when nobody is left. */
 void
 front_drain(struct front *f, void (*drained)(void *ctx), void *ctx)
 {
@@ -195,6 +205,12 @@
     GList *list = g_hash_table_get_values(f->callers);
     for (GList *l = list; l != NULL; l = l->next) {
         struct caller *c = l->data;
+        if (is_waiting_batch(c)) {
+            request_abandon(c);
+            caller_count(c, COUNTER_REFUSED_DRAINING);
+            request_fail(c, "57P03", "the proxy is shutting down",
+                         "outcome=not_run");
+        }
         if (c->state == CALLER_STARTUP ||
             (c->state == CALLER_READY && !c->holds &&
              caller_input(c).n == 0)) {
--- a/src/ctl/ctl.c
+++ b/src/ctl/ctl.c
@@ -7,7 +7,8 @@
 
 #include <string.h>
 
-#define DEFAULT_TIMEOUT_MS 5000
+/* Above the 10 s for which a proxy tries to have a ticket accepted. */
+#define DEFAULT_TIMEOUT_MS 12000
 #define TIMEOUT_MAX_MS 600000
 #define WAIT_POLL_MS 200
 
--- a/tests/caller/test_front.c
+++ b/tests/caller/test_front.c
@@ -87,6 +87,7 @@
         "max_message_bytes=65536\n"
         "[kind filing]\nmax_staleness_ms=0\n"
         "[kind lookup]\npriority=1\nmax_staleness_ms=10000\n"
+            "[kind renewal]\nclass=batch\npriority=2\ndeadline_ms=60000\n"
         "[database boats]\nmembers=127.0.0.1:%d,127.0.0.1:%d,127.0.0.1:%d\n"
         "connections=3\n",
         s->port, s->db->members[0].port, s->db->members[1].port,
