Name peers by id in the generated site settings

Cause: site-settings.sh wrote NAME=HOST:PORT into [peers], while the daemon reads ID=HOST:PORT DOMAIN, so no proxy of a generated site started and 'make demo' ended with 'port 22001 does not answer' after 16 s.

Change: the script writes the id, the address and the failure domain of every proxy. The daemon skips its own line, so all files have the same group.

--- a/scripts/site-settings.sh
+++ b/scripts/site-settings.sh
@@ -101,8 +101,8 @@
             printf '\n[peers]\nkey_file=%s/peer.key\n' "$folder"
             peer=1
             while [ "$peer" -le "$proxies" ]; do
-                [ "$peer" -eq "$n" ] || printf '%s-%d=127.0.0.1:%d\n' \
-                    "$site" "$peer" $((base + 40 + peer))
+                printf '%d=127.0.0.1:%d domain-%d\n' "$peer" \
+                    $((base + 40 + peer)) $(((peer - 1) % domains + 1))
                 peer=$((peer + 1))
             done
         fi
