--- a/src/ctl/ctl.c
+++ b/src/ctl/ctl.c
@@ -13,16 +13,20 @@
 
 static const char usage_text[] =
     "Commands:\n"
-    "  status                    state of a proxy\n"
-    "  members                   proxies and members of databases\n"
+    "  status                    members of databases as the proxy sees them\n"
+    "  members                   proxies of the fleet\n"
     "  counters                  counters since the start\n"
-    "  cost [--csv]              usage and cost by database and caller kind\n"
+    "  cost                      usage and cost by database and caller kind\n"
     "  ticket submit FILE        submit a change ticket\n"
     "  ticket show N             show ticket N\n"
     "  ticket list               list accepted tickets\n"
     "  ticket status [--wait]    show which proxies have all tickets\n"
     "  drain                     stop the proxy gracefully\n"
-    "  log-level LEVEL           error, warning, notice, info or debug\n";
+    "  log-level LEVEL           error, warning, notice, info or debug\n"
+    "\n"
+    "Environment:\n"
+    "  GALENASTEP_CONTROL        addresses with commas between them, used\n"
+    "                            without --connect\n";
 
 struct options {
     char **connect;
@@ -269,7 +273,7 @@
         {"author", 0, 0, G_OPTION_ARG_STRING, &o.author,
          "Author of a ticket; the user's name by default", "NAME"},
         {"csv", 0, 0, G_OPTION_ARG_NONE, &o.csv,
-         "Print comma-separated values", NULL},
+         "Print a table as comma-separated values", NULL},
         {"wait", 0, 0, G_OPTION_ARG_NONE, &o.wait,
          "Wait until every proxy has all tickets", NULL},
         {"version", 0, 0, G_OPTION_ARG_NONE, &o.version, "Print the version",
