Name ticket list and ticket status in full in galenastepctl's errors

Cause: errors of these two commands said step=list and step=status, so that 'ticket status' could not be told from 'status' in a script's log.

Change: the table of commands holds the step's name.

--- a/src/ctl/ctl.c
+++ b/src/ctl/ctl.c
@@ -44,13 +44,14 @@
     const char *second; /* NULL when the command is one word */
     uint32_t procedure;
     const char *argument;
+    const char *step; /* named in error messages */
 } table_commands[] = {
-    {"status", NULL, CONTROL_STATUS, ""},
-    {"members", NULL, CONTROL_MEMBERS, ""},
-    {"counters", NULL, CONTROL_COUNTERS, ""},
-    {"cost", NULL, CONTROL_COST, ""},
-    {"ticket", "list", CONTROL_TICKET_LIST, ""},
-    {"ticket", "status", CONTROL_TICKET_LIST, "status"},
+    {"status", NULL, CONTROL_STATUS, "", "status"},
+    {"members", NULL, CONTROL_MEMBERS, "", "members"},
+    {"counters", NULL, CONTROL_COUNTERS, "", "counters"},
+    {"cost", NULL, CONTROL_COST, "", "cost"},
+    {"ticket", "list", CONTROL_TICKET_LIST, "", "ticket-list"},
+    {"ticket", "status", CONTROL_TICKET_LIST, "status", "ticket-status"},
 };
 
 /* Reports wrong usage. */
@@ -180,7 +181,7 @@
     for (size_t i = 0; i < G_N_ELEMENTS(table_commands); i++) {
         if (strcmp(first, table_commands[i].first) == 0 &&
             g_strcmp0(second, table_commands[i].second) == 0 && n <= 2) {
-            t->step = second ? second : first;
+            t->step = table_commands[i].step;
             return run_table(t, o, table_commands[i].procedure,
                              table_commands[i].argument, out);
         }
