Test that members shows the names of peers

Cause: galenastepctl members lists some peers as proxy-ID for good, so an operator cannot find them by name.

Change: the script test_drain.sh is now test_two_proxies.sh and has a third case, names.

--- a/tests/test_drain.sh
+++ b/tests/test_two_proxies.sh
@@ -1,8 +1,10 @@
 #!/bin/sh
-# Drains one of two proxies and checks what its callers and peers see.
+# Starts two proxies and checks what their callers and peers see.
 #
-#   test_drain.sh DAEMON CTL FAKE CASE
+#   test_two_proxies.sh DAEMON CTL FAKE CASE
 #
+# CASE names guards against peers that operators see without their names: 5 s
+# after both are live, each must list the other by its name.
 # CASE idle guards against a proxy without callers that is gone before its
 # peers could see it leave: they must list it as leaving, not find it dead.
 # CASE batch guards against a drain that waits for batch work which cannot
@@ -94,6 +96,17 @@
 
 code=0
 case $case in
+names)
+    sleep 5
+    for n in 1 2; do
+        "$ctl" -k "$folder/key" -c "127.0.0.1:$((base + 4 + n))" --csv \
+            members >"$folder/members"
+        cat "$folder/members"
+        grep -q '^1,site-1,' "$folder/members" &&
+            grep -q '^2,site-2,' "$folder/members" || code=1
+    done
+    exit $code
+    ;;
 idle)
     kill -TERM "$first"
     until [ "$(phase)" != live ]; do
