--- a/src/ctl/ctl.c
+++ b/src/ctl/ctl.c
@@ -14,16 +14,20 @@
 
 static const char usage_text[] =
     "Commands:\n"
-    "  status                    state of a proxy\n"
-    "  members                   proxies and members of databases\n"
+    "  status                    members of databases as the proxy sees them\n"
+    "  members                   proxies of the fleet\n"
     "  counters                  counters since the start\n"
-    "  cost [--csv]              usage and cost by database and caller kind\n"
+    "  cost                      usage and cost by database and caller kind\n"
     "  ticket submit FILE        submit a change ticket\n"
     "  ticket show N             show ticket N\n"
     "  ticket list               list accepted tickets\n"
     "  ticket status [--wait]    show which proxies have all tickets\n"
     "  drain                     stop the proxy gracefully\n"
-    "  log-level LEVEL           error, warning, notice, info or debug\n";
+    "  log-level LEVEL           error, warning, notice, info or debug\n"
+    "\n"
+    "Environment:\n"
+    "  GALENASTEP_CONTROL        addresses with commas between them, used\n"
+    "                            without --connect\n";
 
 struct options {
     char **connect;
@@ -41,13 +45,14 @@
     const char *second; /* NULL when the command is one word */
     uint32_t procedure;
     const char *argument;
+    const char *step; /* named in error messages */
 } table_commands[] = {
-    {"status", NULL, CONTROL_STATUS, ""},
-    {"members", NULL, CONTROL_MEMBERS, ""},
-    {"counters", NULL, CONTROL_COUNTERS, ""},
-    {"cost", NULL, CONTROL_COST, ""},
-    {"ticket", "list", CONTROL_TICKET_LIST, ""},
-    {"ticket", "status", CONTROL_TICKET_LIST, "status"},
+    {"status", NULL, CONTROL_STATUS, "", "status"},
+    {"members", NULL, CONTROL_MEMBERS, "", "members"},
+    {"counters", NULL, CONTROL_COUNTERS, "", "counters"},
+    {"cost", NULL, CONTROL_COST, "", "cost"},
+    {"ticket", "list", CONTROL_TICKET_LIST, "", "ticket-list"},
+    {"ticket", "status", CONTROL_TICKET_LIST, "status", "ticket-status"},
 };
 
 /* Reports wrong usage. */
@@ -177,7 +182,7 @@
     for (size_t i = 0; i < G_N_ELEMENTS(table_commands); i++) {
         if (strcmp(first, table_commands[i].first) == 0 &&
             g_strcmp0(second, table_commands[i].second) == 0 && n <= 2) {
-            t->step = second ? second : first;
+            t->step = table_commands[i].step;
             return run_table(t, o, table_commands[i].procedure,
                              table_commands[i].argument, out);
         }
@@ -270,7 +275,7 @@
         {"author", 0, 0, G_OPTION_ARG_STRING, &o.author,
          "Author of a ticket; the user's name by default", "NAME"},
         {"csv", 0, 0, G_OPTION_ARG_NONE, &o.csv,
-         "Print comma-separated values", NULL},
+         "Print a table as comma-separated values", NULL},
         {"wait", 0, 0, G_OPTION_ARG_NONE, &o.wait,
          "Wait until every proxy has all tickets", NULL},
         {"version", 0, 0, G_OPTION_ARG_NONE, &o.version, "Print the version",
