--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 # Thin front for meson; every target installs missing packages first.
 BUILD ?= build
-.PHONY: all packages check demo measure measure-quick format lint clean
+.PHONY: all packages check demo measure measure-quick capacity format lint clean
 
 all: packages
 	@test -f $(BUILD)/build.ninja || meson setup $(BUILD) --buildtype=release
@@ -30,5 +30,8 @@
 measure-quick: all
 	@scripts/measure.sh $(BUILD) quick
 
+capacity: all
+	@scripts/capacity.sh $(BUILD)
+
 clean:
 	rm -rf $(BUILD) $(BUILD)-check
