Allocate a lender's proxies by their configured number

Cause: every lender held room for LOAN_MAX_PROXIES proxies, and each proxy creates a lender for each database it serves, also when it is not the owner.

Change: the proxies are a flexible array of config.proxies entries.

--- a/src/fleet/lender.c
+++ b/src/fleet/lender.c
@@ -44,9 +44,9 @@
 
 struct lender {
     struct lender_config config;
-    struct proxy proxies[LOAN_MAX_PROXIES];
     bool owner;
-    clock_ms since; /* from when it has had the owner's authority */
+    clock_ms since;         /* from when it has had the owner's authority */
+    struct proxy proxies[]; /* config.proxies of them */
 };
 
 /* Returns what may be lent beyond the floors of all configured proxies. */
@@ -111,10 +111,12 @@
 lender_create(const struct lender_config *config, clock_ms now)
 {
     static const struct turn none = {CLOCK_NEVER, CLOCK_NEVER};
-    struct lender *l = g_new0(struct lender, 1);
+    struct lender *l;
 
     g_assert(config->proxies > 0 && config->proxies <= LOAN_MAX_PROXIES);
     g_assert(config->members > 0 && config->members <= LOAN_MAX_MEMBERS);
+    l = g_malloc0(sizeof(*l) +
+                  (size_t)config->proxies * sizeof(l->proxies[0]));
     l->config = *config;
     l->since = now;
     for (int p = 0; p < config->proxies; p++) {
