Drain: refuse waiting batches, stay up until the others have heard

Cause: three red checks of two proxies: a queued batch without a permit held the drain until its limit and was then cut without an outcome; a proxy without callers was gone before a heartbeat or health check; a peer's name never reached the proxy that sends the heartbeats.

--- a/src/daemon/daemon.c
+++ b/src/daemon/daemon.c
@@ -31,17 +31,21 @@
     ev_signal term;
     ev_signal interrupt;
     ev_timer limit;
+    ev_timer notice;
+    clock_ms drain_since;
     bool draining;
     enum daemon_exit code;
 };
 
-/* Ends the loop when the last caller has gone. */
+/* A draining proxy stays up at least this long, so that every peer hears of it
+   by a heartbeat, two of which are sent in this time, and the balancer by a
+   health check. */
+#define DAEMON_NOTICE_MS 1500
+
+/* Ends the loop: no caller is left, and the others know. */
 static void
-on_drained(void *ctx)
+finish_drain(struct daemon *d)
 {
-    struct daemon *d = ctx;
-
-    LOG_NOTICE("drain", NULL, "every caller has gone");
     for (int i = 0; i < d->settings->database_count; i++) {
         if (d->lending[i] != NULL) {
             lending_return_all(d->lending[i]);
@@ -50,6 +54,32 @@
     ev_break(d->loop, EVBREAK_ALL);
 }
 
+/* The time in which the others hear of the drain is over. */
+static void
+on_noticed(struct ev_loop *loop, ev_timer *w, int revents)
+{
+    (void)loop;
+    (void)revents;
+    finish_drain(w->data);
+}
+
+/* The last caller has gone. */
+static void
+on_drained(void *ctx)
+{
+    struct daemon *d = ctx;
+    const clock_ms left = d->drain_since + DAEMON_NOTICE_MS - clock_now();
+
+    LOG_NOTICE("drain", NULL, "every caller has gone");
+    if (d->peers == NULL && d->health == NULL) {
+        finish_drain(d);
+        return;
+    }
+    ev_timer_init(&d->notice, on_noticed, (double)MAX(left, 0) / 1000.0, 0.0);
+    d->notice.data = d;
+    ev_timer_start(d->loop, &d->notice);
+}
+
 /* Ends a shutdown that takes too long. */
 static void
 on_limit(struct ev_loop *loop, ev_timer *w, int revents)
@@ -73,6 +103,7 @@
         return;
     }
     d->draining = true;
+    d->drain_since = clock_now();
     LOG_NOTICE("drain", NULL, "shutting down, %u callers are connected",
                front_caller_count(d->front));
     health_set_serving(d->health, false);
--- a/src/fleet/membership.c
+++ b/src/fleet/membership.c
@@ -295,6 +295,11 @@
     }
     membership_apply(m, now, from, answer->incarnation,
                      (enum member_phase)answer->phase, NULL);
+    if (answer->name[0] != '\0') {
+        char *address = g_strdup(x->address);
+        membership_describe(m, x, answer->name, answer->domain, address);
+        g_free(address);
+    }
     x->heard = now;
     x->exchanged = now;
     x->probing = false;
--- a/src/fleet/peers.c
+++ b/src/fleet/peers.c
@@ -19,6 +19,7 @@
     struct peers *peers;
     uint32_t id;
     uint32_t stamp; /* the latest one it sent, 0 for none */
+    bool named;     /* it was told this proxy's name */
     struct rpc_client *client;
 };
 
@@ -39,6 +40,7 @@
 
 struct peers {
     struct ev_loop *loop;
+    const struct settings *settings;
     struct membership *membership;
     struct ownership *ownership;
     struct peer *list;
@@ -216,6 +218,20 @@
     }
 }
 
+/* Adds this proxy's name to its first answer to a peer, which knows only the
+   id from its settings. */
+static void
+introduce(struct peers *p, uint32_t id, peer_heartbeat *answer)
+{
+    struct peer *peer = find_peer(p, id);
+
+    if (peer != NULL && !peer->named) {
+        peer->named = true;
+        answer->name = p->settings->name;
+        answer->domain = p->settings->failure_domain;
+    }
+}
+
 /* Serves HEARTBEAT. */
 static void
 serve_heartbeat(void *ctx, struct rpc_call *call, void *args)
@@ -228,6 +244,7 @@
         return;
     }
     note_report(p, args);
+    introduce(p, ((const peer_heartbeat *)args)->id, &answer);
     stamp_heartbeat(find_peer(p, ((const peer_heartbeat *)args)->id), &answer);
     rpc_call_reply(call, RPC_XDR(xdr_peer_heartbeat), &answer);
 }
@@ -425,6 +442,7 @@
 
     format_address(&s->control_listen, address, sizeof(address));
     p->loop = loop;
+    p->settings = s;
     p->ops = ops;
     p->ctx = ctx;
     p->probes = g_array_new(FALSE, FALSE, sizeof(struct waiting_probe));
--- a/tests/caller/test_front.c
+++ b/tests/caller/test_front.c
@@ -87,7 +87,7 @@
         "max_message_bytes=65536\n"
         "[kind filing]\nmax_staleness_ms=0\n"
         "[kind lookup]\npriority=1\nmax_staleness_ms=10000\n"
-            "[kind renewal]\nclass=batch\npriority=2\ndeadline_ms=60000\n"
+        "[kind renewal]\nclass=batch\npriority=2\ndeadline_ms=60000\n"
         "[database boats]\nmembers=127.0.0.1:%d,127.0.0.1:%d,127.0.0.1:%d\n"
         "connections=3\n",
         s->port, s->db->members[0].port, s->db->members[1].port,
@@ -677,6 +677,33 @@
     site_stop(&s);
 }
 
+/* Guards against a drain that waits for a batch without a permit until its
+   limit, and then cuts it without a word on its outcome. */
+static void
+test_drain_refuses_waiting_batches(void **state)
+{
+    (void)state;
+    struct site s;
+    struct client a;
+    site_start(&s);
+    group_set_surplus(s.groups[0], 0, 0, 0);
+    client_open(&a, &s, "renewal", NULL);
+
+    client_start(&a, "UPDATE renewals SET value = '1' WHERE id = 'b'");
+    while (admission_queued(group_admission(s.groups[0]), 2) == 0) {
+        ev_run(s.loop, EVRUN_ONCE);
+    }
+    front_drain(s.front, on_drained, &s);
+    client_wait(&a, 2);
+    assert_string_equal(a.hint, "outcome=not_run");
+    client_wait(&a, UINT_MAX);
+    while (!s.drained) {
+        ev_run(s.loop, EVRUN_ONCE);
+    }
+    client_close(&a);
+    site_stop(&s);
+}
+
 int
 main(void)
 {
@@ -691,6 +718,7 @@
         cmocka_unit_test(test_lost_write_is_unknown),
         cmocka_unit_test(test_request_key_runs_once),
         cmocka_unit_test(test_drain_lets_transactions_end),
+        cmocka_unit_test(test_drain_refuses_waiting_batches),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
