--- a/tests/test_two_proxies.sh
+++ b/tests/test_two_proxies.sh
@@ -24,7 +24,9 @@
     done
     pids=""
 }
-trap 'stop_all; rm -rf "$folder"' EXIT
+# Shows the logs of a failed run.
+trap '[ $? -eq 0 ] || cat "$folder"/*.log >&2
+stop_all; rm -rf "$folder"' EXIT
 
 # Writes the settings of proxy $1; the ports begin at $base.
 settings() {
