Refuse floors that all proxies together cannot keep

Cause: the settings compared the floor of one proxy with a database's connections. Proxies hold floors without asking each other, so with 3 members and 16 connections 6 proxies could open 18, against connection_cap.

--- a/src/settings/settings.c
+++ b/src/settings/settings.c
@@ -434,6 +434,28 @@
     g_strfreev(groups);
 }
 
+/* Refuses floors that all proxies together could not keep within the
+   connections of a database. They hold their floors without asking each
+   other, so nothing else would keep the connection limit. */
+static void
+check_floors(struct loader *l, const struct settings *s)
+{
+    for (int i = 0; l->error == NULL && i < s->database_count; i++) {
+        const struct settings_database *d = &s->databases[i];
+        const int64_t floors =
+            (int64_t)d->floor * d->member_count * (s->peer_count + 1);
+
+        if (floors > d->connections) {
+            char *group = g_strdup_printf("database %s", d->name);
+
+            fail(l, group, "floor",
+                 "times the numbers of members and proxies exceeds the "
+                 "database's connections");
+            g_free(group);
+        }
+    }
+}
+
 /* Loads and checks a settings file. On failure returns NULL and sets error
    to an owned text that names file, group and key. */
 struct settings *
@@ -449,6 +471,7 @@
     }
     else {
         load_groups(&l, s);
+        check_floors(&l, s);
     }
     g_key_file_free(l.file);
     if (l.error != NULL) {
