Clear the linter's findings in the daemon and the fleet slice

Cause: scripts/lint.sh named sixteen findings: narrowing conversions, other parameter names in headers, two dead stores, a list walk that the analyzer takes for a use after free. Change: each is put right; nothing else. After: the ten files are clean one by one.

--- a/src/caller/exchange.c
+++ b/src/caller/exchange.c
@@ -232,6 +232,19 @@
     body_emit_local(c);
 }
 
+/* Returns the transaction status of a ReadyForQuery; a malformed one counts as
+   a failed transaction. */
+static char
+status_of(const struct frame *f)
+{
+    char status = 'E';
+
+    if (f->body.n == 1) {
+        status = f->body.p[0];
+    }
+    return status;
+}
+
 /* Ends the part whose ReadyForQuery arrived. */
 static void
 end_section(struct caller *c, const struct frame *f)
@@ -241,14 +254,14 @@
     if (current_section(e) == SECTION_BODY) {
         body_emit_local(c);
         e->body_done = true;
-        e->tx_status = f->body.n == 1 ? f->body.p[0] : 'E';
+        e->tx_status = status_of(f);
         if (e->keyed) {
             keyed_after_body(c);
         }
     }
     if (e->keyed && (current_section(e) == SECTION_KEY_COMMIT ||
                      current_section(e) == SECTION_ROLLBACK)) {
-        e->tx_status = f->body.n == 1 ? f->body.p[0] : 'E';
+        e->tx_status = status_of(f);
     }
     e->current++;
     if (e->current < e->count) {
@@ -401,7 +414,7 @@
             f.type == 'Z' && c->exchange.current + 1 == c->exchange.count;
         if (last) {
             /* The connection may be released by the last message. */
-            char status = f.body.n == 1 ? f.body.p[0] : 'E';
+            char status = status_of(&f);
             upstream_conn_consume(u, f.total_bytes);
             f.body = (struct sview){.p = &status, .n = 1};
             take_frame(c, &f, whole);
--- a/src/caller/front.c
+++ b/src/caller/front.c
@@ -56,7 +56,7 @@
 static bool
 accept_one(struct front *f)
 {
-    struct sockaddr_storage a;
+    struct sockaddr_storage a = {0};
     socklen_t n = sizeof(a);
     char peer[64];
     const int on = 1;
--- a/src/caller/prepared.h
+++ b/src/caller/prepared.h
@@ -25,6 +25,6 @@
 struct prepared *prepared_create(struct sview text, struct sview definition,
                                  const struct statement_info *info);
 struct prepared *prepared_ref(struct prepared *p);
-void prepared_unref(void *p);
+void prepared_unref(void *data);
 
 #endif
--- a/src/caller/request.c
+++ b/src/caller/request.c
@@ -36,7 +36,12 @@
 static char
 ready_status(const struct caller *c)
 {
-    return c->holds ? c->exchange.tx_status : 'I';
+    char status = 'I';
+
+    if (c->holds) {
+        status = c->exchange.tx_status;
+    }
+    return status;
 }
 
 /* Ends a request that the proxy answered itself. */
--- a/src/daemon/health.c
+++ b/src/daemon/health.c
@@ -26,17 +26,26 @@
     ev_timer timer;
 };
 
-/* Closes a client's connection. */
+/* Closes a client's connection and frees its record. */
 static void
-client_close(struct health_client *c)
+client_free(void *p)
 {
+    struct health_client *c = p;
+
     ev_io_stop(c->health->loop, &c->io);
     ev_timer_stop(c->health->loop, &c->timer);
     close(c->fd);
-    c->health->clients = g_list_remove(c->health->clients, c);
     g_free(c);
 }
 
+/* Ends a client. */
+static void
+client_close(struct health_client *c)
+{
+    c->health->clients = g_list_remove(c->health->clients, c);
+    client_free(c);
+}
+
 /* Answers as soon as something was sent; what was asked does not matter. */
 static void
 on_request(struct ev_loop *loop, ev_io *w, int revents)
@@ -121,9 +130,7 @@
     if (h == NULL) {
         return;
     }
-    while (h->clients != NULL) {
-        client_close(h->clients->data);
-    }
+    g_list_free_full(h->clients, client_free);
     ev_io_stop(h->loop, &h->io);
     close(h->fd);
     g_free(h);
--- a/src/daemon/tickets.h
+++ b/src/daemon/tickets.h
@@ -26,7 +26,8 @@
 void tickets_register(struct tickets *t, struct control *c);
 void tickets_on_push(struct tickets *t, const peer_ticket *in);
 void tickets_on_pull(struct tickets *t, const peer_ticket_pull *in);
-void tickets_on_digest(struct tickets *t, uint32_t peer, const peer_digest *d);
+void tickets_on_digest(struct tickets *t, uint32_t peer,
+                       const peer_digest *in);
 void tickets_on_member(struct tickets *t, const struct member_info *m);
 
 #endif
--- a/src/fleet/lender.c
+++ b/src/fleet/lender.c
@@ -204,11 +204,10 @@
 clock_ms
 lender_lends_from(const struct lender *l, bool batch)
 {
-    clock_ms lease = batch ? LOAN_BATCH_LEASE_MS : LOAN_LEASE_MS;
-
     if (LOAN_BREAK == LOAN_BREAK_TAKEOVER) {
         return l->since;
     }
+    const clock_ms lease = batch ? LOAN_BATCH_LEASE_MS : LOAN_LEASE_MS;
     return l->since + lease + LOAN_MARGIN_MS + LOAN_CONFIRM_MS;
 }
 
@@ -371,9 +370,8 @@
     int wanted = MIN(r->wanted, free);
 
     if (r->batch) {
-        int others = counted(l, now, true, r->member, r->sender);
-
         if (LOAN_BREAK != LOAN_BREAK_PERMITS) {
+            const int others = counted(l, now, true, r->member, r->sender);
             wanted = MIN(wanted, permits - others);
         }
         wanted = MIN(wanted, fair_share(l, now, r->sender, true, r->member,
--- a/src/fleet/rpc_net.c
+++ b/src/fleet/rpc_net.c
@@ -88,13 +88,19 @@
 uint16_t
 rpc_net_port(int fd)
 {
-    struct sockaddr_storage sa = {0};
-    socklen_t n = sizeof(sa);
-
-    getsockname(fd, (struct sockaddr *)&sa, &n);
-    return ntohs(sa.ss_family == AF_INET6
-                     ? ((struct sockaddr_in6 *)&sa)->sin6_port
-                     : ((struct sockaddr_in *)&sa)->sin_port);
+    union {
+        struct sockaddr any;
+        struct sockaddr_in v4;
+        struct sockaddr_in6 v6;
+    } a;
+    socklen_t n = sizeof(a);
+
+    memset(&a, 0, sizeof(a));
+    if (getsockname(fd, &a.any, &n) != 0) {
+        return 0;
+    }
+    return ntohs(a.any.sa_family == AF_INET6 ? a.v6.sin6_port
+                                             : a.v4.sin_port);
 }
 
 /* Writes "host:port", with brackets around IPv6 numbers. */
--- a/src/upstream/control_conn.h
+++ b/src/upstream/control_conn.h
@@ -19,9 +19,9 @@
                                          const struct settings_address *a,
                                          const char *database,
                                          const char *password);
-void control_conn_destroy(struct control_conn *c);
-void control_conn_call(struct control_conn *c, const char *sql,
+void control_conn_destroy(struct control_conn *k);
+void control_conn_call(struct control_conn *k, const char *sql,
                        clock_ms timeout_ms, control_reply reply, void *ctx);
-const char *control_conn_peer(const struct control_conn *c);
+const char *control_conn_peer(const struct control_conn *k);
 
 #endif
--- a/src/upstream/lending.h
+++ b/src/upstream/lending.h
@@ -15,9 +15,9 @@
                                int index, struct group *group,
                                struct peers *peers);
 void lending_destroy(struct lending *l);
-void lending_serve_request(struct lending *l, const peer_loan_request *request,
+void lending_serve_request(struct lending *l, const peer_loan_request *in,
                            peer_loan_answer *answer);
-void lending_serve_return(struct lending *l, const peer_loan_return *returned);
+void lending_serve_return(struct lending *l, const peer_loan_return *in);
 void lending_agreed(struct lending *l, uint32_t peer, clock_ms as_of);
 void lending_return_all(struct lending *l);
 
