--- a/src/fleet/rpc_net.c
+++ b/src/fleet/rpc_net.c
@@ -99,8 +99,7 @@
     if (getsockname(fd, &a.any, &n) != 0) {
         return 0;
     }
-    return ntohs(a.any.sa_family == AF_INET6 ? a.v6.sin6_port
-                                             : a.v4.sin_port);
+    return ntohs(a.any.sa_family == AF_INET6 ? a.v6.sin6_port : a.v4.sin_port);
 }
 
 /* Writes "host:port", with brackets around IPv6 numbers. */
