Measure batches on a site that has run long enough to lend permits

Cause: a new lender lends no batch permits for 34.5 s, so the experiment on a fresh site ran no batch at all (batches_alone=0). Change: the site for the batches starts first and is measured last.

--- a/scripts/measure.sh
+++ b/scripts/measure.sh
@@ -60,6 +60,15 @@
 }
 
 stack_init
+
+# The site for the batches starts first: a lender that has just started lends
+# no batch permits for 34.5 s, the time for which an earlier one could still
+# count a lease.
+first_base=$base
+stack_start registry $((base + 400)) --site --replication-delay-ms=1 \
+    --connect-delay-ms=12 --short-cost-ms=1 --long-cost-ms=40
+stack_keep
+base=$first_base
 first_proxy() { echo "--proxy 127.0.0.1:$((base + 1))"; }
 
 # One proxy that has all connections of the database, no delays.
@@ -90,12 +99,6 @@
     END { for (i = 1; i <= n; i++) print order[i] "=" sum[order[i]] }' \
     "$stack_folder/consistency.out"
 
-stack_start registry "$base" --site --replication-delay-ms=1 \
-    --connect-delay-ms=12 --short-cost-ms=1 --long-cost-ms=40
-# shellcheck disable=SC2086
-experiment batches $proxy_options --seconds $seconds --seed 1
-stack_stop
-
 stack_start guild "$base" --site --replication-delay-ms=1 \
     --connect-delay-ms=12 --short-cost-ms=2
 # shellcheck disable=SC2086
@@ -107,4 +110,10 @@
 # shellcheck disable=SC2086
 experiment failover $proxy_options --cases $failover_cases --seed 1
 stack_stop
+
+stack_resume
+site=registry
+# shellcheck disable=SC2086
+experiment batches $proxy_options --seconds $seconds --seed 1
+stack_stop
 exit $failed
--- a/scripts/stack.sh
+++ b/scripts/stack.sh
@@ -10,6 +10,7 @@
 stack_init() {
     stack_folder=$(mktemp -d)
     stack_pids=""
+    stack_kept_pids=""
     trap stack_exit EXIT
     trap 'exit 130' INT
     trap 'exit 143' TERM HUP
@@ -34,10 +35,27 @@
     stack_pids=""
 }
 
+# Leaves the present site running beside the next ones.
+stack_keep() {
+    stack_kept_pids=$stack_pids
+    kept_proxy_options=$proxy_options
+    kept_member_options=$member_options
+    stack_pids=""
+}
+
+# Goes back to the site that was kept.
+stack_resume() {
+    stack_pids=$stack_kept_pids
+    proxy_options=$kept_proxy_options
+    member_options=$kept_member_options
+    stack_kept_pids=""
+}
+
 # Runs at the end of the script, however it ends.
 stack_exit() {
     stack_code=$?
     trap - EXIT
+    stack_pids="$stack_pids $stack_kept_pids"
     stack_stop
     rm -rf "$stack_folder"
     exit $stack_code
