--- a/scripts/install-packages.sh
+++ b/scripts/install-packages.sh
@@ -6,7 +6,7 @@
 packages="gcc pkg-config meson ninja-build libev-dev libpq-dev libpg-query-dev
 libcurl4-openssl-dev libjansson-dev libmicrohttpd-dev libtirpc-dev
 libglib2.0-dev libxxhash-dev libssl-dev libcmocka-dev scdoc
-postgresql-client clang-format clang-tidy"
+postgresql-client curl clang-format clang-tidy"
 
 missing=""
 for package in $packages; do
--- a/scripts/measure.sh
+++ b/scripts/measure.sh
@@ -62,7 +62,7 @@
 stack_init
 
 # The site for the batches starts first: a lender that has just started lends
-# no batch permits for 34.5 s, the time for which an earlier one could still
+# no batch permits for 32.5 s, the time for which an earlier one could still
 # count a lease.
 first_base=$base
 stack_start registry $((base + 400)) --site --replication-delay-ms=1 \
--- a/src/caller/caller.h
+++ b/src/caller/caller.h
@@ -77,7 +77,7 @@
     SECTION_KEY_STORE, /* stores the answer beside the key */
     SECTION_KEY_COMMIT,
 };
-#define EXCHANGE_MAX_SECTIONS 8
+#define EXCHANGE_MAX_SECTIONS 9
 
 /* What one forwarded or synthesised extended message will be answered with. */
 enum ack_kind {
--- a/src/caller/exchange.c
+++ b/src/caller/exchange.c
@@ -59,6 +59,13 @@
     *e = (struct exchange){.acks = acks, .tx_status = tx_status};
     e->guard_passed = true;
     upstream_conn_attach(u, &exchange_ops, c);
+    const int64_t limit =
+        in_transaction ? 0 : group_statement_limit(c->group, &c->request);
+    if (!in_transaction && limit == 0 && u->limited) {
+        /* The limit of an earlier lease must not reach this statement. */
+        u->limited = false;
+        u->settings_hash = CONN_SETTINGS_UNKNOWN;
+    }
     if (!in_transaction && u->settings_hash != c->settings.hash) {
         GString *sql = g_string_new(NULL);
         session_settings_append_sql(&c->settings, sql);
@@ -67,6 +74,14 @@
         u->settings_hash = c->settings.hash;
         exchange_add_section(e, SECTION_SETTINGS);
     }
+    if (limit > 0) {
+        GString *sql = g_string_new(NULL);
+        g_string_printf(sql, "SET statement_timeout = %lld", (long long)limit);
+        frame_put_query(u->out, sql->str);
+        g_string_free(sql, TRUE);
+        u->limited = true;
+        exchange_add_section(e, SECTION_SETTINGS);
+    }
     if (keyed_applies(c)) {
         keyed_begin(c, u);
     }
--- a/src/daemon/daemon.c
+++ b/src/daemon/daemon.c
@@ -5,6 +5,7 @@
 #include "daemon/health.h"
 #include "daemon/operators.h"
 #include "daemon/tickets.h"
+#include "daemon/vms.h"
 #include "upstream/lending.h"
 
 #define LOG_MODULE "daemon"
@@ -13,6 +14,14 @@
 #include <signal.h>
 #include <string.h>
 
+struct daemon;
+
+/* One database and the daemon it belongs to. */
+struct switch_notice {
+    struct daemon *daemon;
+    int index;
+};
+
 /* Everything that runs in the process. */
 struct daemon {
     struct ev_loop *loop;
@@ -26,6 +35,8 @@
     struct peers *peers;
     struct lending *lending[SETTINGS_MAX_DATABASES];
     struct tickets *tickets;
+    struct vms *vms;
+    struct switch_notice notices[SETTINGS_MAX_DATABASES];
     GArray *procedures; /* of struct rpc_procedure */
     struct rpc_server *server;
     ev_signal term;
@@ -146,12 +157,22 @@
     ev_signal_start(d->loop, &d->interrupt);
 }
 
-/* Returns this proxy's place among those that watch: its id's order among the
-   first three, the rest only observe. */
+/* Up to this many proxies watch every database, since each of them then learns
+   of a new primary by its own probes; the others observe with longer
+   intervals. */
+#define DAEMON_WATCHERS 8
+
+/* Returns this proxy's place in the order in which proxies start a failover;
+   -1 for one that only observes. */
 static int
 watch_rank(const struct settings *s)
 {
-    return (int)((s->id - 1) % (s->peer_count + 1));
+    int rank = 0;
+
+    for (int i = 0; i < s->peer_count; i++) {
+        rank += s->peers[i].id < (uint32_t)s->id;
+    }
+    return rank < DAEMON_WATCHERS ? rank : -1;
 }
 
 /* Creates the groups of every database. */
@@ -290,6 +311,32 @@
     return apply_object(d->settings, d->groups, o);
 }
 
+/* A peer begins a planned switch: new work for the primary is held here too,
+   until the new primary is known. */
+static void
+on_peer_switching(void *ctx, const char *database)
+{
+    struct daemon *d = ctx;
+
+    for (int i = 0; i < d->settings->database_count; i++) {
+        if (strcmp(d->settings->databases[i].name, database) == 0) {
+            failover_peer_switching(group_failover(d->groups[i]), clock_now());
+        }
+    }
+}
+
+/* This proxy begins a planned switch. */
+static void
+on_switching(void *ctx)
+{
+    const struct switch_notice *n = ctx;
+    struct daemon *d = n->daemon;
+
+    if (d->peers != NULL) {
+        peers_send_switching(d->peers, d->settings->databases[n->index].name);
+    }
+}
+
 static const struct peers_ops peers_callbacks = {
     .loan_request = on_loan_request,
     .loan_return = on_loan_return,
@@ -297,6 +344,7 @@
     .ticket_pull = on_ticket_pull,
     .ticket_digest = on_ticket_digest,
     .member_changed = on_member_changed,
+    .switching = on_peer_switching,
     .agreed = on_agreed,
     .cancel = on_cancel,
 };
@@ -319,6 +367,8 @@
         d->peers = peers_create(d->loop, s, d->keys, &peers_callbacks, d);
         peers_append_procedures(d->peers, d->procedures);
         for (int i = 0; i < s->database_count; i++) {
+            d->notices[i] = (struct switch_notice){.daemon = d, .index = i};
+            group_set_switching(d->groups[i], on_switching, &d->notices[i]);
             d->lending[i] = lending_create(d->loop, s, &s->databases[i], i,
                                            d->groups[i], d->peers);
         }
@@ -379,6 +429,7 @@
     if (d->front != NULL) {
         front_destroy(d->front);
     }
+    vms_destroy(d->vms);
     destroy_control(d);
     for (int i = 0; i < d->settings->database_count; i++) {
         if (d->groups[i] != NULL) {
@@ -412,6 +463,7 @@
     if (!create_control(&d, &error)) {
         goto done;
     }
+    d.vms = vms_create(d.loop, s, d.groups);
     watch_signals(&d);
     d.code = DAEMON_EXIT_CLEAN;
     LOG_NOTICE("start", NULL, "%s serves %d databases on %s:%u", s->name,
--- a/src/fleet/loan.h
+++ b/src/fleet/loan.h
@@ -18,11 +18,13 @@
 /* The lender counts a lease this much longer, the holder this much shorter,
    than its length. */
 #define LOAN_MARGIN_MS 500
-/* Lent connections are opened with this idle_session_timeout. The last use is
-   up to LOAN_MARGIN_MS before the lease ends and the lender counts it
-   LOAN_MARGIN_MS longer, so a connection whose holder is paused must go within
-   1000 ms of its last use; 200 ms of that are left for the network. */
-#define LOAN_IDLE_SESSION_MS 800
+/* Lent connections are opened with this idle_session_timeout, and a statement
+   on one may run LOAN_STATEMENT_GRACE_MS past the last use of the lease. The
+   last use is up to LOAN_MARGIN_MS before the lease ends and the lender counts
+   it LOAN_MARGIN_MS longer, so a connection whose holder is paused must go
+   within 1000 ms of its last use; 150 ms of that are left for the network. */
+#define LOAN_IDLE_SESSION_MS 400
+#define LOAN_STATEMENT_GRACE_MS 450
 /* A proxy's word on who lends counts for this long, from the time at which
    the lender asked for it. Of two proxies one calls the other every 500 ms,
    so the called one has a word that is up to two periods old. */
--- a/src/fleet/peer.x
+++ b/src/fleet/peer.x
@@ -122,10 +122,9 @@
     opaque key<PEER_KEY_MAX>;
 };
 
-struct peer_primary_changed {
+/* The sender begins a planned switch of the database's primary. */
+struct peer_switching {
     string database<PEER_NAME_MAX>;
-    unsigned hyper term;
-    string member<PEER_NAME_MAX>;
 };
 
 /* A general answer: 0 is success. */
@@ -143,7 +142,7 @@
         peer_ack PEER_TICKET_PULL(peer_ticket_pull) = 6;
         peer_ack PEER_USAGE(peer_usage) = 7;
         peer_ack PEER_CANCEL_FORWARD(peer_cancel) = 8;
-        peer_ack PEER_PRIMARY_CHANGED(peer_primary_changed) = 9;
+        peer_ack PEER_SWITCHING(peer_switching) = 9;
         peer_probe_answer PEER_PROBE(peer_probe) = 10;
     } = 1;
 } = 0x20673701;
--- a/src/fleet/peer_xdr.c
+++ b/src/fleet/peer_xdr.c
@@ -286,16 +286,12 @@
 }
 
 bool_t
-xdr_peer_primary_changed (XDR *xdrs, peer_primary_changed *objp)
+xdr_peer_switching (XDR *xdrs, peer_switching *objp)
 {
 	register int32_t *buf;
 
 	 if (!xdr_string (xdrs, &objp->database, PEER_NAME_MAX))
 		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->term))
-		 return FALSE;
-	 if (!xdr_string (xdrs, &objp->member, PEER_NAME_MAX))
-		 return FALSE;
 	return TRUE;
 }
 
--- a/src/fleet/peer_xdr.h
+++ b/src/fleet/peer_xdr.h
@@ -148,12 +148,10 @@
 };
 typedef struct peer_cancel peer_cancel;
 
-struct peer_primary_changed {
+struct peer_switching {
 	char *database;
-	u_quad_t term;
-	char *member;
 };
-typedef struct peer_primary_changed peer_primary_changed;
+typedef struct peer_switching peer_switching;
 
 struct peer_ack {
 	u_int code;
@@ -188,9 +186,9 @@
 #define PEER_CANCEL_FORWARD 8
 extern  peer_ack * peer_cancel_forward_1(peer_cancel *, CLIENT *);
 extern  peer_ack * peer_cancel_forward_1_svc(peer_cancel *, struct svc_req *);
-#define PEER_PRIMARY_CHANGED 9
-extern  peer_ack * peer_primary_changed_1(peer_primary_changed *, CLIENT *);
-extern  peer_ack * peer_primary_changed_1_svc(peer_primary_changed *, struct svc_req *);
+#define PEER_SWITCHING 9
+extern  peer_ack * peer_switching_1(peer_switching *, CLIENT *);
+extern  peer_ack * peer_switching_1_svc(peer_switching *, struct svc_req *);
 #define PEER_PROBE 10
 extern  peer_probe_answer * peer_probe_1(peer_probe *, CLIENT *);
 extern  peer_probe_answer * peer_probe_1_svc(peer_probe *, struct svc_req *);
@@ -221,9 +219,9 @@
 #define PEER_CANCEL_FORWARD 8
 extern  peer_ack * peer_cancel_forward_1();
 extern  peer_ack * peer_cancel_forward_1_svc();
-#define PEER_PRIMARY_CHANGED 9
-extern  peer_ack * peer_primary_changed_1();
-extern  peer_ack * peer_primary_changed_1_svc();
+#define PEER_SWITCHING 9
+extern  peer_ack * peer_switching_1();
+extern  peer_ack * peer_switching_1_svc();
 #define PEER_PROBE 10
 extern  peer_probe_answer * peer_probe_1();
 extern  peer_probe_answer * peer_probe_1_svc();
@@ -248,7 +246,7 @@
 extern  bool_t xdr_peer_usage_row (XDR *, peer_usage_row*);
 extern  bool_t xdr_peer_usage (XDR *, peer_usage*);
 extern  bool_t xdr_peer_cancel (XDR *, peer_cancel*);
-extern  bool_t xdr_peer_primary_changed (XDR *, peer_primary_changed*);
+extern  bool_t xdr_peer_switching (XDR *, peer_switching*);
 extern  bool_t xdr_peer_ack (XDR *, peer_ack*);
 
 #else /* K&R C */
@@ -267,7 +265,7 @@
 extern bool_t xdr_peer_usage_row ();
 extern bool_t xdr_peer_usage ();
 extern bool_t xdr_peer_cancel ();
-extern bool_t xdr_peer_primary_changed ();
+extern bool_t xdr_peer_switching ();
 extern bool_t xdr_peer_ack ();
 
 #endif /* K&R C */
--- a/src/fleet/peers.c
+++ b/src/fleet/peers.c
@@ -1,6 +1,4 @@
-#include "fleet/peers.h"
-
-#include "fleet/peer_xdr.h"
+#include "fleet/peers_internal.h"
 
 #include <arpa/inet.h>
 #include <stdio.h>
@@ -10,19 +8,6 @@
 #define LOG_MODULE "fleet"
 #include "base/log.h"
 
-#define PEERS_LOAN_TIMEOUT_MS 500
-#define PEERS_TICKET_TIMEOUT_MS 2000
-#define PEERS_CANCEL_TIMEOUT_MS 1000
-
-/* One other proxy. */
-struct peer {
-    struct peers *peers;
-    uint32_t id;
-    uint32_t stamp; /* the latest one it sent, 0 for none */
-    bool named;     /* it was told this proxy's name */
-    struct rpc_client *client;
-};
-
 /* A PROBE of another proxy that waits for this one's finding. */
 struct waiting_probe {
     struct rpc_call *call;
@@ -38,44 +23,14 @@
     uint32_t target;
 };
 
-struct peers {
-    struct ev_loop *loop;
-    const struct settings *settings;
-    struct membership *membership;
-    struct ownership *ownership;
-    struct peer *list;
-    int count;
-    GArray *probes; /* of struct waiting_probe */
-    ev_timer tick;
-    const struct peers_ops *ops;
-    void *ctx;
-};
-
-#define SIGNATURE(number, args, result)                                       \
-    {                                                                         \
-        .program = PEER_PROGRAM, .version = PEER_VERSION,                     \
-        .procedure = (number), .args_proc = RPC_XDR(xdr_##args),              \
-        .result_proc = RPC_XDR(xdr_##result), .result_bytes = sizeof(result)  \
-    }
-
 static const struct rpc_signature heartbeat_call =
     SIGNATURE(PEER_HEARTBEAT, peer_heartbeat, peer_heartbeat);
 static const struct rpc_signature probe_call =
     SIGNATURE(PEER_PROBE, peer_probe, peer_probe_answer);
-static const struct rpc_signature loan_request_call =
-    SIGNATURE(PEER_LOAN_REQUEST, peer_loan_request, peer_loan_answer);
-static const struct rpc_signature loan_return_call =
-    SIGNATURE(PEER_LOAN_RETURN, peer_loan_return, peer_ack);
-static const struct rpc_signature ticket_push_call =
-    SIGNATURE(PEER_TICKET_PUSH, peer_ticket, peer_ack);
-static const struct rpc_signature ticket_pull_call =
-    SIGNATURE(PEER_TICKET_PULL, peer_ticket_pull, peer_ack);
-static const struct rpc_signature cancel_call =
-    SIGNATURE(PEER_CANCEL_FORWARD, peer_cancel, peer_ack);
 
 /* Finds a peer by its id. */
-static struct peer *
-find_peer(struct peers *p, uint32_t id)
+struct peer *
+peers_find(struct peers *p, uint32_t id)
 {
     for (int i = 0; i < p->count; i++) {
         if (p->list[i].id == id) {
@@ -89,7 +44,7 @@
 static void
 note_report(struct peers *p, const peer_heartbeat *hb)
 {
-    struct peer *peer = find_peer(p, hb->id);
+    struct peer *peer = peers_find(p, hb->id);
 
     if (peer == NULL) {
         return;
@@ -139,7 +94,7 @@
 send_heartbeat(void *ctx, uint32_t to, const peer_heartbeat *hb)
 {
     struct peers *p = ctx;
-    struct peer *peer = find_peer(p, to);
+    struct peer *peer = peers_find(p, to);
     peer_heartbeat out = *hb;
 
     if (peer == NULL) {
@@ -171,7 +126,7 @@
 send_probe(void *ctx, uint32_t via, uint32_t target)
 {
     struct peers *p = ctx;
-    struct peer *peer = find_peer(p, via);
+    struct peer *peer = peers_find(p, via);
     const peer_probe args = {.id = membership_self_id(p->membership),
                              .target = target};
 
@@ -223,7 +178,7 @@
 static void
 introduce(struct peers *p, uint32_t id, peer_heartbeat *answer)
 {
-    struct peer *peer = find_peer(p, id);
+    struct peer *peer = peers_find(p, id);
 
     if (peer != NULL && !peer->named) {
         peer->named = true;
@@ -245,7 +200,8 @@
     }
     note_report(p, args);
     introduce(p, ((const peer_heartbeat *)args)->id, &answer);
-    stamp_heartbeat(find_peer(p, ((const peer_heartbeat *)args)->id), &answer);
+    stamp_heartbeat(peers_find(p, ((const peer_heartbeat *)args)->id),
+                    &answer);
     rpc_call_reply(call, RPC_XDR(xdr_peer_heartbeat), &answer);
 }
 
@@ -328,6 +284,17 @@
     reply_ack(call, p->ops->cancel(p->ctx, in->process, secret) ? 0 : 1);
 }
 
+/* Serves SWITCHING. */
+static void
+serve_switching(void *ctx, struct rpc_call *call, void *args)
+{
+    struct peers *p = ctx;
+    const peer_switching *in = args;
+
+    p->ops->switching(p->ctx, in->database);
+    reply_ack(call, 0);
+}
+
 /* Adds the peers' procedures to a server's table. */
 void
 peers_append_procedures(struct peers *p, GArray *rows)
@@ -349,6 +316,9 @@
         {PEER_PROGRAM, PEER_VERSION, PEER_TICKET_PULL,
          RPC_XDR(xdr_peer_ticket_pull), sizeof(peer_ticket_pull),
          serve_ticket_pull, p},
+        {PEER_PROGRAM, PEER_VERSION, PEER_SWITCHING,
+         RPC_XDR(xdr_peer_switching), sizeof(peer_switching), serve_switching,
+         p},
         {PEER_PROGRAM, PEER_VERSION, PEER_CANCEL_FORWARD,
          RPC_XDR(xdr_peer_cancel), sizeof(peer_cancel), serve_cancel, p},
     };
@@ -503,84 +473,3 @@
 {
     return membership_counters(p->membership)->bytes;
 }
-
-/* Asks a lender. done is called from the loop, or not at all when false is
-   returned. */
-bool
-peers_send_loan_request(struct peers *p, uint32_t to,
-                        const peer_loan_request *request, rpc_done done,
-                        void *ctx)
-{
-    struct peer *peer = find_peer(p, to);
-
-    if (peer == NULL) {
-        return false;
-    }
-    rpc_client_call(peer->client, &loan_request_call, request,
-                    PEERS_LOAN_TIMEOUT_MS, done, ctx);
-    return true;
-}
-
-/* Takes an answer that nobody waits for: what was sent is sent again by its
-   own rules when it is still needed. */
-static void
-ignore_answer(void *ctx, enum rpc_status status, void *result)
-{
-    (void)ctx;
-    (void)status;
-    (void)result;
-}
-
-/* Tells a lender what is still held. */
-void
-peers_send_loan_return(struct peers *p, uint32_t to,
-                       const peer_loan_return *returned)
-{
-    struct peer *peer = find_peer(p, to);
-
-    if (peer != NULL) {
-        rpc_client_call(peer->client, &loan_return_call, returned,
-                        PEERS_LOAN_TIMEOUT_MS, ignore_answer, NULL);
-    }
-}
-
-/* Sends tickets to a peer. */
-void
-peers_send_ticket(struct peers *p, uint32_t to, const peer_ticket *t)
-{
-    struct peer *peer = find_peer(p, to);
-
-    if (peer != NULL) {
-        rpc_client_call(peer->client, &ticket_push_call, t,
-                        PEERS_TICKET_TIMEOUT_MS, ignore_answer, NULL);
-    }
-}
-
-/* Asks a peer for the tickets that this proxy lacks. */
-void
-peers_send_ticket_pull(struct peers *p, uint32_t to,
-                       const peer_ticket_pull *pull)
-{
-    struct peer *peer = find_peer(p, to);
-
-    if (peer != NULL) {
-        rpc_client_call(peer->client, &ticket_pull_call, pull,
-                        PEERS_TICKET_TIMEOUT_MS, ignore_answer, NULL);
-    }
-}
-
-/* Asks every peer to cancel what a caller of theirs runs, since the balancer
-   may bring a cancel request to any proxy. */
-void
-peers_send_cancel(struct peers *p, uint32_t pid, uint32_t secret)
-{
-    char key[sizeof(secret)];
-    const peer_cancel c = {.process = pid,
-                           .key = {.key_len = sizeof(key), .key_val = key}};
-
-    memcpy(key, &secret, sizeof(key));
-    for (int i = 0; i < p->count; i++) {
-        rpc_client_call(p->list[i].client, &cancel_call, &c,
-                        PEERS_CANCEL_TIMEOUT_MS, ignore_answer, NULL);
-    }
-}
--- a/src/fleet/peers.h
+++ b/src/fleet/peers.h
@@ -23,6 +23,8 @@
     void (*ticket_pull)(void *ctx, const peer_ticket_pull *pull);
     void (*ticket_digest)(void *ctx, uint32_t peer, const peer_digest *d);
     bool (*cancel)(void *ctx, uint32_t pid, uint32_t secret);
+    /* A peer begins a planned switch of a database's primary. */
+    void (*switching)(void *ctx, const char *database);
     /* A peer named the same owners in an answer to a message of as_of. */
     void (*agreed)(void *ctx, uint32_t peer, clock_ms as_of);
     void (*member_changed)(void *ctx, const struct member_info *m,
@@ -47,6 +49,7 @@
 void peers_send_ticket(struct peers *p, uint32_t to, const peer_ticket *t);
 void peers_send_ticket_pull(struct peers *p, uint32_t to,
                             const peer_ticket_pull *pull);
+void peers_send_switching(struct peers *p, const char *database);
 void peers_send_cancel(struct peers *p, uint32_t pid, uint32_t secret);
 
 #endif
--- /dev/null
+++ b/src/fleet/peers_send.c
@@ -0,0 +1,113 @@
+#include "fleet/peers_internal.h"
+
+#include <string.h>
+
+#define PEERS_LOAN_TIMEOUT_MS 500
+#define PEERS_TICKET_TIMEOUT_MS 2000
+#define PEERS_CANCEL_TIMEOUT_MS 1000
+
+static const struct rpc_signature loan_request_call =
+    SIGNATURE(PEER_LOAN_REQUEST, peer_loan_request, peer_loan_answer);
+static const struct rpc_signature loan_return_call =
+    SIGNATURE(PEER_LOAN_RETURN, peer_loan_return, peer_ack);
+static const struct rpc_signature ticket_push_call =
+    SIGNATURE(PEER_TICKET_PUSH, peer_ticket, peer_ack);
+static const struct rpc_signature ticket_pull_call =
+    SIGNATURE(PEER_TICKET_PULL, peer_ticket_pull, peer_ack);
+static const struct rpc_signature switching_call =
+    SIGNATURE(PEER_SWITCHING, peer_switching, peer_ack);
+static const struct rpc_signature cancel_call =
+    SIGNATURE(PEER_CANCEL_FORWARD, peer_cancel, peer_ack);
+
+/* Asks a lender. done is called from the loop, or not at all when false is
+   returned. */
+bool
+peers_send_loan_request(struct peers *p, uint32_t to,
+                        const peer_loan_request *request, rpc_done done,
+                        void *ctx)
+{
+    struct peer *peer = peers_find(p, to);
+
+    if (peer == NULL) {
+        return false;
+    }
+    rpc_client_call(peer->client, &loan_request_call, request,
+                    PEERS_LOAN_TIMEOUT_MS, done, ctx);
+    return true;
+}
+
+/* Takes an answer that nobody waits for: what was sent is sent again by its
+   own rules when it is still needed. */
+static void
+ignore_answer(void *ctx, enum rpc_status status, void *result)
+{
+    (void)ctx;
+    (void)status;
+    (void)result;
+}
+
+/* Tells a lender what is still held. */
+void
+peers_send_loan_return(struct peers *p, uint32_t to,
+                       const peer_loan_return *returned)
+{
+    struct peer *peer = peers_find(p, to);
+
+    if (peer != NULL) {
+        rpc_client_call(peer->client, &loan_return_call, returned,
+                        PEERS_LOAN_TIMEOUT_MS, ignore_answer, NULL);
+    }
+}
+
+/* Sends tickets to a peer. */
+void
+peers_send_ticket(struct peers *p, uint32_t to, const peer_ticket *t)
+{
+    struct peer *peer = peers_find(p, to);
+
+    if (peer != NULL) {
+        rpc_client_call(peer->client, &ticket_push_call, t,
+                        PEERS_TICKET_TIMEOUT_MS, ignore_answer, NULL);
+    }
+}
+
+/* Asks a peer for the tickets that this proxy lacks. */
+void
+peers_send_ticket_pull(struct peers *p, uint32_t to,
+                       const peer_ticket_pull *pull)
+{
+    struct peer *peer = peers_find(p, to);
+
+    if (peer != NULL) {
+        rpc_client_call(peer->client, &ticket_pull_call, pull,
+                        PEERS_TICKET_TIMEOUT_MS, ignore_answer, NULL);
+    }
+}
+
+/* Tells every peer that this proxy begins a planned switch. */
+void
+peers_send_switching(struct peers *p, const char *database)
+{
+    const peer_switching s = {.database = (char *)database};
+
+    for (int i = 0; i < p->count; i++) {
+        rpc_client_call(p->list[i].client, &switching_call, &s,
+                        PEERS_CANCEL_TIMEOUT_MS, ignore_answer, NULL);
+    }
+}
+
+/* Asks every peer to cancel what a caller of theirs runs, since the balancer
+   may bring a cancel request to any proxy. */
+void
+peers_send_cancel(struct peers *p, uint32_t pid, uint32_t secret)
+{
+    char key[sizeof(secret)];
+    const peer_cancel c = {.process = pid,
+                           .key = {.key_len = sizeof(key), .key_val = key}};
+
+    memcpy(key, &secret, sizeof(key));
+    for (int i = 0; i < p->count; i++) {
+        rpc_client_call(p->list[i].client, &cancel_call, &c,
+                        PEERS_CANCEL_TIMEOUT_MS, ignore_answer, NULL);
+    }
+}
--- a/src/upstream/conn.c
+++ b/src/upstream/conn.c
@@ -221,14 +221,20 @@
 {
     struct upstream_conn *c = g_new0(struct upstream_conn, 1);
     char port[8];
+    char options[64] = "";
     const char *const keys[] = {"hostaddr", "port",    "dbname",
                                 "user",     "sslmode", "application_name",
-                                "password", NULL};
+                                "password", "options", NULL};
     const char *const values[] = {t->address->host, port,      t->database,
                                   t->user,          "disable", "galenastep",
-                                  t->password,      NULL};
+                                  t->password,      options,   NULL};
 
     snprintf(port, sizeof(port), "%u", t->address->port);
+    if (t->idle_timeout_ms > 0) {
+        snprintf(options, sizeof(options), "-c idle_session_timeout=%lld",
+                 (long long)t->idle_timeout_ms);
+        c->lent = true;
+    }
     snprintf(c->peer, sizeof(c->peer), "%s:%s", t->address->host, port);
     c->loop = loop;
     c->ops = ops;
--- a/src/upstream/conn.h
+++ b/src/upstream/conn.h
@@ -31,6 +31,9 @@
     const char *user;
     const char *password;
     int64_t connect_timeout_ms;
+    /* The member closes the connection when it is idle for this long; 0 for
+       no limit. */
+    int64_t idle_timeout_ms;
 };
 
 /* One connection to a member. libpq opens and authenticates it; afterwards
@@ -57,6 +60,8 @@
     uint64_t settings_hash;
     GHashTable *prepared; /* names of prepared statements */
     bool dirty;           /* must be reset with DISCARD ALL before reuse */
+    bool lent;            /* beyond this proxy's floor, under a lease */
+    bool limited;         /* has a statement_timeout of a lease */
     bool cancel_pending;  /* a cancel request may still hit it */
     char peer[64];
     char error[160];
--- a/src/upstream/group.c
+++ b/src/upstream/group.c
@@ -23,9 +23,9 @@
     GQueue queued; /* of struct group_request, by its link */
     uint64_t queue_changes;
     uint64_t route_epoch;
-    void (*refresh)(void *ctx);
-    void (*waiting)(void *ctx);
-    void *lending;
+    struct group_lending lending;
+    void (*switching)(void *ctx);
+    void *switching_ctx;
     int surplus[SETTINGS_MAX_MEMBERS];
     int permits[SETTINGS_MAX_MEMBERS];
     ev_timer tick;
@@ -193,11 +193,23 @@
     member_failed(ctx, member, why);
 }
 
+/* This proxy begins a planned switch. */
+static void
+on_switching(void *ctx)
+{
+    struct group *g = ctx;
+
+    if (g->switching != NULL) {
+        g->switching(g->switching_ctx);
+    }
+}
+
 static const struct watch_ops watch_callbacks = {
     .state = on_state,
     .silent = on_silent,
     .primary = on_primary,
     .hold = on_hold,
+    .switching = on_switching,
 };
 
 /* Drives the queue's deadlines and tells the failover slice how much runs. */
@@ -278,8 +290,8 @@
 static void
 refresh_shares(struct group *g)
 {
-    if (g->refresh != NULL) {
-        g->refresh(g->lending);
+    if (g->lending.refresh != NULL) {
+        g->lending.refresh(g->lending.ctx);
     }
 }
 
@@ -311,8 +323,8 @@
     refresh_shares(g);
     admission_submit(g->admission, now, &r->admission);
     g->next_admission = 0;
-    if (g->queued.length > 0 && g->waiting != NULL) {
-        g->waiting(g->lending);
+    if (g->queued.length > 0 && g->lending.waiting != NULL) {
+        g->lending.waiting(g->lending.ctx);
     }
 }
 
@@ -369,14 +381,26 @@
     admission_set_batch_permits(g->admission, now, member, batch_permits);
 }
 
-/* Registers those who lend; NULL ends it. */
+/* Registers those who lend; a record of zeros ends it. */
 void
-group_set_lending(struct group *g, void (*refresh)(void *ctx),
-                  void (*waiting)(void *ctx), void *ctx)
+group_set_lending(struct group *g, const struct group_lending *lending)
+{
+    g->lending = *lending;
+    pool_set_lent_idle_timeout(g->pool, lending->idle_timeout_ms);
+}
+
+/* Returns how long a statement on the request's connection may run, in
+   milliseconds: until its lease ends, so that the member stops what a paused
+   holder cannot; 0 for no limit, for work that the floor admits. */
+int64_t
+group_statement_limit(const struct group *g, const struct group_request *r)
 {
-    g->refresh = refresh;
-    g->waiting = waiting;
-    g->lending = ctx;
+    if (!r->admission.on_surplus || g->lending.lease_left == NULL) {
+        return 0;
+    }
+    const int64_t left = g->lending.lease_left(
+        g->lending.ctx, r->conn->member, r->admission.holds_batch_permit);
+    return MAX(left, 1);
 }
 
 /* Sets how stale a read of a caller kind may be, in milliseconds. */
@@ -393,6 +417,14 @@
     return g->max_staleness_ms[kind];
 }
 
+/* Registers who tells the other proxies of a planned switch. */
+void
+group_set_switching(struct group *g, void (*switching)(void *ctx), void *ctx)
+{
+    g->switching = switching;
+    g->switching_ctx = ctx;
+}
+
 /* Marks a member as leaving: it gets no new reads. */
 void
 group_set_leaving(struct group *g, int member, bool leaving)
--- a/src/upstream/group.h
+++ b/src/upstream/group.h
@@ -73,8 +73,22 @@
                        int batch_permits);
 /* refresh is called before work is let through, so that a lease which ended
    while the process was paused is not used; waiting when work was queued. */
-void group_set_lending(struct group *g, void (*refresh)(void *ctx),
-                       void (*waiting)(void *ctx), void *ctx);
+struct group_lending {
+    void (*refresh)(void *ctx);
+    void (*waiting)(void *ctx);
+    /* Returns how long a statement may run under a lease, in milliseconds. */
+    int64_t (*lease_left)(void *ctx, int member, bool batch);
+    int64_t idle_timeout_ms; /* of lent connections */
+    void *ctx;
+};
+void group_set_lending(struct group *g, const struct group_lending *lending);
+int64_t group_statement_limit(const struct group *g,
+                              const struct group_request *r);
+
+/* switching is called when this proxy begins a planned switch, so that the
+   others hold their work for the primary too. */
+void group_set_switching(struct group *g, void (*switching)(void *ctx),
+                         void *ctx);
 
 void group_note_state(struct group *g, int member,
                       const struct group_state *s);
--- a/src/upstream/lending.c
+++ b/src/upstream/lending.c
@@ -195,6 +195,21 @@
     report_demand(l, clock_now());
 }
 
+/* Returns how long a statement may still run under a lease. Short work may also run on a
+   connection that was lent for batches. */
+static int64_t
+lease_left(void *ctx, int member, bool batch)
+{
+    const struct lending *l = ctx;
+
+    const clock_ms batches = loan_holder_until(l->holder, member, true);
+    const clock_ms until =
+        batch ? batches
+              : MAX(batches, loan_holder_until(l->holder, member, false));
+
+    return until - clock_now() + LOAN_STATEMENT_GRACE_MS;
+}
+
 /* Orders proxy ids. */
 static int
 compare_ids(const void *a, const void *b)
@@ -242,7 +257,13 @@
     l->holder = loan_holder_create(&holder_ops, l, index, l->self,
                                    database->member_count,
                                    (uint64_t)g_get_real_time());
-    group_set_lending(group, refresh, on_waiting, l);
+    group_set_lending(group, &(struct group_lending){
+                                 .refresh = refresh,
+                                 .waiting = on_waiting,
+                                 .lease_left = lease_left,
+                                 .idle_timeout_ms = LOAN_IDLE_SESSION_MS,
+                                 .ctx = l,
+                             });
     refresh(l);
     ev_timer_init(&l->tick, on_tick, 0.0, LENDING_TICK_S);
     l->tick.data = l;
@@ -258,7 +279,7 @@
         return;
     }
     ev_timer_stop(l->loop, &l->tick);
-    group_set_lending(l->group, NULL, NULL, NULL);
+    group_set_lending(l->group, &(struct group_lending){0});
     loan_holder_destroy(l->holder);
     lender_destroy(l->lender);
     g_free(l);
--- a/src/upstream/pool.c
+++ b/src/upstream/pool.c
@@ -37,6 +37,7 @@
     struct ev_loop *loop;
     const struct settings_database *database;
     struct pool_member members[SETTINGS_MAX_MEMBERS];
+    int64_t lent_idle_timeout_ms;
     ev_timer tick;
 };
 
@@ -67,7 +68,26 @@
     g_ptr_array_remove_fast(p->members[member].slots, s);
 }
 
-/* Makes a connection available, or closes it when it is one too many. */
+/* Returns the idle connection to close when there is one too many: a lent one
+   first, since those of the floor need no lease; NULL when none is idle. */
+static struct slot *
+find_excess(struct pool_member *m)
+{
+    struct slot *any = NULL;
+
+    for (guint i = 0; i < m->slots->len; i++) {
+        struct slot *s = g_ptr_array_index(m->slots, i);
+        if (s->state == SLOT_IDLE) {
+            any = s;
+            if (s->conn->lent) {
+                return s;
+            }
+        }
+    }
+    return any;
+}
+
+/* Makes a connection available, or closes one when there is one too many. */
 static void
 slot_becomes_idle(struct pool *p, struct slot *s)
 {
@@ -77,7 +97,7 @@
     s->state = SLOT_IDLE;
     s->since = clock_now();
     if ((int)m->slots->len > m->limit) {
-        close_slot(p, s);
+        close_slot(p, find_excess(m));
     }
     serve_waiters(p, member);
 }
@@ -158,6 +178,19 @@
     .closed = on_closed,
 };
 
+/* Counts the connections of a member that are not under a lease. */
+static int
+count_floor(const struct pool_member *m)
+{
+    int n = 0;
+
+    for (guint i = 0; i < m->slots->len; i++) {
+        const struct slot *s = g_ptr_array_index(m->slots, i);
+        n += !s->conn->lent;
+    }
+    return n;
+}
+
 /* Opens one more connection to a member. */
 static void
 open_slot(struct pool *p, int member)
@@ -168,6 +201,10 @@
         .user = p->database->user,
         .password = p->database->password,
         .connect_timeout_ms = p->database->connect_timeout_ms,
+        .idle_timeout_ms =
+            count_floor(&p->members[member]) < p->database->floor
+                ? 0
+                : p->lent_idle_timeout_ms,
     };
     struct slot *s = g_new0(struct slot, 1);
 
@@ -293,6 +330,13 @@
     serve_waiters(p, member);
 }
 
+/* Sets the idle timeout with which connections beyond the floor are opened. */
+void
+pool_set_lent_idle_timeout(struct pool *p, int64_t timeout_ms)
+{
+    p->lent_idle_timeout_ms = timeout_ms;
+}
+
 /* Sets how many connections to a member may be open; idle ones beyond it are
    closed at once, lent ones when they come back. */
 void
@@ -302,7 +346,7 @@
     struct slot *s;
 
     m->limit = connections;
-    while ((int)m->slots->len > m->limit && (s = find_idle(m)) != NULL) {
+    while ((int)m->slots->len > m->limit && (s = find_excess(m)) != NULL) {
         close_slot(p, s);
     }
     serve_waiters(p, member);
--- a/src/upstream/pool.h
+++ b/src/upstream/pool.h
@@ -19,6 +19,9 @@
 struct pool *pool_create(struct ev_loop *loop,
                          const struct settings_database *database);
 void pool_destroy(struct pool *p);
+/* Connections beyond the floor are opened with this idle timeout, so that the
+   member ends those of a holder that is paused past its lease; 0 for none. */
+void pool_set_lent_idle_timeout(struct pool *p, int64_t timeout_ms);
 void pool_set_limit(struct pool *p, int member, int connections);
 void pool_acquire(struct pool *p, int member, struct pool_waiter *w);
 void pool_cancel(struct pool *p, struct pool_waiter *w);
--- a/src/upstream/watch.c
+++ b/src/upstream/watch.c
@@ -183,6 +183,10 @@
     struct watch *w = ctx;
 
     w->config.ops->hold(w->config.ctx, hold);
+    if (hold && w->failover != NULL &&
+        failover_get_state(w->failover) == FAILOVER_SWITCHING) {
+        w->config.ops->switching(w->config.ctx);
+    }
 }
 
 /* Action: a line for the log. */
--- a/src/upstream/watch.h
+++ b/src/upstream/watch.h
@@ -17,6 +17,8 @@
     /* member is FAILOVER_NOBODY while there is no primary. */
     void (*primary)(void *ctx, int member, uint64_t term);
     void (*hold)(void *ctx, bool hold);
+    /* This proxy begins a planned switch. */
+    void (*switching)(void *ctx);
 };
 
 struct watch_config {
--- a/tests/caller/test_front.c
+++ b/tests/caller/test_front.c
@@ -637,6 +637,51 @@
     site_stop(&s);
 }
 
+/* A lease that is over. */
+static int64_t
+no_lease_left(void *ctx, int member, bool batch)
+{
+    (void)ctx;
+    (void)member;
+    (void)batch;
+    return -1000;
+}
+
+/* Guards against a statement limit on work that the floor admits, which it got
+   when the connection had been opened under a lease that is over. */
+static void
+test_floor_work_has_no_lease_limit(void **state)
+{
+    (void)state;
+    struct site s;
+    struct client a;
+    struct client b;
+    site_start(&s);
+    client_open(&a, &s, "filing", "none");
+    client_open(&b, &s, "filing", "none");
+
+    group_set_surplus(s.groups[0], 0, 0, 0);
+    group_set_lending(s.groups[0], &(struct group_lending){
+                                       .lease_left = no_lease_left,
+                                       .idle_timeout_ms = 10000,
+                                   });
+    client_start(&a, "SELECT fake_sleep(100)");
+    client_start(&b, "SELECT fake_sleep(150)");
+    while (admission_queued(group_admission(s.groups[0]), 0) == 0) {
+        ev_run(s.loop, EVRUN_ONCE);
+    }
+    group_set_surplus(s.groups[0], 0, 1, 0);
+    client_wait(&a, 2);
+    client_wait(&b, 2);
+    group_set_surplus(s.groups[0], 0, 0, 0);
+    assert_int_equal(pool_open_count(group_pool(s.groups[0]), 0), 1);
+    client_query(&a, "SELECT fake_sleep(50)");
+    assert_string_equal(a.sqlstate, "");
+    client_close(&a);
+    client_close(&b);
+    site_stop(&s);
+}
+
 /* Notes the end of a graceful shutdown. */
 static void
 on_drained(void *ctx)
@@ -717,6 +762,7 @@
         cmocka_unit_test(test_cancel_reaches_the_statement),
         cmocka_unit_test(test_lost_write_is_unknown),
         cmocka_unit_test(test_request_key_runs_once),
+        cmocka_unit_test(test_floor_work_has_no_lease_limit),
         cmocka_unit_test(test_drain_lets_transactions_end),
         cmocka_unit_test(test_drain_refuses_waiting_batches),
     };
--- a/tests/test_two_proxies.sh
+++ b/tests/test_two_proxies.sh
@@ -1,7 +1,7 @@
 #!/bin/sh
 # Starts two proxies and checks what their callers and peers see.
 #
-#   test_two_proxies.sh DAEMON CTL FAKE CASE
+#   test_two_proxies.sh DAEMON CTL FAKE CASE [FAKE_PLATFORM]
 #
 # CASE names guards against peers that operators see without their names: 5 s
 # after both are live, each must list the other by its name.
@@ -9,7 +9,11 @@
 # peers could see it leave: they must list it as leaving, not find it dead.
 # CASE batch guards against a drain that waits for batch work which cannot
 # start, because nothing is lent to a leaving proxy: the exit code must be 0.
+# CASE leaving guards against a primary that goes with its VM while it still
+# gets work, and against a planned switch that fails statements: the VM list
+# names it as leaving while callers of both proxies write.
 set -eu
+platform=${5:-}
 daemon=$1
 ctl=$2
 fake=$3
@@ -38,6 +42,10 @@
 listen=127.0.0.1:$((base + $1))
 control_listen=127.0.0.1:$((base + 4 + $1))
 drain_limit_ms=3000
+[platform]
+table_url=http://127.0.0.1:$((base + 11))/table
+object_url=http://127.0.0.1:$((base + 11))/object
+vms_url=http://127.0.0.1:$((base + 11))/vms
 [peers]
 key_file=$folder/key
 1=127.0.0.1:$((base + 5)) domain-1
@@ -64,6 +72,11 @@
     "$fake" "--database=boats=$((base + 8)),$((base + 9)),$((base + 10))" \
         --seconds=60 2>"$folder/fake.log" &
     pids="$!"
+    if [ -n "$platform" ]; then
+        "$platform" --port=$((base + 11)) --seconds=60 \
+            >"$folder/platform.log" 2>&1 &
+        pids="$pids $!"
+    fi
     for n in 1 2; do
         settings $n >"$folder/$n.ini"
         "$daemon" -c "$folder/$n.ini" 2>"$folder/$n.log" &
@@ -97,7 +110,46 @@
 done
 
 code=0
+# Writes the statements of a caller: increments of one row.
+increments() {
+    i=0
+    while [ $i -lt 400 ]; do
+        echo "UPDATE entries SET value = value + 1 WHERE id = 'n';"
+        echo '\! sleep 0.005'
+        i=$((i + 1))
+    done
+}
+
 case $case in
+leaving)
+    increments >"$folder/increments.sql"
+    writers=""
+    for n in 1 2; do
+        psql -X -q -h 127.0.0.1 -p $((base + n)) -U demo -d boats \
+            -f "$folder/increments.sql" >"$folder/writer-$n.log" 2>&1 &
+        writers="$writers $!"
+        pids="$pids $!"
+    done
+    sleep 1
+    curl -s -X PUT "http://127.0.0.1:$((base + 11))/vms" -d "{\"vms\":[{
+        \"name\":\"vm-1\",\"address\":\"127.0.0.1:$((base + 8))\",
+        \"failure_domain\":\"a\",\"state\":\"leaving\"}]}" >/dev/null
+    for pid in $writers; do
+        wait "$pid" || code=1
+    done
+    cat "$folder"/writer-*.log
+    ! grep -q ERROR "$folder"/writer-*.log || code=1
+    value=$(psql -X -qAt -h 127.0.0.1 -p $((base + 1)) -U demo -d boats \
+        -c "SELECT value FROM entries WHERE id = 'n'")
+    "$ctl" -k "$folder/key" -c "127.0.0.1:$((base + 5))" --csv status \
+        >"$folder/status"
+    cat "$folder/status"
+    echo "value=$value of 800"
+    [ "$value" = 800 ] || code=1
+    grep -q "$((base + 8)),[^,]*,replica,leaving" "$folder/status" || code=1
+    [ $code -eq 0 ] || cat "$folder"/[12].log
+    exit $code
+    ;;
 names)
     sleep 5
     for n in 1 2; do
