--- a/src/upstream/lending.c
+++ b/src/upstream/lending.c
@@ -195,8 +195,8 @@
     report_demand(l, clock_now());
 }
 
-/* Returns how long a statement may still run under a lease. Short work may also run on a
-   connection that was lent for batches. */
+/* Returns how long a statement may still run under a lease. Short work may
+   also run on a connection that was lent for batches. */
 static int64_t
 lease_left(void *ctx, int member, bool batch)
 {
