Report to callers the parameters that the members report

Cause: the welcome named a fixed server_version and TimeZone, which need not be those of the database. Change: the values come from a member's control connection; none are sent while no member is connected. Two functions of group.c that nobody used are gone. Before: 15.0 and UTC for every database.

--- a/src/caller/startup.c
+++ b/src/caller/startup.c
@@ -187,22 +187,26 @@
     return ok;
 }
 
-/* Welcomes a caller whose start-up packet was accepted. */
+/* Welcomes a caller whose start-up packet was accepted. The parameters are
+   those that a member reported; none are sent while no member answers. */
 static void
 welcome(struct caller *c)
 {
-    static const char *const parameters[][2] = {
-        {"server_version", "15.0"},    {"server_encoding", "UTF8"},
-        {"client_encoding", "UTF8"},   {"DateStyle", "ISO, MDY"},
-        {"integer_datetimes", "on"},   {"TimeZone", "UTC"},
-        {"IntervalStyle", "postgres"}, {"standard_conforming_strings", "on"},
+    static const char *const parameters[] = {
+        "server_version",    "server_encoding",
+        "client_encoding",   "DateStyle",
+        "TimeZone",          "IntervalStyle",
+        "integer_datetimes", "standard_conforming_strings",
     };
 
     size_t at = frame_begin(c->out, 'R');
     frame_put_u32(c->out, 0);
     frame_end(c->out, at);
     for (size_t i = 0; i < G_N_ELEMENTS(parameters); i++) {
-        frame_put_parameter(c->out, parameters[i][0], parameters[i][1]);
+        const char *value = group_parameter(c->group, parameters[i]);
+        if (value != NULL) {
+            frame_put_parameter(c->out, parameters[i], value);
+        }
     }
     at = frame_begin(c->out, 'K');
     frame_put_u32(c->out, c->pid);
--- a/src/upstream/control_conn.c
+++ b/src/upstream/control_conn.c
@@ -231,3 +231,14 @@
 {
     return k->peer;
 }
+
+/* Returns a parameter that the member reported when the connection was opened,
+   such as server_version; NULL while there is no connection. */
+const char *
+control_conn_parameter(const struct control_conn *k, const char *name)
+{
+    if (k->conn == NULL || !k->conn->open) {
+        return NULL;
+    }
+    return PQparameterStatus(k->conn->pg, name);
+}
--- a/src/upstream/control_conn.h
+++ b/src/upstream/control_conn.h
@@ -22,6 +22,8 @@
 void control_conn_destroy(struct control_conn *k);
 void control_conn_call(struct control_conn *k, const char *sql,
                        clock_ms timeout_ms, control_reply reply, void *ctx);
+const char *control_conn_parameter(const struct control_conn *k,
+                                   const char *name);
 const char *control_conn_peer(const struct control_conn *k);
 
 #endif
--- a/src/upstream/group.c
+++ b/src/upstream/group.c
@@ -453,18 +453,19 @@
     watch_cancel_backend(g->watch, c->member, upstream_conn_pid(c));
 }
 
-/* Returns the database's name. */
+/* Returns a parameter as a member reported it, such as server_version; NULL
+   while no member is connected. */
 const char *
-group_name(const struct group *g)
+group_parameter(const struct group *g, const char *name)
 {
-    return g->database->name;
+    return watch_parameter(g->watch, name);
 }
 
-/* Returns the number of members. */
-int
-group_member_count(const struct group *g)
+/* Returns the database's name. */
+const char *
+group_name(const struct group *g)
 {
-    return g->database->member_count;
+    return g->database->name;
 }
 
 /* Returns what is known of a member. */
@@ -481,13 +482,6 @@
     return g->primary;
 }
 
-/* Returns the highest term in which a primary was seen. */
-uint64_t
-group_term(const struct group *g)
-{
-    return g->term;
-}
-
 /* Returns the queue in front of the group, for counters. */
 struct admission *
 group_admission(struct group *g)
--- a/src/upstream/watch.c
+++ b/src/upstream/watch.c
@@ -304,3 +304,16 @@
                       on_cancelled, w->control[member]);
     g_string_free(sql, TRUE);
 }
+
+/* Returns a parameter as the first connected member reported it, or NULL. */
+const char *
+watch_parameter(const struct watch *w, const char *name)
+{
+    for (int i = 0; i < w->config.database->member_count; i++) {
+        const char *value = control_conn_parameter(w->control[i], name);
+        if (value != NULL) {
+            return value;
+        }
+    }
+    return NULL;
+}
--- a/src/upstream/watch.h
+++ b/src/upstream/watch.h
@@ -35,6 +35,7 @@
 struct watch *watch_create(const struct watch_config *config);
 void watch_destroy(struct watch *w);
 struct failover *watch_failover(struct watch *w);
+const char *watch_parameter(const struct watch *w, const char *name);
 const char *watch_peer(const struct watch *w, int member);
 void watch_cancel_backend(struct watch *w, int member, int pid);
 
--- a/tests/caller/test_front.c
+++ b/tests/caller/test_front.c
@@ -40,6 +40,7 @@
     char hint[64];    /* of the last error */
     char column[256]; /* first column of the last row */
     char token[128];  /* last reported token */
+    char version[16]; /* reported server_version, that of the member */
     char status;      /* of the last ReadyForQuery */
     unsigned ready;
     uint32_t pid;
@@ -169,6 +170,10 @@
         c->pid = frame_read_u32(&r);
         c->secret = frame_read_u32(&r);
     }
+    if (f->type == 'S' && strcmp(f->body.p, "server_version") == 0) {
+        snprintf(c->version, sizeof(c->version), "%s",
+                 f->body.p + sizeof("server_version"));
+    }
     if (f->type == 'S' && strcmp(f->body.p, "galenastep.token") == 0) {
         snprintf(c->token, sizeof(c->token), "%s",
                  f->body.p + sizeof("galenastep.token"));
@@ -479,6 +484,7 @@
     struct client b;
     site_start(&s);
     client_open(&a, &s, "filing", NULL);
+    assert_string_equal(a.version, "15.0");
 
     client_query(&a, "INSERT INTO entries (id, value) VALUES ('k', '1')");
     assert_non_null(strstr(a.token, "v1:boats:"));
