Count retries of silent connections apart from lost ones

Cause: nothing raised the counter retry_read_silent; reads given up for silence were counted as lost. Change: an exchange that is given up for lack of a sign of life is marked, and its retry counted under that reason. Before: the counter stayed 0.

--- a/src/caller/caller.h
+++ b/src/caller/caller.h
@@ -112,6 +112,7 @@
     bool keyed;       /* runs in a transaction with its request key */
     bool replay;      /* the key was stored: answer what stands there */
     bool commit_failed;
+    bool silent;        /* given up without a sign of life */
     size_t passthrough; /* bytes left of a large message being relayed */
     clock_ms deadline;  /* without a sign of life until then: silent */
 };
--- a/src/caller/exchange.c
+++ b/src/caller/exchange.c
@@ -488,7 +488,8 @@
         return;
     }
     if (needs_guard(b->class) && !e->forwarded) {
-        request_retry_later(c, COUNTER_RETRY_READ_LOST);
+        request_retry_later(c, e->silent ? COUNTER_RETRY_READ_SILENT
+                                         : COUNTER_RETRY_READ_LOST);
         return;
     }
     if (e->body_done) {
@@ -538,5 +539,6 @@
         return;
     }
     LOG_WARNING("exchange", u->peer, "no answer within the deadline");
+    c->exchange.silent = true;
     upstream_conn_abort(u, "no answer within the deadline");
 }
