platform: run a proxy on the users' platform

Cause: the product could only be reached through PostgreSQL and its own table service; the users' platform speaks lines to callers and members and keeps its state in a row store. Change: slices directory, relay, lead and node hold the decisions, independent of a protocol: sessions, pooled connections, placement, the agreement on who leads, and the promoter. platform/ decodes and encodes.

--- /dev/null
+++ b/src/base/stream.h
@@ -0,0 +1,32 @@
+#ifndef BASE_STREAM_H
+#define BASE_STREAM_H
+
+#include "base/sview.h"
+
+#include <ev.h>
+#include <stdint.h>
+
+/* A non-blocking TCP connection with a buffer in each direction. */
+struct stream;
+
+/* readable is called when input grew. closed is called once, when the other
+   end or the network ended the connection; the owner then calls
+   stream_close(). The owner may close the stream inside any callback. */
+struct stream_events {
+    void (*connected)(void *ctx);
+    void (*readable)(void *ctx);
+    void (*closed)(void *ctx, const char *why);
+};
+
+struct stream *stream_accepted(struct ev_loop *loop, int fd,
+                               const struct stream_events *events, void *ctx);
+struct stream *stream_connect(struct ev_loop *loop, const char *host,
+                              uint16_t port,
+                              const struct stream_events *events, void *ctx);
+void stream_close(struct stream *s);
+struct sview stream_input(const struct stream *s);
+void stream_consume(struct stream *s, size_t n);
+void stream_write(struct stream *s, const char *p, size_t n);
+bool stream_flushed(const struct stream *s);
+
+#endif
--- /dev/null
+++ b/src/lead/agreement.h
@@ -0,0 +1,66 @@
+#ifndef LEAD_AGREEMENT_H
+#define LEAD_AGREEMENT_H
+
+#include "base/clock.h"
+#include "lead/view.h"
+
+/* Decides which view this proxy follows and until when it may rely on it.
+
+   A belief about who leads may be used only while this proxy knows that no
+   newer view was in force less than AGREEMENT_LEASE_MS ago. It learns that
+   from the store, or from a majority of the proxies: each tells in every
+   message the newest view that it has acted on, and echoes the time of the
+   last message that it got. Whoever changes the view waits until all proxies
+   have acted on it, or until a majority has and the lease of the others has
+   run out. */
+struct agreement;
+
+#define AGREEMENT_LEASE_MS 1000
+/* A peer that was heard within this time counts as alive. */
+#define AGREEMENT_ALIVE_MS 900
+#define AGREEMENT_PEERS_MAX 512
+
+/* One message between proxies. */
+struct agreement_note {
+    char from[VIEW_NAME_BYTES];
+    uint64_t incarnation;
+    clock_ms sent_at;     /* on the sender's clock */
+    clock_ms echo;        /* sent_at of the last message received, or 0 */
+    uint64_t echo_of;     /* incarnation that sent it */
+    uint64_t acted;       /* version of the view whose changes are done */
+    uint64_t version;     /* version of the view that is known */
+    uint64_t unreachable; /* services whose primary does not answer, by
+                             index in the view of `version` */
+    bool leaving;         /* the sender is shutting down */
+    struct view view;     /* version 0 when it is not included */
+};
+
+struct agreement *agreement_create(const char *name, uint64_t incarnation);
+void agreement_destroy(struct agreement *a);
+
+bool agreement_offer(struct agreement *a, const struct view *v);
+const struct view *agreement_view(const struct agreement *a);
+void agreement_set_acted(struct agreement *a, uint64_t version);
+void agreement_confirm_by_store(struct agreement *a, uint64_t version,
+                                clock_ms asked_at);
+
+void agreement_set_peers(struct agreement *a, const char *const *names, int n);
+int agreement_peer_count(const struct agreement *a);
+void agreement_compose(const struct agreement *a, const char *to,
+                       uint64_t unreachable, bool leaving, clock_ms now,
+                       struct agreement_note *out);
+bool agreement_take(struct agreement *a, const struct agreement_note *n,
+                    clock_ms now);
+
+clock_ms agreement_evidence(const struct agreement *a);
+bool agreement_valid(const struct agreement *a, clock_ms now);
+bool agreement_all_acted(struct agreement *a, uint64_t version, clock_ms since,
+                         clock_ms now);
+bool agreement_alive(const struct agreement *a, const char *name,
+                     clock_ms now);
+int agreement_rank(const struct agreement *a, clock_ms now);
+int agreement_alive_count(const struct agreement *a, clock_ms now);
+int agreement_votes(const struct agreement *a, int lead, clock_ms now);
+clock_ms agreement_last_heard(const struct agreement *a, const char *name);
+
+#endif
--- /dev/null
+++ b/src/lead/peer_note.x
@@ -0,0 +1,13 @@
+/* The message that proxies send each other about the view. */
+struct wire_note {
+    string from<63>;
+    unsigned hyper incarnation;
+    hyper sent_at;
+    hyper echo;
+    unsigned hyper echo_of;
+    unsigned hyper acted;
+    unsigned hyper known;
+    unsigned hyper unreachable;
+    bool leaving;
+    string view<6000>;
+};
--- /dev/null
+++ b/src/lead/peer_port.c
@@ -0,0 +1,155 @@
+#include "lead/peer_port.h"
+
+#include "base/event_log.h"
+#include "lead/peer_note_xdr.h"
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <glib.h>
+#include <netinet/in.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#define NOTE_BYTES 8192
+
+struct peer_port {
+    struct ev_loop *loop;
+    int fd;
+    ev_io io;
+    peer_port_fn received;
+    void *ctx;
+};
+
+/* Decodes a datagram. Returns false when it is not a note. */
+static bool
+decode(char *bytes, size_t size, struct agreement_note *n)
+{
+    wire_note w = {0};
+    XDR x;
+
+    memset(n, 0, sizeof(*n));
+    xdrmem_create(&x, bytes, (u_int)size, XDR_DECODE);
+    bool ok = xdr_wire_note(&x, &w);
+    xdr_destroy(&x);
+    if (ok) {
+        g_strlcpy(n->from, w.from, sizeof(n->from));
+        n->incarnation = w.incarnation;
+        n->sent_at = w.sent_at;
+        n->echo = w.echo;
+        n->echo_of = w.echo_of;
+        n->acted = w.acted;
+        n->version = w.known;
+        n->unreachable = w.unreachable;
+        n->leaving = w.leaving;
+        ok = w.view[0] == '\0' || view_parse(sview_from(w.view), &n->view);
+    }
+    xdr_free((xdrproc_t)xdr_wire_note, (char *)&w);
+    return ok;
+}
+
+/* Reads the datagrams that have arrived. */
+static void
+on_readable(struct ev_loop *loop, ev_io *w, int revents)
+{
+    struct peer_port *p = w->data;
+    char bytes[NOTE_BYTES];
+    struct agreement_note n;
+
+    (void)loop;
+    (void)revents;
+    for (;;) {
+        const ssize_t size = recv(p->fd, bytes, sizeof(bytes), 0);
+        if (size < 0) {
+            return;
+        }
+        if (decode(bytes, (size_t)size, &n)) {
+            p->received(p->ctx, &n);
+        }
+        else {
+            event_log(EVENT_STATE, "note_malformed", "bytes=%zd", size);
+        }
+    }
+}
+
+/* Opens the socket. On failure returns NULL and sets error to an owned
+   text. */
+struct peer_port *
+peer_port_create(struct ev_loop *loop, const char *host, uint16_t port,
+                 peer_port_fn received, void *ctx, char **error)
+{
+    struct sockaddr_in at = {.sin_family = AF_INET, .sin_port = htons(port)};
+    const int fd =
+        socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+
+    if (fd < 0 || inet_pton(AF_INET, host, &at.sin_addr) != 1 ||
+        bind(fd, (struct sockaddr *)&at, sizeof(at)) != 0) {
+        *error = g_strdup_printf("peer port %s:%u: %s", host, port,
+                                 g_strerror(errno));
+        if (fd >= 0) {
+            close(fd);
+        }
+        return NULL;
+    }
+    struct peer_port *p = g_new0(struct peer_port, 1);
+    p->loop = loop;
+    p->fd = fd;
+    p->received = received;
+    p->ctx = ctx;
+    ev_io_init(&p->io, on_readable, fd, EV_READ);
+    p->io.data = p;
+    ev_io_start(loop, &p->io);
+    return p;
+}
+
+/* Closes the socket; NULL is allowed. */
+void
+peer_port_destroy(struct peer_port *p)
+{
+    if (p == NULL) {
+        return;
+    }
+    ev_io_stop(p->loop, &p->io);
+    close(p->fd);
+    g_free(p);
+}
+
+/* Sends a note. A datagram that is lost is made up for by the next one. */
+void
+peer_port_send(struct peer_port *p, const char *host, uint16_t port,
+               const struct agreement_note *n)
+{
+    struct sockaddr_in to = {.sin_family = AF_INET, .sin_port = htons(port)};
+    char view[VIEW_TEXT_BYTES + 1] = "";
+    char bytes[NOTE_BYTES];
+    XDR x;
+
+    if (n->view.version > 0 &&
+        view_format(&n->view, view, sizeof(view)) == 0) {
+        event_log(EVENT_STATE, "view_too_large", "services=%d", n->view.count);
+        return;
+    }
+    wire_note w = {
+        .from = (char *)n->from,
+        .incarnation = n->incarnation,
+        .sent_at = n->sent_at,
+        .echo = n->echo,
+        .echo_of = n->echo_of,
+        .acted = n->acted,
+        .known = n->version,
+        .unreachable = n->unreachable,
+        .leaving = n->leaving,
+        .view = view,
+    };
+    xdrmem_create(&x, bytes, sizeof(bytes), XDR_ENCODE);
+    const bool ok = xdr_wire_note(&x, &w);
+    const u_int size = xdr_getpos(&x);
+    xdr_destroy(&x);
+    if (!ok || inet_pton(AF_INET, host, &to.sin_addr) != 1) {
+        event_log(EVENT_STATE, "note_not_sent", "to=%s:%u", host, port);
+        return;
+    }
+    const ssize_t sent =
+        sendto(p->fd, bytes, size, 0, (struct sockaddr *)&to, sizeof(to));
+    (void)sent;
+}
--- /dev/null
+++ b/src/lead/peer_port.h
@@ -0,0 +1,20 @@
+#ifndef LEAD_PEER_PORT_H
+#define LEAD_PEER_PORT_H
+
+#include "lead/agreement.h"
+
+#include <ev.h>
+
+/* The datagram socket over which proxies exchange notes, in XDR. */
+struct peer_port;
+
+typedef void (*peer_port_fn)(void *ctx, const struct agreement_note *n);
+
+struct peer_port *peer_port_create(struct ev_loop *loop, const char *host,
+                                   uint16_t port, peer_port_fn received,
+                                   void *ctx, char **error);
+void peer_port_destroy(struct peer_port *p);
+void peer_port_send(struct peer_port *p, const char *host, uint16_t port,
+                    const struct agreement_note *n);
+
+#endif
--- /dev/null
+++ b/src/lead/view.c
@@ -0,0 +1,116 @@
+#include "lead/view.h"
+
+#include <glib.h>
+#include <stdio.h>
+#include <string.h>
+
+/* Writes the text form: a line "view VERSION FENCE HOLDER", then a line
+   "lead SERVICE EPOCH TERM CHANGING PRIMARY" for each service, where "-"
+   stands for none. Returns its length, 0 when it does not fit. */
+size_t
+view_format(const struct view *v, char *out, size_t size)
+{
+    GString *s = g_string_new(NULL);
+
+    g_string_printf(s, "view %" G_GUINT64_FORMAT " %" G_GUINT64_FORMAT " %s\n",
+                    v->version, v->fence,
+                    v->holder[0] != '\0' ? v->holder : "-");
+    for (int i = 0; i < v->count; i++) {
+        const struct view_lead *l = &v->leads[i];
+        g_string_append_printf(
+            s, "lead %s %" G_GUINT64_FORMAT " %" G_GUINT64_FORMAT " %d %s\n",
+            l->service, l->epoch, l->term, l->changing,
+            l->primary[0] != '\0' ? l->primary : "-");
+    }
+    const size_t n = s->len < size ? s->len : 0;
+    memcpy(out, s->str, n);
+    out[n] = '\0';
+    g_string_free(s, TRUE);
+    return n;
+}
+
+/* Copies a word into a field; "-" gives an empty one. Returns false when it
+   does not fit. */
+static bool
+copy_word(const char *word, char *out, size_t size)
+{
+    if (strcmp(word, "-") == 0) {
+        word = "";
+    }
+    return g_strlcpy(out, word, size) < size;
+}
+
+/* Reads a decimal number. */
+static bool
+read_number(const char *word, uint64_t *out)
+{
+    return g_ascii_string_to_unsigned(word, 10, 0, G_MAXUINT64, out, NULL);
+}
+
+/* Reads one line of the text form. */
+static bool
+parse_line(const char *line, struct view *v)
+{
+    char **w = g_strsplit(line, " ", 8);
+    const guint n = g_strv_length(w);
+    bool ok = false;
+
+    if (n == 4 && strcmp(w[0], "view") == 0) {
+        ok = read_number(w[1], &v->version) && read_number(w[2], &v->fence) &&
+             copy_word(w[3], v->holder, sizeof(v->holder));
+    }
+    else if (n == 6 && strcmp(w[0], "lead") == 0 &&
+             v->count < VIEW_SERVICES_MAX) {
+        struct view_lead *l = &v->leads[v->count++];
+        ok = copy_word(w[1], l->service, sizeof(l->service)) &&
+             read_number(w[2], &l->epoch) && read_number(w[3], &l->term) &&
+             copy_word(w[5], l->primary, sizeof(l->primary));
+        l->changing = strcmp(w[4], "1") == 0;
+    }
+    g_strfreev(w);
+    return ok;
+}
+
+/* Reads the text form. Returns false when it is not one. */
+bool
+view_parse(struct sview text, struct view *out)
+{
+    char *copy = g_strndup(text.p, text.n);
+    char **lines = g_strsplit(copy, "\n", 0);
+    bool ok = text.n > 0;
+
+    memset(out, 0, sizeof(*out));
+    for (int i = 0; ok && lines[i] != NULL; i++) {
+        ok = lines[i][0] == '\0' || parse_line(lines[i], out);
+    }
+    g_strfreev(lines);
+    g_free(copy);
+    return ok && out->version > 0;
+}
+
+/* Returns the lead of a service, or NULL. */
+struct view_lead *
+view_find(struct view *v, const char *service)
+{
+    for (int i = 0; i < v->count; i++) {
+        if (strcmp(v->leads[i].service, service) == 0) {
+            return &v->leads[i];
+        }
+    }
+    return NULL;
+}
+
+/* Adds a service without a primary. Returns NULL when there is no room or the
+   name is too long. */
+struct view_lead *
+view_add(struct view *v, const char *service)
+{
+    if (v->count == VIEW_SERVICES_MAX ||
+        strlen(service) >= sizeof(v->leads[0].service)) {
+        return NULL;
+    }
+    struct view_lead *l = &v->leads[v->count++];
+    memset(l, 0, sizeof(*l));
+    g_strlcpy(l->service, service, sizeof(l->service));
+    return l;
+}
--- /dev/null
+++ b/src/lead/view.h
@@ -0,0 +1,41 @@
+#ifndef LEAD_VIEW_H
+#define LEAD_VIEW_H
+
+#include "base/sview.h"
+#include "directory/member_entry.h"
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#define VIEW_SERVICES_MAX 32
+#define VIEW_NAME_BYTES 64
+/* Longest text form of a view; it fits in one datagram beside the rest. */
+#define VIEW_TEXT_BYTES 6000
+
+/* Who leads one service. epoch grows with each change of the other fields.
+   While changing, no proxy uses a primary of the service. */
+struct view_lead {
+    char service[VIEW_NAME_BYTES];
+    char primary[MEMBER_ID_BYTES];
+    uint64_t epoch;
+    uint64_t term; /* of the primary's log, 0 when it is not known */
+    bool changing;
+};
+
+/* What all proxies agree on: the leads of all services and who may order a
+   change of one. It is one row of the store, replaced as a whole under the
+   condition that it has not changed; version grows by one each time. */
+struct view {
+    uint64_t version;
+    char holder[VIEW_NAME_BYTES]; /* the proxy that orders promotions */
+    uint64_t fence;               /* grows when the holder changes */
+    int count;
+    struct view_lead leads[VIEW_SERVICES_MAX];
+};
+
+size_t view_format(const struct view *v, char *out, size_t size);
+bool view_parse(struct sview text, struct view *out);
+struct view_lead *view_find(struct view *v, const char *service);
+struct view_lead *view_add(struct view *v, const char *service);
+
+#endif
--- /dev/null
+++ b/src/node/inquiry.c
@@ -0,0 +1,109 @@
+#include "node/inquiry.h"
+
+#include <glib.h>
+
+/* A member that has not answered by now counts as silent; the promoter asks
+   again if it still needs to know. */
+#define INQUIRY_MS 280
+
+struct inquiry {
+    struct ev_loop *loop;
+    const struct member_codec *codec;
+    struct member_link *link;
+    struct member_entry member;
+    uint64_t demote_term;
+    ev_timer timer;
+    inquiry_fn done;
+    void *ctx;
+};
+
+/* Reports the result and frees the inquiry. */
+static void
+finish(struct inquiry *q, const struct member_report *report)
+{
+    ev_timer_stop(q->loop, &q->timer);
+    if (q->link != NULL) {
+        q->codec->close(q->link);
+    }
+    q->done(q->ctx, q->member.service, q->member.id, report);
+    g_free(q);
+}
+
+/* The connection is open: asks. */
+static void
+on_opened(void *ctx, const struct token *position)
+{
+    struct inquiry *q = ctx;
+    char term[24];
+    struct request r = {.verb = VERB_STATUS};
+
+    (void)position;
+    if (q->demote_term > 0) {
+        g_snprintf(term, sizeof(term), "%" G_GUINT64_FORMAT, q->demote_term);
+        r.verb = VERB_DEMOTE;
+        r.name = sview_from(term);
+    }
+    q->codec->send(q->link, &r, NULL);
+}
+
+/* The member refused the connection. */
+static void
+on_refused(void *ctx, enum failure why)
+{
+    (void)why;
+    finish(ctx, NULL);
+}
+
+/* The member answered. */
+static void
+on_answered(void *ctx, const struct answer *a)
+{
+    finish(ctx, a->has_report ? &a->report : NULL);
+}
+
+/* The connection ended without an answer. */
+static void
+on_closed(void *ctx, const char *why)
+{
+    (void)why;
+    finish(ctx, NULL);
+}
+
+/* The member is silent. */
+static void
+on_timeout(struct ev_loop *loop, ev_timer *w, int revents)
+{
+    (void)loop;
+    (void)revents;
+    finish(w->data, NULL);
+}
+
+static const struct member_link_events inquiry_events = {
+    .opened = on_opened,
+    .refused = on_refused,
+    .answered = on_answered,
+    .closed = on_closed,
+};
+
+/* Asks a member for its state, or tells a primary of a term below demote_term
+   to step down when that is not 0. done is called once from the loop; its
+   report is NULL without an answer. */
+void
+inquiry_start(struct ev_loop *loop, const struct member_codec *codec,
+              const struct member_entry *m, uint64_t demote_term,
+              inquiry_fn done, void *ctx)
+{
+    struct inquiry *q = g_new0(struct inquiry, 1);
+
+    q->loop = loop;
+    q->codec = codec;
+    q->member = *m;
+    q->demote_term = demote_term;
+    q->done = done;
+    q->ctx = ctx;
+    q->link = codec->open(codec->ctx, m, &inquiry_events, q);
+    ev_timer_init(&q->timer, on_timeout,
+                  q->link == NULL ? 0.0 : INQUIRY_MS / 1000.0, 0.0);
+    q->timer.data = q;
+    ev_timer_start(loop, &q->timer);
+}
--- /dev/null
+++ b/src/node/inquiry.h
@@ -0,0 +1,16 @@
+#ifndef NODE_INQUIRY_H
+#define NODE_INQUIRY_H
+
+#include "relay/member_link.h"
+
+#include <ev.h>
+
+/* Asks one member one question on a connection of its own. */
+typedef void (*inquiry_fn)(void *ctx, const char *service, const char *member,
+                           const struct member_report *report);
+
+void inquiry_start(struct ev_loop *loop, const struct member_codec *codec,
+                   const struct member_entry *m, uint64_t demote_term,
+                   inquiry_fn done, void *ctx);
+
+#endif
--- /dev/null
+++ b/src/node/node.c
@@ -0,0 +1,615 @@
+#include "node/node.h"
+
+#include "base/event_log.h"
+#include "lead/peer_port.h"
+#include "node/inquiry.h"
+
+#include <string.h>
+
+#define TICK_MS 25
+/* A quarter of the lease, so that a lost datagram does not end it. */
+#define NOTE_INTERVAL_MS 200
+/* The store is asked for the view when peers have not confirmed it for this
+   long, early enough for the answer to come before the lease ends. */
+#define CONFIRM_AFTER_MS 500
+#define CONFIRM_AGAIN_MS 300
+/* A tick that comes this late means that the process was suspended. */
+#define SUSPENDED_MS 300
+/* A proxy that cannot rely on its view for this long asks for no new
+   callers. */
+#define UNREADY_AFTER_MS 1500
+/* Connections to a member that are kept free for inquiries. */
+#define SPARE_CONNECTIONS 1
+#define SHARE_LEAST 2
+#define SHARE_MOST 6
+#define MEMBERS_MAX 16
+/* Members that are no longer listed are remembered for the time in which they
+   may still be asked to step down. */
+#define REMEMBER_MS 10000
+
+/* A member of the directory and since when it is no longer listed. */
+struct known_member {
+    struct member_entry entry;
+    clock_ms unlisted_at; /* 0 while listed */
+};
+
+struct node {
+    struct ev_loop *loop;
+    char *name;
+    char *failure_domain;
+    struct node_platform platform;
+    struct agreement *agreement;
+    struct promoter *promoter;
+    struct peer_port *port;
+    struct relay *relay;
+    struct catalog *catalog;
+    GHashTable *services; /* name -> struct service */
+    GArray *members;      /* of struct known_member */
+    GArray *peers;        /* of struct node_peer */
+    ev_timer tick;
+    clock_ms last_tick;
+    clock_ms noted_at;
+    clock_ms asked_at;
+    clock_ms valid_at;
+    clock_ms flushed_at;
+    uint64_t acted; /* version reported as acted on */
+    bool leaving;
+};
+
+/* Tells whether this proxy may rely on who leads, for a service. */
+static bool
+lease_valid(void *ctx, const char *service, clock_ms now)
+{
+    const struct node *n = ctx;
+
+    (void)service;
+    return agreement_valid(n->agreement, now);
+}
+
+/* Returns which services' primaries do not answer, by index in the view. */
+static uint64_t
+unreachable_services(const struct node *n, clock_ms now)
+{
+    const struct view *v = agreement_view(n->agreement);
+    uint64_t bits = 0;
+
+    for (int i = 0; i < v->count; i++) {
+        const struct service *s =
+            g_hash_table_lookup(n->services, v->leads[i].service);
+        if (s != NULL && service_primary_unreachable(s, now)) {
+            bits |= UINT64_C(1) << i;
+        }
+    }
+    return bits;
+}
+
+/* Sends a note to every peer. */
+static void
+send_notes(struct node *n, clock_ms now)
+{
+    const uint64_t unreachable = unreachable_services(n, now);
+
+    n->noted_at = now;
+    for (guint i = 0; i < n->peers->len; i++) {
+        const struct node_peer *p =
+            &g_array_index(n->peers, struct node_peer, i);
+        struct agreement_note note;
+        if (strcmp(p->name, n->name) == 0) {
+            continue;
+        }
+        agreement_compose(n->agreement, p->name, unreachable, n->leaving, now,
+                          &note);
+        peer_port_send(n->port, p->host, p->port, &note);
+    }
+}
+
+/* Reports the view as acted on once nothing is in progress under an earlier
+   one. Returns true when that is news. */
+static bool
+update_acted(struct node *n)
+{
+    const struct view *v = agreement_view(n->agreement);
+    GHashTableIter i;
+    void *service;
+
+    if (n->acted == v->version) {
+        return false;
+    }
+    g_hash_table_iter_init(&i, n->services);
+    while (g_hash_table_iter_next(&i, NULL, &service)) {
+        if (!service_settled(service)) {
+            return false;
+        }
+    }
+    n->acted = v->version;
+    agreement_set_acted(n->agreement, v->version);
+    return true;
+}
+
+/* Applies the view to the services and tells the peers. */
+static void
+apply_view(struct node *n)
+{
+    const struct view *v = agreement_view(n->agreement);
+    const clock_ms now = clock_boot_now();
+
+    for (int i = 0; i < v->count; i++) {
+        const struct view_lead *l = &v->leads[i];
+        struct service *s = g_hash_table_lookup(n->services, l->service);
+        if (s != NULL) {
+            service_set_lead(s, l->epoch, l->changing ? "" : l->primary,
+                             l->changing, now);
+        }
+    }
+    update_acted(n);
+    send_notes(n, now);
+}
+
+/* A peer's note arrived. */
+static void
+on_note(void *ctx, const struct agreement_note *note)
+{
+    struct node *n = ctx;
+
+    if (agreement_take(n->agreement, note, clock_boot_now())) {
+        event_log(EVENT_STATE, "view_from_peer", "peer=%s version=%llu",
+                  note->from, (unsigned long long)note->version);
+        apply_view(n);
+    }
+}
+
+/* Sets how many connections to a member this proxy may have: an equal share
+   of what the service allows for all registered proxies. */
+static void
+update_shares(struct node *n)
+{
+    const int proxies = agreement_peer_count(n->agreement) + 1;
+    GHashTableIter i;
+    void *name;
+    void *service;
+
+    g_hash_table_iter_init(&i, n->services);
+    while (g_hash_table_iter_next(&i, &name, &service)) {
+        const struct service_limits *l =
+            g_hash_table_lookup(n->catalog->services, name);
+        if (l != NULL) {
+            const int share =
+                (l->max_connections - SPARE_CONNECTIONS) / proxies;
+            service_set_share(service, CLAMP(share, SHARE_LEAST, SHARE_MOST));
+        }
+    }
+}
+
+/* Hands each service its members from the directory. */
+static void
+update_service_members(struct node *n)
+{
+    const clock_ms now = clock_boot_now();
+    GHashTableIter i;
+    void *name;
+    void *service;
+
+    g_hash_table_iter_init(&i, n->services);
+    while (g_hash_table_iter_next(&i, &name, &service)) {
+        struct member_entry list[MEMBERS_MAX];
+        size_t count = 0;
+        for (guint k = 0; k < n->members->len && count < MEMBERS_MAX; k++) {
+            const struct known_member *m =
+                &g_array_index(n->members, struct known_member, k);
+            if (m->unlisted_at == 0 && strcmp(m->entry.service, name) == 0) {
+                list[count++] = m->entry;
+            }
+        }
+        service_set_members(service, list, count, now);
+    }
+}
+
+/* Takes over a version of the operator's configuration. Older versions are
+   ignored. */
+void
+node_set_catalog(struct node *n, struct catalog *c)
+{
+    if (n->catalog->version >= c->version) {
+        return;
+    }
+    event_log(EVENT_STATE, "configuration",
+              "version=%llu before=%llu routes=%u services=%u",
+              (unsigned long long)c->version,
+              (unsigned long long)n->catalog->version,
+              g_hash_table_size(c->routes), g_hash_table_size(c->services));
+    catalog_unref(n->catalog);
+    n->catalog = catalog_ref(c);
+    GHashTableIter i;
+    void *name;
+    g_hash_table_iter_init(&i, c->services);
+    while (g_hash_table_iter_next(&i, &name, NULL)) {
+        if (!g_hash_table_contains(n->services, name)) {
+            const struct service_config config = {
+                .name = name,
+                .failure_domain = n->failure_domain,
+                .codec = n->platform.codec,
+                .lease_valid = lease_valid,
+                .ctx = n,
+            };
+            g_hash_table_insert(n->services, g_strdup(name),
+                                service_create(&config));
+        }
+    }
+    update_shares(n);
+    update_service_members(n);
+    apply_view(n);
+}
+
+/* Takes over the whole list of members. */
+void
+node_set_members(struct node *n, const struct member_entry *entries,
+                 size_t count)
+{
+    const clock_ms now = clock_boot_now();
+    GArray *next = g_array_new(FALSE, TRUE, sizeof(struct known_member));
+
+    for (size_t i = 0; i < count; i++) {
+        const struct known_member m = {.entry = entries[i]};
+        g_array_append_val(next, m);
+    }
+    for (guint k = 0; k < n->members->len; k++) {
+        struct known_member m =
+            g_array_index(n->members, struct known_member, k);
+        bool listed = false;
+        for (size_t i = 0; i < count && !listed; i++) {
+            listed = strcmp(entries[i].id, m.entry.id) == 0;
+        }
+        /* Unlisted members are remembered as long as they are in use. */
+        if (!listed &&
+            (m.unlisted_at == 0 || now - m.unlisted_at < REMEMBER_MS)) {
+            m.unlisted_at = m.unlisted_at == 0 ? now : m.unlisted_at;
+            g_array_append_val(next, m);
+        }
+    }
+    g_array_free(n->members, TRUE);
+    n->members = next;
+    update_service_members(n);
+}
+
+/* Takes over the registered proxies. */
+void
+node_set_peers(struct node *n, const struct node_peer *peers, size_t count)
+{
+    const char **names = g_new0(const char *, count + 1);
+
+    g_array_set_size(n->peers, 0);
+    g_array_append_vals(n->peers, peers, (guint)count);
+    for (size_t i = 0; i < count; i++) {
+        names[i] = peers[i].name;
+    }
+    agreement_set_peers(n->agreement, names, (int)count);
+    g_free(names);
+    event_log(EVENT_STATE, "peers", "registered=%zu", count);
+    update_shares(n);
+    send_notes(n, clock_boot_now());
+}
+
+/* Takes what the store shows as the view, in answer to a question or a write
+   sent at asked_at. */
+void
+node_offer_view(struct node *n, const struct view *v, clock_ms asked_at)
+{
+    const bool newer = agreement_offer(n->agreement, v);
+
+    agreement_confirm_by_store(n->agreement, v->version, asked_at);
+    if (newer) {
+        event_log(EVENT_STATE, "view_from_store",
+                  "version=%llu holder=%s fence=%llu services=%d",
+                  (unsigned long long)v->version, v->holder,
+                  (unsigned long long)v->fence, v->count);
+        apply_view(n);
+    }
+}
+
+/* Takes the outcome of a write of the view. */
+void
+node_view_written(struct node *n, bool done)
+{
+    promoter_view_written(n->promoter, done);
+}
+
+/* Takes the outcome of an order. */
+void
+node_ordered(struct node *n, const char *service, enum order_result result)
+{
+    promoter_ordered(n->promoter, service, result, clock_boot_now());
+}
+
+/* Passes a write of the view on. */
+static void
+on_write_view(void *ctx, const struct view *next)
+{
+    struct node *n = ctx;
+
+    n->platform.write_view(n->platform.ctx, next);
+}
+
+/* Passes an order on. */
+static void
+on_order(void *ctx, const char *service, const char *member, uint64_t fence)
+{
+    struct node *n = ctx;
+
+    n->platform.order(n->platform.ctx, service, member, fence);
+}
+
+/* A member answered an inquiry. */
+static void
+on_report(void *ctx, const char *service, const char *member,
+          const struct member_report *report)
+{
+    struct node *n = ctx;
+
+    promoter_status(n->promoter, service, member, report, clock_boot_now());
+}
+
+/* Asks a member for the promoter. */
+static void
+on_ask(void *ctx, const char *service, const char *member,
+       uint64_t demote_term)
+{
+    struct node *n = ctx;
+
+    for (guint k = 0; k < n->members->len; k++) {
+        const struct known_member *m =
+            &g_array_index(n->members, struct known_member, k);
+        if (strcmp(m->entry.id, member) == 0) {
+            inquiry_start(n->loop, n->platform.codec, &m->entry, demote_term,
+                          on_report, n);
+            return;
+        }
+    }
+    promoter_status(n->promoter, service, member, NULL, clock_boot_now());
+}
+
+/* Lets the promoter look at each configured service. */
+static void
+tick_promoter(struct node *n, clock_ms now)
+{
+    GHashTableIter i;
+    void *name;
+    void *service;
+
+    g_hash_table_iter_init(&i, n->services);
+    while (g_hash_table_iter_next(&i, &name, &service)) {
+        struct candidate list[MEMBERS_MAX];
+        size_t count = 0;
+        for (guint k = 0; k < n->members->len && count < MEMBERS_MAX; k++) {
+            const struct known_member *m =
+                &g_array_index(n->members, struct known_member, k);
+            if (strcmp(m->entry.service, name) == 0) {
+                list[count++] = (struct candidate){
+                    .id = m->entry.id,
+                    .listed = m->unlisted_at == 0,
+                    .draining = m->entry.draining,
+                    .says_primary = m->entry.says_primary,
+                };
+            }
+        }
+        promoter_tick(n->promoter, name, list, count,
+                      service_primary_unreachable(service, now), now);
+    }
+}
+
+/* Lets the services look at their members, and tells them when the process
+   was suspended. */
+static void
+tick_services(struct node *n, clock_ms now)
+{
+    const int64_t gap = now - n->last_tick;
+    const bool suspended = n->last_tick != 0 && gap > SUSPENDED_MS;
+    GHashTableIter i;
+    void *service;
+
+    if (suspended) {
+        event_log(EVENT_STATE, "suspended", "for_ms=%lld", (long long)gap);
+    }
+    n->last_tick = now;
+    g_hash_table_iter_init(&i, n->services);
+    while (g_hash_table_iter_next(&i, NULL, &service)) {
+        if (suspended) {
+            service_resumed(service, now);
+        }
+        service_tick(service, now);
+    }
+}
+
+/* Periodic work. */
+static void
+on_tick(struct ev_loop *loop, ev_timer *w, int revents)
+{
+    struct node *n = w->data;
+    const clock_ms now = clock_boot_now();
+
+    (void)loop;
+    (void)revents;
+    tick_services(n, now);
+    relay_tick(n->relay, now);
+    if (!n->leaving) {
+        tick_promoter(n, now);
+    }
+    if (update_acted(n) || now - n->noted_at >= NOTE_INTERVAL_MS) {
+        send_notes(n, now);
+    }
+    const clock_ms evidence = agreement_evidence(n->agreement);
+    if (now - evidence >= CONFIRM_AFTER_MS &&
+        now - n->asked_at >= CONFIRM_AGAIN_MS) {
+        n->asked_at = now;
+        n->platform.read_view(n->platform.ctx);
+    }
+    if (agreement_valid(n->agreement, now)) {
+        n->valid_at = now;
+    }
+    if (now - n->flushed_at >= 1000) {
+        n->flushed_at = now;
+        event_log_flush(now);
+    }
+}
+
+/* Returns the newest configuration, for the relay. */
+static struct catalog *
+find_catalog(void *ctx)
+{
+    const struct node *n = ctx;
+
+    return n->catalog;
+}
+
+/* Returns a service by name, or NULL. */
+static struct service *
+find_service(void *ctx, const char *name)
+{
+    const struct node *n = ctx;
+
+    return g_hash_table_lookup(n->services, name);
+}
+
+/* Creates the node and starts its timer. On failure returns NULL and sets
+   error to an owned text. */
+struct node *
+node_create(const struct node_config *config, char **error)
+{
+    struct node *n = g_new0(struct node, 1);
+    const struct promoter_actions actions = {
+        .write_view = on_write_view,
+        .ask = on_ask,
+        .order = on_order,
+        .ctx = n,
+    };
+    const struct relay_config relay = {
+        .catalog = find_catalog,
+        .service = find_service,
+        .ctx = n,
+    };
+
+    n->port = peer_port_create(config->loop, config->host, config->peer_port,
+                               on_note, n, error);
+    if (n->port == NULL) {
+        g_free(n);
+        return NULL;
+    }
+    n->loop = config->loop;
+    n->name = g_strdup(config->name);
+    n->failure_domain = g_strdup(config->failure_domain);
+    n->platform = *config->platform;
+    n->agreement = agreement_create(config->name, (uint64_t)clock_wall_now());
+    n->promoter = promoter_create(config->name, n->agreement, &actions);
+    n->catalog = catalog_create(0);
+    n->services = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+                                        (GDestroyNotify)service_destroy);
+    n->members = g_array_new(FALSE, TRUE, sizeof(struct known_member));
+    n->peers = g_array_new(FALSE, TRUE, sizeof(struct node_peer));
+    n->relay = relay_create(&relay);
+    ev_timer_init(&n->tick, on_tick, TICK_MS / 1000.0, TICK_MS / 1000.0);
+    n->tick.data = n;
+    ev_timer_start(n->loop, &n->tick);
+    return n;
+}
+
+/* Frees the node; all sessions have ended. */
+void
+node_destroy(struct node *n)
+{
+    ev_timer_stop(n->loop, &n->tick);
+    g_hash_table_destroy(n->services);
+    relay_destroy(n->relay);
+    peer_port_destroy(n->port);
+    promoter_destroy(n->promoter);
+    agreement_destroy(n->agreement);
+    catalog_unref(n->catalog);
+    g_array_free(n->members, TRUE);
+    g_array_free(n->peers, TRUE);
+    g_free(n->name);
+    g_free(n->failure_domain);
+    g_free(n);
+}
+
+/* Returns the relay, for the front that serves callers. */
+struct relay *
+node_relay(struct node *n)
+{
+    return n->relay;
+}
+
+/* Returns the newest configuration. */
+struct catalog *
+node_catalog(struct node *n)
+{
+    return n->catalog;
+}
+
+/* Tells whether new callers should be sent here. */
+bool
+node_is_ready(const struct node *n)
+{
+    return !n->leaving && n->catalog->version > 0 &&
+           agreement_view(n->agreement)->version > 0 &&
+           clock_boot_now() - n->valid_at < UNREADY_AFTER_MS;
+}
+
+/* The proxy is shutting down: it orders nothing any more and says so. */
+void
+node_set_leaving(struct node *n)
+{
+    n->leaving = true;
+    send_notes(n, clock_boot_now());
+}
+
+/* Writes one counter in the text format that scrapers read. */
+static void
+put_metric(GString *out, const char *name, const char *labels, uint64_t value)
+{
+    g_string_append_printf(out, "galenastep_%s%s %llu\n", name, labels,
+                           (unsigned long long)value);
+}
+
+/* Writes all counters and the histogram of statement times. */
+void
+node_write_metrics(const struct node *n, GString *out)
+{
+    const struct relay_counters *r = relay_counters(n->relay);
+    const struct view *v = agreement_view(n->agreement);
+    char labels[160];
+    GHashTableIter i;
+    void *service;
+
+    put_metric(out, "sessions_total", "", r->sessions);
+    put_metric(out, "statements_total", "", r->statements);
+    put_metric(out, "statements_succeeded_total", "", r->succeeded);
+    put_metric(out, "statements_retried_total", "", r->retried);
+    for (int f = 1; f <= FAILURE_UNKNOWN_OUTCOME; f++) {
+        g_snprintf(labels, sizeof(labels), "{outcome=\"%s\"}",
+                   failure_name((enum failure)f));
+        put_metric(out, "failures_total", labels, r->failures[f]);
+    }
+    uint64_t below = 0;
+    for (int b = 0; b < 16; b++) {
+        below += r->latency[b];
+        g_snprintf(labels, sizeof(labels), "{le=\"%d\"}", 1 << b);
+        put_metric(out, "statement_ms_bucket", labels, below);
+    }
+    put_metric(out, "view_version", "", v->version);
+    put_metric(out, "view_fence", "", v->fence);
+    put_metric(out, "lease_valid", "",
+               agreement_valid(n->agreement, clock_boot_now()));
+    g_hash_table_iter_init(&i, n->services);
+    while (g_hash_table_iter_next(&i, NULL, &service)) {
+        const struct service_counters *c = service_counters(service);
+        g_snprintf(labels, sizeof(labels), "{service=\"%s\"}",
+                   service_name(service));
+        put_metric(out, "granted_total", labels, c->granted);
+        put_metric(out, "refused_deadline_total", labels, c->refused_deadline);
+        put_metric(out, "refused_queue_total", labels, c->refused_queue);
+        put_metric(out, "refused_no_member_total", labels,
+                   c->refused_no_member);
+        put_metric(out, "links_opened_total", labels, c->links_opened);
+        put_metric(out, "links_refused_total", labels, c->links_refused);
+        put_metric(out, "links_lost_total", labels, c->links_lost);
+        put_metric(out, "queue_length", labels, service_queue_length(service));
+    }
+}
--- /dev/null
+++ b/src/node/node.h
@@ -0,0 +1,63 @@
+#ifndef NODE_NODE_H
+#define NODE_NODE_H
+
+#include "directory/catalog.h"
+#include "lead/promoter.h"
+#include "relay/session.h"
+
+#include <ev.h>
+
+/* One proxy on a platform: it joins the relay, the agreement on who leads,
+   and the promoter, and drives them by timers. What it needs from the platform
+   comes through struct node_platform, what it learns through the calls
+   below. */
+struct node;
+
+struct node_platform {
+    /* Replaces the view in the store if it has not changed since it was read.
+       Answered by node_offer_view(), then node_view_written(). */
+    void (*write_view)(void *ctx, const struct view *next);
+    /* Reads the view; answered by node_offer_view(). */
+    void (*read_view)(void *ctx);
+    /* Orders a promotion; answered by node_ordered(). */
+    void (*order)(void *ctx, const char *service, const char *member,
+                  uint64_t fence);
+    const struct member_codec *codec;
+    void *ctx;
+};
+
+struct node_config {
+    struct ev_loop *loop;
+    const char *name;
+    const char *failure_domain;
+    const char *host;
+    uint16_t peer_port;
+    const struct node_platform *platform;
+};
+
+/* Another proxy, as registered in the store. */
+struct node_peer {
+    char name[VIEW_NAME_BYTES];
+    char host[MEMBER_HOST_BYTES];
+    uint16_t port;
+};
+
+struct node *node_create(const struct node_config *config, char **error);
+void node_destroy(struct node *n);
+struct relay *node_relay(struct node *n);
+struct catalog *node_catalog(struct node *n);
+bool node_is_ready(const struct node *n);
+void node_set_leaving(struct node *n);
+void node_write_metrics(const struct node *n, GString *out);
+
+void node_set_catalog(struct node *n, struct catalog *c);
+void node_set_members(struct node *n, const struct member_entry *entries,
+                      size_t count);
+void node_set_peers(struct node *n, const struct node_peer *peers,
+                    size_t count);
+void node_offer_view(struct node *n, const struct view *v, clock_ms asked_at);
+void node_view_written(struct node *n, bool done);
+void node_ordered(struct node *n, const char *service,
+                  enum order_result result);
+
+#endif
--- /dev/null
+++ b/src/relay/request.c
@@ -0,0 +1,43 @@
+#include "relay/request.h"
+
+/* Returns the name of a failure for log lines and counters. */
+const char *
+failure_name(enum failure f)
+{
+    static const char *const names[] = {
+        [FAILURE_NONE] = "none",
+        [FAILURE_BUSY] = "busy",
+        [FAILURE_ABORTED] = "aborted",
+        [FAILURE_LAGGING] = "lagging",
+        [FAILURE_READ_ONLY] = "read_only",
+        [FAILURE_WRONG_MEMBER] = "wrong_member",
+        [FAILURE_CONNECTIONS] = "connections",
+        [FAILURE_NO_STATEMENT] = "no_statement",
+        [FAILURE_NO_DATABASE] = "no_database",
+        [FAILURE_MALFORMED] = "malformed",
+        [FAILURE_TOO_LARGE] = "too_large",
+        [FAILURE_FAILED] = "failed",
+        [FAILURE_TIMEOUT] = "timeout",
+        [FAILURE_UNKNOWN_OUTCOME] = "unknown_outcome",
+    };
+
+    return names[f];
+}
+
+/* Tells whether a member's failure proves that the statement did not run. */
+bool
+failure_is_not_run(enum failure f)
+{
+    return f == FAILURE_BUSY || f == FAILURE_LAGGING ||
+           f == FAILURE_READ_ONLY || f == FAILURE_NO_STATEMENT ||
+           f == FAILURE_WRONG_MEMBER || f == FAILURE_CONNECTIONS;
+}
+
+/* Tells whether a caller's request is executed by a member. The others only
+   change the session, which the proxy keeps. */
+bool
+verb_runs_at_member(enum verb v)
+{
+    return v == VERB_READ || v == VERB_WRITE || v == VERB_EXECUTE ||
+           v == VERB_COMMIT;
+}
--- /dev/null
+++ b/src/relay/service.h
@@ -0,0 +1,95 @@
+#ifndef RELAY_SERVICE_H
+#define RELAY_SERVICE_H
+
+#include "base/clock.h"
+#include "directory/member_entry.h"
+#include "relay/member_link.h"
+
+#include <glib.h>
+
+/* One database group as this proxy uses it: its members, the pooled
+   connections to them, and the work that waits for one. */
+struct service;
+struct pooled_link;
+
+/* Work that waits for a connection; embedded in the session's record. One of
+   granted() and refused() is called, unless it is withdrawn. */
+struct work {
+    int priority;         /* 0 is the most urgent */
+    bool needs_primary;   /* else a replica that has the position may serve */
+    struct token floor;   /* position that the session must see */
+    clock_ms arrived;     /* on the boot clock */
+    clock_ms deadline;    /* on the boot clock; refused afterwards */
+    int64_t staleness_ms; /* commits older than this must be seen */
+    uint64_t values_hash; /* of the session's settings */
+    char avoid[MEMBER_ID_BYTES]; /* member of the failed attempt, or empty */
+    struct token after; /* set at the grant: position to check, if known */
+    void (*granted)(void *ctx, struct pooled_link *l);
+    void (*refused)(void *ctx, const char *why);
+    void *ctx;
+    GList link;
+    bool queued;
+};
+
+/* What the user of a granted connection is told. lost is the last call. */
+struct pooled_user {
+    void (*answered)(void *ctx, const struct answer *a);
+    void (*lost)(void *ctx, const char *why);
+};
+
+struct service_config {
+    const char *name;
+    const char *failure_domain; /* of this proxy */
+    const struct member_codec *codec;
+    /* Tells whether this proxy may rely on its belief about the lead now. */
+    bool (*lease_valid)(void *ctx, const char *service, clock_ms now);
+    void *ctx;
+};
+
+/* Counters since the start. */
+struct service_counters {
+    uint64_t granted;
+    uint64_t refused_deadline;
+    uint64_t refused_queue;
+    uint64_t refused_no_member;
+    uint64_t links_opened;
+    uint64_t links_refused;
+    uint64_t links_lost;
+};
+
+struct service *service_create(const struct service_config *config);
+void service_destroy(struct service *s);
+const char *service_name(const struct service *s);
+const struct service_counters *service_counters(const struct service *s);
+size_t service_queue_length(const struct service *s);
+
+void service_set_members(struct service *s, const struct member_entry *entries,
+                         size_t n, clock_ms now);
+void service_set_share(struct service *s, int connections);
+void service_set_lead(struct service *s, uint64_t epoch, const char *primary,
+                      bool changing, clock_ms now);
+bool service_settled(const struct service *s);
+bool service_primary_unreachable(const struct service *s, clock_ms now);
+void service_tick(struct service *s, clock_ms now);
+void service_resumed(struct service *s, clock_ms now);
+
+void service_submit(struct service *s, struct work *w);
+void service_withdraw(struct service *s, struct work *w);
+
+void pooled_attach(struct pooled_link *l, const struct pooled_user *user,
+                   void *ctx);
+void pooled_send(struct pooled_link *l, const struct request *r,
+                 const struct token *after);
+void pooled_rest(struct pooled_link *l);
+void pooled_release(struct pooled_link *l, bool rollback);
+void pooled_abandon(struct pooled_link *l);
+void pooled_discard(struct pooled_link *l);
+bool pooled_is_current(const struct pooled_link *l, clock_ms now);
+bool pooled_is_primary(const struct pooled_link *l);
+const char *pooled_member(const struct pooled_link *l);
+uint64_t pooled_values_hash(const struct pooled_link *l);
+GHashTable *pooled_values(struct pooled_link *l);
+void pooled_set_values_hash(struct pooled_link *l, uint64_t hash);
+GHashTable *pooled_prepared(struct pooled_link *l);
+
+#endif
--- /dev/null
+++ b/src/relay/session.h
@@ -0,0 +1,46 @@
+#ifndef RELAY_SESSION_H
+#define RELAY_SESSION_H
+
+#include "directory/catalog.h"
+#include "relay/service.h"
+
+/* The state of one caller's session: its settings, prepared statements,
+   transaction and causal token. It decides where each request runs and what
+   the caller is told, and knows no protocol. */
+struct session;
+struct relay;
+
+/* answered is called once for each request, possibly inside
+   session_request(). */
+struct session_events {
+    void (*answered)(void *ctx, const struct answer *a);
+};
+
+struct relay_config {
+    struct catalog *(*catalog)(void *ctx);
+    struct service *(*service)(void *ctx, const char *name);
+    void *ctx;
+};
+
+struct relay_counters {
+    uint64_t sessions;
+    uint64_t statements;
+    uint64_t succeeded;
+    uint64_t retried;
+    uint64_t failures[FAILURE_UNKNOWN_OUTCOME + 1];
+    /* Statement times in powers of two milliseconds. */
+    uint64_t latency[16];
+};
+
+struct relay *relay_create(const struct relay_config *config);
+void relay_destroy(struct relay *r);
+void relay_tick(struct relay *r, clock_ms now);
+const struct relay_counters *relay_counters(const struct relay *r);
+
+struct session *session_create(struct relay *r, const char *database,
+                               const struct session_events *events, void *ctx);
+void session_end(struct session *s);
+bool session_is_idle(const struct session *s);
+void session_request(struct session *s, const struct request *r);
+
+#endif
