relay: tell a connection's user of its loss before the record is freed

Cause: link_drop() freed the record and then called lost(), whose user asks the record for the member's id. Test: relay_test_session fails under AddressSanitizer with the old order. The relay also gets its clock from its owner now, so that tests set the time.

--- a/src/node/node.c
+++ b/src/node/node.c
@@ -66,6 +66,14 @@
     return agreement_valid(n->agreement, now);
 }
 
+/* Returns the present time, for the relay. */
+static clock_ms
+boot_now(void *ctx)
+{
+    (void)ctx;
+    return clock_boot_now();
+}
+
 /* Returns which services' primaries do not answer, by index in the view. */
 static uint64_t
 unreachable_services(const struct node *n, clock_ms now)
@@ -229,6 +237,7 @@
                 .failure_domain = n->failure_domain,
                 .codec = n->platform.codec,
                 .lease_valid = lease_valid,
+                .now = boot_now,
                 .ctx = n,
             };
             g_hash_table_insert(n->services, g_strdup(name),
@@ -484,6 +493,7 @@
     const struct relay_config relay = {
         .catalog = find_catalog,
         .service = find_service,
+        .now = boot_now,
         .ctx = n,
     };
 
--- a/src/relay/service.c
+++ b/src/relay/service.c
@@ -87,6 +87,7 @@
     char *failure_domain;
     const struct member_codec *codec;
     bool (*lease_valid)(void *ctx, const char *service, clock_ms now);
+    clock_ms (*now)(void *ctx);
     void *ctx;
     GPtrArray *members; /* of struct member */
     GQueue queue;       /* of struct work, by priority, then arrival */
@@ -104,6 +105,13 @@
 
 static void dispatch(struct service *s);
 
+/* Returns the present time. */
+static clock_ms
+now_of(const struct service *s)
+{
+    return s->now(s->ctx);
+}
+
 /* Returns the later of two moments. */
 static clock_ms
 later(clock_ms a, clock_ms b)
@@ -148,19 +156,18 @@
 link_drop(struct pooled_link *l, const char *why)
 {
     const struct pooled_user *user = l->user;
-    void *ctx = l->ctx;
 
     l->user = NULL;
     g_ptr_array_remove_fast(l->member->links, l);
     if (l->link != NULL) {
         l->member->service->codec->close(l->link);
     }
+    if (user != NULL) {
+        user->lost(l->ctx, why);
+    }
     g_hash_table_destroy(l->values);
     g_hash_table_destroy(l->prepared);
     g_free(l);
-    if (user != NULL) {
-        user->lost(ctx, why);
-    }
 }
 
 /* Makes a link available to others. */
@@ -181,7 +188,7 @@
     struct service *s = l->member->service;
 
     (void)position;
-    const clock_ms now = clock_boot_now();
+    const clock_ms now = now_of(s);
     member_heard(l->member, now);
     link_idle(l, now);
     dispatch(s);
@@ -193,7 +200,7 @@
 {
     struct pooled_link *l = ctx;
     struct member *m = l->member;
-    const clock_ms now = clock_boot_now();
+    const clock_ms now = now_of(m->service);
 
     m->service->counters.links_refused++;
     event_log(EVENT_STATE, "link_refused", "service=%s member=%s why=%s",
@@ -218,7 +225,7 @@
 
     s->counters.links_lost++;
     if (l->state == LINK_OPENING || l->outstanding > 0) {
-        member_failed(m, why, clock_boot_now());
+        member_failed(m, why, now_of(s));
     }
     link_drop(l, why);
     dispatch(s);
@@ -231,7 +238,7 @@
     struct pooled_link *l = ctx;
     struct member *m = l->member;
     struct service *s = m->service;
-    const clock_ms now = clock_boot_now();
+    const clock_ms now = now_of(s);
 
     member_heard(m, now);
     l->outstanding--;
@@ -309,6 +316,7 @@
     s->failure_domain = g_strdup(config->failure_domain);
     s->codec = config->codec;
     s->lease_valid = config->lease_valid;
+    s->now = config->now;
     s->ctx = config->ctx;
     s->members = g_ptr_array_new();
     g_queue_init(&s->queue);
@@ -655,7 +663,7 @@
     l->as_primary = primary;
     l->epoch = s->epoch;
     l->active = true;
-    l->changed_at = clock_boot_now();
+    l->changed_at = now_of(s);
     (void)m;
     s->counters.granted++;
     w->granted(w->ctx, l);
@@ -743,7 +751,7 @@
     s->dispatching = true;
     do {
         s->dispatch_again = false;
-        const clock_ms now = clock_boot_now();
+        const clock_ms now = now_of(s);
         const bool lease = !s->changing && s->primary[0] != '\0' &&
                            s->lease_valid(s->ctx, s->name, now);
         GList *next = s->queue.head;
@@ -786,7 +794,7 @@
 void
 service_submit(struct service *s, struct work *w)
 {
-    const clock_ms now = clock_boot_now();
+    const clock_ms now = now_of(s);
 
     if (s->queue.length >= QUEUE_MAX ||
         expected_wait_ms(s, w) > w->deadline - now) {
@@ -834,7 +842,7 @@
             const struct token *after)
 {
     struct service *s = l->member->service;
-    const clock_ms now = clock_boot_now();
+    const clock_ms now = now_of(s);
 
     l->outstanding++;
     l->sent_at = now;
@@ -862,12 +870,12 @@
 
     l->user = NULL;
     if (!rollback) {
-        link_idle(l, clock_boot_now());
+        link_idle(l, now_of(s));
         dispatch(s);
         return;
     }
     l->state = LINK_CLEANING;
-    l->changed_at = clock_boot_now();
+    l->changed_at = now_of(s);
     pooled_send(l, &undo, NULL);
     l->active = false;
 }
@@ -879,7 +887,7 @@
 {
     l->user = NULL;
     l->state = LINK_ABANDONED;
-    l->changed_at = clock_boot_now();
+    l->changed_at = now_of(l->member->service);
 }
 
 /* Closes a link whose state is in doubt. */
--- a/src/relay/service.h
+++ b/src/relay/service.h
@@ -43,6 +43,7 @@
     const struct member_codec *codec;
     /* Tells whether this proxy may rely on its belief about the lead now. */
     bool (*lease_valid)(void *ctx, const char *service, clock_ms now);
+    clock_ms (*now)(void *ctx); /* the boot clock */
     void *ctx;
 };
 
--- a/src/relay/session.c
+++ b/src/relay/session.c
@@ -70,6 +70,13 @@
 
 static void proceed(struct session *s);
 
+/* Returns the present time. */
+static clock_ms
+now_of(const struct session *s)
+{
+    return s->relay->config.now(s->relay->config.ctx);
+}
+
 /* Creates the relay. */
 struct relay *
 relay_create(const struct relay_config *config)
@@ -205,7 +212,7 @@
 answer(struct session *s, struct answer *a)
 {
     struct relay *r = s->relay;
-    const clock_ms now = clock_boot_now();
+    const clock_ms now = now_of(s);
 
     if (verb_runs_at_member(s->request.verb)) {
         r->counters.statements++;
@@ -262,7 +269,7 @@
 static bool
 may_retry(const struct session *s)
 {
-    return s->attempts < ATTEMPTS_MAX && clock_boot_now() < s->deadline;
+    return s->attempts < ATTEMPTS_MAX && now_of(s) < s->deadline;
 }
 
 /* Queues the request for a connection. */
@@ -584,7 +591,7 @@
         r.name = sview_from(name);
     }
     s->step = STEP_STATEMENT;
-    s->sent_at = clock_boot_now();
+    s->sent_at = now_of(s);
     pooled_send(s->pooled, &r, check ? &s->work.after : NULL);
     g_free(name);
 }
@@ -594,7 +601,7 @@
 static void
 proceed(struct session *s)
 {
-    if (!pooled_is_current(s->pooled, clock_boot_now())) {
+    if (!pooled_is_current(s->pooled, now_of(s))) {
         s->step = STEP_IDLE;
         if (s->begun) {
             answer_failure(s, FAILURE_ABORTED, "primary changed");
@@ -801,7 +808,7 @@
 session_request(struct session *s, const struct request *r)
 {
     s->request = *r;
-    s->arrived = clock_boot_now();
+    s->arrived = now_of(s);
     s->attempts = 0;
     s->work.avoid[0] = '\0';
     if (s->transaction == TRANSACTION_FAILED) {
--- a/src/relay/session.h
+++ b/src/relay/session.h
@@ -19,6 +19,7 @@
 struct relay_config {
     struct catalog *(*catalog)(void *ctx);
     struct service *(*service)(void *ctx, const char *name);
+    clock_ms (*now)(void *ctx); /* the boot clock */
     void *ctx;
 };
 
--- /dev/null
+++ b/tests/relay/relay_fixture.c
@@ -0,0 +1,243 @@
+#include "relay/relay_fixture.h"
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+/* Opens a connection that the test plays. */
+static struct member_link *
+open_link(void *codec, const struct member_entry *m,
+          const struct member_link_events *events, void *ctx)
+{
+    struct fixture *f = codec;
+
+    if (f->refuse_connections) {
+        return NULL;
+    }
+    struct member_link *l = g_new0(struct member_link, 1);
+    assert_true(f->link_count < FIXTURE_LINKS);
+    g_strlcpy(l->member, m->id, sizeof(l->member));
+    l->events = events;
+    l->ctx = ctx;
+    f->links[f->link_count++] = l;
+    return l;
+}
+
+/* Records what is sent to the member. */
+static void
+send_link(struct member_link *l, const struct request *r,
+          const struct token *after)
+{
+    struct fixture_sent *s = &l->sent[l->sent_count++];
+
+    assert_false(l->closed);
+    s->verb = r->verb;
+    g_snprintf(s->text, sizeof(s->text), "%.*s", (int)r->text.n, r->text.p);
+    s->checked = after != NULL;
+    if (after != NULL) {
+        s->after = *after;
+    }
+}
+
+/* Marks a connection as closed by the relay. */
+static void
+close_link(struct member_link *l)
+{
+    l->closed = true;
+}
+
+/* Returns the configuration. */
+static struct catalog *
+find_catalog(void *ctx)
+{
+    const struct fixture *f = ctx;
+
+    return f->catalog;
+}
+
+/* Returns the only service. */
+static struct service *
+find_service(void *ctx, const char *name)
+{
+    const struct fixture *f = ctx;
+
+    return strcmp(name, "db") == 0 ? f->service : NULL;
+}
+
+/* Returns the test's time. */
+static clock_ms
+now(void *ctx)
+{
+    const struct fixture *f = ctx;
+
+    return f->now;
+}
+
+/* Tells whether the test grants a lease. */
+static bool
+lease_valid(void *ctx, const char *service, clock_ms at)
+{
+    const struct fixture *f = ctx;
+
+    (void)service;
+    (void)at;
+    return f->lease;
+}
+
+/* Builds the relay with its three members. */
+void
+fixture_setup(struct fixture *f, enum freshness freshness)
+{
+    struct member_entry members[3] = {0};
+
+    memset(f, 0, sizeof(*f));
+    f->now = 100000;
+    f->lease = true;
+    f->codec = (struct member_codec){
+        .open = open_link, .send = send_link, .close = close_link, .ctx = f};
+    for (int i = 0; i < 3; i++) {
+        g_snprintf(members[i].id, sizeof(members[i].id), "m%d", i + 1);
+        g_strlcpy(members[i].service, "db", sizeof(members[i].service));
+        g_strlcpy(members[i].failure_domain, i == 0 ? "a" : "b",
+                  sizeof(members[i].failure_domain));
+        members[i].slots = 2;
+    }
+    const struct service_config sc = {
+        .name = "db",
+        .failure_domain = "a",
+        .codec = &f->codec,
+        .lease_valid = lease_valid,
+        .now = now,
+        .ctx = f,
+    };
+    f->service = service_create(&sc);
+    service_set_share(f->service, 3);
+    service_set_members(f->service, members, 3, f->now);
+    service_set_lead(f->service, 1, "m1", false, f->now);
+    f->catalog = catalog_create(1);
+    f->catalog->transaction_idle_ms = 3000;
+    struct database_route *r = g_new0(struct database_route, 1);
+    r->database = g_strdup("boats");
+    r->service = g_strdup("db");
+    r->freshness = freshness;
+    r->max_staleness_ms = 1500;
+    r->statement_timeout_ms = 800;
+    r->target_ms = 120;
+    r->priority = 1;
+    catalog_add_route(f->catalog, r);
+    const struct relay_config rc = {.catalog = find_catalog,
+                                    .service = find_service,
+                                    .now = now,
+                                    .ctx = f};
+    f->relay = relay_create(&rc);
+}
+
+/* Frees everything. */
+void
+fixture_teardown(struct fixture *f)
+{
+    service_destroy(f->service);
+    relay_destroy(f->relay);
+    catalog_unref(f->catalog);
+    for (int i = 0; i < f->link_count; i++) {
+        g_free(f->links[i]);
+    }
+}
+
+/* Records what the caller is told. */
+static void
+on_answered(void *ctx, const struct answer *a)
+{
+    struct fixture *f = ctx;
+
+    f->answers++;
+    f->failure = a->failure;
+    f->state = a->state;
+}
+
+static const struct session_events events = {.answered = on_answered};
+
+/* Creates a session of a caller. */
+struct session *
+fixture_session(struct fixture *f)
+{
+    return session_create(f->relay, "boats", &events, f);
+}
+
+/* Sends a caller's request. The text must outlive the request. */
+void
+fixture_request(struct session *s, enum verb verb, const char *text)
+{
+    const struct request r = {.verb = verb,
+                              .id = SVIEW("q1"),
+                              .text = sview_from(text),
+                              .name = SVIEW("x"),
+                              .rest = SVIEW("v")};
+
+    session_request(s, &r);
+}
+
+/* Returns the n'th connection that was opened. */
+struct member_link *
+fixture_link(struct fixture *f, int n)
+{
+    assert_true(n < f->link_count);
+    return f->links[n];
+}
+
+/* Accepts every connection that waits for it. */
+void
+fixture_open_all(struct fixture *f)
+{
+    const struct token position = {.term = 3, .position = 1, .known = true};
+
+    for (int i = 0; i < f->link_count; i++) {
+        struct member_link *l = f->links[i];
+        if (!l->closed && l->events != NULL && l->sent_count == 0) {
+            l->events->opened(l->ctx, &position);
+        }
+    }
+}
+
+/* Answers the oldest request of a connection. */
+void
+fixture_answer(struct member_link *l, enum failure why,
+               enum transaction_state state, uint64_t term, uint64_t position)
+{
+    const struct answer a = {
+        .failure = why,
+        .state = state,
+        .signature = SVIEW("sig"),
+        .position = {.term = term, .position = position, .known = true},
+    };
+
+    l->events->answered(l->ctx, &a);
+}
+
+/* Lets time pass in steps of a tick. */
+void
+fixture_pass(struct fixture *f, int64_t ms)
+{
+    const clock_ms end = f->now + ms;
+
+    while (f->now < end) {
+        f->now += 25;
+        service_tick(f->service, f->now);
+        relay_tick(f->relay, f->now);
+    }
+}
+
+/* Returns the connection that was sent something last, or NULL. */
+struct member_link *
+fixture_busy(struct fixture *f)
+{
+    for (int i = f->link_count - 1; i >= 0; i--) {
+        if (!f->links[i]->closed && f->links[i]->sent_count > 0) {
+            return f->links[i];
+        }
+    }
+    return NULL;
+}
--- /dev/null
+++ b/tests/relay/test_session.c
@@ -0,0 +1,203 @@
+#include "relay/relay_fixture.h"
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+/* Guards against a use of a connection's record after it was freed, when the
+   connection ends while a write is in progress, and against telling the caller
+   that such a write did not run. */
+static void
+test_write_lost(void **state)
+{
+    struct fixture f;
+
+    (void)state;
+    fixture_setup(&f, FRESHNESS_PRIMARY);
+    struct session *s = fixture_session(&f);
+    fixture_request(s, VERB_WRITE, "WRITE x v");
+    fixture_open_all(&f);
+    struct member_link *l = fixture_busy(&f);
+    assert_non_null(l);
+    assert_string_equal(l->member, "m1");
+    l->events->closed(l->ctx, "reset");
+    assert_int_equal(f.answers, 1);
+    assert_int_equal(f.failure, FAILURE_UNKNOWN_OUTCOME);
+    assert_int_equal(f.state, TRANSACTION_NONE);
+    session_end(s);
+    fixture_teardown(&f);
+}
+
+/* Guards against a read that is given up although it may run elsewhere. */
+static void
+test_read_lost_is_retried(void **state)
+{
+    struct fixture f;
+
+    (void)state;
+    fixture_setup(&f, FRESHNESS_PRIMARY);
+    struct session *s = fixture_session(&f);
+    fixture_request(s, VERB_READ, "READ x");
+    fixture_open_all(&f);
+    struct member_link *l = fixture_busy(&f);
+    l->events->closed(l->ctx, "reset");
+    assert_int_equal(f.answers, 0);
+    fixture_pass(&f, 100);
+    fixture_open_all(&f);
+    l = fixture_busy(&f);
+    assert_non_null(l);
+    fixture_answer(l, FAILURE_NONE, TRANSACTION_NONE, 3, 7);
+    assert_int_equal(f.answers, 1);
+    assert_int_equal(f.failure, FAILURE_NONE);
+    session_end(s);
+    fixture_teardown(&f);
+}
+
+/* Guards against a lost COMMIT that is reported as undone, and against one
+   without writes that is reported as unknown. */
+static void
+test_commit_lost(void **state)
+{
+    for (int writes = 0; writes < 2; writes++) {
+        struct fixture f;
+        (void)state;
+        fixture_setup(&f, FRESHNESS_PRIMARY);
+        struct session *s = fixture_session(&f);
+        fixture_request(s, VERB_BEGIN, "BEGIN");
+        assert_int_equal(f.state, TRANSACTION_OPEN);
+        if (writes) {
+            fixture_request(s, VERB_WRITE, "WRITE x v");
+        }
+        else {
+            fixture_request(s, VERB_READ, "READ x");
+        }
+        fixture_open_all(&f);
+        struct member_link *l = fixture_busy(&f);
+        assert_int_equal(l->sent[0].verb, VERB_BEGIN);
+        fixture_answer(l, FAILURE_NONE, TRANSACTION_OPEN, 3, 7);
+        fixture_answer(l, FAILURE_NONE, TRANSACTION_OPEN, 3, 7);
+        assert_int_equal(f.answers, 2);
+        fixture_request(s, VERB_COMMIT, "COMMIT");
+        l->events->closed(l->ctx, "reset");
+        assert_int_equal(f.answers, 3);
+        assert_int_equal(f.failure,
+                         writes ? FAILURE_UNKNOWN_OUTCOME : FAILURE_ABORTED);
+        assert_int_equal(f.state, TRANSACTION_NONE);
+        session_end(s);
+        fixture_teardown(&f);
+    }
+}
+
+/* Guards against a replica that serves a read without having shown that it
+   has the commits that the staleness bound demands. */
+static void
+test_replica_needs_recent_sample(void **state)
+{
+    struct fixture f;
+
+    (void)state;
+    fixture_setup(&f, FRESHNESS_BOUNDED);
+    struct session *s = fixture_session(&f);
+    fixture_request(s, VERB_READ, "READ x");
+    fixture_open_all(&f);
+    struct member_link *l = fixture_busy(&f);
+    assert_string_equal(l->member, "m1");
+    fixture_answer(l, FAILURE_NONE, TRANSACTION_NONE, 3, 40);
+    fixture_pass(&f, 200);
+    /* With a sample the read may go to a replica, which checks it. */
+    fixture_request(s, VERB_READ, "READ x");
+    fixture_open_all(&f);
+    l = fixture_busy(&f);
+    assert_string_not_equal(l->member, "m1");
+    assert_true(l->sent[0].checked);
+    assert_int_equal(l->sent[0].after.term, 3);
+    assert_int_equal(l->sent[0].after.position, 40);
+    fixture_answer(l, FAILURE_LAGGING, TRANSACTION_NONE, 3, 30);
+    /* A replica that lags sends the read to the primary. */
+    fixture_open_all(&f);
+    assert_int_equal(f.answers, 1);
+    l = fixture_link(&f, 0);
+    assert_int_equal(l->sent_count, 2);
+    fixture_answer(l, FAILURE_NONE, TRANSACTION_NONE, 3, 41);
+    assert_int_equal(f.answers, 2);
+    /* The sample is too old after the bound. */
+    fixture_pass(&f, 1500);
+    fixture_request(s, VERB_READ, "READ x");
+    assert_int_equal(fixture_link(&f, 0)->sent_count, 3);
+    fixture_answer(fixture_link(&f, 0), FAILURE_NONE, TRANSACTION_NONE, 3, 41);
+    session_end(s);
+    fixture_teardown(&f);
+}
+
+/* Guards against work on a primary without a valid lease, in a transaction
+   and outside of one, and against holding it until its deadline. */
+static void
+test_no_lease(void **state)
+{
+    struct fixture f;
+
+    (void)state;
+    fixture_setup(&f, FRESHNESS_PRIMARY);
+    struct session *s = fixture_session(&f);
+    fixture_request(s, VERB_BEGIN, "BEGIN");
+    fixture_request(s, VERB_WRITE, "WRITE x v");
+    fixture_open_all(&f);
+    struct member_link *l = fixture_busy(&f);
+    fixture_answer(l, FAILURE_NONE, TRANSACTION_OPEN, 3, 7);
+    fixture_answer(l, FAILURE_NONE, TRANSACTION_OPEN, 3, 7);
+    f.lease = false;
+    fixture_request(s, VERB_COMMIT, "COMMIT");
+    assert_int_equal(f.answers, 3);
+    assert_int_equal(f.failure, FAILURE_ABORTED);
+    assert_int_equal(l->sent[l->sent_count - 1].verb, VERB_ROLLBACK);
+    fixture_answer(l, FAILURE_NONE, TRANSACTION_NONE, 3, 7);
+    const int sent = l->sent_count;
+    fixture_request(s, VERB_WRITE, "WRITE x v");
+    fixture_pass(&f, 500);
+    assert_int_equal(f.answers, 4);
+    assert_int_equal(f.failure, FAILURE_BUSY);
+    assert_int_equal(l->sent_count, sent);
+    session_end(s);
+    fixture_teardown(&f);
+}
+
+/* Guards against work of one session that stays in progress at a primary after
+   another one leads: it must end before the change is reported as acted on. */
+static void
+test_change_of_primary_ends_work(void **state)
+{
+    struct fixture f;
+
+    (void)state;
+    fixture_setup(&f, FRESHNESS_PRIMARY);
+    struct session *s = fixture_session(&f);
+    fixture_request(s, VERB_WRITE, "WRITE x v");
+    fixture_open_all(&f);
+    assert_true(service_settled(f.service));
+    service_set_lead(f.service, 2, "", true, f.now);
+    assert_false(service_settled(f.service));
+    fixture_pass(&f, 300);
+    assert_true(service_settled(f.service));
+    assert_int_equal(f.answers, 1);
+    assert_int_equal(f.failure, FAILURE_UNKNOWN_OUTCOME);
+    session_end(s);
+    fixture_teardown(&f);
+}
+
+int
+main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(test_write_lost),
+        cmocka_unit_test(test_read_lost_is_retried),
+        cmocka_unit_test(test_commit_lost),
+        cmocka_unit_test(test_replica_needs_recent_sample),
+        cmocka_unit_test(test_no_lease),
+        cmocka_unit_test(test_change_of_primary_ends_work),
+    };
+
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
