relay: one ended connection is no outage; probe silent members

Ruled out: a real outage of the primary (it answered the other proxies). Change: only a failed opening or silence on all connections counts; the probe is separate; abandoned connections close 700 ms after their request. Test: test_one_reset_is_no_outage, test_silent_member_is_probed, both red on the code before.

--- a/src/relay/service.c
+++ b/src/relay/service.c
@@ -32,8 +32,9 @@
 #define GONE_AFTER_MS 2500
 /* Work in progress at a replaced primary that still answers may finish. */
 #define FENCE_GRACE_MS 250
-/* A connection whose answer was given up is closed after this time. */
-#define ABANDONED_MS 3000
+/* A connection whose answer was given up is closed this long after the request
+   was sent; an answer that comes at all comes sooner. */
+#define ABANDONED_MS 700
 #define IDLE_CLOSE_MS 15000
 /* Work without any member that could serve it waits this long for one. */
 #define NO_MEMBER_HOLD_MS 300
@@ -224,7 +225,9 @@
     struct service *s = m->service;
 
     s->counters.links_lost++;
-    if (l->state == LINK_OPENING || l->outstanding > 0) {
+    /* An open connection may end alone; if the member is gone, the attempt to
+       open the next one shows it. */
+    if (l->state == LINK_OPENING) {
         member_failed(m, why, now_of(s));
     }
     link_drop(l, why);
@@ -515,36 +518,94 @@
     }
 }
 
-/* Looks for members that have become silent and closes links that are no
-   longer of use. */
+/* Returns how long a link has waited for an answer or its opening, without
+   the time before the process was resumed. */
+static int64_t
+waited_ms(const struct pooled_link *l, clock_ms now)
+{
+    if (l->state != LINK_OPENING && l->outstanding == 0) {
+        return 0;
+    }
+    return now - later(l->sent_at, l->member->service->resumed_at);
+}
+
+/* Closes a link that is of no use any more. */
 static void
-check_links(struct service *s, struct member *m, clock_ms now)
+close_useless(struct pooled_link *l, clock_ms now)
 {
-    for (guint k = m->links->len; k > 0; k--) {
-        if (k > m->links->len) {
-            continue;
+    const struct service *s = l->member->service;
+    const int64_t waited = waited_ms(l, now);
+
+    switch (l->state) {
+    case LINK_OPENING:
+        if (waited < SILENT_MS) {
+            return;
         }
-        struct pooled_link *l = m->links->pdata[k - 1];
-        const clock_ms since =
-            later(later(l->sent_at, m->last_heard), s->resumed_at);
-        const bool waits = l->state == LINK_OPENING || l->outstanding > 0;
-        if (waits && now - since >= SILENT_MS && now >= m->retry_at) {
-            member_failed(m, "silent", now);
+        member_failed(l->member, "connect timeout", now);
+        link_drop(l, "connect timeout");
+        return;
+    case LINK_ABANDONED:
+    case LINK_CLEANING:
+        if (waited < ABANDONED_MS) {
+            return;
         }
-        if (l->state == LINK_OPENING &&
-            now - later(l->sent_at, s->resumed_at) >= SILENT_MS) {
-            link_drop(l, "connect timeout");
+        link_drop(l, "no answer");
+        return;
+    case LINK_IDLE:
+        if (now - l->changed_at < IDLE_CLOSE_MS &&
+            l->member->links->len <= (guint)s->share) {
+            return;
         }
-        else if ((l->state == LINK_ABANDONED || l->state == LINK_CLEANING) &&
-                 now - l->changed_at >= ABANDONED_MS) {
-            link_drop(l, "no answer");
+        link_drop(l, "idle");
+        return;
+    case LINK_GRANTED:
+        return;
+    }
+}
+
+/* Notices that a member has become silent: something was asked, and no
+   connection has brought an answer since. */
+static void
+check_silence(struct member *m, clock_ms now)
+{
+    for (guint k = 0; k < m->links->len; k++) {
+        const struct pooled_link *l = m->links->pdata[k];
+        if (waited_ms(l, now) >= SILENT_MS && l->state != LINK_OPENING &&
+            now - later(m->last_heard, m->service->resumed_at) >= SILENT_MS) {
+            member_failed(m, "silent", now);
+            return;
         }
-        else if (l->state == LINK_IDLE &&
-                 (now - l->changed_at >= IDLE_CLOSE_MS ||
-                  m->links->len > (guint)s->share)) {
-            link_drop(l, "idle");
+    }
+}
+
+/* Tries to reach a member that did not answer. */
+static void
+probe(struct member *m, clock_ms now)
+{
+    for (guint k = 0; k < m->links->len; k++) {
+        const struct pooled_link *l = m->links->pdata[k];
+        if (l->state == LINK_OPENING) {
+            return;
         }
     }
+    link_open(m, now);
+}
+
+/* Looks after the links of a member. */
+static void
+check_links(struct member *m, clock_ms now)
+{
+    for (guint k = m->links->len; k > 0; k--) {
+        if (k <= m->links->len) {
+            close_useless(m->links->pdata[k - 1], now);
+        }
+    }
+    if (m->unreachable_since == 0) {
+        check_silence(m, now);
+    }
+    else if (now >= m->retry_at && m->gone_at == 0) {
+        probe(m, now);
+    }
 }
 
 /* Periodic work: expiry of queued work, silent members, gone members. */
@@ -554,24 +615,13 @@
     drop_outdated(s, now);
     for (guint i = s->members->len; i > 0; i--) {
         struct member *m = s->members->pdata[i - 1];
-        check_links(s, m, now);
+        check_links(m, now);
         if (m->gone_at != 0 && now - m->gone_at >= GONE_AFTER_MS) {
             event_log(EVENT_STATE, "member_gone", "service=%s member=%s",
                       s->name, m->entry.id);
             g_ptr_array_remove_fast(s->members, m);
             member_free(m, "member gone");
         }
-        else if (m->unreachable_since != 0 && now >= m->retry_at &&
-                 m->gone_at == 0) {
-            bool opening = false;
-            for (guint k = 0; k < m->links->len; k++) {
-                const struct pooled_link *l = m->links->pdata[k];
-                opening = opening || l->state == LINK_OPENING;
-            }
-            if (!opening) {
-                link_open(m, now);
-            }
-        }
     }
     dispatch(s);
 }
--- a/tests/relay/test_session.c
+++ b/tests/relay/test_session.c
@@ -187,6 +187,52 @@
     fixture_teardown(&f);
 }
 
+/* Guards against a member that counts as unreachable because one of its
+   connections ended, which is how a single lost answer looks. */
+static void
+test_one_reset_is_no_outage(void **state)
+{
+    struct fixture f;
+
+    (void)state;
+    fixture_setup(&f, FRESHNESS_PRIMARY);
+    struct session *s = fixture_session(&f);
+    fixture_request(s, VERB_WRITE, "WRITE x v");
+    fixture_open_all(&f);
+    struct member_link *l = fixture_busy(&f);
+    l->events->closed(l->ctx, "end");
+    assert_int_equal(f.answers, 1);
+    fixture_request(s, VERB_WRITE, "WRITE x v");
+    fixture_open_all(&f);
+    assert_non_null(fixture_busy(&f));
+    assert_false(service_primary_unreachable(f.service, f.now + 1000));
+    fixture_answer(fixture_busy(&f), FAILURE_NONE, TRANSACTION_NONE, 3, 8);
+    session_end(s);
+    fixture_teardown(&f);
+}
+
+/* Guards against a member that was silent once and is never tried again while
+   old requests to it stay without an answer. */
+static void
+test_silent_member_is_probed(void **state)
+{
+    struct fixture f;
+
+    (void)state;
+    fixture_setup(&f, FRESHNESS_PRIMARY);
+    struct session *s = fixture_session(&f);
+    fixture_request(s, VERB_WRITE, "WRITE x v");
+    fixture_open_all(&f);
+    const int before = f.link_count;
+    fixture_pass(&f, 550);
+    assert_true(service_primary_unreachable(f.service, f.now));
+    assert_true(f.link_count > before);
+    fixture_open_all(&f);
+    assert_false(service_primary_unreachable(f.service, f.now));
+    session_end(s);
+    fixture_teardown(&f);
+}
+
 int
 main(void)
 {
@@ -197,6 +243,8 @@
         cmocka_unit_test(test_replica_needs_recent_sample),
         cmocka_unit_test(test_no_lease),
         cmocka_unit_test(test_change_of_primary_ends_work),
+        cmocka_unit_test(test_one_reset_is_no_outage),
+        cmocka_unit_test(test_silent_member_is_probed),
     };
 
     return cmocka_run_group_tests(tests, NULL, NULL);
