--- a/src/lead/promoter.c
+++ b/src/lead/promoter.c
@@ -24,7 +24,9 @@
 #define ORDER_RETRY_MS 100
 #define DEMOTE_AGAIN_MS 500
 #define EXCLUDED_MS 1000 /* a member that does not run is not named again */
+/* Between attempts to write the view; doubled while they fail. */
 #define WRITE_RETRY_MS 150
+#define WRITE_RETRY_LONGEST_MS 1000
 #define MEMBERS_MAX 16
 
 enum phase {
@@ -80,6 +82,7 @@
     struct promoter_actions actions;
     bool writing;
     clock_ms written_at;
+    int64_t write_pause_ms;
     struct change changes[VIEW_SERVICES_MAX];
     int count;
 };
@@ -193,7 +196,7 @@
 static bool
 write_view(struct promoter *p, struct view *next, clock_ms now)
 {
-    if (p->writing || now - p->written_at < WRITE_RETRY_MS) {
+    if (p->writing || now - p->written_at < p->write_pause_ms) {
         return false;
     }
     if (strcmp(next->holder, p->name) != 0) {
@@ -213,9 +216,10 @@
 promoter_view_written(struct promoter *p, bool done)
 {
     p->writing = false;
-    if (done) {
-        p->written_at = 0;
-    }
+    p->write_pause_ms =
+        done ? 0
+             : CLAMP(p->write_pause_ms * 2, WRITE_RETRY_MS,
+                     WRITE_RETRY_LONGEST_MS);
 }
 
 /* Returns how long after a condition arose this proxy acts on it. */
--- a/src/relay/service.c
+++ b/src/relay/service.c
@@ -490,8 +490,9 @@
 {
     const struct member *m = find_member(s, s->primary);
 
+    /* A primary that the directory does not name yet was never tried. */
     if (m == NULL) {
-        return true;
+        return false;
     }
     return (m->unreachable_since != 0 && now - m->unreachable_since >= 100) ||
            m->not_primary_until > now;
