relay: keep half of a member's connections free for a restart

Cause: after a loss of power a member counts the connections of the dead proxies for 3 s. Ruled out: the store's outage (the members were listed again at 37.7 s). Change: share_connections() gives each proxy an equal part of half of the connections, two if they fit. Test: relay_test_decisions.

--- a/src/node/node.c
+++ b/src/node/node.c
@@ -3,6 +3,7 @@
 #include "base/event_log.h"
 #include "lead/peer_port.h"
 #include "node/inquiry.h"
+#include "relay/share.h"
 
 #include <string.h>
 
@@ -18,10 +19,6 @@
 /* A proxy that cannot rely on its view for this long asks for no new
    callers. */
 #define UNREADY_AFTER_MS 1500
-/* Connections to a member that are kept free for inquiries. */
-#define SPARE_CONNECTIONS 1
-#define SHARE_LEAST 2
-#define SHARE_MOST 6
 #define MEMBERS_MAX 16
 /* Members that are no longer listed are remembered for the time in which they
    may still be asked to step down. */
@@ -166,8 +163,7 @@
     }
 }
 
-/* Sets how many connections to a member this proxy may have: an equal share
-   of what the service allows for all registered proxies. */
+/* Sets how many connections to a member this proxy may have. */
 static void
 update_shares(struct node *n)
 {
@@ -181,9 +177,8 @@
         const struct service_limits *l =
             g_hash_table_lookup(n->catalog->services, name);
         if (l != NULL) {
-            const int share =
-                (l->max_connections - SPARE_CONNECTIONS) / proxies;
-            service_set_share(service, CLAMP(share, SHARE_LEAST, SHARE_MOST));
+            service_set_share(service,
+                              share_connections(l->max_connections, proxies));
         }
     }
 }
