--- a/src/relay/service.c
+++ b/src/relay/service.c
@@ -683,7 +683,7 @@
         bool lease, clock_ms now)
 {
     struct placement_member p = {
-        .usable = m->gone_at == 0 && m->unreachable_since == 0,
+        .usable = m->unreachable_since == 0,
         .primary = lease && strcmp(m->entry.id, s->primary) == 0 &&
                    now >= m->not_primary_until,
         .caught_up = now >= m->lag_until && !m->entry.draining,
