node: keep the list of members in the store for restarts

Change: the holder stores the list of members when it changes; a process that starts uses those that the directory does not list for 2.5 s, like members that have just disappeared. Test: test_remembered_members_serve, test_member_list.

--- /dev/null
+++ b/src/directory/member_list.c
@@ -0,0 +1,81 @@
+#include "directory/member_list.h"
+
+/* Orders entries by id. */
+static int
+compare(const void *a, const void *b)
+{
+    const struct member_entry *x = *(const struct member_entry *const *)a;
+    const struct member_entry *y = *(const struct member_entry *const *)b;
+
+    return g_strcmp0(x->id, y->id);
+}
+
+/* Writes one line for each member, ordered by id, so that equal lists give
+   equal texts: "ID SERVICE HOST PORT DOMAIN SLOTS ROLE". The text is owned by
+   the caller. */
+char *
+member_list_format(const struct member_entry *entries, size_t n)
+{
+    GPtrArray *sorted = g_ptr_array_new();
+    GString *s = g_string_new(NULL);
+
+    for (size_t i = 0; i < n; i++) {
+        g_ptr_array_add(sorted, (void *)&entries[i]);
+    }
+    g_ptr_array_sort(sorted, compare);
+    for (guint i = 0; i < sorted->len; i++) {
+        const struct member_entry *m = sorted->pdata[i];
+        g_string_append_printf(s, "%s %s %s %u %s %d %s\n", m->id, m->service,
+                               m->host, m->port, m->failure_domain, m->slots,
+                               m->says_primary ? "primary" : "replica");
+    }
+    g_ptr_array_free(sorted, TRUE);
+    return g_string_free(s, FALSE);
+}
+
+/* Reads one line. */
+static bool
+parse_line(const char *line, struct member_entry *m)
+{
+    char **w = g_strsplit(line, " ", 8);
+    uint64_t port = 0;
+    uint64_t slots = 0;
+
+    *m = (struct member_entry){0};
+    const bool ok =
+        g_strv_length(w) == 7 &&
+        g_strlcpy(m->id, w[0], sizeof(m->id)) < sizeof(m->id) &&
+        g_strlcpy(m->service, w[1], sizeof(m->service)) < sizeof(m->service) &&
+        g_strlcpy(m->host, w[2], sizeof(m->host)) < sizeof(m->host) &&
+        g_ascii_string_to_unsigned(w[3], 10, 1, 65535, &port, NULL) &&
+        g_strlcpy(m->failure_domain, w[4], sizeof(m->failure_domain)) <
+            sizeof(m->failure_domain) &&
+        g_ascii_string_to_unsigned(w[5], 10, 1, 1024, &slots, NULL);
+    if (ok) {
+        m->port = (uint16_t)port;
+        m->slots = (int)slots;
+        m->says_primary = g_str_equal(w[6], "primary");
+    }
+    g_strfreev(w);
+    return ok;
+}
+
+/* Reads a list of members as an array of struct member_entry; lines that
+   cannot be read are left out. */
+GArray *
+member_list_parse(struct sview text)
+{
+    GArray *list = g_array_new(FALSE, TRUE, sizeof(struct member_entry));
+    char *copy = g_strndup(text.p, text.n);
+    char **lines = g_strsplit(copy, "\n", 0);
+
+    for (int i = 0; lines[i] != NULL; i++) {
+        struct member_entry m;
+        if (parse_line(lines[i], &m)) {
+            g_array_append_val(list, m);
+        }
+    }
+    g_strfreev(lines);
+    g_free(copy);
+    return list;
+}
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -1,6 +1,7 @@
 #include "node/node.h"
 
 #include "base/event_log.h"
+#include "directory/member_list.h"
 #include "lead/peer_port.h"
 #include "node/inquiry.h"
 #include "relay/share.h"
@@ -23,6 +24,9 @@
 /* Members that are no longer listed are remembered for the time in which they
    may still be asked to step down. */
 #define REMEMBER_MS 10000
+/* Between looks at whether the stored list of members is outdated. */
+#define LIST_INTERVAL_MS 1500
+#define LOG_INTERVAL_MS 1000
 
 /* A member of the directory and since when it is no longer listed. */
 struct known_member {
@@ -49,6 +53,9 @@
     clock_ms asked_at;
     clock_ms valid_at;
     clock_ms flushed_at;
+    clock_ms list_checked_at;
+    char *stored_list; /* the list of members that the store holds */
+    bool remembered;
     uint64_t acted; /* version reported as acted on */
     bool leaving;
 };
@@ -204,6 +211,13 @@
             }
         }
         service_set_members(service, list, count, now);
+        for (guint k = 0; k < n->members->len; k++) {
+            const struct known_member *m =
+                &g_array_index(n->members, struct known_member, k);
+            if (m->unlisted_at != 0 && strcmp(m->entry.service, name) == 0) {
+                service_remember(service, &m->entry, m->unlisted_at, now);
+            }
+        }
     }
 }
 
@@ -275,6 +289,70 @@
     update_service_members(n);
 }
 
+/* Takes the list of members that the store holds. The first one after the
+   start adds those that the directory does not list now: around an outage of
+   the store the entries of living members are missing for some seconds. */
+void
+node_remember_members(struct node *n, const char *text)
+{
+    const clock_ms now = clock_boot_now();
+
+    g_free(n->stored_list);
+    n->stored_list = g_strdup(text);
+    if (n->remembered) {
+        return;
+    }
+    n->remembered = true;
+    GArray *list = member_list_parse(sview_from(text));
+    for (guint i = 0; i < list->len; i++) {
+        const struct known_member m = {
+            .entry = g_array_index(list, struct member_entry, i),
+            .unlisted_at = now,
+        };
+        bool known = false;
+        for (guint k = 0; k < n->members->len && !known; k++) {
+            known =
+                strcmp(
+                    g_array_index(n->members, struct known_member, k).entry.id,
+                    m.entry.id) == 0;
+        }
+        if (!known) {
+            g_array_append_val(n->members, m);
+        }
+    }
+    g_array_free(list, TRUE);
+    update_service_members(n);
+}
+
+/* Stores the list of members when it has changed; the proxy that orders
+   promotions does it, or the first one alive in its place. */
+static void
+store_member_list(struct node *n, clock_ms now)
+{
+    const struct view *v = agreement_view(n->agreement);
+    const bool holder = strcmp(v->holder, n->name) == 0;
+
+    if (!holder && (agreement_alive(n->agreement, v->holder, now) ||
+                    agreement_rank(n->agreement, now) > 0)) {
+        return;
+    }
+    GArray *list = g_array_new(FALSE, TRUE, sizeof(struct member_entry));
+    for (guint k = 0; k < n->members->len; k++) {
+        const struct known_member *m =
+            &g_array_index(n->members, struct known_member, k);
+        if (m->unlisted_at == 0 || now - m->unlisted_at < REMEMBER_MS) {
+            g_array_append_val(list, m->entry);
+        }
+    }
+    char *text = member_list_format(
+        (const struct member_entry *)(void *)list->data, list->len);
+    if (list->len > 0 && g_strcmp0(text, n->stored_list) != 0) {
+        n->platform.write_members(n->platform.ctx, text);
+    }
+    g_free(text);
+    g_array_free(list, TRUE);
+}
+
 /* Takes over the registered proxies. */
 void
 node_set_peers(struct node *n, const struct node_peer *peers, size_t count)
@@ -449,7 +527,11 @@
     if (agreement_valid(n->agreement, now)) {
         n->valid_at = now;
     }
-    if (now - n->flushed_at >= 1000) {
+    if (!n->leaving && now - n->list_checked_at >= LIST_INTERVAL_MS) {
+        n->list_checked_at = now;
+        store_member_list(n, now);
+    }
+    if (now - n->flushed_at >= LOG_INTERVAL_MS) {
         n->flushed_at = now;
         event_log_flush(now);
     }
@@ -527,6 +609,7 @@
     promoter_destroy(n->promoter);
     agreement_destroy(n->agreement);
     catalog_unref(n->catalog);
+    g_free(n->stored_list);
     g_array_free(n->members, TRUE);
     g_array_free(n->peers, TRUE);
     g_free(n->name);
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -22,6 +22,9 @@
     /* Orders a promotion; answered by node_ordered(). */
     void (*order)(void *ctx, const char *service, const char *member,
                   uint64_t fence);
+    /* Stores the list of members for processes that start while the directory
+       has lost entries. */
+    void (*write_members)(void *ctx, const char *text);
     const struct member_codec *codec;
     void *ctx;
 };
@@ -53,6 +56,7 @@
 void node_set_catalog(struct node *n, struct catalog *c);
 void node_set_members(struct node *n, const struct member_entry *entries,
                       size_t count);
+void node_remember_members(struct node *n, const char *text);
 void node_set_peers(struct node *n, const struct node_peer *peers,
                     size_t count);
 void node_offer_view(struct node *n, const struct view *v, clock_ms asked_at);
--- a/src/relay/service.c
+++ b/src/relay/service.c
@@ -385,6 +385,37 @@
     return NULL;
 }
 
+/* Adds a member. */
+static struct member *
+member_create(struct service *s, clock_ms now)
+{
+    struct member *m = g_new0(struct member, 1);
+
+    m->service = s;
+    m->links = g_ptr_array_new();
+    m->last_heard = now;
+    m->statement_us = STATEMENT_FIRST_US;
+    g_ptr_array_add(s->members, m);
+    return m;
+}
+
+/* Adds a member that was listed before this process started. It is used like
+   one that has just disappeared from the list. */
+void
+service_remember(struct service *s, const struct member_entry *m,
+                 clock_ms unlisted_at, clock_ms now)
+{
+    if (find_member(s, m->id) != NULL || now - unlisted_at >= GONE_AFTER_MS) {
+        return;
+    }
+    struct member *added = member_create(s, now);
+    added->entry = *m;
+    added->gone_at = unlisted_at;
+    event_log(EVENT_STATE, "member_remembered",
+              "service=%s member=%s address=%s:%u", s->name, m->id, m->host,
+              m->port);
+}
+
 /* Takes over the members that the directory lists. A member that is no longer
    listed stays in use for GONE_AFTER_MS, since entries disappear for a while
    around an outage of the store. */
@@ -407,12 +438,7 @@
     for (size_t k = 0; k < n; k++) {
         struct member *m = find_member(s, entries[k].id);
         if (m == NULL) {
-            m = g_new0(struct member, 1);
-            m->service = s;
-            m->links = g_ptr_array_new();
-            m->last_heard = now;
-            m->statement_us = STATEMENT_FIRST_US;
-            g_ptr_array_add(s->members, m);
+            m = member_create(s, now);
             event_log(EVENT_STATE, "member_listed",
                       "service=%s member=%s address=%s:%u draining=%d "
                       "says_primary=%d",
--- a/src/relay/service.h
+++ b/src/relay/service.h
@@ -66,6 +66,8 @@
 
 void service_set_members(struct service *s, const struct member_entry *entries,
                          size_t n, clock_ms now);
+void service_remember(struct service *s, const struct member_entry *m,
+                      clock_ms unlisted_at, clock_ms now);
 void service_set_share(struct service *s, int connections);
 void service_set_lead(struct service *s, uint64_t epoch, const char *primary,
                       bool changing, clock_ms now);
--- a/tests/relay/test_decisions.c
+++ b/tests/relay/test_decisions.c
@@ -1,3 +1,4 @@
+#include "directory/member_list.h"
 #include "relay/placement.h"
 #include "relay/samples.h"
 #include "relay/share.h"
@@ -109,6 +110,47 @@
     assert_int_equal(floor.position, 200 - SAMPLES_MAX + 1);
 }
 
+/* Guards against a stored list that cannot be read back, and against lines of
+   another writer that end the reading. */
+static void
+test_member_list(void **state)
+{
+    const struct member_entry m[2] = {
+        {.id = "i-2",
+         .service = "db",
+         .host = "10.0.0.2",
+         .port = 5,
+         .failure_domain = "a",
+         .slots = 2,
+         .says_primary = true},
+        {.id = "i-1",
+         .service = "db",
+         .host = "10.0.0.1",
+         .port = 6,
+         .failure_domain = "b",
+         .slots = 4},
+    };
+    const struct member_entry swapped[2] = {m[1], m[0]};
+
+    (void)state;
+    char *text = member_list_format(m, 2);
+    char *other = member_list_format(swapped, 2);
+    assert_string_equal(text, other);
+    char *dirty =
+        g_strconcat("nonsense\n", text, "i-3 db h 99999 a 2 x\n", NULL);
+    GArray *list = member_list_parse(sview_from(dirty));
+    assert_int_equal(list->len, 2);
+    const struct member_entry *first =
+        &g_array_index(list, struct member_entry, 0);
+    assert_string_equal(first->id, "i-1");
+    assert_int_equal(first->slots, 4);
+    assert_false(first->says_primary);
+    g_array_free(list, TRUE);
+    g_free(dirty);
+    g_free(other);
+    g_free(text);
+}
+
 int
 main(void)
 {
@@ -117,6 +159,7 @@
         cmocka_unit_test(test_placement_spares_the_primary),
         cmocka_unit_test(test_placement_needs_a_position),
         cmocka_unit_test(test_samples),
+        cmocka_unit_test(test_member_list),
     };
 
     return cmocka_run_group_tests(tests, NULL, NULL);
--- a/tests/relay/test_session.c
+++ b/tests/relay/test_session.c
@@ -233,6 +233,38 @@
     fixture_teardown(&f);
 }
 
+/* Guards against callers that are refused after a restart because the
+   directory has lost the entries of members that live. */
+static void
+test_remembered_members_serve(void **state)
+{
+    struct fixture f;
+    struct member_entry primary = {.port = 1, .slots = 2};
+
+    (void)state;
+    fixture_setup(&f, FRESHNESS_PRIMARY);
+    service_set_members(f.service, NULL, 0, f.now);
+    fixture_pass(&f, 2600);
+    struct session *s = fixture_session(&f);
+    fixture_request(s, VERB_READ, "READ x");
+    fixture_pass(&f, 400);
+    assert_int_equal(f.failure, FAILURE_BUSY);
+    g_strlcpy(primary.id, "m1", sizeof(primary.id));
+    g_strlcpy(primary.service, "db", sizeof(primary.service));
+    service_remember(f.service, &primary, f.now, f.now);
+    fixture_request(s, VERB_READ, "READ x");
+    fixture_open_all(&f);
+    fixture_answer(fixture_busy(&f), FAILURE_NONE, TRANSACTION_NONE, 3, 7);
+    assert_int_equal(f.failure, FAILURE_NONE);
+    /* Unless it is listed again, it is gone after a while. */
+    fixture_pass(&f, 2600);
+    fixture_request(s, VERB_READ, "READ x");
+    fixture_pass(&f, 400);
+    assert_int_equal(f.failure, FAILURE_BUSY);
+    session_end(s);
+    fixture_teardown(&f);
+}
+
 int
 main(void)
 {
@@ -245,6 +277,7 @@
         cmocka_unit_test(test_change_of_primary_ends_work),
         cmocka_unit_test(test_one_reset_is_no_outage),
         cmocka_unit_test(test_silent_member_is_probed),
+        cmocka_unit_test(test_remembered_members_serve),
     };
 
     return cmocka_run_group_tests(tests, NULL, NULL);
