lead: witnesses confirm leases, so that notes do not grow with the fleet

Cause: every proxy sent a note to every other five times a second, 3,000 a second at 25 proxies and 450,000 at 300. Change: at most seven witnesses, chosen by a hash of names and spread over failure domains, answer questions and confirm leases; five of seven are enough. Only witnesses change the view. A question every 400 ms and its answer replace the notes; up to seven proxies all are witnesses.

--- a/src/lead/agreement.c
+++ b/src/lead/agreement.c
@@ -3,14 +3,20 @@
 #include <glib.h>
 #include <stdlib.h>
 #include <string.h>
+#include <xxhash.h>
 
 /* A change that a majority has not acted on is not ordered before this time:
    proxies that cannot reach the store or this proxy may confirm each other's
    leases for as long as they are a majority. */
 #define MINORITY_WAIT_MS 8000
 
+/* Of the full number of witnesses this many are enough. Two proxies whose
+   lists differ by two members still have a witness in common. */
+#define ENOUGH_OF_ALL 5
+
 struct peer {
     char name[VIEW_NAME_BYTES];
+    bool witness;
     uint64_t incarnation;
     clock_ms last_heard; /* own clock; 0 when never */
     clock_ms their_sent_at;
@@ -32,6 +38,8 @@
     clock_ms majority_at;      /* since then */
     struct peer peers[AGREEMENT_PEERS_MAX];
     int count;
+    bool is_witness;
+    int witnesses; /* with this proxy, if it is one */
 };
 
 /* Creates the state of a proxy that knows nothing yet. */
@@ -101,28 +109,112 @@
     return NULL;
 }
 
+/* A proxy while the witnesses are chosen. */
+struct ranked {
+    const char *name;
+    const char *failure_domain;
+    uint64_t hash;
+    int round; /* how many of its failure domain come before it */
+};
+
+/* Orders proxies by hash. */
+static int
+compare_hashes(const void *x, const void *y)
+{
+    const struct ranked *a = x;
+    const struct ranked *b = y;
+
+    return a->hash < b->hash ? -1 : a->hash > b->hash ? 1 : 0;
+}
+
+/* Orders proxies by their place in their failure domain, then by hash. */
+static int
+compare_rounds(const void *x, const void *y)
+{
+    const struct ranked *a = x;
+    const struct ranked *b = y;
+
+    return a->round != b->round ? a->round - b->round : compare_hashes(x, y);
+}
+
+/* Chooses the witnesses among all proxies and marks them. */
+static void
+choose_witnesses(struct agreement *a, const struct agreement_peer *peers,
+                 int n)
+{
+    struct ranked *r = g_new0(struct ranked, (gsize)n + 1);
+
+    for (int i = 0; i < n; i++) {
+        r[i].name = peers[i].name;
+        r[i].failure_domain = peers[i].failure_domain;
+        r[i].hash = XXH64(peers[i].name, strlen(peers[i].name), 0);
+    }
+    qsort(r, (size_t)n, sizeof(*r), compare_hashes);
+    for (int i = 0; i < n; i++) {
+        for (int k = 0; k < i; k++) {
+            r[i].round +=
+                strcmp(r[i].failure_domain, r[k].failure_domain) == 0;
+        }
+    }
+    qsort(r, (size_t)n, sizeof(*r), compare_rounds);
+    a->is_witness = n <= AGREEMENT_WITNESSES;
+    a->witnesses = MIN(n, AGREEMENT_WITNESSES);
+    for (int i = 0; i < a->witnesses; i++) {
+        struct peer *p = find(a, r[i].name);
+        if (p != NULL) {
+            p->witness = true;
+        }
+        else if (strcmp(r[i].name, a->name) == 0) {
+            a->is_witness = true;
+        }
+    }
+    g_free(r);
+}
+
+/* Returns how many witnesses are enough: a majority, and more where not all
+   proxies are witnesses. */
+static int
+enough(const struct agreement *a)
+{
+    return a->witnesses == AGREEMENT_WITNESSES ? ENOUGH_OF_ALL
+                                               : a->witnesses / 2 + 1;
+}
+
 /* Sets the registered proxies; the own name is left out. What is known of
    those that stay is kept. */
 void
-agreement_set_peers(struct agreement *a, const char *const *names, int n)
+agreement_set_peers(struct agreement *a, const struct agreement_peer *peers,
+                    int n)
 {
     struct peer *kept = g_new0(struct peer, AGREEMENT_PEERS_MAX);
     int count = 0;
 
     for (int i = 0; i < n && count < AGREEMENT_PEERS_MAX; i++) {
-        if (strcmp(names[i], a->name) == 0) {
+        if (strcmp(peers[i].name, a->name) == 0) {
             continue;
         }
-        const struct peer *old = find(a, names[i]);
+        const struct peer *old = find(a, peers[i].name);
         if (old != NULL) {
             kept[count] = *old;
         }
-        g_strlcpy(kept[count].name, names[i], sizeof(kept[count].name));
+        g_strlcpy(kept[count].name, peers[i].name, sizeof(kept[count].name));
+        kept[count].witness = false;
         count++;
     }
     memcpy(a->peers, kept, sizeof(a->peers));
     a->count = count;
     g_free(kept);
+    choose_witnesses(a, peers, n);
+}
+
+/* Tells whether a proxy is a witness. */
+bool
+agreement_is_witness(const struct agreement *a, const char *name)
+{
+    const struct peer *p = find(a, name);
+
+    return p == NULL ? a->is_witness && strcmp(name, a->name) == 0
+                     : p->witness;
 }
 
 /* Returns the number of registered proxies other than this one. */
@@ -174,10 +266,9 @@
             now - p->last_heard < AGREEMENT_ALIVE_MS) {
             return false;
         }
-        char name[VIEW_NAME_BYTES];
-        g_strlcpy(name, p->name, sizeof(name));
-        memset(p, 0, sizeof(*p));
-        g_strlcpy(p->name, name, sizeof(p->name));
+        const struct peer old = *p;
+        *p = (struct peer){.witness = old.witness};
+        memcpy(p->name, old.name, sizeof(p->name));
         p->incarnation = n->incarnation;
     }
     else if (n->sent_at < p->their_sent_at) {
@@ -194,6 +285,9 @@
     const bool newer = n->view.version > 0 && agreement_offer(a, &n->view);
     /* The peer had no newer view when it wrote this, which was after it got
        the message that it echoes. */
+#ifdef AGREEMENT_BREAK_EVIDENCE
+    p->confirmed = now;
+#endif
     if (n->echo_of == a->incarnation && n->echo > p->confirmed &&
         n->version <= a->view.version) {
         p->confirmed = n->echo;
@@ -212,23 +306,24 @@
 }
 
 /* Returns the latest moment of which it is known that no newer view was in
-   force: confirmed by the store, or by enough peers to make a majority with
-   this proxy. */
+   force: confirmed by the store, or by enough witnesses. */
 clock_ms
 agreement_evidence(const struct agreement *a)
 {
-    clock_ms times[AGREEMENT_PEERS_MAX];
-    const int needed = (a->count + 1) / 2; /* peers besides this proxy */
-    clock_ms by_peers = 0;
+    clock_ms times[AGREEMENT_WITNESSES];
+    const int needed = enough(a) - a->is_witness; /* besides this proxy */
+    int n = 0;
 
-    if (needed > 0) {
-        for (int i = 0; i < a->count; i++) {
-            times[i] = a->peers[i].confirmed;
+    for (int i = 0; i < a->count && n < AGREEMENT_WITNESSES; i++) {
+        if (a->peers[i].witness) {
+            times[n++] = a->peers[i].confirmed;
         }
-        qsort(times, (size_t)a->count, sizeof(times[0]), compare_times);
-        by_peers = times[needed - 1];
     }
-    return by_peers > a->store_confirmed ? by_peers : a->store_confirmed;
+    if (needed < 1 || n < needed) {
+        return a->store_confirmed;
+    }
+    qsort(times, (size_t)n, sizeof(times[0]), compare_times);
+    return MAX(times[needed - 1], a->store_confirmed);
 }
 
 /* Tells whether this proxy may rely on its view now. */
@@ -240,29 +335,38 @@
 }
 
 /* Tells whether no proxy relies on a view before version any more, which was
-   put into force at since: each one has acted on it, or a majority has and
-   the leases that it can still have confirmed have run out. Without a
-   majority the wait is longer. */
+   put into force at since: each one has acted on it, or enough witnesses have
+   and the leases that they can still have confirmed have run out. Without
+   enough witnesses the wait is longer. */
 bool
 agreement_all_acted(struct agreement *a, uint64_t version, clock_ms since,
                     clock_ms now)
 {
-    int acted = a->acted >= version;
+    int acted = 0;
+    int witnesses = a->is_witness;
 
-    if (acted == 0) {
+#ifdef AGREEMENT_BREAK_VERSION
+    version = 0;
+#endif
+    if (a->acted < version) {
         return false;
     }
     for (int i = 0; i < a->count; i++) {
-        acted += a->peers[i].acted >= version;
+        const bool has = a->peers[i].acted >= version;
+        acted += has;
+        witnesses += has && a->peers[i].witness;
     }
-    if (acted == a->count + 1) {
+    if (acted == a->count) {
         return true;
     }
-    if (acted * 2 > a->count + 1) {
+    if (witnesses >= enough(a)) {
         if (a->majority_version != version) {
             a->majority_version = version;
             a->majority_at = now;
         }
+#ifdef AGREEMENT_BREAK_LEASE
+        return true;
+#endif
         return now - a->majority_at >= AGREEMENT_LEASE_MS;
     }
     return now - since >= MINORITY_WAIT_MS;
@@ -281,15 +385,19 @@
            !p->leaving;
 }
 
-/* Returns how many live proxies come before this one by name. They act first
-   when the holder is not there. */
+/* Returns how many live witnesses come before this one by name. They act first
+   when the holder is not there. Returns -1 when this proxy is not a witness:
+   it does not act. */
 int
 agreement_rank(const struct agreement *a, clock_ms now)
 {
     int rank = 0;
 
+    if (!a->is_witness) {
+        return -1;
+    }
     for (int i = 0; i < a->count; i++) {
-        rank += strcmp(a->peers[i].name, a->name) < 0 &&
+        rank += a->peers[i].witness && strcmp(a->peers[i].name, a->name) < 0 &&
                 agreement_alive(a, a->peers[i].name, now);
     }
     return rank;
--- a/src/lead/agreement.h
+++ b/src/lead/agreement.h
@@ -8,16 +8,21 @@
 
    A belief about who leads may be used only while this proxy knows that no
    newer view was in force less than AGREEMENT_LEASE_MS ago. It learns that
-   from the store, or from a majority of the proxies: each tells in every
-   message the newest view that it has acted on, and echoes the time of the
-   last message that it got. Whoever changes the view waits until all proxies
-   have acted on it, or until a majority has and the lease of the others has
-   run out. */
+   from the store, or from enough witnesses: each answer of one tells the
+   newest view that it knows, and echoes the time of the question. Whoever
+   changes the view waits until all proxies have acted on it, or until enough
+   witnesses have and the leases of the others have run out.
+
+   The witnesses are AGREEMENT_WITNESSES of the proxies, chosen by a hash of
+   their names and spread over failure domains, or all proxies where there are
+   no more. So the traffic of a proxy does not grow with the fleet, but for
+   that of the witnesses. Only witnesses change the view. */
 struct agreement;
 
 #define AGREEMENT_LEASE_MS 1000
 /* A peer that was heard within this time counts as alive. */
-#define AGREEMENT_ALIVE_MS 900
+#define AGREEMENT_ALIVE_MS 1000
+#define AGREEMENT_WITNESSES 7
 #define AGREEMENT_PEERS_MAX 512
 
 /* One message between proxies. */
@@ -32,6 +37,7 @@
     uint64_t unreachable; /* services whose primary does not answer, by
                              index in the view of `version` */
     bool leaving;         /* the sender is shutting down */
+    bool reply;           /* answers a note, and is not answered */
     struct view view;     /* version 0 when it is not included */
 };
 
@@ -44,7 +50,15 @@
 void agreement_confirm_by_store(struct agreement *a, uint64_t version,
                                 clock_ms asked_at);
 
-void agreement_set_peers(struct agreement *a, const char *const *names, int n);
+/* A registered proxy. */
+struct agreement_peer {
+    const char *name;
+    const char *failure_domain;
+};
+
+void agreement_set_peers(struct agreement *a,
+                         const struct agreement_peer *peers, int n);
+bool agreement_is_witness(const struct agreement *a, const char *name);
 int agreement_peer_count(const struct agreement *a);
 void agreement_compose(const struct agreement *a, const char *to,
                        uint64_t unreachable, bool leaving, clock_ms now,
--- a/src/lead/peer_note.x
+++ b/src/lead/peer_note.x
@@ -9,5 +9,6 @@
     unsigned hyper known;
     unsigned hyper unreachable;
     bool leaving;
+    bool reply;
     string view<6000>;
 };
--- a/src/lead/peer_note_xdr.c
+++ b/src/lead/peer_note_xdr.c
@@ -29,6 +29,8 @@
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->leaving))
 		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->reply))
+		 return FALSE;
 	 if (!xdr_string (xdrs, &objp->view, 6000))
 		 return FALSE;
 	return TRUE;
--- a/src/lead/peer_note_xdr.h
+++ b/src/lead/peer_note_xdr.h
@@ -24,6 +24,7 @@
 	u_quad_t known;
 	u_quad_t unreachable;
 	bool_t leaving;
+	bool_t reply;
 	char *view;
 };
 typedef struct wire_note wire_note;
--- a/src/lead/peer_port.c
+++ b/src/lead/peer_port.c
@@ -42,6 +42,7 @@
         n->version = w.known;
         n->unreachable = w.unreachable;
         n->leaving = w.leaving;
+        n->reply = w.reply;
         ok = w.view[0] == '\0' || view_parse(sview_from(w.view), &n->view);
     }
     xdr_free((xdrproc_t)xdr_wire_note, (char *)&w);
@@ -139,6 +140,7 @@
         .known = n->version,
         .unreachable = n->unreachable,
         .leaving = n->leaving,
+        .reply = n->reply,
         .view = view,
     };
     xdrmem_create(&x, bytes, sizeof(bytes), XDR_ENCODE);
--- a/src/lead/promoter.c
+++ b/src/lead/promoter.c
@@ -216,18 +216,21 @@
 promoter_view_written(struct promoter *p, bool done)
 {
     p->writing = false;
-    p->write_pause_ms =
-        done ? 0
-             : CLAMP(p->write_pause_ms * 2, WRITE_RETRY_MS,
-                     WRITE_RETRY_LONGEST_MS);
+    p->write_pause_ms = done ? 0
+                             : CLAMP(p->write_pause_ms * 2, WRITE_RETRY_MS,
+                                     WRITE_RETRY_LONGEST_MS);
 }
 
-/* Returns how long after a condition arose this proxy acts on it. */
+/* Returns how long after a condition arose this proxy acts on it; CLOCK_NEVER
+   when others do. */
 static int64_t
 acting_delay(const struct promoter *p, const struct view *v, clock_ms now)
 {
     const int64_t rank = agreement_rank(p->agreement, now);
 
+    if (rank < 0) {
+        return CLOCK_NEVER;
+    }
     if (strcmp(v->holder, p->name) == 0) {
         return 0;
     }
@@ -250,11 +253,12 @@
     }
 }
 
-/* Tells whether a condition has held for at least ms. */
+/* Tells whether a condition has held for at least ms and a further delay,
+   which may be CLOCK_NEVER. */
 static bool
-held(clock_ms since, int64_t ms, clock_ms now)
+held(clock_ms since, int64_t ms, int64_t delay, clock_ms now)
 {
-    return since != 0 && now - since >= ms;
+    return since != 0 && delay != CLOCK_NEVER && now - since >= ms + delay;
 }
 
 /* Adds a service to the view once the directory shows who leads it. When that
@@ -276,7 +280,7 @@
     }
     track(&c->missing_since, listed > 0, now);
     const int64_t patience = primaries == 1 ? 0 : UNLISTED_MS;
-    if (!held(c->missing_since, patience + acting_delay(p, v, now), now)) {
+    if (!held(c->missing_since, patience, acting_delay(p, v, now), now)) {
         return;
     }
     struct view next = *v;
@@ -312,16 +316,16 @@
     track(&c->unlisted_since, !listed, now);
     track(&c->replica_since, listed && !m->says_primary, now);
     track(&c->draining_since, listed && m->draining, now);
-    if (held(c->suspect_since, SUSPECT_MS + delay, now)) {
+    if (held(c->suspect_since, SUSPECT_MS, delay, now)) {
         return "unreachable";
     }
-    if (held(c->unlisted_since, UNLISTED_MS + delay, now)) {
+    if (held(c->unlisted_since, UNLISTED_MS, delay, now)) {
         return "unlisted";
     }
-    if (held(c->replica_since, NOT_PRIMARY_MS + delay, now)) {
+    if (held(c->replica_since, NOT_PRIMARY_MS, delay, now)) {
         return "says_replica";
     }
-    return held(c->draining_since, delay, now) ? "draining" : NULL;
+    return held(c->draining_since, 0, delay, now) ? "draining" : NULL;
 }
 
 /* Returns whether a member could take over. */
@@ -745,8 +749,8 @@
     c->phase = PHASE_NONE;
     if (l->changing) {
         const bool alive = agreement_alive(p->agreement, v->holder, now);
-        const int64_t delay = acting_delay(p, v, now) + (alive ? STUCK_MS : 0);
-        if (held(c->changing_since, delay, now)) {
+        if (held(c->changing_since, alive ? STUCK_MS : 0,
+                 acting_delay(p, v, now), now)) {
             claim(p, c, index, alive ? "holder stuck" : "holder gone", now);
         }
         return;
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -9,8 +9,8 @@
 #include <string.h>
 
 #define TICK_MS 25
-/* A quarter of the lease, so that a lost datagram does not end it. */
-#define NOTE_INTERVAL_MS 200
+/* Less than half of the lease, so that a lost datagram does not end it. */
+#define NOTE_INTERVAL_MS 400
 /* The store is asked for the view when peers have not confirmed it for this
    long, early enough for the answer to come before the lease ends. */
 #define CONFIRM_AFTER_MS 500
@@ -95,23 +95,49 @@
     return bits;
 }
 
-/* Sends a note to every peer. */
+/* Sends a note to one peer. */
 static void
-send_notes(struct node *n, clock_ms now)
+send_note(struct node *n, const struct node_peer *p, uint64_t unreachable,
+          bool reply, clock_ms now)
+{
+    struct agreement_note note;
+
+    agreement_compose(n->agreement, p->name, unreachable, n->leaving, now,
+                      &note);
+    note.reply = reply;
+    peer_port_send(n->port, p->host, p->port, &note);
+}
+
+/* Sends a note to the witnesses, or to all peers when there is news that
+   everyone must have and this proxy is a witness itself. */
+static void
+send_notes(struct node *n, bool news, clock_ms now)
 {
     const uint64_t unreachable = unreachable_services(n, now);
+    const bool all = news && agreement_is_witness(n->agreement, n->name);
 
     n->noted_at = now;
     for (guint i = 0; i < n->peers->len; i++) {
         const struct node_peer *p =
             &g_array_index(n->peers, struct node_peer, i);
-        struct agreement_note note;
-        if (strcmp(p->name, n->name) == 0) {
-            continue;
+        if (strcmp(p->name, n->name) != 0 &&
+            (all || agreement_is_witness(n->agreement, p->name))) {
+            send_note(n, p, unreachable, false, now);
+        }
+    }
+}
+
+/* Answers the note of a peer. */
+static void
+send_reply(struct node *n, const char *to, clock_ms now)
+{
+    for (guint i = 0; i < n->peers->len; i++) {
+        const struct node_peer *p =
+            &g_array_index(n->peers, struct node_peer, i);
+        if (strcmp(p->name, to) == 0) {
+            send_note(n, p, unreachable_services(n, now), true, now);
+            return;
         }
-        agreement_compose(n->agreement, p->name, unreachable, n->leaving, now,
-                          &note);
-        peer_port_send(n->port, p->host, p->port, &note);
     }
 }
 
@@ -154,7 +180,7 @@
         }
     }
     update_acted(n);
-    send_notes(n, now);
+    send_notes(n, true, now);
 }
 
 /* A peer's note arrived. */
@@ -162,12 +188,16 @@
 on_note(void *ctx, const struct agreement_note *note)
 {
     struct node *n = ctx;
+    const clock_ms now = clock_boot_now();
 
-    if (agreement_take(n->agreement, note, clock_boot_now())) {
+    if (agreement_take(n->agreement, note, now)) {
         event_log(EVENT_STATE, "view_from_peer", "peer=%s version=%llu",
                   note->from, (unsigned long long)note->version);
         apply_view(n);
     }
+    if (!note->reply) {
+        send_reply(n, note->from, now);
+    }
 }
 
 /* Sets how many connections to a member this proxy may have. */
@@ -333,7 +363,7 @@
     const bool holder = strcmp(v->holder, n->name) == 0;
 
     if (!holder && (agreement_alive(n->agreement, v->holder, now) ||
-                    agreement_rank(n->agreement, now) > 0)) {
+                    agreement_rank(n->agreement, now) != 0)) {
         return;
     }
     GArray *list = g_array_new(FALSE, TRUE, sizeof(struct member_entry));
@@ -357,18 +387,19 @@
 void
 node_set_peers(struct node *n, const struct node_peer *peers, size_t count)
 {
-    const char **names = g_new0(const char *, count + 1);
+    struct agreement_peer *names = g_new0(struct agreement_peer, count + 1);
 
     g_array_set_size(n->peers, 0);
     g_array_append_vals(n->peers, peers, (guint)count);
     for (size_t i = 0; i < count; i++) {
-        names[i] = peers[i].name;
+        names[i].name = peers[i].name;
+        names[i].failure_domain = peers[i].failure_domain;
     }
     agreement_set_peers(n->agreement, names, (int)count);
     g_free(names);
     event_log(EVENT_STATE, "peers", "registered=%zu", count);
     update_shares(n);
-    send_notes(n, clock_boot_now());
+    send_notes(n, false, clock_boot_now());
 }
 
 /* Takes what the store shows as the view, in answer to a question or a write
@@ -515,8 +546,9 @@
     if (!n->leaving) {
         tick_promoter(n, now);
     }
-    if (update_acted(n) || now - n->noted_at >= NOTE_INTERVAL_MS) {
-        send_notes(n, now);
+    const bool acted = update_acted(n);
+    if (acted || now - n->noted_at >= NOTE_INTERVAL_MS) {
+        send_notes(n, acted, now);
     }
     const clock_ms evidence = agreement_evidence(n->agreement);
     if (now - evidence >= CONFIRM_AFTER_MS &&
@@ -645,7 +677,7 @@
 node_set_leaving(struct node *n)
 {
     n->leaving = true;
-    send_notes(n, clock_boot_now());
+    send_notes(n, true, clock_boot_now());
 }
 
 /* Writes one counter in the text format that scrapers read. */
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -42,6 +42,7 @@
 struct node_peer {
     char name[VIEW_NAME_BYTES];
     char host[MEMBER_HOST_BYTES];
+    char failure_domain[MEMBER_NAME_BYTES];
     uint16_t port;
 };
 
--- /dev/null
+++ b/tests/lead/test_agreement.c
@@ -0,0 +1,157 @@
+#include "lead/agreement.h"
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdio.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+static const struct agreement_peer three[] = {
+    {.name = "a", .failure_domain = "x"},
+    {.name = "b", .failure_domain = "y"},
+    {.name = "c", .failure_domain = "z"},
+};
+
+/* Exchanges a question and its reply between two proxies at a time. */
+static void
+exchange(struct agreement *from, const char *from_name, struct agreement *to,
+         const char *to_name, clock_ms now)
+{
+    struct agreement_note n;
+
+    agreement_compose(from, to_name, 0, false, now, &n);
+    agreement_take(to, &n, now);
+    agreement_compose(to, from_name, 0, false, now, &n);
+    agreement_take(from, &n, now);
+}
+
+/* Returns a proxy that knows view 1. */
+static struct agreement *
+proxy(const char *name, uint64_t incarnation)
+{
+    const struct view v = {.version = 1};
+    struct agreement *a = agreement_create(name, incarnation);
+
+    agreement_set_peers(a, three, 3);
+    agreement_offer(a, &v);
+    agreement_set_acted(a, 1);
+    return a;
+}
+
+/* Guards against a lease that is not confirmed any more after the witnesses
+   have restarted one after the other. */
+static void
+test_restarted_witness_confirms(void **state)
+{
+    struct agreement *a = proxy("a", 1);
+    struct agreement *b = proxy("b", 1);
+    struct agreement *c = proxy("c", 1);
+
+    (void)state;
+    exchange(a, "a", b, "b", 10000);
+    assert_true(agreement_valid(a, 10100));
+    agreement_destroy(b);
+    agreement_destroy(c);
+    b = proxy("b", 2);
+    c = proxy("c", 2);
+    exchange(a, "a", b, "b", 12000);
+    assert_true(agreement_valid(a, 12100));
+    assert_false(agreement_valid(a, 12000 + AGREEMENT_LEASE_MS));
+    agreement_destroy(a);
+    agreement_destroy(b);
+    agreement_destroy(c);
+}
+
+/* Guards against a lease on a view that a witness knows to be outdated. */
+static void
+test_outdated_view_is_not_confirmed(void **state)
+{
+    const struct view next = {.version = 2};
+    struct agreement *a = proxy("a", 1);
+    struct agreement *b = proxy("b", 1);
+    struct agreement_note n;
+
+    (void)state;
+    agreement_offer(b, &next);
+    agreement_compose(a, "b", 0, false, 10000, &n);
+    agreement_take(b, &n, 10000);
+    agreement_compose(b, "a", 0, false, 10000, &n);
+    n.view.version = 0; /* as if the view itself did not fit */
+    agreement_take(a, &n, 10000);
+    assert_false(agreement_valid(a, 10001));
+    agreement_destroy(a);
+    agreement_destroy(b);
+}
+
+/* Guards against a change that goes on while a proxy that was not heard can
+   still rely on the old view. */
+static void
+test_change_waits_for_leases(void **state)
+{
+    const struct view next = {.version = 2};
+    struct agreement *a = proxy("a", 1);
+    struct agreement *b = proxy("b", 1);
+
+    (void)state;
+    agreement_offer(a, &next);
+    agreement_set_acted(a, 2);
+    assert_false(agreement_all_acted(a, 2, 10000, 10000));
+    agreement_offer(b, &next);
+    agreement_set_acted(b, 2);
+    exchange(a, "a", b, "b", 10010);
+    assert_false(agreement_all_acted(a, 2, 10000, 10010));
+    assert_false(
+        agreement_all_acted(a, 2, 10000, 10010 + AGREEMENT_LEASE_MS - 1));
+    assert_true(agreement_all_acted(a, 2, 10000, 10010 + AGREEMENT_LEASE_MS));
+    agreement_destroy(a);
+    agreement_destroy(b);
+}
+
+/* Guards against witnesses that depend on the order of the list, and against
+   more of them than the traffic is planned for. */
+static void
+test_witnesses(void **state)
+{
+    struct agreement_peer peers[20];
+    char names[20][8];
+    struct agreement *a = agreement_create("n0", 1);
+    struct agreement *b = agreement_create("n1", 1);
+    int count = 0;
+
+    (void)state;
+    for (int i = 0; i < 20; i++) {
+        snprintf(names[i], sizeof(names[i]), "n%d", i);
+        peers[i] = (struct agreement_peer){
+            .name = names[i], .failure_domain = i % 2 ? "x" : "y"};
+    }
+    agreement_set_peers(a, peers, 20);
+    for (int i = 0; i < 10; i++) {
+        const struct agreement_peer swap = peers[i];
+        peers[i] = peers[19 - i];
+        peers[19 - i] = swap;
+    }
+    agreement_set_peers(b, peers, 20);
+    for (int i = 0; i < 20; i++) {
+        count += agreement_is_witness(a, names[i]);
+        assert_int_equal(agreement_is_witness(a, names[i]),
+                         agreement_is_witness(b, names[i]));
+    }
+    assert_int_equal(count, AGREEMENT_WITNESSES);
+    agreement_destroy(a);
+    agreement_destroy(b);
+}
+
+int
+main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(test_restarted_witness_confirms),
+        cmocka_unit_test(test_outdated_view_is_not_confirmed),
+        cmocka_unit_test(test_change_waits_for_leases),
+        cmocka_unit_test(test_witnesses),
+    };
+
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
