--- a/src/lead/agreement.c
+++ b/src/lead/agreement.c
@@ -5,10 +5,13 @@
 #include <string.h>
 #include <xxhash.h>
 
-/* A change that a majority has not acted on is not ordered before this time:
-   proxies that cannot reach the store or this proxy may confirm each other's
-   leases for as long as they are a majority. */
+/* A change that a majority of the witnesses has not acted on is not ordered
+   before this time: proxies that cannot reach the store or this proxy may
+   confirm each other's leases. */
 #define MINORITY_WAIT_MS 8000
+/* The same, when too few witnesses are left to confirm a lease, unless proxies
+   have different lists of members. */
+#define BLOCKED_WAIT_MS 3000
 
 /* Of the full number of witnesses this many are enough. Two proxies whose
    lists differ by two members still have a witness in common. */
@@ -335,9 +338,9 @@
 }
 
 /* Tells whether no proxy relies on a view before version any more, which was
-   put into force at since: each one has acted on it, or enough witnesses have
-   and the leases that they can still have confirmed have run out. Without
-   enough witnesses the wait is longer. */
+   put into force at since: each one has acted on it, or a majority of the
+   witnesses has and the leases that it can still have confirmed have run out.
+   Without a majority the wait is longer. */
 bool
 agreement_all_acted(struct agreement *a, uint64_t version, clock_ms since,
                     clock_ms now)
@@ -359,7 +362,7 @@
     if (acted == a->count) {
         return true;
     }
-    if (witnesses >= enough(a)) {
+    if (witnesses > a->witnesses / 2) {
         if (a->majority_version != version) {
             a->majority_version = version;
             a->majority_at = now;
@@ -369,7 +372,9 @@
 #endif
         return now - a->majority_at >= AGREEMENT_LEASE_MS;
     }
-    return now - since >= MINORITY_WAIT_MS;
+    return now - since >= (witnesses > a->witnesses - enough(a)
+                               ? BLOCKED_WAIT_MS
+                               : MINORITY_WAIT_MS);
 }
 
 /* Tells whether a proxy was heard recently. This proxy is always alive. */
--- a/src/lead/promoter.c
+++ b/src/lead/promoter.c
@@ -16,7 +16,8 @@
    reach the store is replaced by the next. */
 #define RANK_STEP_MS 250
 #define HOLDER_STEP_MS 1000
-#define STUCK_MS 4000
+/* Longer than the longest wait for leases to run out. */
+#define STUCK_MS 12000
 #define ANSWER_MS 300   /* wait for the answers of members to a question */
 #define CATCH_UP_MS 400 /* wait for a replica to receive all of the log */
 #define ASK_AGAIN_MS 40 /* between questions while waiting */
@@ -72,6 +73,7 @@
     clock_ms draining_since;
     clock_ms missing_since;
     clock_ms changing_since;
+    uint64_t changing_fence; /* of the holder that carries the change out */
     struct member_note members[MEMBERS_MAX];
     int count;
 };
@@ -741,6 +743,11 @@
     }
     const struct view_lead *l = &v->leads[index];
     const bool holder = strcmp(v->holder, p->name) == 0;
+    if (c->changing_fence != v->fence) {
+        /* Another holder has taken over and is given its own time. */
+        c->changing_fence = v->fence;
+        c->changing_since = 0;
+    }
     track(&c->changing_since, l->changing, now);
     if (l->changing && holder) {
         run_change(p, c, l, index, now);
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -387,6 +387,11 @@
 void
 node_set_peers(struct node *n, const struct node_peer *peers, size_t count)
 {
+    if (count == n->peers->len &&
+        (count == 0 ||
+         memcmp(peers, n->peers->data, count * sizeof(*peers)) == 0)) {
+        return;
+    }
     struct agreement_peer *names = g_new0(struct agreement_peer, count + 1);
 
     g_array_set_size(n->peers, 0);
--- /dev/null
+++ b/tests/lead/test_promoter.c
@@ -0,0 +1,301 @@
+#include "lead/promoter.h"
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+/* A promoter "b" with the peers "a" and "c", whose actions are recorded. */
+struct fixture {
+    struct agreement *agreement;
+    struct promoter *promoter;
+    clock_ms now;
+    struct view written;
+    int writes;
+    int orders;
+    char ordered[MEMBER_ID_BYTES];
+    uint64_t fence;
+    int asked;
+    int demoted;
+};
+
+static const struct agreement_peer peers[] = {
+    {.name = "a", .failure_domain = "x"},
+    {.name = "b", .failure_domain = "y"},
+    {.name = "c", .failure_domain = "z"},
+};
+
+static struct candidate members[] = {
+    {.id = "m1", .listed = true, .says_primary = true},
+    {.id = "m2", .listed = true},
+    {.id = "m3", .listed = true},
+};
+
+/* Records a write of the view. */
+static void
+write_view(void *ctx, const struct view *next)
+{
+    struct fixture *f = ctx;
+
+    f->written = *next;
+    f->writes++;
+}
+
+/* Records a question. */
+static void
+ask(void *ctx, const char *service, const char *member, uint64_t demote_term)
+{
+    struct fixture *f = ctx;
+
+    (void)service;
+    (void)member;
+    f->asked++;
+    f->demoted += demote_term > 0;
+}
+
+/* Records an order. */
+static void
+order(void *ctx, const char *service, const char *member, uint64_t fence)
+{
+    struct fixture *f = ctx;
+
+    (void)service;
+    f->orders++;
+    f->fence = fence;
+    strncpy(f->ordered, member, sizeof(f->ordered) - 1);
+}
+
+/* Makes the view known in which m1 leads and `holder` orders promotions. */
+static void
+setup(struct fixture *f, const char *holder, bool changing)
+{
+    const struct promoter_actions actions = {
+        .write_view = write_view, .ask = ask, .order = order, .ctx = f};
+    struct view v = {.version = 5, .fence = 3, .count = 1};
+
+    memset(f, 0, sizeof(*f));
+    f->now = 100000;
+    f->agreement = agreement_create("b", 1);
+    agreement_set_peers(f->agreement, peers, 3);
+    strcpy(v.holder, holder);
+    strcpy(v.leads[0].service, "db");
+    strcpy(v.leads[0].primary, "m1");
+    v.leads[0].epoch = 5;
+    v.leads[0].changing = changing;
+    agreement_offer(f->agreement, &v);
+    agreement_set_acted(f->agreement, 5);
+    f->promoter = promoter_create("b", f->agreement, &actions);
+    for (int i = 0; i < 3; i++) {
+        members[i].listed = true;
+        members[i].draining = false;
+        members[i].says_primary = i == 0;
+    }
+}
+
+/* Frees everything. */
+static void
+teardown(struct fixture *f)
+{
+    promoter_destroy(f->promoter);
+    agreement_destroy(f->agreement);
+}
+
+/* Lets a peer be heard, with its vote and what it has acted on. */
+static void
+hear(struct fixture *f, const char *name, uint64_t unreachable, uint64_t acted)
+{
+    struct agreement_note n = {.incarnation = 1,
+                               .sent_at = f->now,
+                               .echo = f->now,
+                               .echo_of = 1,
+                               .acted = acted,
+                               .version =
+                                   agreement_view(f->agreement)->version,
+                               .unreachable = unreachable};
+
+    strcpy(n.from, name);
+    agreement_take(f->agreement, &n, f->now);
+}
+
+/* Lets time pass; both peers are heard. */
+static void
+pass(struct fixture *f, int64_t ms, bool unreachable, uint64_t acted)
+{
+    const clock_ms end = f->now + ms;
+
+    while (f->now < end) {
+        f->now += 25;
+        hear(f, "a", unreachable, acted);
+        hear(f, "c", unreachable, acted);
+        promoter_tick(f->promoter, "db", members, 3, unreachable, f->now);
+    }
+}
+
+/* Takes the written view over, as after a successful write. */
+static void
+accept_write(struct fixture *f)
+{
+    agreement_offer(f->agreement, &f->written);
+    agreement_set_acted(f->agreement, f->written.version);
+    promoter_view_written(f->promoter, true);
+}
+
+/* Answers for a member. */
+static void
+report(struct fixture *f, const char *id, bool primary, uint64_t term,
+       uint64_t received)
+{
+    const struct member_report r = {.primary = primary,
+                                    .term = term,
+                                    .received_term = term,
+                                    .received = received};
+
+    promoter_status(f->promoter, "db", id, &r, f->now);
+}
+
+/* Guards against proxies that take a slow change over from each other for
+   ever: each new holder is given its own time. */
+static void
+test_takeover_gives_time(void **state)
+{
+    struct fixture f;
+    struct view v;
+
+    (void)state;
+    setup(&f, "a", true);
+    pass(&f, 11000, false, 5);
+    assert_int_equal(f.writes, 0);
+    pass(&f, 3000, false, 5);
+    assert_int_equal(f.writes, 1);
+    promoter_view_written(f.promoter, false);
+    v = *agreement_view(f.agreement);
+    v.version++;
+    v.fence++;
+    strcpy(v.holder, "c");
+    agreement_offer(f.agreement, &v);
+    pass(&f, 5000, false, 6);
+    assert_int_equal(f.writes, 1);
+    teardown(&f);
+}
+
+/* Guards against a replaced primary that others still use, a replica that has
+   received less than another, and an order under a fence that is not new. */
+static void
+test_lost_primary_is_replaced(void **state)
+{
+    struct fixture f;
+
+    (void)state;
+    setup(&f, "a", false);
+    /* The holder is gone; b comes after it and before c. */
+    for (int i = 0; i < 100 && f.writes == 0; i++) {
+        f.now += 25;
+        hear(&f, "c", 1, 5);
+        promoter_tick(f.promoter, "db", members, 3, true, f.now);
+    }
+    assert_int_equal(f.writes, 1);
+    assert_true(f.written.leads[0].changing);
+    assert_int_equal(f.written.fence, 4);
+    assert_string_equal(f.written.holder, "b");
+    accept_write(&f);
+    pass(&f, 200, true, 5);
+    assert_int_equal(f.asked, 0);
+    pass(&f, 50, true, 6);
+    assert_true(f.asked >= 3);
+    report(&f, "m2", false, 7, 30);
+    report(&f, "m3", false, 7, 31);
+    pass(&f, 350, true, 6);
+    assert_int_equal(f.orders, 1);
+    assert_string_equal(f.ordered, "m3");
+    assert_int_equal(f.fence, 4);
+    promoter_ordered(f.promoter, "db", ORDER_DONE, f.now);
+    pass(&f, 100, true, 6);
+    assert_int_equal(f.writes, 1);
+    report(&f, "m3", true, 8, 31);
+    pass(&f, 100, true, 6);
+    assert_int_equal(f.writes, 2);
+    assert_string_equal(f.written.leads[0].primary, "m3");
+    assert_false(f.written.leads[0].changing);
+    assert_int_equal(f.written.leads[0].term, 8);
+    teardown(&f);
+}
+
+/* Guards against a planned switch that loses commits: the old primary steps
+   down first, and a replica must have received all that it had. */
+static void
+test_planned_switch_waits_for_the_log(void **state)
+{
+    struct fixture f;
+
+    (void)state;
+    setup(&f, "b", false);
+    members[0].draining = true;
+    pass(&f, 50, false, 5);
+    assert_int_equal(f.writes, 1);
+    accept_write(&f);
+    pass(&f, 75, false, 6);
+    report(&f, "m1", true, 7, 40);
+    report(&f, "m2", false, 7, 38);
+    report(&f, "m3", false, 7, 37);
+    pass(&f, 50, false, 6);
+    assert_int_equal(f.demoted, 1);
+    /* It has stepped down to term 8; its log still ends in term 7. */
+    const struct member_report down = {
+        .term = 8, .received_term = 7, .received = 42};
+    promoter_status(f.promoter, "db", "m1", &down, f.now);
+    pass(&f, 50, false, 6);
+    report(&f, "m2", false, 7, 41);
+    report(&f, "m3", false, 7, 41);
+    pass(&f, 50, false, 6);
+    assert_int_equal(f.orders, 0);
+    report(&f, "m2", false, 7, 42);
+    pass(&f, 50, false, 6);
+    assert_int_equal(f.orders, 1);
+    assert_string_equal(f.ordered, "m2");
+    teardown(&f);
+}
+
+/* Guards against the replacement of a primary that only a few proxies cannot
+   reach, and of one that answers again when it is asked. */
+static void
+test_false_alarms(void **state)
+{
+    struct fixture f;
+
+    (void)state;
+    setup(&f, "b", false);
+    for (int i = 0; i < 100; i++) {
+        f.now += 25;
+        hear(&f, "a", 0, 5);
+        hear(&f, "c", 1, 5);
+        promoter_tick(f.promoter, "db", members, 3, false, f.now);
+    }
+    assert_int_equal(f.writes, 0);
+    pass(&f, 500, true, 5);
+    assert_int_equal(f.writes, 1);
+    accept_write(&f);
+    pass(&f, 75, true, 6);
+    report(&f, "m1", true, 7, 40);
+    report(&f, "m2", false, 7, 40);
+    report(&f, "m3", false, 7, 40);
+    pass(&f, 100, false, 6);
+    assert_int_equal(f.orders, 0);
+    assert_int_equal(f.writes, 2);
+    assert_string_equal(f.written.leads[0].primary, "m1");
+    teardown(&f);
+}
+
+int
+main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(test_takeover_gives_time),
+        cmocka_unit_test(test_lost_primary_is_replaced),
+        cmocka_unit_test(test_planned_switch_waits_for_the_log),
+        cmocka_unit_test(test_false_alarms),
+    };
+
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
