--- a/src/node/node.c
+++ b/src/node/node.c
@@ -60,6 +60,8 @@
     bool leaving;
 };
 
+static void tick_promoter(struct node *n, clock_ms now);
+
 /* Tells whether this proxy may rely on who leads, for a service. */
 static bool
 lease_valid(void *ctx, const char *service, clock_ms now)
@@ -198,6 +200,9 @@
     if (!note->reply) {
         send_reply(n, note->from, now);
     }
+    if (promoter_busy(n->promoter)) {
+        tick_promoter(n, now);
+    }
 }
 
 /* Sets how many connections to a member this proxy may have. */
@@ -431,13 +436,6 @@
     promoter_view_written(n->promoter, done);
 }
 
-/* Takes the outcome of an order. */
-void
-node_ordered(struct node *n, const char *service, enum order_result result)
-{
-    promoter_ordered(n->promoter, service, result, clock_boot_now());
-}
-
 /* Passes a write of the view on. */
 static void
 on_write_view(void *ctx, const struct view *next)
@@ -462,8 +460,10 @@
           const struct member_report *report)
 {
     struct node *n = ctx;
+    const clock_ms now = clock_boot_now();
 
-    promoter_status(n->promoter, service, member, report, clock_boot_now());
+    promoter_status(n->promoter, service, member, report, now);
+    tick_promoter(n, now);
 }
 
 /* Asks a member for the promoter. */
@@ -489,6 +489,9 @@
 static void
 tick_promoter(struct node *n, clock_ms now)
 {
+    if (n->leaving) {
+        return;
+    }
     GHashTableIter i;
     void *name;
     void *service;
@@ -514,6 +517,16 @@
     }
 }
 
+/* Takes the outcome of an order. */
+void
+node_ordered(struct node *n, const char *service, enum order_result result)
+{
+    const clock_ms now = clock_boot_now();
+
+    promoter_ordered(n->promoter, service, result, now);
+    tick_promoter(n, now);
+}
+
 /* Lets the services look at their members, and tells them when the process
    was suspended. */
 static void
@@ -548,9 +561,7 @@
     (void)revents;
     tick_services(n, now);
     relay_tick(n->relay, now);
-    if (!n->leaving) {
-        tick_promoter(n, now);
-    }
+    tick_promoter(n, now);
     const bool acted = update_acted(n);
     if (acted || now - n->noted_at >= NOTE_INTERVAL_MS) {
         send_notes(n, acted, now);
