--- a/src/node/node.c
+++ b/src/node/node.c
@@ -20,6 +20,8 @@
 /* A proxy that cannot rely on its view for this long asks for no new
    callers. */
 #define UNREADY_AFTER_MS 1500
+/* Later by the 2 s that the balancer takes to notice. */
+#define CUT_OFF_AFTER_MS 3600
 #define MEMBERS_MAX 16
 /* Members that are no longer listed are remembered for the time in which they
    may still be asked to step down. */
@@ -688,6 +690,15 @@
            clock_boot_now() - n->valid_at < UNREADY_AFTER_MS;
 }
 
+/* Tells whether this proxy has been without a lease for so long that the
+   balancer sends its callers elsewhere by now. */
+bool
+node_is_cut_off(const struct node *n)
+{
+    return agreement_view(n->agreement)->version > 0 &&
+           clock_boot_now() - n->valid_at >= CUT_OFF_AFTER_MS;
+}
+
 /* The proxy is shutting down: it orders nothing any more and says so. */
 void
 node_set_leaving(struct node *n)
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -51,6 +51,7 @@
 struct relay *node_relay(struct node *n);
 struct catalog *node_catalog(struct node *n);
 bool node_is_ready(const struct node *n);
+bool node_is_cut_off(const struct node *n);
 void node_set_leaving(struct node *n);
 void node_write_metrics(const struct node *n, GString *out);
 
--- a/src/relay/service.c
+++ b/src/relay/service.c
@@ -39,6 +39,11 @@
 /* Work without any member that could serve it waits this long for one. */
 #define NO_MEMBER_HOLD_MS 300
 #define CHANGE_HOLD_MS 1200
+/* A lease that has been out for this long, or a primary that has not answered
+   for this long, will not be back soon: work that needs it is refused at
+   once, so that its caller can turn to another proxy. */
+#define NO_LEASE_HOLD_MS 150
+#define UNREACHABLE_HOLD_MS 700
 #define QUEUE_MAX 512
 
 enum link_state {
@@ -98,6 +103,7 @@
     bool changing;
     clock_ms fenced_at;
     clock_ms resumed_at;
+    clock_ms lease_lost_at; /* 0 while it is valid */
     struct samples samples;
     bool dispatching;
     bool dispatch_again;
@@ -640,6 +646,12 @@
 service_tick(struct service *s, clock_ms now)
 {
     drop_outdated(s, now);
+    if (s->lease_valid(s->ctx, s->name, now)) {
+        s->lease_lost_at = 0;
+    }
+    else if (s->lease_lost_at == 0) {
+        s->lease_lost_at = now;
+    }
     for (guint i = s->members->len; i > 0; i--) {
         struct member *m = s->members->pdata[i - 1];
         check_links(m, now);
@@ -767,6 +779,25 @@
     return true;
 }
 
+/* Returns how long work waits while no member can serve it. */
+static int64_t
+hold_ms(const struct service *s, clock_ms now)
+{
+    const struct member *m = find_member(s, s->primary);
+
+    if (s->changing) {
+        return CHANGE_HOLD_MS;
+    }
+    if (s->lease_lost_at != 0 && now - s->lease_lost_at >= NO_LEASE_HOLD_MS) {
+        return 0;
+    }
+    if (m != NULL && m->unreachable_since != 0 &&
+        now - m->unreachable_since >= UNREACHABLE_HOLD_MS) {
+        return 0;
+    }
+    return NO_MEMBER_HOLD_MS;
+}
+
 #define MEMBERS_MAX 32
 
 /* Places one piece of work. Returns true when it left the queue. */
@@ -786,8 +817,7 @@
     }
     const int chosen = placement_choose(views, n, w->needs_primary, bounded);
     if (chosen == PLACEMENT_NONE) {
-        const int64_t hold = s->changing ? CHANGE_HOLD_MS : NO_MEMBER_HOLD_MS;
-        if (now - w->arrived >= hold) {
+        if (now - w->arrived >= hold_ms(s, now)) {
             refuse(s, w, &s->counters.refused_no_member,
                    s->changing ? "primary_changing"
                    : lease     ? "no_member"
--- a/tests/relay/test_session.c
+++ b/tests/relay/test_session.c
@@ -265,6 +265,35 @@
     fixture_teardown(&f);
 }
 
+/* Guards against work that is held although it is known that it cannot be
+   served: the lease is out, or the primary has not answered for long. */
+static void
+test_hopeless_work_is_refused_at_once(void **state)
+{
+    struct fixture f;
+
+    (void)state;
+    fixture_setup(&f, FRESHNESS_PRIMARY);
+    struct session *s = fixture_session(&f);
+    f.lease = false;
+    fixture_pass(&f, 200);
+    fixture_request(s, VERB_WRITE, "WRITE x v");
+    assert_int_equal(f.answers, 1);
+    assert_int_equal(f.failure, FAILURE_BUSY);
+    f.lease = true;
+    fixture_pass(&f, 50);
+    f.refuse_connections = true;
+    fixture_request(s, VERB_WRITE, "WRITE x v");
+    assert_int_equal(f.answers, 1);
+    fixture_pass(&f, 1000);
+    assert_int_equal(f.answers, 2);
+    fixture_request(s, VERB_WRITE, "WRITE x v");
+    assert_int_equal(f.answers, 3);
+    assert_int_equal(f.failure, FAILURE_BUSY);
+    session_end(s);
+    fixture_teardown(&f);
+}
+
 int
 main(void)
 {
@@ -278,6 +307,7 @@
         cmocka_unit_test(test_one_reset_is_no_outage),
         cmocka_unit_test(test_silent_member_is_probed),
         cmocka_unit_test(test_remembered_members_serve),
+        cmocka_unit_test(test_hopeless_work_is_refused_at_once),
     };
 
     return cmocka_run_group_tests(tests, NULL, NULL);
