lead: do not replace a primary that answers before a replica is level

When its entry had been gone for 2.6 s it was replaced; the survey asked listed members alone, so it neither stepped down nor counted, and a replica that received nothing was promoted 42 commits behind. Ruled out: the lease (all proxies had acted on the change before the order). Change: the old primary is always asked, steps down before the order, and is kept in use until a replica is within 20 entries of it or 4.5 s have passed; a member that is gone keeps its links until their answers have come. Test: test_unlisted_primary_that_answers.

--- a/src/lead/promoter.c
+++ b/src/lead/promoter.c
@@ -28,6 +28,12 @@
 /* Between attempts to write the view; doubled while they fail. */
 #define WRITE_RETRY_MS 150
 #define WRITE_RETRY_LONGEST_MS 1000
+/* A primary that answers, but leaves or is not listed, is replaced once a
+   replica is nearly level with it, or after LEVEL_WAIT_MS: members must not be
+   used for more than 7 s after they are gone. */
+#define LEVEL_WAIT_MS 4500
+#define LEVEL_ENTRIES 20
+#define LEVEL_ASK_MS 150
 #define MEMBERS_MAX 16
 
 enum phase {
@@ -407,12 +413,20 @@
         (unsigned long long)status->received, (long long)(now - m->asked_at));
 }
 
-/* Tells whether all listed members have answered. */
+/* Tells whether a member's state matters: it is listed, or leads and may still
+   answer. */
 static bool
-all_answered(const struct change *c)
+is_asked(const struct member_note *m, const char *primary)
+{
+    return m->listed || strcmp(m->id, primary) == 0;
+}
+
+/* Tells whether all members that matter have answered. */
+static bool
+all_answered(const struct change *c, const char *primary)
 {
     for (int i = 0; i < c->count; i++) {
-        if (c->members[i].listed && !c->members[i].answered) {
+        if (is_asked(&c->members[i], primary) && !c->members[i].answered) {
             return false;
         }
     }
@@ -458,7 +472,7 @@
 
     for (int i = 0; i < c->count; i++) {
         struct member_note *m = &c->members[i];
-        if (m->answered && m->status.primary && m->listed &&
+        if (m->answered && m->status.primary &&
             (best == NULL || m->status.term > best->status.term)) {
             best = m;
         }
@@ -466,13 +480,15 @@
     return best;
 }
 
-/* Asks every listed member that is not being asked. */
+/* Asks every member that matters and is not being asked. */
 static void
-ask_all(struct promoter *p, struct change *c, clock_ms now)
+ask_all(struct promoter *p, struct change *c, const char *primary,
+        int64_t pause_ms, clock_ms now)
 {
     for (int i = 0; i < c->count; i++) {
         struct member_note *m = &c->members[i];
-        if (m->listed && !m->asked && now - m->asked_at >= ASK_AGAIN_MS) {
+        if (is_asked(m, primary) && !m->asked &&
+            now - m->asked_at >= pause_ms) {
             ask(p, c, m, 0, now);
         }
     }
@@ -492,7 +508,8 @@
         }
     }
     c->next_term = term + 1;
-    if (leads != NULL && !leads->draining && leads->status.term == term) {
+    if (leads != NULL && leads->listed && !leads->draining &&
+        leads->status.term == term) {
         /* It leads already: the order took effect, or the alarm was false. */
         g_strlcpy(c->chosen, leads->id, sizeof(c->chosen));
         enter(c, PHASE_PUBLISH, now);
@@ -552,7 +569,7 @@
         enter(c, PHASE_ORDER, now);
         return;
     }
-    ask_all(p, c, now);
+    ask_all(p, c, l->primary, ASK_AGAIN_MS, now);
 }
 
 /* Orders the promotion while this proxy is known to be the holder. */
@@ -675,11 +692,11 @@
         }
         break;
     case PHASE_SURVEY:
-        if (all_answered(c) || now - c->since >= ANSWER_MS) {
+        if (all_answered(c, l->primary) || now - c->since >= ANSWER_MS) {
             after_survey(c, l, now);
         }
         else {
-            ask_all(p, c, now);
+            ask_all(p, c, l->primary, ASK_AGAIN_MS, now);
         }
         break;
     case PHASE_DEMOTE:
@@ -716,6 +733,28 @@
     }
 }
 
+/* Tells whether a change can begin without losing commits: the primary does
+   not answer, or a replica is nearly level with it. Asks the members for what
+   they have; gives up after LEVEL_WAIT_MS. */
+static bool
+is_level(struct promoter *p, struct change *c, const struct view_lead *l,
+         clock_ms since, clock_ms now)
+{
+    const struct member_note *old = find_member(c, l->primary);
+    const struct member_note *best = best_candidate(c, l->primary, now);
+
+    if (old == NULL || now - since >= LEVEL_WAIT_MS) {
+        return true;
+    }
+    if (old->answered && best != NULL &&
+        best->status.received + LEVEL_ENTRIES >= old->status.received &&
+        best->status.received_term == old->status.received_term) {
+        return true;
+    }
+    ask_all(p, c, l->primary, LEVEL_ASK_MS, now);
+    return false;
+}
+
 /* Looks at one service: members as the directory lists them, and whether its
    primary does not answer this proxy. Called every few tens of milliseconds
    for each configured service. */
@@ -763,8 +802,13 @@
         return;
     }
     const char *why = reason_to_change(p, c, l, index, unreachable, now);
+    const clock_ms since =
+        c->draining_since != 0 ? c->draining_since : c->unlisted_since;
     if (why != NULL && has_successor(c, l->primary, now)) {
-        claim(p, c, index, why, now);
+        if (c->suspect_since != 0 || since == 0 ||
+            is_level(p, c, l, since, now)) {
+            claim(p, c, index, why, now);
+        }
     }
     else if (holder) {
         demote_others(p, c, l, now);
--- a/src/relay/service.c
+++ b/src/relay/service.c
@@ -30,6 +30,9 @@
 /* An entry that disappears may come back within 2 s when the store was away;
    afterwards the member counts as gone. */
 #define GONE_AFTER_MS 2500
+/* One that is gone is kept for this long at most: as the primary until another
+   one leads, else for the answers that it still owes. */
+#define GONE_KEPT_MS 6000
 /* Work in progress at a replaced primary that still answers may finish. */
 #define FENCE_GRACE_MS 250
 /* A connection whose answer was given up is closed this long after the request
@@ -641,6 +644,28 @@
     }
 }
 
+/* Tells whether a member that is gone is not needed any more. */
+static bool
+is_removable(const struct member *m, clock_ms now)
+{
+    if (m->gone_at == 0 || now - m->gone_at < GONE_AFTER_MS) {
+        return false;
+    }
+    if (now - m->gone_at >= GONE_KEPT_MS) {
+        return true;
+    }
+    if (strcmp(m->entry.id, m->service->primary) == 0) {
+        return false;
+    }
+    for (guint k = 0; k < m->links->len; k++) {
+        const struct pooled_link *l = m->links->pdata[k];
+        if (l->outstanding > 0) {
+            return false;
+        }
+    }
+    return true;
+}
+
 /* Periodic work: expiry of queued work, silent members, gone members. */
 void
 service_tick(struct service *s, clock_ms now)
@@ -655,7 +680,7 @@
     for (guint i = s->members->len; i > 0; i--) {
         struct member *m = s->members->pdata[i - 1];
         check_links(m, now);
-        if (m->gone_at != 0 && now - m->gone_at >= GONE_AFTER_MS) {
+        if (is_removable(m, now)) {
             event_log(EVENT_STATE, "member_gone", "service=%s member=%s",
                       s->name, m->entry.id);
             g_ptr_array_remove_fast(s->members, m);
@@ -724,7 +749,8 @@
         .usable = m->unreachable_since == 0,
         .primary = lease && strcmp(m->entry.id, s->primary) == 0 &&
                    now >= m->not_primary_until,
-        .caught_up = now >= m->lag_until && !m->entry.draining,
+        .caught_up = now >= m->lag_until && !m->entry.draining &&
+                     (m->gone_at == 0 || now - m->gone_at < GONE_AFTER_MS),
         .local = strcmp(m->entry.failure_domain, s->failure_domain) == 0,
         .avoided = strcmp(w->avoid, m->entry.id) == 0,
         .limit = m->entry.slots + EXTRA_STATEMENTS,
--- a/tests/lead/test_promoter.c
+++ b/tests/lead/test_promoter.c
@@ -233,6 +233,9 @@
     setup(&f, "b", false);
     members[0].draining = true;
     pass(&f, 50, false, 5);
+    report(&f, "m1", true, 7, 39);
+    report(&f, "m2", false, 7, 37);
+    pass(&f, 50, false, 5);
     assert_int_equal(f.writes, 1);
     accept_write(&f);
     pass(&f, 75, false, 6);
@@ -287,6 +290,36 @@
     teardown(&f);
 }
 
+/* Guards against the loss of commits when a primary that is cut from the store
+   still serves: it must step down first, and a replica must be level. */
+static void
+test_unlisted_primary_that_answers(void **state)
+{
+    struct fixture f;
+
+    (void)state;
+    setup(&f, "b", false);
+    members[0].listed = false;
+    pass(&f, 3000, false, 5);
+    report(&f, "m1", true, 7, 140);
+    report(&f, "m2", false, 7, 98);
+    report(&f, "m3", false, 7, 97);
+    pass(&f, 300, false, 5);
+    assert_int_equal(f.writes, 0);
+    report(&f, "m2", false, 7, 139);
+    pass(&f, 50, false, 5);
+    assert_int_equal(f.writes, 1);
+    accept_write(&f);
+    pass(&f, 75, false, 6);
+    report(&f, "m1", true, 7, 142);
+    report(&f, "m2", false, 7, 140);
+    report(&f, "m3", false, 7, 140);
+    pass(&f, 50, false, 6);
+    assert_int_equal(f.orders, 0);
+    assert_int_equal(f.demoted, 1);
+    teardown(&f);
+}
+
 int
 main(void)
 {
@@ -295,6 +328,7 @@
         cmocka_unit_test(test_lost_primary_is_replaced),
         cmocka_unit_test(test_planned_switch_waits_for_the_log),
         cmocka_unit_test(test_false_alarms),
+        cmocka_unit_test(test_unlisted_primary_that_answers),
     };
 
     return cmocka_run_group_tests(tests, NULL, NULL);
