--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -2,6 +2,6 @@
 # Runs clang-tidy over every committed C file with warnings as errors.
 set -eu
 build=$1
-git ls-files 'src/*.c' 'tools/*.c' 'fakes/*.c' 'tests/*.c' |
+git ls-files 'src/*.c' 'platform/*.c' 'tools/*.c' 'fakes/*.c' 'tests/*.c' |
     grep -v -E '_xdr\.c$|/gen/' |
     xargs -P 8 -n 4 clang-tidy --quiet -p "$build" 2>/dev/null
--- a/tests/lead/model_agreement.c
+++ b/tests/lead/model_agreement.c
@@ -94,7 +94,7 @@
     agreement_destroy(n->agreement);
     n->incarnation++;
     n->agreement = agreement_create(n->name, n->incarnation);
-    n->clock_offset = 1000 * (i + 1);
+    n->clock_offset = (clock_ms)1000 * (i + 1);
     n->changing = 0;
     set_peers(m, i);
     if (m->stored.version > 0) {
--- a/tests/lead/test_promoter.c
+++ b/tests/lead/test_promoter.c
@@ -1,5 +1,6 @@
 #include "lead/promoter.h"
 
+#include <glib.h>
 #include <setjmp.h>
 #include <stdarg.h>
 #include <stddef.h>
@@ -64,7 +65,7 @@
     (void)service;
     f->orders++;
     f->fence = fence;
-    strncpy(f->ordered, member, sizeof(f->ordered) - 1);
+    g_strlcpy(f->ordered, member, sizeof(f->ordered));
 }
 
 /* Makes the view known in which m1 leads and `holder` orders promotions. */
@@ -79,9 +80,9 @@
     f->now = 100000;
     f->agreement = agreement_create("b", 1);
     agreement_set_peers(f->agreement, peers, 3);
-    strcpy(v.holder, holder);
-    strcpy(v.leads[0].service, "db");
-    strcpy(v.leads[0].primary, "m1");
+    g_strlcpy(v.holder, holder, sizeof(v.holder));
+    g_strlcpy(v.leads[0].service, "db", sizeof(v.leads[0].service));
+    g_strlcpy(v.leads[0].primary, "m1", sizeof(v.leads[0].primary));
     v.leads[0].epoch = 5;
     v.leads[0].changing = changing;
     agreement_offer(f->agreement, &v);
@@ -115,7 +116,7 @@
                                    agreement_view(f->agreement)->version,
                                .unreachable = unreachable};
 
-    strcpy(n.from, name);
+    g_strlcpy(n.from, name, sizeof(n.from));
     agreement_take(f->agreement, &n, f->now);
 }
 
@@ -173,7 +174,7 @@
     v = *agreement_view(f.agreement);
     v.version++;
     v.fence++;
-    strcpy(v.holder, "c");
+    g_strlcpy(v.holder, "c", sizeof(v.holder));
     agreement_offer(f.agreement, &v);
     pass(&f, 5000, false, 6);
     assert_int_equal(f.writes, 1);
--- a/tests/relay/test_decisions.c
+++ b/tests/relay/test_decisions.c
@@ -98,7 +98,7 @@
     for (int i = 1; i <= 200; i++) {
         const struct token t = {
             .term = 2, .position = (uint64_t)i, .known = true};
-        samples_add(&s, i * 100, &t);
+        samples_add(&s, (clock_ms)i * 100, &t);
     }
     assert_true(samples_floor(&s, 19950, &floor));
     assert_int_equal(floor.position, 200);
--- a/tests/relay/test_session.c
+++ b/tests/relay/test_session.c
@@ -68,12 +68,8 @@
         struct session *s = fixture_session(&f);
         fixture_request(s, VERB_BEGIN, "BEGIN");
         assert_int_equal(f.state, TRANSACTION_OPEN);
-        if (writes) {
-            fixture_request(s, VERB_WRITE, "WRITE x v");
-        }
-        else {
-            fixture_request(s, VERB_READ, "READ x");
-        }
+        fixture_request(s, writes ? VERB_WRITE : VERB_READ,
+                        writes ? "WRITE x v" : "READ x");
         fixture_open_all(&f);
         struct member_link *l = fixture_busy(&f);
         assert_int_equal(l->sent[0].verb, VERB_BEGIN);
