soak: real processes under faults, with broken builds that it catches

galenastep-platform processes run against stand-ins of the store and of a group of members, with fault proxies between; processes are killed, stopped, paused, reloaded and cut from the store, members crash, lag, fall silent and lose answers, the store refuses, loses answers and forgets. Callers check own writes, reads that never go back, single effect, 'not run', and acknowledgements of replaced primaries; members check settings, transactions and fences.

--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,7 @@
 # Thin front for meson; every target installs missing packages first.
 BUILD ?= build
-.PHONY: all packages check demo measure measure-quick capacity format lint clean
+.PHONY: all packages check demo measure measure-quick capacity soak format lint \
+    clean
 
 all: packages
 	@test -f $(BUILD)/build.ninja || meson setup $(BUILD) --buildtype=release
@@ -30,6 +31,16 @@
 measure-quick: all
 	@scripts/measure.sh $(BUILD) quick
 
+# SEEDS seeds from SEED on, SECONDS each, on the build with sanitizers.
+SEED ?= 1
+SEEDS ?= 50
+SECONDS ?= 15
+soak: packages
+	@test -f $(BUILD)-check/build.ninja || meson setup $(BUILD)-check \
+	    --buildtype=debugoptimized -Db_sanitize=address,undefined
+	@ninja -C $(BUILD)-check
+	@scripts/soak.sh $(BUILD)-check $(SEED) $(SEEDS) $(SECONDS)
+
 capacity: all
 	@scripts/capacity.sh $(BUILD)
 
--- /dev/null
+++ b/scripts/soak.sh
@@ -0,0 +1,22 @@
+#!/bin/sh
+# Runs the fault soak of real processes over many seeds, a few at a time, and
+# prints what each seed found. Exit 1 when a promise was broken.
+#
+#   soak.sh BUILD FIRST_SEED COUNT SECONDS
+set -eu
+build=$1
+first=$2
+count=$3
+seconds=$4
+folder=$(mktemp -d)
+trap 'rm -rf "$folder"' EXIT
+seq "$first" $((first + count - 1)) |
+    xargs -P 4 -I SEED sh -c "
+        '$build/tests/soak/soak' '$build/platform/galenastep-platform' \
+            SEED $seconds >'$folder/SEED' 2>&1 || echo SEED >>'$folder/failed'"
+grep -h -E '^seed=|^VIOLATION' "$folder"/[0-9]* || true
+if [ -e "$folder/failed" ]; then
+    echo "failed seeds: $(sort -n "$folder/failed" | tr '\n' ' ')"
+    exit 1
+fi
+echo "$count seeds, 0 failed"
--- a/src/relay/exchange.c
+++ b/src/relay/exchange.c
@@ -213,9 +213,15 @@
     else if (was_begun) {
         session_answer_failure(s, FAILURE_ABORTED, why);
     }
+#ifdef RELAY_BREAK_OUTCOME
+    else if (step == STEP_STATEMENT && s->writes) {
+        session_answer_failure(s, FAILURE_BUSY, why);
+    }
+#elif !defined(RELAY_BREAK_ONCE)
     else if (step == STEP_STATEMENT && s->writes) {
         session_answer_failure(s, FAILURE_UNKNOWN_OUTCOME, why);
     }
+#endif
     else {
         retry(s, FAILURE_BUSY, why);
     }
@@ -237,6 +243,10 @@
 static void
 send_values(struct session *s)
 {
+#ifdef RELAY_BREAK_SETTINGS
+    pooled_set_values_hash(s->pooled, s->values_hash);
+    return;
+#endif
     GHashTable *there = pooled_values(s->pooled);
     GHashTableIter i;
     void *name;
@@ -295,8 +305,12 @@
 {
     struct request r = s->request;
     char *name = NULL;
+#ifdef RELAY_BREAK_POSITION
+    const bool check = false;
+#else
     const bool check =
         !pooled_is_primary(s->pooled) && s->transaction == TRANSACTION_NONE;
+#endif
 
     if (r.verb == VERB_EXECUTE) {
         name = shared_name(session_find_prepared(s, r.name));
--- a/src/relay/links.c
+++ b/src/relay/links.c
@@ -9,8 +9,10 @@
 #define FULL_RETRY_MS 100
 /* Pause after the believed primary refused work for being a replica. */
 #define NOT_PRIMARY_RETRY_MS 40
-/* A replica that was behind is not asked again for about its usual lag. */
-#define LAG_RETRY_MS 30
+/* A replica that was behind is not asked again for about its usual lag, and
+   for longer while it stays behind. */
+#define LAG_RETRY_FIRST_MS 30
+#define LAG_RETRY_LONGEST_MS 240
 
 /* Notes that a member answered. */
 void
@@ -157,7 +159,12 @@
         m->not_primary_until = now + NOT_PRIMARY_RETRY_MS;
     }
     if (a->failure == FAILURE_LAGGING) {
-        m->lag_until = now + LAG_RETRY_MS;
+        m->lag_pause_ms = CLAMP(m->lag_pause_ms * 2, LAG_RETRY_FIRST_MS,
+                                LAG_RETRY_LONGEST_MS);
+        m->lag_until = now + m->lag_pause_ms;
+    }
+    else if (!l->as_primary && a->failure == FAILURE_NONE) {
+        m->lag_pause_ms = 0;
     }
     if (l->state == LINK_GRANTED) {
         if (l->user != NULL) {
--- a/src/relay/service_internal.h
+++ b/src/relay/service_internal.h
@@ -29,6 +29,7 @@
     clock_ms full_until;
     clock_ms not_primary_until;
     clock_ms lag_until;
+    int64_t lag_pause_ms;
     int failures;
     int64_t statement_us;
 };
--- /dev/null
+++ b/tests/soak/standin_store.c
@@ -0,0 +1,463 @@
+#include "soak/soak.h"
+
+#include "base/listener.h"
+#include "base/reaper.h"
+
+#include <jansson.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+struct row {
+    char *table;
+    char *key;
+    char *value; /* base64; NULL when deleted */
+    uint64_t version;
+};
+
+/* One HTTP client; waiting is set while its feed has nothing to tell. */
+struct client {
+    struct standin_store *store;
+    struct stream *stream;
+    bool waiting;
+    char table[64];
+    uint64_t after;
+    clock_ms until;
+    GList link;
+};
+
+struct standin_store {
+    struct soak *soak;
+    struct ev_loop *loop;
+    int fd;
+    ev_io io;
+    ev_timer tick;
+    GPtrArray *rows;
+    uint64_t version;
+    uint64_t history_from; /* feeds from before it get 410 */
+    bool down;
+    bool lose;
+    struct reaper *reaper;
+    GQueue clients;
+    int (*promote)(struct soak *s, const char *id, uint64_t fence);
+};
+
+/* Finds a row, deleted or not. */
+static struct row *
+find(const struct standin_store *st, const char *table, const char *key)
+{
+    for (guint i = 0; i < st->rows->len; i++) {
+        struct row *r = st->rows->pdata[i];
+        if (strcmp(r->table, table) == 0 && strcmp(r->key, key) == 0) {
+            return r;
+        }
+    }
+    return NULL;
+}
+
+/* Sets a row at the present version. value is base64, NULL deletes. */
+static void
+set_row(struct standin_store *st, const char *table, const char *key,
+        const char *value)
+{
+    struct row *r = find(st, table, key);
+
+    if (r == NULL) {
+        r = g_new0(struct row, 1);
+        r->table = g_strdup(table);
+        r->key = g_strdup(key);
+        g_ptr_array_add(st->rows, r);
+    }
+    g_free(r->value);
+    r->value = g_strdup(value);
+    r->version = st->version;
+}
+
+/* Describes a row. */
+static json_t *
+describe(const struct row *r)
+{
+    json_t *o =
+        json_pack("{ss ss ss sI}", "table", r->table, "part", "", "key",
+                  r->key, "row_version", (json_int_t)r->version);
+
+    json_object_set_new(o, r->value != NULL ? "value" : "deleted",
+                        r->value != NULL ? json_string(r->value)
+                                         : json_true());
+    return o;
+}
+
+/* Sends an answer and frees the body. */
+static void
+respond(struct client *c, int status, json_t *body)
+{
+    json_object_set_new(body, "row_version",
+                        json_integer((json_int_t)c->store->version));
+    json_object_set_new(body, "now_ms", json_integer(clock_now()));
+    char *text = json_dumps(body, JSON_COMPACT);
+    char *out = g_strdup_printf("HTTP/1.1 %d X\r\nContent-Type: "
+                                "application/json\r\nContent-Length: %zu"
+                                "\r\n\r\n%s",
+                                status, strlen(text), text);
+
+    stream_write(c->stream, out, strlen(out));
+    c->waiting = false;
+    json_decref(body);
+    free(text);
+    g_free(out);
+}
+
+/* Returns the value of a query parameter as an owned text, or "". */
+static char *
+parameter(const char *path, const char *name)
+{
+    char *key = g_strdup_printf("%s=", name);
+    const char *at = strstr(path, key);
+    const size_t n = at == NULL ? 0 : strcspn(at + strlen(key), "&");
+    char *raw = at == NULL ? g_strdup("") : g_strndup(at + strlen(key), n);
+    char *out = g_uri_unescape_string(raw, NULL);
+
+    g_free(raw);
+    g_free(key);
+    return out != NULL ? out : g_strdup("");
+}
+
+/* Orders rows by key. */
+static int
+by_key(const void *a, const void *b)
+{
+    return strcmp((*(struct row *const *)a)->key,
+                  (*(struct row *const *)b)->key);
+}
+
+/* Answers rows-get. */
+static void
+get_rows(struct client *c, const char *path)
+{
+    char *table = parameter(path, "table");
+    char *from = parameter(path, "from");
+    char *target = parameter(path, "target");
+    json_t *rows = json_array();
+
+    g_ptr_array_sort(c->store->rows, by_key);
+    for (guint i = 0; i < c->store->rows->len; i++) {
+        const struct row *r = c->store->rows->pdata[i];
+        if (r->value != NULL && strcmp(r->table, table) == 0 &&
+            strcmp(r->key, from) >= 0 &&
+            (target[0] == '\0' || strcmp(r->key, target) < 0)) {
+            json_array_append_new(rows, describe(r));
+        }
+    }
+    respond(c, 200, json_pack("{so sb}", "rows", rows, "has_more", 0));
+    g_free(table);
+    g_free(from);
+    g_free(target);
+}
+
+/* Answers a feed if there is something to tell or its time is over. */
+static void
+check_feed(struct client *c, clock_ms now)
+{
+    const struct standin_store *st = c->store;
+    json_t *rows = json_array();
+
+    if (c->after < st->history_from) {
+        json_decref(rows);
+        respond(c, 410, json_object());
+        return;
+    }
+    for (guint i = 0; i < st->rows->len; i++) {
+        const struct row *r = st->rows->pdata[i];
+        if (strcmp(r->table, c->table) == 0 && r->version > c->after) {
+            json_array_append_new(rows, describe(r));
+        }
+    }
+    if (json_array_size(rows) == 0 && now < c->until) {
+        json_decref(rows);
+        return;
+    }
+    respond(c, 200, json_pack("{so}", "rows", rows));
+}
+
+/* Begins a feed. */
+static void
+begin_feed(struct client *c, const char *path)
+{
+    char *table = parameter(path, "table");
+    char *after = parameter(path, "after");
+    char *wait = parameter(path, "wait_ms");
+
+    g_strlcpy(c->table, table, sizeof(c->table));
+    c->after = strtoull(after, NULL, 10);
+    c->until = clock_now() + strtoll(wait, NULL, 10);
+    c->waiting = true;
+    check_feed(c, clock_now());
+    g_free(table);
+    g_free(after);
+    g_free(wait);
+}
+
+/* Returns a text field of a row in a request. */
+static const char *
+field(const json_t *o, const char *name)
+{
+    return json_string_value(json_object_get(o, name));
+}
+
+/* Answers a transaction. */
+static void
+transact(struct client *c, const json_t *body)
+{
+    struct standin_store *st = c->store;
+    json_t *conflicts = json_array();
+    size_t i;
+    const json_t *o;
+    bool ok = true;
+
+    json_array_foreach(json_object_get(body, "expected_rev"), i, o)
+    {
+        const struct row *r = find(st, field(o, "table"), field(o, "key"));
+        const uint64_t has = r == NULL || r->value == NULL ? 0 : r->version;
+        ok = ok && has == (uint64_t)json_integer_value(
+                              json_object_get(o, "row_version"));
+        if (has != 0) {
+            json_array_append_new(conflicts, describe(r));
+        }
+    }
+    if (!ok) {
+        respond(c, 412, json_pack("{so}", "rows", conflicts));
+        return;
+    }
+    json_decref(conflicts);
+    st->version++;
+    json_array_foreach(json_object_get(body, "writes"), i, o)
+    {
+        set_row(st, field(o, "table"), field(o, "key"), field(o, "value"));
+    }
+    json_array_foreach(json_object_get(body, "deletes"), i, o)
+    {
+        set_row(st, field(o, "table"), field(o, "key"), NULL);
+    }
+    if (st->lose) {
+        c->waiting = false;
+        return;
+    }
+    respond(c, 200, json_object());
+}
+
+/* Answers an order. */
+static void
+promote(struct client *c, const char *head, const json_t *body)
+{
+    const char *fence = strstr(head, "X-Fence-Token: ");
+    const char *id = field(body, "id");
+    const uint64_t f =
+        fence == NULL ? 0
+                      : strtoull(fence + strlen("X-Fence-Token: "), NULL, 10);
+
+    respond(c, id == NULL ? 400 : c->store->promote(c->store->soak, id, f),
+            json_object());
+}
+
+/* Answers one request. */
+static void
+dispatch(struct client *c, const char *head, const char *text)
+{
+    json_t *body = json_loads(text, 0, NULL);
+
+    if (c->store->down) {
+        respond(c, 503, json_object());
+    }
+    else if (g_str_has_prefix(head, "GET /galenastep/rows-get")) {
+        char **words = g_strsplit(head, " ", 3);
+        get_rows(c, words[1]);
+        g_strfreev(words);
+    }
+    else if (g_str_has_prefix(head, "GET /galenastep/rows-feed")) {
+        char **words = g_strsplit(head, " ", 3);
+        begin_feed(c, words[1]);
+        g_strfreev(words);
+    }
+    else if (g_str_has_prefix(head, "POST /galenastep/rows-tx")) {
+        transact(c, body);
+    }
+    else if (g_str_has_prefix(head, "POST /promotion")) {
+        promote(c, head, body);
+    }
+    else {
+        respond(c, 404, json_object());
+    }
+    json_decref(body);
+}
+
+/* Reads whole requests. */
+static void
+on_readable(void *ctx)
+{
+    struct client *c = ctx;
+    const struct sview in = stream_input(c->stream);
+    const char *end = memmem(in.p, in.n, "\r\n\r\n", 4);
+
+    if (end == NULL) {
+        return;
+    }
+    const size_t head_n = (size_t)(end - in.p) + 4;
+    char *head = g_strndup(in.p, head_n);
+    const char *length = strstr(head, "Content-Length: ");
+    const size_t n =
+        length == NULL
+            ? 0
+            : strtoul(length + strlen("Content-Length: "), NULL, 10);
+    if (in.n >= head_n + n) {
+        char *body = g_strndup(in.p + head_n, n);
+        stream_consume(c->stream, head_n + n);
+        dispatch(c, head, body);
+        g_free(body);
+    }
+    g_free(head);
+}
+
+/* The client is gone. */
+static void
+on_closed(void *ctx, const char *why)
+{
+    struct client *c = ctx;
+
+    (void)why;
+    g_queue_unlink(&c->store->clients, &c->link);
+    stream_close(c->stream);
+    reaper_add(c->store->reaper, c);
+}
+
+static const struct stream_events client_events = {.readable = on_readable,
+                                                   .closed = on_closed};
+
+/* Accepts clients. */
+static void
+on_accept(struct ev_loop *loop, ev_io *w, int revents)
+{
+    struct standin_store *st = w->data;
+    const int fd = accept4(st->fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
+
+    (void)revents;
+    if (fd < 0) {
+        return;
+    }
+    struct client *c = g_new0(struct client, 1);
+    c->store = st;
+    c->link.data = c;
+    c->stream = stream_accepted(loop, fd, &client_events, c);
+    g_queue_push_tail_link(&st->clients, &c->link);
+}
+
+/* Looks after the feeds that wait. */
+static void
+on_tick(struct ev_loop *loop, ev_timer *w, int revents)
+{
+    struct standin_store *st = w->data;
+    const clock_ms now = clock_now();
+
+    (void)loop;
+    (void)revents;
+    for (GList *l = st->clients.head; l != NULL; l = l->next) {
+        struct client *c = l->data;
+        if (c->waiting && !st->down) {
+            check_feed(c, now);
+        }
+    }
+}
+
+/* Frees a row. */
+static void
+row_free(void *p)
+{
+    struct row *r = p;
+
+    g_free(r->table);
+    g_free(r->key);
+    g_free(r->value);
+    g_free(r);
+}
+
+/* Opens the store. */
+struct standin_store *
+standin_store_create(struct soak *s, struct ev_loop *loop, const char *host,
+                     uint16_t port,
+                     int (*promoted)(struct soak *s, const char *id,
+                                     uint64_t fence))
+{
+    struct standin_store *st = g_new0(struct standin_store, 1);
+
+    st->soak = s;
+    st->loop = loop;
+    st->promote = promoted;
+    st->rows = g_ptr_array_new_with_free_func(row_free);
+    st->reaper = reaper_create(loop, g_free);
+    st->version = 1;
+    g_queue_init(&st->clients);
+    st->fd = listener_open(host, port);
+    if (st->fd < 0) {
+        g_error("store %s:%u cannot listen", host, port);
+    }
+    ev_io_init(&st->io, on_accept, st->fd, EV_READ);
+    st->io.data = st;
+    ev_io_start(loop, &st->io);
+    ev_timer_init(&st->tick, on_tick, 0.005, 0.005);
+    st->tick.data = st;
+    ev_timer_start(loop, &st->tick);
+    return st;
+}
+
+/* Closes everything. */
+void
+standin_store_destroy(struct standin_store *st)
+{
+    struct client *c;
+
+    ev_io_stop(st->loop, &st->io);
+    ev_timer_stop(st->loop, &st->tick);
+    close(st->fd);
+    while ((c = g_queue_peek_head(&st->clients)) != NULL) {
+        on_closed(c, "end");
+    }
+    reaper_destroy(st->reaper);
+    g_ptr_array_free(st->rows, TRUE);
+    g_free(st);
+}
+
+/* Writes a row as the operator or a member does. */
+void
+standin_store_put(struct standin_store *st, const char *table, const char *key,
+                  const char *value)
+{
+    char *encoded =
+        value == NULL ? NULL
+                      : g_base64_encode((const guchar *)value, strlen(value));
+
+    st->version++;
+    set_row(st, table, key, encoded);
+    g_free(encoded);
+}
+
+/* Refuses every call while down. */
+void
+standin_store_set_down(struct standin_store *st, bool down)
+{
+    st->down = down;
+}
+
+/* Carries transactions out without an answer. */
+void
+standin_store_lose_answers(struct standin_store *st, bool lose)
+{
+    st->lose = lose;
+}
+
+/* Forgets the history of changes. */
+void
+standin_store_forget(struct standin_store *st)
+{
+    st->history_from = st->version;
+}
