lead: hand a change over when its holder loses the store; galenastepctl explain

A majority of a later version counts for an earlier one, so that two changes do not reset each other's wait. explain walks from a request's id to its cause over collected logs; failed and late statements log member, queue and wait.

--- a/src/ctl/ctl.c
+++ b/src/ctl/ctl.c
@@ -3,6 +3,7 @@
 #include "base/clock.h"
 #include "ctl/ctl_call.h"
 #include "ctl/ctl_output.h"
+#include "ctl/explain.h"
 #include "fleet/rpc_codec.h"
 
 #include <string.h>
@@ -23,6 +24,8 @@
     "  ticket list               list accepted tickets\n"
     "  ticket status [--wait]    show which proxies have all tickets\n"
     "  drain                     stop the proxy gracefully\n"
+    "  explain ID FILE...        walk from a request's id to its cause, over "
+    "logs\n"
     "  log-level LEVEL           error, warning, notice, info or debug\n"
     "\n"
     "Environment:\n"
@@ -234,6 +237,11 @@
     if (!words || !words[0]) {
         return usage(err, "no command given");
     }
+    if (strcmp(words[0], "explain") == 0) {
+        return words[1] != NULL && words[2] != NULL
+                   ? explain_run(words[1], words + 2, out, err)
+                   : usage(err, "explain takes a request's id and log files");
+    }
     if (!o->connect && (!env || !*env)) {
         return usage(err, "no address: use --connect or GALENASTEP_CONTROL");
     }
--- a/src/lead/agreement.c
+++ b/src/lead/agreement.c
@@ -363,7 +363,8 @@
         return true;
     }
     if (witnesses > a->witnesses / 2) {
-        if (a->majority_version != version) {
+        /* A majority that has acted on a later version covers this one. */
+        if (a->majority_version < version) {
             a->majority_version = version;
             a->majority_at = now;
         }
--- a/src/lead/agreement.h
+++ b/src/lead/agreement.h
@@ -36,7 +36,7 @@
     uint64_t version;     /* version of the view that is known */
     uint64_t unreachable; /* services whose primary does not answer, by
                              index in the view of `version` */
-    bool leaving;         /* the sender is shutting down */
+    bool leaving;         /* the sender cannot change the view any more */
     bool reply;           /* answers a note, and is not answered */
     struct view view;     /* version 0 when it is not included */
 };
--- a/src/lead/promoter.c
+++ b/src/lead/promoter.c
@@ -28,6 +28,8 @@
 /* Between attempts to write the view; doubled while they fail. */
 #define WRITE_RETRY_MS 150
 #define WRITE_RETRY_LONGEST_MS 1000
+/* A write usually takes 12 ms; one that takes this long has met a fault. */
+#define WRITE_SLOW_MS 600
 /* A primary that answers, but leaves or is not listed, is replaced once a
    replica is nearly level with it, or after LEVEL_WAIT_MS: members must not be
    used for more than 7 s after they are gone. */
@@ -63,8 +65,9 @@
 struct change {
     char service[VIEW_NAME_BYTES];
     enum phase phase;
-    clock_ms since; /* of the phase */
-    uint64_t version;
+    clock_ms since;         /* of the phase */
+    uint64_t version;       /* at which the change began */
+    uint64_t claim_version; /* at which this proxy took it up */
     clock_ms begun;
     char chosen[MEMBER_ID_BYTES];
     bool ordering;
@@ -127,6 +130,17 @@
     return false;
 }
 
+/* Tells whether a change waits because the store does not take the view. The
+   proxy then lets another one carry the change on. */
+bool
+promoter_is_cut_off(const struct promoter *p, clock_ms now)
+{
+    const bool failing = p->writing ? now - p->written_at >= WRITE_SLOW_MS
+                                    : p->write_pause_ms > WRITE_RETRY_MS;
+
+    return failing && promoter_busy(p);
+}
+
 /* Returns the record of a service, made when it is new; NULL without room. */
 static struct change *
 change_of(struct promoter *p, const char *service)
@@ -582,6 +596,14 @@
     if (c->ordering || now - c->ordered_at < ORDER_RETRY_MS) {
         return;
     }
+    /* An earlier holder may still order; what it has ordered shows in the
+       survey. */
+    if (!agreement_all_acted(p->agreement, c->claim_version, c->begun, now)) {
+        if (now - c->since >= ORDER_RETRY_MS) {
+            enter(c, PHASE_SURVEY, now);
+        }
+        return;
+    }
     const struct member_note *best = best_candidate(c, l->primary, now);
     if (best == NULL) {
         enter(c, PHASE_SURVEY, now);
@@ -680,7 +702,8 @@
 {
     switch (c->phase) {
     case PHASE_NONE:
-        c->version = agreement_view(p->agreement)->version;
+        c->version = l->epoch;
+        c->claim_version = agreement_view(p->agreement)->version;
         c->begun = now;
         c->since = now;
         c->ordering = false;
--- a/src/lead/promoter.h
+++ b/src/lead/promoter.h
@@ -51,5 +51,6 @@
 void promoter_ordered(struct promoter *p, const char *service,
                       enum order_result result, clock_ms now);
 bool promoter_busy(const struct promoter *p);
+bool promoter_is_cut_off(const struct promoter *p, clock_ms now);
 
 #endif
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -106,8 +106,8 @@
 {
     struct agreement_note note;
 
-    agreement_compose(n->agreement, p->name, unreachable, n->leaving, now,
-                      &note);
+    const bool unable = n->leaving || promoter_is_cut_off(n->promoter, now);
+    agreement_compose(n->agreement, p->name, unreachable, unable, now, &note);
     note.reply = reply;
     peer_port_send(n->port, p->host, p->port, &note);
 }
--- a/src/relay/exchange.c
+++ b/src/relay/exchange.c
@@ -52,9 +52,12 @@
     }
     s->relay->counters.retried++;
     event_log(EVENT_REQUEST, "statement_retried",
-              "id=%.*s database=%s why=%s detail=\"%s\" attempt=%d avoid=%s",
+              "id=%.*s database=%s service=%s why=%s detail=\"%s\" "
+              "attempt=%d member=%s after_ms=%lld",
               (int)s->request.id.n, s->request.id.p, s->database,
-              failure_name(why), detail, s->attempts, s->work.avoid);
+              service_name(s->service), failure_name(why), detail, s->attempts,
+              s->work.avoid[0] != '\0' ? s->work.avoid : "-",
+              (long long)(session_now(s) - s->arrived));
     exchange_submit(s);
 }
 
@@ -318,6 +321,7 @@
     }
     s->step = STEP_STATEMENT;
     s->sent_at = session_now(s);
+    g_strlcpy(s->member, pooled_member(s->pooled), sizeof(s->member));
     pooled_send(s->pooled, &r, check ? &s->work.after : NULL);
     g_free(name);
 }
--- a/src/relay/session.c
+++ b/src/relay/session.c
@@ -109,13 +109,26 @@
         r->counters.failures[a->failure]++;
         event_log(EVENT_REQUEST, "statement_failed",
                   "id=%.*s database=%s service=%s outcome=%s detail=\"%.*s\" "
-                  "attempts=%d took_ms=%lld member=%s catalog=%llu",
+                  "attempts=%d took_ms=%lld member=%s queue=%zu catalog=%llu",
                   (int)s->request.id.n, s->request.id.p, s->database,
                   s->service != NULL ? service_name(s->service) : "-",
                   failure_name(a->failure), (int)a->detail.n, a->detail.p,
-                  s->attempts, (long long)(now - s->arrived), s->work.avoid,
+                  s->attempts, (long long)(now - s->arrived),
+                  s->member[0] != '\0' ? s->member : "-",
+                  s->service != NULL ? service_queue_length(s->service) : 0,
                   (unsigned long long)(s->catalog ? s->catalog->version : 0));
     }
+    else if (verb_runs_at_member(s->request.verb) &&
+             now - s->arrived > s->route->target_ms) {
+        event_log(EVENT_REQUEST, "statement_late",
+                  "id=%.*s database=%s service=%s attempts=%d took_ms=%lld "
+                  "waited_ms=%lld member=%s queue=%zu",
+                  (int)s->request.id.n, s->request.id.p, s->database,
+                  service_name(s->service), s->attempts,
+                  (long long)(now - s->arrived),
+                  (long long)(s->sent_at - s->arrived), s->member,
+                  service_queue_length(s->service));
+    }
     a->state = s->transaction;
     if (!a->position.known) {
         a->position = s->token;
@@ -202,6 +215,7 @@
 start_statement(struct session *s)
 {
     s->attempts = 0;
+    s->member[0] = '\0';
     s->work.needs_primary = false;
     s->work.avoid[0] = '\0';
     s->work.granted = exchange_granted;
--- a/src/relay/session_internal.h
+++ b/src/relay/session_internal.h
@@ -52,6 +52,7 @@
     clock_ms arrived;
     clock_ms deadline;
     clock_ms sent_at;
+    char member[MEMBER_ID_BYTES]; /* that has, or had, the request */
     struct work work;
     struct pooled_link *pooled;
 };
--- a/tests/lead/test_promoter.c
+++ b/tests/lead/test_promoter.c
@@ -321,6 +321,62 @@
     teardown(&f);
 }
 
+/* Guards against a change that waits for a store which its holder cannot
+   reach: it says so, and another proxy carries the change on at once. What the
+   first one ordered is published without a second order, and a new order waits
+   until the first holder cannot order any more. */
+static void
+test_change_is_handed_over(void **state)
+{
+    struct fixture f;
+
+    (void)state;
+    setup(&f, "b", true);
+    pass(&f, 75, false, 5);
+    report(&f, "m1", false, 8, 40);
+    report(&f, "m2", true, 8, 40);
+    report(&f, "m3", false, 8, 40);
+    pass(&f, 50, false, 5);
+    assert_int_equal(f.writes, 1);
+    assert_false(promoter_is_cut_off(f.promoter, f.now));
+    pass(&f, 700, false, 5);
+    assert_true(promoter_is_cut_off(f.promoter, f.now));
+    teardown(&f);
+
+    /* The holder "a" has told that it cannot go on. */
+    setup(&f, "a", true);
+    for (int i = 0; i < 20 && f.writes == 0; i++) {
+        struct agreement_note n = {
+            .incarnation = 1, .acted = 5, .version = 5, .leaving = true};
+        f.now += 25;
+        n.sent_at = f.now;
+        g_strlcpy(n.from, "a", sizeof(n.from));
+        agreement_take(f.agreement, &n, f.now);
+        hear(&f, "c", 0, 5);
+        promoter_tick(f.promoter, "db", members, 3, false, f.now);
+    }
+    assert_int_equal(f.writes, 1);
+    assert_int_equal(f.written.fence, 4);
+    accept_write(&f);
+    /* Nobody has acted on the takeover yet, but all on the change. */
+    pass(&f, 75, false, 5);
+    assert_true(f.asked >= 3);
+    report(&f, "m1", false, 7, 40);
+    report(&f, "m2", false, 7, 40);
+    report(&f, "m3", false, 7, 40);
+    pass(&f, 50, false, 5);
+    assert_int_equal(f.orders, 0);
+    pass(&f, 150, false, 5);
+    report(&f, "m1", false, 8, 40);
+    report(&f, "m2", true, 8, 40);
+    report(&f, "m3", false, 8, 40);
+    pass(&f, 100, false, 5);
+    assert_int_equal(f.orders, 0);
+    assert_int_equal(f.writes, 2);
+    assert_string_equal(f.written.leads[0].primary, "m2");
+    teardown(&f);
+}
+
 int
 main(void)
 {
@@ -330,6 +386,7 @@
         cmocka_unit_test(test_planned_switch_waits_for_the_log),
         cmocka_unit_test(test_false_alarms),
         cmocka_unit_test(test_unlisted_primary_that_answers),
+        cmocka_unit_test(test_change_is_handed_over),
     };
 
     return cmocka_run_group_tests(tests, NULL, NULL);
