node: a proxy apart from the primary asks for no new callers

They refused at once, but a failure domain with one proxy sent the retries back to it: 304 operations lost. Change: a proxy that cannot reach a primary which most others reach answers the balancer that it is not ready after 0.6 s, and closes idle callers 2.1 s later.

--- a/src/node/node.c
+++ b/src/node/node.c
@@ -20,8 +20,11 @@
 /* A proxy that cannot rely on its view for this long asks for no new
    callers. */
 #define UNREADY_AFTER_MS 1500
-/* Later by the 2 s that the balancer takes to notice. */
-#define CUT_OFF_AFTER_MS 3600
+/* A proxy that cannot reach a primary which the others reach asks for no new
+   callers after this time. */
+#define APART_AFTER_MS 600
+/* The balancer notices within this time; then idle callers are sent away. */
+#define BALANCER_MS 2100
 #define MEMBERS_MAX 16
 /* Members that are no longer listed are remembered for the time in which they
    may still be asked to step down. */
@@ -54,6 +57,7 @@
     clock_ms noted_at;
     clock_ms asked_at;
     clock_ms valid_at;
+    clock_ms apart_since; /* only this proxy misses a primary; 0 if not */
     clock_ms flushed_at;
     clock_ms list_checked_at;
     char *stored_list; /* the list of members that the store holds */
@@ -552,6 +556,31 @@
     }
 }
 
+/* Notes since when this proxy, unlike most others, cannot reach a primary. */
+static void
+check_apart(struct node *n, clock_ms now)
+{
+    const struct view *v = agreement_view(n->agreement);
+    const uint64_t unreachable = unreachable_services(n, now);
+    const int others = agreement_alive_count(n->agreement, now);
+    bool apart = false;
+
+    for (int i = 0; i < v->count && !apart; i++) {
+        apart = (unreachable >> i & 1) != 0 && others > 0 &&
+                agreement_votes(n->agreement, i, now) * 2 <= others;
+    }
+    if (apart && n->apart_since == 0) {
+        n->apart_since = now;
+        event_log(EVENT_STATE, "apart", "unreachable=%llx others=%d",
+                  (unsigned long long)unreachable, others);
+    }
+    else if (!apart && n->apart_since != 0) {
+        event_log(EVENT_STATE, "apart_over", "after_ms=%lld",
+                  (long long)(now - n->apart_since));
+        n->apart_since = 0;
+    }
+}
+
 /* Periodic work. */
 static void
 on_tick(struct ev_loop *loop, ev_timer *w, int revents)
@@ -564,6 +593,7 @@
     tick_services(n, now);
     relay_tick(n->relay, now);
     tick_promoter(n, now);
+    check_apart(n, now);
     const bool acted = update_acted(n);
     if (acted || now - n->noted_at >= NOTE_INTERVAL_MS) {
         send_notes(n, acted, now);
@@ -681,22 +711,34 @@
     return n->catalog;
 }
 
+/* Returns for how long this proxy could not serve what others can, beyond the
+   time in which that is expected to pass; 0 while it can. */
+static int64_t
+impaired_ms(const struct node *n)
+{
+    const clock_ms now = clock_boot_now();
+    const int64_t lease = now - n->valid_at - UNREADY_AFTER_MS;
+    const int64_t apart =
+        n->apart_since == 0 ? 0 : now - n->apart_since - APART_AFTER_MS;
+
+    return MAX(MAX(lease, apart), 0);
+}
+
 /* Tells whether new callers should be sent here. */
 bool
 node_is_ready(const struct node *n)
 {
     return !n->leaving && n->catalog->version > 0 &&
-           agreement_view(n->agreement)->version > 0 &&
-           clock_boot_now() - n->valid_at < UNREADY_AFTER_MS;
+           agreement_view(n->agreement)->version > 0 && impaired_ms(n) == 0;
 }
 
-/* Tells whether this proxy has been without a lease for so long that the
-   balancer sends its callers elsewhere by now. */
+/* Tells whether this proxy has been impaired for so long that the balancer
+   sends its callers elsewhere by now. */
 bool
 node_is_cut_off(const struct node *n)
 {
     return agreement_view(n->agreement)->version > 0 &&
-           clock_boot_now() - n->valid_at >= CUT_OFF_AFTER_MS;
+           impaired_ms(n) >= BALANCER_MS;
 }
 
 /* The proxy is shutting down: it orders nothing any more and says so. */
