lead: proxies that miss a primary learn its position from witnesses

Change: the answer to a note carries the positions of the primaries that its sender cannot reach. Their age counts from the sender's own note, so that a delay makes them older and never newer. Test: test_position_of_another_proxy; test_lagging_replica_is_left_alone for the growing pause of replicas that stay behind.

--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -16,6 +16,10 @@
             SEED $seconds >'$folder/SEED' 2>&1 || echo SEED >>'$folder/failed'"
 grep -h -E '^seed=|^VIOLATION' "$folder"/[0-9]* || true
 if [ -e "$folder/failed" ]; then
+    for seed in $(sort -n "$folder/failed"); do
+        echo "seed $seed failed:"
+        tail -n 20 "$folder/$seed"
+    done
     echo "failed seeds: $(sort -n "$folder/failed" | tr '\n' ' ')"
     exit 1
 fi
--- a/src/lead/agreement.c
+++ b/src/lead/agreement.c
@@ -445,3 +445,13 @@
 
     return p == NULL ? 0 : p->last_heard;
 }
+
+/* Returns the services whose primaries a peer said not to reach, by index in
+   its view; 0 when its view is another one. */
+uint64_t
+agreement_peer_unreachable(const struct agreement *a, const char *name)
+{
+    const struct peer *p = find(a, name);
+
+    return p == NULL || p->version != a->view.version ? 0 : p->unreachable;
+}
--- a/src/lead/agreement.h
+++ b/src/lead/agreement.h
@@ -25,6 +25,14 @@
 #define AGREEMENT_WITNESSES 7
 #define AGREEMENT_PEERS_MAX 512
 
+/* A position that a primary's log had, and how long ago that was known. */
+struct agreement_position {
+    bool known;
+    uint64_t term;
+    uint64_t position;
+    int64_t age_ms;
+};
+
 /* One message between proxies. */
 struct agreement_note {
     char from[VIEW_NAME_BYTES];
@@ -38,7 +46,10 @@
                              index in the view of `version` */
     bool leaving;         /* the sender cannot change the view any more */
     bool reply;           /* answers a note, and is not answered */
-    struct view view;     /* version 0 when it is not included */
+    /* For a peer that cannot reach primaries, by index in the view. */
+    struct agreement_position positions[VIEW_SERVICES_MAX];
+    int position_count;
+    struct view view; /* version 0 when it is not included */
 };
 
 struct agreement *agreement_create(const char *name, uint64_t incarnation);
@@ -74,6 +85,8 @@
                      clock_ms now);
 int agreement_rank(const struct agreement *a, clock_ms now);
 int agreement_alive_count(const struct agreement *a, clock_ms now);
+uint64_t agreement_peer_unreachable(const struct agreement *a,
+                                    const char *name);
 int agreement_votes(const struct agreement *a, int lead, clock_ms now);
 clock_ms agreement_last_heard(const struct agreement *a, const char *name);
 
--- a/src/lead/peer_note.x
+++ b/src/lead/peer_note.x
@@ -1,4 +1,10 @@
 /* The message that proxies send each other about the view. */
+struct wire_position {
+    unsigned hyper term;
+    unsigned hyper number;
+    hyper age_ms;
+};
+
 struct wire_note {
     string from<63>;
     unsigned hyper incarnation;
@@ -10,5 +16,6 @@
     unsigned hyper unreachable;
     bool leaving;
     bool reply;
+    wire_position positions<32>;
     string view<6000>;
 };
--- a/src/lead/peer_note_xdr.h
+++ b/src/lead/peer_note_xdr.h
@@ -14,6 +14,13 @@
 #endif
 
 
+struct wire_position {
+	u_quad_t term;
+	u_quad_t number;
+	quad_t age_ms;
+};
+typedef struct wire_position wire_position;
+
 struct wire_note {
 	char *from;
 	u_quad_t incarnation;
@@ -25,6 +32,10 @@
 	u_quad_t unreachable;
 	bool_t leaving;
 	bool_t reply;
+	struct {
+		u_int positions_len;
+		wire_position *positions_val;
+	} positions;
 	char *view;
 };
 typedef struct wire_note wire_note;
@@ -32,9 +43,11 @@
 /* the xdr functions */
 
 #if defined(__STDC__) || defined(__cplusplus)
+extern  bool_t xdr_wire_position (XDR *, wire_position*);
 extern  bool_t xdr_wire_note (XDR *, wire_note*);
 
 #else /* K&R C */
+extern bool_t xdr_wire_position ();
 extern bool_t xdr_wire_note ();
 
 #endif /* K&R C */
--- a/src/lead/peer_port.c
+++ b/src/lead/peer_port.c
@@ -43,6 +43,17 @@
         n->unreachable = w.unreachable;
         n->leaving = w.leaving;
         n->reply = w.reply;
+        n->position_count =
+            (int)MIN(w.positions.positions_len, VIEW_SERVICES_MAX);
+        for (int i = 0; i < n->position_count; i++) {
+            const wire_position *x = &w.positions.positions_val[i];
+            n->positions[i] = (struct agreement_position){
+                .known = x->age_ms >= 0,
+                .term = x->term,
+                .position = x->number,
+                .age_ms = x->age_ms,
+            };
+        }
         ok = w.view[0] == '\0' || view_parse(sview_from(w.view), &n->view);
     }
     xdr_free((xdrproc_t)xdr_wire_note, (char *)&w);
@@ -123,8 +134,16 @@
     struct sockaddr_in to = {.sin_family = AF_INET, .sin_port = htons(port)};
     char view[VIEW_TEXT_BYTES + 1] = "";
     char bytes[NOTE_BYTES];
+    wire_position positions[VIEW_SERVICES_MAX];
     XDR x;
 
+    for (int i = 0; i < n->position_count; i++) {
+        positions[i] = (wire_position){
+            .term = n->positions[i].term,
+            .number = n->positions[i].position,
+            .age_ms = n->positions[i].known ? n->positions[i].age_ms : -1,
+        };
+    }
     if (n->view.version > 0 &&
         view_format(&n->view, view, sizeof(view)) == 0) {
         event_log(EVENT_STATE, "view_too_large", "services=%d", n->view.count);
@@ -141,6 +160,8 @@
         .unreachable = n->unreachable,
         .leaving = n->leaving,
         .reply = n->reply,
+        .positions = {.positions_len = (u_int)n->position_count,
+                      .positions_val = positions},
         .view = view,
     };
     xdrmem_create(&x, bytes, sizeof(bytes), XDR_ENCODE);
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -44,6 +44,7 @@
     char *name;
     char *failure_domain;
     struct node_platform platform;
+    uint64_t incarnation;
     struct agreement *agreement;
     struct promoter *promoter;
     struct peer_port *port;
@@ -103,6 +104,58 @@
     return bits;
 }
 
+/* Adds the positions of the primaries that a peer cannot reach, so that it can
+   go on to serve reads from replicas. */
+static void
+add_positions(struct node *n, const char *to, clock_ms now,
+              struct agreement_note *note)
+{
+    const struct view *v = agreement_view(n->agreement);
+    const uint64_t wanted = agreement_peer_unreachable(n->agreement, to);
+
+    if (wanted == 0) {
+        return;
+    }
+    note->position_count = v->count;
+    for (int i = 0; i < v->count; i++) {
+        const struct service *s =
+            g_hash_table_lookup(n->services, v->leads[i].service);
+        clock_ms at;
+        struct token position;
+        if ((wanted >> i & 1) != 0 && s != NULL &&
+            service_newest_sample(s, &at, &position)) {
+            note->positions[i] = (struct agreement_position){
+                .known = true,
+                .term = position.term,
+                .position = position.position,
+                .age_ms = now - at,
+            };
+        }
+    }
+}
+
+/* Takes the positions that a peer has sent in answer to a note. They held
+   after the peer got that note, less their age. */
+static void
+take_positions(struct node *n, const struct agreement_note *note)
+{
+    const struct view *v = agreement_view(n->agreement);
+
+    if (note->version != v->version || note->echo_of != n->incarnation) {
+        return;
+    }
+    for (int i = 0; i < note->position_count && i < v->count; i++) {
+        struct service *s =
+            g_hash_table_lookup(n->services, v->leads[i].service);
+        const struct agreement_position *p = &note->positions[i];
+        const struct token position = {
+            .term = p->term, .position = p->position, .known = true};
+        if (p->known && s != NULL) {
+            service_add_sample(s, note->echo - p->age_ms, &position);
+        }
+    }
+}
+
 /* Sends a note to one peer. */
 static void
 send_note(struct node *n, const struct node_peer *p, uint64_t unreachable,
@@ -113,6 +166,9 @@
     const bool unable = n->leaving || promoter_is_cut_off(n->promoter, now);
     agreement_compose(n->agreement, p->name, unreachable, unable, now, &note);
     note.reply = reply;
+    if (reply) {
+        add_positions(n, p->name, now, &note);
+    }
     peer_port_send(n->port, p->host, p->port, &note);
 }
 
@@ -203,7 +259,10 @@
                   note->from, (unsigned long long)note->version);
         apply_view(n);
     }
-    if (!note->reply) {
+    if (note->reply) {
+        take_positions(n, note);
+    }
+    else {
         send_reply(n, note->from, now);
     }
     if (promoter_busy(n->promoter)) {
@@ -664,7 +723,8 @@
     n->name = g_strdup(config->name);
     n->failure_domain = g_strdup(config->failure_domain);
     n->platform = *config->platform;
-    n->agreement = agreement_create(config->name, (uint64_t)clock_wall_now());
+    n->incarnation = (uint64_t)clock_wall_now();
+    n->agreement = agreement_create(config->name, n->incarnation);
     n->promoter = promoter_create(config->name, n->agreement, &actions);
     n->catalog = catalog_create(0);
     n->services = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
--- a/src/relay/samples.c
+++ b/src/relay/samples.c
@@ -37,3 +37,16 @@
     }
     return false;
 }
+
+/* Returns the newest sample. Returns false when there is none. */
+bool
+samples_newest(const struct samples *s, clock_ms *at, struct token *position)
+{
+    if (s->count == 0) {
+        return false;
+    }
+    const int last = (s->next + SAMPLES_MAX - 1) % SAMPLES_MAX;
+    *at = s->ring[last].at;
+    *position = s->ring[last].position;
+    return true;
+}
--- a/src/relay/samples.h
+++ b/src/relay/samples.h
@@ -18,6 +18,8 @@
 };
 
 void samples_add(struct samples *s, clock_ms at, const struct token *position);
+bool samples_newest(const struct samples *s, clock_ms *at,
+                    struct token *position);
 bool samples_floor(const struct samples *s, clock_ms since,
                    struct token *floor);
 
--- a/src/relay/service.c
+++ b/src/relay/service.c
@@ -188,6 +188,25 @@
     service_dispatch(s);
 }
 
+/* Returns the newest position of the primary that is known and when it held.
+   Returns false when there is none. */
+bool
+service_newest_sample(const struct service *s, clock_ms *at,
+                      struct token *position)
+{
+    return samples_newest(&s->samples, at, position);
+}
+
+/* Takes a position of the primary that another proxy has learnt: every commit
+   acknowledged before at is at or below it. */
+void
+service_add_sample(struct service *s, clock_ms at,
+                   const struct token *position)
+{
+    samples_add(&s->samples, at, position);
+    service_dispatch(s);
+}
+
 /* Tells whether no work is in progress any more under an earlier lead. */
 bool
 service_settled(const struct service *s)
--- a/src/relay/service.h
+++ b/src/relay/service.h
@@ -71,6 +71,10 @@
 void service_set_share(struct service *s, int connections);
 void service_set_lead(struct service *s, uint64_t epoch, const char *primary,
                       bool changing, clock_ms now);
+bool service_newest_sample(const struct service *s, clock_ms *at,
+                           struct token *position);
+void service_add_sample(struct service *s, clock_ms at,
+                        const struct token *position);
 bool service_settled(const struct service *s);
 bool service_primary_unreachable(const struct service *s, clock_ms now);
 void service_tick(struct service *s, clock_ms now);
--- a/tests/relay/relay_fixture.h
+++ b/tests/relay/relay_fixture.h
@@ -22,6 +22,7 @@
     void *ctx;
     bool closed;
     int sent_count;
+    int answered; /* kept by tests that play several connections */
     struct fixture_sent sent[64];
 };
 
--- a/tests/relay/test_session.c
+++ b/tests/relay/test_session.c
@@ -290,6 +290,75 @@
     fixture_teardown(&f);
 }
 
+/* Guards against reads that are refused because this proxy alone cannot reach
+   the primary: with its position from another proxy a replica can serve them.
+ */
+static void
+test_position_of_another_proxy(void **state)
+{
+    struct fixture f;
+    const struct token position = {.term = 3, .position = 50, .known = true};
+
+    (void)state;
+    fixture_setup(&f, FRESHNESS_BOUNDED);
+    f.lease = false;
+    fixture_pass(&f, 200);
+    struct session *s = fixture_session(&f);
+    fixture_request(s, VERB_READ, "READ x");
+    assert_int_equal(f.failure, FAILURE_BUSY);
+    service_add_sample(f.service, f.now - 300, &position);
+    fixture_request(s, VERB_READ, "READ x");
+    fixture_open_all(&f);
+    struct member_link *l = fixture_busy(&f);
+    assert_true(l->sent[0].checked);
+    assert_int_equal(l->sent[0].after.position, 50);
+    fixture_answer(l, FAILURE_NONE, TRANSACTION_NONE, 3, 51);
+    assert_int_equal(f.failure, FAILURE_NONE);
+    /* It does not serve longer than the staleness bound allows. */
+    fixture_pass(&f, 1200);
+    fixture_request(s, VERB_READ, "READ x");
+    assert_int_equal(f.failure, FAILURE_BUSY);
+    session_end(s);
+    fixture_teardown(&f);
+}
+
+/* Guards against a replica that stays behind and is asked again by every
+   read. */
+static void
+test_lagging_replica_is_left_alone(void **state)
+{
+    struct fixture f;
+
+    (void)state;
+    fixture_setup(&f, FRESHNESS_BOUNDED);
+    struct session *s = fixture_session(&f);
+    int lagging = 0;
+    for (int i = 0; i < 40; i++) {
+        fixture_request(s, VERB_READ, "READ x");
+        const int answers = f.answers;
+        for (int k = 0; k < 6 && f.answers == answers; k++) {
+            fixture_open_all(&f);
+            for (int n = 0; n < f.link_count && f.answers == answers; n++) {
+                struct member_link *l = f.links[n];
+                if (l->closed || l->answered == l->sent_count) {
+                    continue;
+                }
+                l->answered++;
+                const bool replica = strcmp(l->member, "m1") != 0;
+                lagging += replica;
+                fixture_answer(l, replica ? FAILURE_LAGGING : FAILURE_NONE,
+                               TRANSACTION_NONE, 3, 100 + (uint64_t)i);
+            }
+        }
+        assert_int_equal(f.answers, answers + 1);
+        fixture_pass(&f, 25);
+    }
+    /* 40 reads in a second, two replicas: first 30 ms, then up to 240 ms. */
+    assert_true(lagging < 16);
+    session_end(s);
+    fixture_teardown(&f);
+}
+
 int
 main(void)
 {
@@ -304,6 +373,8 @@
         cmocka_unit_test(test_silent_member_is_probed),
         cmocka_unit_test(test_remembered_members_serve),
         cmocka_unit_test(test_hopeless_work_is_refused_at_once),
+        cmocka_unit_test(test_position_of_another_proxy),
+        cmocka_unit_test(test_lagging_replica_is_left_alone),
     };
 
     return cmocka_run_group_tests(tests, NULL, NULL);
