--- /dev/null
+++ b/tests/adapter/test_words.c
@@ -0,0 +1,223 @@
+#include "base/rng.h"
+#include "decode.h"
+#include "words.h"
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+/* Parses a query line; the request's views point into the line. */
+static bool
+parse(const char *line, struct request *r)
+{
+    return words_parse_query(sview_from(line), r);
+}
+
+/* Guards against a request that is read as another one, and against texts that
+   callers never send but members would take. */
+static void
+test_queries(void **state)
+{
+    struct request r;
+
+    (void)state;
+    assert_true(parse("a1 BEGIN", &r));
+    assert_int_equal(r.verb, VERB_BEGIN);
+    assert_true(parse("a1 BEGIN READ", &r));
+    assert_int_equal(r.verb, VERB_BEGIN_READ);
+    assert_true(parse("a1 WRITE x some data with blanks", &r));
+    assert_int_equal(r.verb, VERB_WRITE);
+    assert_true(sview_equal(r.rest, SVIEW("some data with blanks")));
+    assert_true(sview_equal(r.text, SVIEW("WRITE x some data with blanks")));
+    assert_true(parse("a1 PREPARE s1 WRITE q2c", &r));
+    assert_int_equal(r.verb, VERB_PREPARE_WRITE);
+    assert_true(sview_equal(r.rest, SVIEW("q2c")));
+    assert_true(parse("a1 EXECUTE s1 1a4 xk", &r));
+    assert_int_equal(r.verb, VERB_EXECUTE);
+    static const char *const invalid[] = {"a1 AFTER 3.1 READ x",
+                                          "a1 STATUS",
+                                          "a1 DEMOTE 4",
+                                          "a1 RESET",
+                                          "a1 read x",
+                                          "a1 READ",
+                                          "a1 ",
+                                          "a1 COMMIT now",
+                                          "a1  READ x",
+                                          "a1 PREPARE s1 MAYBE q"};
+    for (size_t i = 0; i < G_N_ELEMENTS(invalid); i++) {
+        assert_true(parse(invalid[i], &r));
+        assert_int_equal(r.verb, VERB_INVALID);
+    }
+    assert_false(parse("- READ x", &r));
+    assert_false(parse("", &r));
+}
+
+/* Guards against a line that another reader would take for two. */
+static void
+test_clean_lines(void **state)
+{
+    (void)state;
+    assert_true(words_is_clean(SVIEW("QUERY a READ x")));
+    assert_false(words_is_clean(SVIEW("QUERY a READ x\nQUERY b WRITE x y")));
+    assert_false(words_is_clean(SVIEW("QUERY a READ x\r")));
+    assert_false(words_is_clean(SVIEW("QUERY a READ \0x")));
+}
+
+/* Guards against a caller's text that is changed on its way to a member. */
+static void
+test_forwarded_text(void **state)
+{
+    GString *s = g_string_new(NULL);
+    const struct token after = {.term = 3, .position = 1207, .known = true};
+    struct request r;
+
+    (void)state;
+    parse("5c0e READ 1a4", &r);
+    words_append_query(s, &r, &after);
+    assert_string_equal(s->str, "QUERY 5c0e AFTER 3.1207 READ 1a4\r\n");
+    g_string_truncate(s, 0);
+    parse("5c0e EXECUTE s1 1a4 xk qp", &r);
+    r.name = SVIEW("w7");
+    words_append_query(s, &r, NULL);
+    assert_string_equal(s->str, "QUERY 5c0e EXECUTE w7 1a4 xk qp\r\n");
+    g_string_truncate(s, 0);
+    const struct request set = {
+        .verb = VERB_SET, .name = SVIEW("tz"), .rest = SVIEW("a b")};
+    words_append_query(s, &set, NULL);
+    assert_string_equal(s->str, "QUERY - SET tz a b\r\n");
+    g_string_free(s, TRUE);
+}
+
+/* Guards against a member's failure that is taken for a proof that a statement
+   did not run. */
+static void
+test_failures(void **state)
+{
+    (void)state;
+    for (int f = 1; f <= FAILURE_UNKNOWN_OUTCOME; f++) {
+        const char *code = words_failure_code((enum failure)f);
+        assert_int_equal(words_parse_failure(sview_from(code)), f);
+    }
+    assert_int_equal(words_parse_failure(SVIEW("SOMETHING")),
+                     FAILURE_UNKNOWN_OUTCOME);
+    assert_false(failure_is_not_run(FAILURE_UNKNOWN_OUTCOME));
+    assert_false(failure_is_not_run(FAILURE_TIMEOUT));
+    assert_false(failure_is_not_run(FAILURE_FAILED));
+}
+
+/* Guards against entries of other writers that are used as members. */
+static void
+test_member_entries(void **state)
+{
+    static const char good[] =
+        "{\"service\":\"db\",\"addr\":\"10.1.0.9:8080\",\"zone\":\"a\","
+        "\"slots\":2,\"state\":\"ready\",\"db_role\":\"replica\",\"seq\":4}";
+    static const char *const bad[] = {
+        "",
+        "{",
+        "[]",
+        "{\"service\":7,\"addr\":\"10.1.0.9:8080\",\"zone\":\"a\",\"slots\":2,"
+        "\"state\":\"ready\",\"db_role\":\"replica\"}",
+        "{\"service\":\"db\",\"addr\":\"10.1.0.9\",\"zone\":\"a\",\"slots\":2,"
+        "\"state\":\"ready\",\"db_role\":\"replica\"}",
+        "{\"service\":\"db\",\"addr\":\"10.1.0.9:80\",\"zone\":\"a\","
+        "\"slots\":2,\"state\":\"asleep\",\"db_role\":\"replica\"}",
+        "{\"service\":\"db\",\"addr\":\"10.1.0.9:80\",\"zone\":\"a\","
+        "\"slots\":\"2\",\"state\":\"ready\",\"db_role\":\"replica\"}",
+        "{\"service\":\"db\",\"addr\":\"10.1.0.9:80\",\"zone\":\"a\","
+        "\"slots\":2,\"state\":\"ready\"}"};
+    struct member_entry m;
+    const char *error;
+
+    (void)state;
+    assert_true(decode_member("i-1", good, &m, &error));
+    assert_string_equal(m.host, "10.1.0.9");
+    assert_int_equal(m.port, 8080);
+    assert_false(m.says_primary);
+    for (size_t i = 0; i < G_N_ELEMENTS(bad); i++) {
+        assert_false(decode_member("i-1", bad[i], &m, &error));
+    }
+    assert_false(decode_member("i-1", NULL, &m, &error));
+}
+
+/* Guards against a configuration with an unreadable part that is dropped whole
+   or taken for an empty one. */
+static void
+test_catalog(void **state)
+{
+    const char *error;
+    struct catalog *c = decode_catalog(
+        "{\"version\":7,\"routes\":[{\"host\":\"b\",\"service\":\"db\","
+        "\"route_type\":\"bounded_staleness\",\"max_staleness_ms\":1500,"
+        "\"timeout_ms\":800,\"priority\":1},{\"host\":3},{\"host\":\"x\","
+        "\"service\":\"db\",\"route_type\":\"new\"}],\"services\":[{\"name\":"
+        "\"db\",\"max_conns\":16}],\"limits\":{\"tx_idle_ms\":900}}",
+        &error);
+
+    (void)state;
+    assert_non_null(c);
+    assert_int_equal(g_hash_table_size(c->routes), 1);
+    assert_int_equal(catalog_route(c, "b")->freshness, FRESHNESS_BOUNDED);
+    assert_int_equal(c->transaction_idle_ms, 900);
+    catalog_unref(c);
+    assert_null(decode_catalog("{\"routes\":[]}", &error));
+    assert_null(decode_catalog(NULL, &error));
+}
+
+/* Guards against bytes that make a decoder read out of bounds; the sanitizers
+   watch. */
+static void
+test_random_bytes(void **state)
+{
+    static const char *const seeds[] = {
+        "QUERY a1 AFTER 3.12 EXECUTE s1 x y", "replica 3 3.1209 0 12 2 17",
+        "{\"version\":7,\"routes\":[{\"host\":\"b\"}]}", "3.1209", "T"};
+    struct rng r;
+
+    (void)state;
+    rng_seed(&r, 20261204);
+    for (int i = 0; i < 200000; i++) {
+        const char *seed = seeds[rng_below(&r, G_N_ELEMENTS(seeds))];
+        char text[64];
+        size_t n = strlen(seed);
+        memcpy(text, seed, n + 1);
+        for (uint64_t k = rng_below(&r, 4); k > 0; k--) {
+            text[rng_below(&r, n)] = (char)(1 + rng_below(&r, 255));
+        }
+        n = rng_below(&r, n + 1);
+        text[n] = '\0';
+        const struct sview v = {.p = text, .n = n};
+        struct request q;
+        struct token t;
+        struct member_report report;
+        enum transaction_state st;
+        const char *error;
+        struct member_entry m;
+        words_parse_query(v, &q);
+        words_parse_position(v, &t);
+        words_parse_report(v, &report);
+        words_parse_state(v, &st);
+        words_parse_failure(v);
+        decode_member("i", text, &m, &error);
+        catalog_unref(decode_catalog(text, &error));
+    }
+}
+
+int
+main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(test_queries),
+        cmocka_unit_test(test_clean_lines),
+        cmocka_unit_test(test_forwarded_text),
+        cmocka_unit_test(test_failures),
+        cmocka_unit_test(test_member_entries),
+        cmocka_unit_test(test_catalog),
+        cmocka_unit_test(test_random_bytes),
+    };
+
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
