admission: a batch straggler under pressure is cancelled once and runs again

Change: admission asks the owner to give up a batch that runs more than twice its kind's mean where its kind is shed; the caller side cancels single statements outside transactions whose answer has not begun, and queues them again. Dropped answers no longer count as sent, so a read beyond the group's log is told not_run.

--- a/src/admission/admission.c
+++ b/src/admission/admission.c
@@ -4,6 +4,10 @@
 
 #include "admission/dispatch.h"
 
+/* A batch statement that runs this many times its kind's mean is taken for a
+   straggler; model_queue draws stragglers of ten times the mean. */
+#define PREEMPT_FACTOR 2
+
 #define COST_ENTRIES 4096
 /* Mean cost that is assumed of a kind before anything was measured. */
 #define COST_UNKNOWN_US 1000
@@ -352,6 +356,32 @@
     return head->next == head ? CLOCK_NEVER : head->next->started_at + limit;
 }
 
+/* Asks owners to give up batch statements that hold a slot of a member on
+   which their kind is shed. Only statements that run several times longer than
+   their kind's mean are meant: the others end soon. */
+static void
+preempt_stragglers(struct admission *a)
+{
+    struct admission_request *req = a->charged.next;
+
+    if (a->ops.preempt == NULL || a->policy == ADMISSION_POLICY_FIFO) {
+        return;
+    }
+    while (req != &a->charged) {
+        struct admission_request *next = req->next;
+        const struct kind *k = &a->kinds[req->kind];
+        const int64_t run_us = (a->now - req->started_at) * US_PER_MS;
+
+        if (k->config.class == ADMISSION_BATCH && !req->preempted &&
+            k->measured && run_us > PREEMPT_FACTOR * k->mean_us &&
+            pressure_sheds(&a->members[req->member].pressure, k->rank)) {
+            req->preempted = true;
+            a->ops.preempt(a->ctx, req);
+        }
+        req = next;
+    }
+}
+
 /* Plans the refusal of queued requests whose deadline has come. */
 static void
 expire(struct admission *a, struct kind *k)
@@ -406,6 +436,7 @@
     if (relaxed) {
         dispatch_apply_pressure(a);
     }
+    preempt_stragglers(a);
     dispatch_run(a);
     for (int i = 0; i < a->member_count; i++) {
         due = MIN(due, pressure_due(&a->members[i].pressure));
--- a/src/admission/admission.h
+++ b/src/admission/admission.h
@@ -58,6 +58,7 @@
     clock_ms started_at;
     /* The rest belongs to admission. */
     enum admission_state state;
+    bool preempted; /* kept when the request is submitted again */
     int64_t cost_us;
     int64_t order; /* lowest is served first within equal priority */
 };
@@ -67,6 +68,10 @@
     void (*grant)(void *ctx, struct admission_request *req, int member);
     void (*refuse)(void *ctx, struct admission_request *req,
                    enum admission_refusal reason);
+    /* May be NULL. A batch statement runs far longer than usual where more
+       important work waits; the owner may cancel it and submit it again. Asked
+       at most once for each request. */
+    void (*preempt)(void *ctx, struct admission_request *req);
 };
 
 struct admission;
--- a/src/caller/caller.h
+++ b/src/caller/caller.h
@@ -112,6 +112,7 @@
     bool keyed;       /* runs in a transaction with its request key */
     bool replay;      /* the key was stored: answer what stands there */
     bool commit_failed;
+    bool preempted;     /* cancelled by the proxy, to run again later */
     bool silent;        /* given up without a sign of life */
     size_t passthrough; /* bytes left of a large message being relayed */
     clock_ms deadline;  /* without a sign of life until then: silent */
@@ -191,6 +192,7 @@
 void exchange_add_section(struct exchange *e, enum section s);
 GString *exchange_sink(struct caller *c);
 void exchange_continue(struct caller *c);
+bool exchange_preempt(struct caller *c);
 void exchange_check_deadline(struct caller *c, clock_ms now);
 extern const struct upstream_conn_ops exchange_ops;
 
--- a/src/caller/counters.c
+++ b/src/caller/counters.c
@@ -16,6 +16,7 @@
     [COUNTER_REFUSED_SESSION_STATE] = "refused_session_state",
     [COUNTER_REFUSED_PROTOCOL] = "refused_protocol",
     [COUNTER_RETRY_BEHIND] = "retry_replica_behind",
+    [COUNTER_RETRY_PREEMPTED] = "retry_preempted",
     [COUNTER_RETRY_PRIMARY_BEHIND] = "retry_primary_behind",
     [COUNTER_RETRY_NOT_SENT] = "retry_not_sent",
     [COUNTER_RETRY_READ_LOST] = "retry_read_lost",
--- a/src/caller/exchange.c
+++ b/src/caller/exchange.c
@@ -222,12 +222,38 @@
     frame_end(out, at);
 }
 
+/* Tells whether the statement in progress may be cancelled and run again: it
+   is alone, in no transaction of the caller, and nothing of its answer was
+   passed on. Its cancellation undoes it, so it still takes effect once. */
+bool
+exchange_preempt(struct caller *c)
+{
+    struct exchange *e = &c->exchange;
+
+    if (c->state != CALLER_RUNNING || c->batch.extended || c->batch.multiple ||
+        c->batch.flushed || e->keyed || e->forwarded || e->body_done ||
+        e->discarding || c->cancel_requested ||
+        (e->tx_status != 'I' && e->tx_status != '\0') ||
+        (c->batch.class != STATEMENT_READ &&
+         c->batch.class != STATEMENT_WRITE)) {
+        return false;
+    }
+    e->preempted = true;
+    return true;
+}
+
 /* Takes one message of the answer to the caller's own messages. */
 static void
 take_body(struct caller *c, const struct frame *f, struct sview whole)
 {
     struct exchange *e = &c->exchange;
 
+    if (f->type == 'E' && e->preempted && !e->forwarded &&
+        sview_equal(frame_error_field(f->body, 'C'), SVIEW("57014"))) {
+        /* The member has undone the statement: it runs again. */
+        e->discarding = true;
+        return;
+    }
     if (f->type == 'E') {
         forward_error(c, f);
         return;
@@ -299,13 +325,22 @@
     const struct upstream_conn *u = c->request.conn;
     const int member = u->member;
     const bool primary = member == group_primary(c->group);
-    c->request.route.excluded |= 1U << member;
-    if (primary) {
-        group_distrust(c->group, member);
+    if (!e->preempted) {
+        c->request.route.excluded |= 1U << member;
+        if (primary) {
+            group_distrust(c->group, member);
+        }
     }
     e->tx_status = 'I';
+    /* Nothing of a dropped answer or a cancelled statement is kept: if it does
+       not run elsewhere, it has not run. */
+    c->batch.sent = false;
     group_finish(c->group, &c->request, GROUP_RETURN_CLEAN);
     c->holds = false;
+    if (e->preempted) {
+        request_retry(c, COUNTER_RETRY_PREEMPTED);
+        return;
+    }
     request_retry(c, primary ? COUNTER_RETRY_PRIMARY_BEHIND
                              : COUNTER_RETRY_BEHIND);
 }
--- a/src/caller/request.c
+++ b/src/caller/request.c
@@ -235,6 +235,13 @@
     ev_feed_event(c->front->loop, &c->rd, EV_CUSTOM);
 }
 
+/* Tells whether the running statement may be cancelled and run again. */
+static bool
+on_preempt(void *ctx)
+{
+    return exchange_preempt(ctx);
+}
+
 /* Puts the request into the group's queue. */
 static void
 submit(struct caller *c)
@@ -245,6 +252,7 @@
     c->request.route.token = c->token;
     c->request.granted = on_granted;
     c->request.refused = on_refused;
+    c->request.preempt = on_preempt;
     c->request.ctx = c;
     group_submit(c->group, &c->request);
 }
--- a/src/upstream/group.c
+++ b/src/upstream/group.c
@@ -281,9 +281,26 @@
     r->refused(r->ctx, reason);
 }
 
+/* Admission asks to give up a batch that holds up more important work. */
+static void
+on_preempt(void *ctx, struct admission_request *a)
+{
+    struct group *g = ctx;
+    struct group_request *r = request_of(a);
+
+    if (r->conn != NULL && r->preempt != NULL && r->preempt(r->ctx)) {
+        LOG_INFO("preempt", r->conn->peer,
+                 "cancel a batch statement after "
+                 "%lld ms",
+                 (long long)(clock_now() - a->started_at));
+        group_cancel_statement(g, r->conn);
+    }
+}
+
 static const struct admission_ops admission_callbacks = {
     .grant = on_grant,
     .refuse = on_refuse,
+    .preempt = on_preempt,
 };
 
 /* Asks which leases are still in force. */
--- a/src/upstream/group.h
+++ b/src/upstream/group.h
@@ -29,6 +29,9 @@
     int64_t granted_us;
     void (*granted)(void *ctx, struct upstream_conn *c);
     void (*refused)(void *ctx, enum admission_refusal reason);
+    /* Returns true when the statement may be cancelled and submitted again,
+       to make way for more important work; NULL when it never may. */
+    bool (*preempt)(void *ctx);
     void *ctx;
 };
 
--- a/tests/admission/bench_admission.c
+++ b/tests/admission/bench_admission.c
@@ -29,7 +29,7 @@
 int
 main(void)
 {
-    static const struct admission_ops ops = {on_grant, on_refuse};
+    static const struct admission_ops ops = {on_grant, on_refuse, NULL};
     static const struct admission_kind kinds[4] = {
         {"filing", ADMISSION_SHORT, 0, 200, 1000, 250},
         {"lookup", ADMISSION_SHORT, 1, 200, 1000, 250},
--- a/tests/admission/model_queue.c
+++ b/tests/admission/model_queue.c
@@ -23,7 +23,7 @@
 #define LATENCY_US MS
 #define MAX_SAMPLES 200000
 
-enum event_type { ARRIVE, REACH, FINISH, ANSWER, TICK, BATCH };
+enum event_type { ARRIVE, REACH, FINISH, ANSWER, TICK, BATCH, CANCEL };
 enum kind_id { FIRST, BATCHES, LOOK };
 
 struct model;
@@ -34,6 +34,8 @@
     struct model *model;
     int proxy;
     int64_t arrived_us, granted_us, service_us;
+    uint64_t finish; /* number of its event; another one is outdated */
+    bool serving, cancelled;
 };
 
 struct event {
@@ -206,15 +208,54 @@
         }
         m->busy[member]++;
         push(m, m->now + s->service_us, FINISH, 0, s);
+        s->finish = m->events;
+        s->serving = true;
     }
 }
 
+/* A cancel request reaches the member: it gives up the statement, which is
+   rolled back. One that waits or has ended is not hit. */
+static void
+cancel(struct model *m, struct statement *s)
+{
+    if (!s->serving || !s->req.preempted) {
+        return;
+    }
+    s->serving = false;
+    s->finish = 0;
+    s->cancelled = true;
+    m->busy[s->req.member]--;
+    push(m, m->now + LATENCY_US, ANSWER, 0, s);
+    serve(m, s->req.member);
+}
+
+/* Sends a cancel request for a batch that holds up more important work. */
+static void
+on_preempt(void *ctx, struct admission_request *req)
+{
+    struct model *m = ctx;
+
+    push(m, m->now + LATENCY_US, CANCEL, 0, (struct statement *)(void *)req);
+}
+
 static void
 answer(struct model *m, struct statement *s)
 {
     int kind = s->req.kind;
     int64_t latency = m->now - s->arrived_us;
 
+    if (s->cancelled) {
+        const uint32_t members = s->req.members;
+        admission_release(m->proxies[s->proxy], m->now / MS, &s->req,
+                          m->now - s->granted_us);
+        s->cancelled = false;
+        s->req = (struct admission_request){.kind = kind,
+                                            .fingerprint = (uint64_t)kind + 1,
+                                            .members = members,
+                                            .preempted = true};
+        admission_submit(m->proxies[s->proxy], m->now / MS, &s->req);
+        return;
+    }
     if (measured(m, s)) {
         if (kind == FIRST && m->sample_count < MAX_SAMPLES) {
             m->samples[m->sample_count++] = (double)latency / MS;
@@ -251,17 +292,26 @@
 
 /* Moves a granted statement on. */
 static void
-advance(struct model *m, enum event_type type, struct statement *s)
+advance(struct model *m, const struct event *e)
 {
+    struct statement *s = e->statement;
+    const enum event_type type = e->type;
     int member = s->req.member;
 
-    if (type == REACH) {
+    if (type == CANCEL) {
+        cancel(m, s);
+    }
+    else if (type == FINISH && e->number != s->finish) {
+        return;
+    }
+    else if (type == REACH) {
         s->next = NULL;
         *m->tail[member] = s;
         m->tail[member] = &s->next;
         serve(m, member);
     }
     else if (type == FINISH) {
+        s->serving = false;
         m->busy[member]--;
         push(m, m->now + LATENCY_US, ANSWER, 0, s);
         serve(m, member);
@@ -275,7 +325,7 @@
 handle(struct model *m, struct event e)
 {
     if (e.statement != NULL) {
-        advance(m, e.type, e.statement);
+        advance(m, &e);
     }
     else if (e.type == ARRIVE) {
         submit(m, (int)rng_below(&m->rng, (uint64_t)m->plan->proxies), e.what);
@@ -299,7 +349,7 @@
 run(struct model *m, const struct plan *plan, uint64_t seed,
     enum admission_policy policy)
 {
-    static const struct admission_ops ops = {on_grant, on_refuse};
+    static const struct admission_ops ops = {on_grant, on_refuse, on_preempt};
     int pairs = plan->proxies * MEMBERS;
     int rest = plan->connections - pairs - MEMBERS;
 
--- a/tests/admission/test_admission.c
+++ b/tests/admission/test_admission.c
@@ -259,7 +259,7 @@
 int
 main(int argc, char **argv)
 {
-    static const struct admission_ops ops = {on_grant, on_refuse};
+    static const struct admission_ops ops = {on_grant, on_refuse, NULL};
     static struct run r;
     uint64_t total = 0;
     int steps = argc > 2 ? atoi(argv[2]) : 20000;
--- a/tests/caller/test_front.c
+++ b/tests/caller/test_front.c
@@ -1,5 +1,7 @@
 #include "caller/front_fixture.h"
 
+#include "caller/caller.h"
+
 #include <string.h>
 
 /* Guards against a named statement that is missing on the connection which
@@ -246,6 +248,56 @@
     site_stop(&s);
 }
 
+/* Guards against telling "unknown" of a read that no member could answer: its
+   token lies beyond the group's log, so each answer was dropped. */
+static void
+test_read_beyond_the_log_has_not_run(void **state)
+{
+    (void)state;
+    struct site s;
+    struct client a;
+    site_start(&s);
+    client_open(&a, &s, "filing", "v1:boats:65536:123456");
+    client_query(&a, "SELECT value FROM entries WHERE id = 'x'");
+    assert_string_not_equal(a.sqlstate, "");
+    assert_non_null(strstr(a.hint, "outcome=not_run"));
+    client_close(&a);
+    site_stop(&s);
+}
+
+/* Guards against a caller that sees an error because the proxy cancelled its
+   statement to make way for others, and against one that was cancelled after
+   its answer had begun. */
+static void
+test_preempted_statement_runs_again(void **state)
+{
+    (void)state;
+    struct site s;
+    struct client a;
+    site_start(&s);
+    client_open(&a, &s, "filing", NULL);
+
+    client_start(&a, "SELECT fake_sleep(200)");
+    while (s.db->members[0].running == 0) {
+        ev_run(s.loop, EVRUN_ONCE);
+    }
+    struct caller *c =
+        g_hash_table_lookup(s.front->callers, GUINT_TO_POINTER(a.pid));
+    assert_non_null(c);
+    assert_true(exchange_preempt(c));
+    group_cancel_statement(c->group, c->request.conn);
+    client_wait(&a, 2);
+    assert_string_equal(a.sqlstate, "");
+    assert_int_equal(
+        s.front->counters.value[c->database][c->kind][COUNTER_RETRY_PREEMPTED],
+        1);
+    assert_false(exchange_preempt(c));
+    client_query(&a, "SELECT 1");
+    assert_string_equal(a.column, "1");
+    client_close(&a);
+    site_stop(&s);
+}
+
 /* Guards against telling "not run" of a write that was handed to a member
    which then died: its outcome is unknown. */
 static void
@@ -447,6 +499,8 @@
         cmocka_unit_test(test_unknown_history_reads_confirmed),
         cmocka_unit_test(test_oversized_message_ends_its_connection),
         cmocka_unit_test(test_cancel_reaches_the_statement),
+        cmocka_unit_test(test_read_beyond_the_log_has_not_run),
+        cmocka_unit_test(test_preempted_statement_runs_again),
         cmocka_unit_test(test_lost_write_is_unknown),
         cmocka_unit_test(test_request_key_runs_once),
         cmocka_unit_test(test_floor_work_has_no_lease_limit),
--- a/tools/capacity/capacity_admission.c
+++ b/tools/capacity/capacity_admission.c
@@ -39,7 +39,7 @@
     (void)reason;
 }
 
-static const struct admission_ops ops = {on_grant, on_refuse};
+static const struct admission_ops ops = {on_grant, on_refuse, NULL};
 
 /* Measures the memory of several databases. */
 static void
