node, lead, platform: split large files by duty

The settings and the small HTTP server are the product's and moved out of platform/. The soak takes a network that no other one uses.

--- a/platform/endpoint_http.c
+++ b/src/base/http_server.c
@@ -1,4 +1,4 @@
-#include "endpoint_http.h"
+#include "base/http_server.h"
 
 #include "base/listener.h"
 #include "base/stream.h"
@@ -10,17 +10,17 @@
 
 #define REQUEST_MAX 8192
 
-struct endpoint_http {
+struct http_server {
     struct ev_loop *loop;
     int fd;
     ev_io io;
-    endpoint_http_fn handle;
+    http_server_fn handle;
     void *ctx;
     GQueue clients; /* of struct http_client */
 };
 
 struct http_client {
-    struct endpoint_http *http;
+    struct http_server *http;
     struct stream *stream;
     GList link;
 };
@@ -97,7 +97,7 @@
 static void
 on_accept(struct ev_loop *loop, ev_io *w, int revents)
 {
-    struct endpoint_http *h = w->data;
+    struct http_server *h = w->data;
 
     (void)revents;
     for (;;) {
@@ -116,9 +116,9 @@
 
 /* Opens the listening socket. On failure returns NULL and sets error to an
    owned text. */
-struct endpoint_http *
-endpoint_http_create(struct ev_loop *loop, const char *host, uint16_t port,
-                     endpoint_http_fn handle, void *ctx, char **error)
+struct http_server *
+http_server_create(struct ev_loop *loop, const char *host, uint16_t port,
+                   http_server_fn handle, void *ctx, char **error)
 {
     const int fd = listener_open(host, port);
 
@@ -127,7 +127,7 @@
             g_strdup_printf("listen %s:%u: %s", host, port, g_strerror(errno));
         return NULL;
     }
-    struct endpoint_http *h = g_new0(struct endpoint_http, 1);
+    struct http_server *h = g_new0(struct http_server, 1);
     h->loop = loop;
     h->fd = fd;
     h->handle = handle;
@@ -141,7 +141,7 @@
 
 /* Closes everything; NULL is allowed. */
 void
-endpoint_http_destroy(struct endpoint_http *h)
+http_server_destroy(struct http_server *h)
 {
     if (h == NULL) {
         return;
--- /dev/null
+++ b/src/lead/promoter_internal.h
@@ -0,0 +1,89 @@
+#ifndef LEAD_PROMOTER_INTERNAL_H
+#define LEAD_PROMOTER_INTERNAL_H
+
+#include "lead/promoter.h"
+
+/* Shared by promoter.c, which decides that a primary is to be replaced, and
+   change.c, which carries the change out. */
+
+#define MEMBERS_MAX 16
+
+enum phase {
+    PHASE_NONE,
+    PHASE_FENCE,    /* until no proxy uses the old primary */
+    PHASE_SURVEY,   /* what each member has */
+    PHASE_DEMOTE,   /* the old primary, when it answers */
+    PHASE_CATCH_UP, /* until a replica has what the old primary had */
+    PHASE_ORDER,
+    PHASE_CONFIRM, /* until the new primary says so */
+    PHASE_PUBLISH,
+};
+
+struct member_note {
+    char id[MEMBER_ID_BYTES];
+    bool listed;
+    bool draining;
+    bool says_primary;
+    bool asked;
+    bool answered;
+    struct member_report status;
+    clock_ms asked_at;
+    clock_ms excluded_until;
+    clock_ms demoted_at;
+};
+
+struct change {
+    char service[VIEW_NAME_BYTES];
+    enum phase phase;
+    clock_ms since;         /* of the phase */
+    uint64_t version;       /* at which the change began */
+    uint64_t claim_version; /* at which this proxy took it up */
+    clock_ms begun;
+    char chosen[MEMBER_ID_BYTES];
+    bool ordering;
+    clock_ms ordered_at;
+    uint64_t target_term; /* received by the demoted primary */
+    uint64_t target;
+    bool demoted;
+    uint64_t next_term;
+    clock_ms suspect_since;
+    clock_ms unlisted_since;
+    clock_ms replica_since;
+    clock_ms draining_since;
+    clock_ms missing_since;
+    clock_ms changing_since;
+    uint64_t changing_fence; /* of the holder that carries the change out */
+    struct member_note members[MEMBERS_MAX];
+    int count;
+};
+
+struct promoter {
+    char name[VIEW_NAME_BYTES];
+    struct agreement *agreement;
+    struct promoter_actions actions;
+    bool writing;
+    clock_ms written_at;
+    int64_t write_pause_ms;
+    struct change changes[VIEW_SERVICES_MAX];
+    int count;
+};
+
+/* promoter.c */
+bool promoter_write_view(struct promoter *p, struct view *next, clock_ms now);
+struct change *promoter_change_of(struct promoter *p, const char *service);
+
+/* change.c */
+struct member_note *change_find_member(struct change *c, const char *id);
+void change_enter(struct change *c, enum phase phase, clock_ms now);
+void change_ask(struct promoter *p, struct change *c, struct member_note *m,
+                uint64_t demote_term, clock_ms now);
+void change_ask_all(struct promoter *p, struct change *c, const char *primary,
+                    int64_t pause_ms, clock_ms now);
+bool change_is_candidate(const struct member_note *m, bool draining,
+                         clock_ms now);
+struct member_note *change_best_candidate(struct change *c, const char *old,
+                                          clock_ms now);
+void change_run(struct promoter *p, struct change *c,
+                const struct view_lead *l, int index, clock_ms now);
+
+#endif
--- /dev/null
+++ b/src/node/members.c
@@ -0,0 +1,136 @@
+#include "node/node_internal.h"
+
+#include "base/event_log.h"
+#include "directory/member_list.h"
+
+#include <string.h>
+
+/* Members that are no longer listed are remembered for the time in which they
+   may still be asked to step down. */
+#define REMEMBER_MS 10000
+
+/* Hands each service its members from the directory. */
+void
+node_update_members(struct node *n)
+{
+    const clock_ms now = clock_boot_now();
+    GHashTableIter i;
+    void *name;
+    void *service;
+
+    g_hash_table_iter_init(&i, n->services);
+    while (g_hash_table_iter_next(&i, &name, &service)) {
+        struct member_entry list[MEMBERS_MAX];
+        size_t count = 0;
+        for (guint k = 0; k < n->members->len && count < MEMBERS_MAX; k++) {
+            const struct known_member *m =
+                &g_array_index(n->members, struct known_member, k);
+            if (m->unlisted_at == 0 && strcmp(m->entry.service, name) == 0) {
+                list[count++] = m->entry;
+            }
+        }
+        service_set_members(service, list, count, now);
+        for (guint k = 0; k < n->members->len; k++) {
+            const struct known_member *m =
+                &g_array_index(n->members, struct known_member, k);
+            if (m->unlisted_at != 0 && strcmp(m->entry.service, name) == 0) {
+                service_remember(service, &m->entry, m->unlisted_at, now);
+            }
+        }
+    }
+}
+
+/* Takes over the whole list of members. */
+void
+node_set_members(struct node *n, const struct member_entry *entries,
+                 size_t count)
+{
+    const clock_ms now = clock_boot_now();
+    GArray *next = g_array_new(FALSE, TRUE, sizeof(struct known_member));
+
+    for (size_t i = 0; i < count; i++) {
+        const struct known_member m = {.entry = entries[i]};
+        g_array_append_val(next, m);
+    }
+    for (guint k = 0; k < n->members->len; k++) {
+        struct known_member m =
+            g_array_index(n->members, struct known_member, k);
+        bool listed = false;
+        for (size_t i = 0; i < count && !listed; i++) {
+            listed = strcmp(entries[i].id, m.entry.id) == 0;
+        }
+        /* Unlisted members are remembered as long as they are in use. */
+        if (!listed &&
+            (m.unlisted_at == 0 || now - m.unlisted_at < REMEMBER_MS)) {
+            m.unlisted_at = m.unlisted_at == 0 ? now : m.unlisted_at;
+            g_array_append_val(next, m);
+        }
+    }
+    g_array_free(n->members, TRUE);
+    n->members = next;
+    node_update_members(n);
+}
+
+/* Takes the list of members that the store holds. The first one after the
+   start adds those that the directory does not list now: around an outage of
+   the store the entries of living members are missing for some seconds. */
+void
+node_remember_members(struct node *n, const char *text)
+{
+    const clock_ms now = clock_boot_now();
+
+    g_free(n->stored_list);
+    n->stored_list = g_strdup(text);
+    if (n->remembered) {
+        return;
+    }
+    n->remembered = true;
+    GArray *list = member_list_parse(sview_from(text));
+    for (guint i = 0; i < list->len; i++) {
+        const struct known_member m = {
+            .entry = g_array_index(list, struct member_entry, i),
+            .unlisted_at = now,
+        };
+        bool known = false;
+        for (guint k = 0; k < n->members->len && !known; k++) {
+            known =
+                strcmp(
+                    g_array_index(n->members, struct known_member, k).entry.id,
+                    m.entry.id) == 0;
+        }
+        if (!known) {
+            g_array_append_val(n->members, m);
+        }
+    }
+    g_array_free(list, TRUE);
+    node_update_members(n);
+}
+
+/* Stores the list of members when it has changed; the proxy that orders
+   promotions does it, or the first one alive in its place. */
+void
+node_store_members(struct node *n, clock_ms now)
+{
+    const struct view *v = agreement_view(n->agreement);
+    const bool holder = strcmp(v->holder, n->name) == 0;
+
+    if (!holder && (agreement_alive(n->agreement, v->holder, now) ||
+                    agreement_rank(n->agreement, now) != 0)) {
+        return;
+    }
+    GArray *list = g_array_new(FALSE, TRUE, sizeof(struct member_entry));
+    for (guint k = 0; k < n->members->len; k++) {
+        const struct known_member *m =
+            &g_array_index(n->members, struct known_member, k);
+        if (m->unlisted_at == 0 || now - m->unlisted_at < REMEMBER_MS) {
+            g_array_append_val(list, m->entry);
+        }
+    }
+    char *text = member_list_format(
+        (const struct member_entry *)(void *)list->data, list->len);
+    if (list->len > 0 && g_strcmp0(text, n->stored_list) != 0) {
+        n->platform.write_members(n->platform.ctx, text);
+    }
+    g_free(text);
+    g_array_free(list, TRUE);
+}
--- /dev/null
+++ b/src/node/metrics.c
@@ -0,0 +1,55 @@
+#include "node/node_internal.h"
+
+/* Writes one counter in the text format that scrapers read. */
+static void
+put_metric(GString *out, const char *name, const char *labels, uint64_t value)
+{
+    g_string_append_printf(out, "galenastep_%s%s %llu\n", name, labels,
+                           (unsigned long long)value);
+}
+
+/* Writes all counters and the histogram of statement times. */
+void
+node_write_metrics(const struct node *n, GString *out)
+{
+    const struct relay_counters *r = relay_counters(n->relay);
+    const struct view *v = agreement_view(n->agreement);
+    char labels[160];
+    GHashTableIter i;
+    void *service;
+
+    put_metric(out, "sessions_total", "", r->sessions);
+    put_metric(out, "statements_total", "", r->statements);
+    put_metric(out, "statements_succeeded_total", "", r->succeeded);
+    put_metric(out, "statements_retried_total", "", r->retried);
+    for (int f = 1; f <= FAILURE_UNKNOWN_OUTCOME; f++) {
+        g_snprintf(labels, sizeof(labels), "{outcome=\"%s\"}",
+                   failure_name((enum failure)f));
+        put_metric(out, "failures_total", labels, r->failures[f]);
+    }
+    uint64_t below = 0;
+    for (int b = 0; b < 16; b++) {
+        below += r->latency[b];
+        g_snprintf(labels, sizeof(labels), "{le=\"%d\"}", 1 << b);
+        put_metric(out, "statement_ms_bucket", labels, below);
+    }
+    put_metric(out, "view_version", "", v->version);
+    put_metric(out, "view_fence", "", v->fence);
+    put_metric(out, "lease_valid", "",
+               agreement_valid(n->agreement, clock_boot_now()));
+    g_hash_table_iter_init(&i, n->services);
+    while (g_hash_table_iter_next(&i, NULL, &service)) {
+        const struct service_counters *c = service_counters(service);
+        g_snprintf(labels, sizeof(labels), "{service=\"%s\"}",
+                   service_name(service));
+        put_metric(out, "granted_total", labels, c->granted);
+        put_metric(out, "refused_deadline_total", labels, c->refused_deadline);
+        put_metric(out, "refused_queue_total", labels, c->refused_queue);
+        put_metric(out, "refused_no_member_total", labels,
+                   c->refused_no_member);
+        put_metric(out, "links_opened_total", labels, c->links_opened);
+        put_metric(out, "links_refused_total", labels, c->links_refused);
+        put_metric(out, "links_lost_total", labels, c->links_lost);
+        put_metric(out, "queue_length", labels, service_queue_length(service));
+    }
+}
--- /dev/null
+++ b/src/node/node_internal.h
@@ -0,0 +1,60 @@
+#ifndef NODE_NODE_INTERNAL_H
+#define NODE_NODE_INTERNAL_H
+
+#include "lead/peer_port.h"
+#include "node/node.h"
+
+/* Shared by node.c, notes.c, members.c and metrics.c only. */
+
+#define MEMBERS_MAX 16
+
+/* A member of the directory and since when it is no longer listed. */
+struct known_member {
+    struct member_entry entry;
+    clock_ms unlisted_at; /* 0 while listed */
+};
+
+struct node {
+    struct ev_loop *loop;
+    char *name;
+    char *failure_domain;
+    struct node_platform platform;
+    uint64_t incarnation;
+    struct agreement *agreement;
+    struct promoter *promoter;
+    struct peer_port *port;
+    struct relay *relay;
+    struct catalog *catalog;
+    GHashTable *services; /* name -> struct service */
+    GArray *members;      /* of struct known_member */
+    GArray *peers;        /* of struct node_peer */
+    ev_timer tick;
+    clock_ms last_tick;
+    clock_ms noted_at;
+    clock_ms asked_at;
+    clock_ms valid_at;
+    clock_ms apart_since; /* only this proxy misses a primary; 0 if not */
+    clock_ms flushed_at;
+    clock_ms list_checked_at;
+    char *stored_list; /* the list of members that the store holds */
+    bool remembered;
+    uint64_t acted; /* version reported as acted on */
+    bool leaving;
+};
+
+/* node.c */
+void node_update_shares(struct node *n);
+void node_tick_promoter(struct node *n, clock_ms now);
+
+/* notes.c */
+uint64_t node_unreachable(const struct node *n, clock_ms now);
+void node_send_notes(struct node *n, bool news, clock_ms now);
+bool node_update_acted(struct node *n);
+void node_apply_view(struct node *n);
+void node_on_note(void *ctx, const struct agreement_note *note);
+
+/* members.c */
+void node_update_members(struct node *n);
+void node_store_members(struct node *n, clock_ms now);
+
+#endif
--- /dev/null
+++ b/src/node/notes.c
@@ -0,0 +1,229 @@
+#include "node/node_internal.h"
+
+#include "base/event_log.h"
+
+#include <string.h>
+
+/* Returns which services' primaries do not answer, by index in the view. */
+uint64_t
+node_unreachable(const struct node *n, clock_ms now)
+{
+    const struct view *v = agreement_view(n->agreement);
+    uint64_t bits = 0;
+
+    for (int i = 0; i < v->count; i++) {
+        const struct service *s =
+            g_hash_table_lookup(n->services, v->leads[i].service);
+        if (s != NULL && service_primary_unreachable(s, now)) {
+            bits |= UINT64_C(1) << i;
+        }
+    }
+    return bits;
+}
+
+/* Adds the positions of the primaries that a peer cannot reach, so that it can
+   go on to serve reads from replicas. */
+static void
+add_positions(struct node *n, const char *to, clock_ms now,
+              struct agreement_note *note)
+{
+    const struct view *v = agreement_view(n->agreement);
+    const uint64_t wanted = agreement_peer_unreachable(n->agreement, to);
+
+    if (wanted == 0) {
+        return;
+    }
+    note->position_count = v->count;
+    for (int i = 0; i < v->count; i++) {
+        const struct service *s =
+            g_hash_table_lookup(n->services, v->leads[i].service);
+        clock_ms at;
+        struct token position;
+        if ((wanted >> i & 1) != 0 && s != NULL &&
+            service_newest_sample(s, &at, &position)) {
+            note->positions[i] = (struct agreement_position){
+                .known = true,
+                .term = position.term,
+                .position = position.position,
+                .age_ms = now - at,
+            };
+        }
+    }
+}
+
+/* Takes the positions that a peer has sent in answer to a note. They held
+   after the peer got that note, less their age. */
+static void
+take_positions(struct node *n, const struct agreement_note *note)
+{
+    const struct view *v = agreement_view(n->agreement);
+
+    if (note->version != v->version || note->echo_of != n->incarnation) {
+        return;
+    }
+    for (int i = 0; i < note->position_count && i < v->count; i++) {
+        struct service *s =
+            g_hash_table_lookup(n->services, v->leads[i].service);
+        const struct agreement_position *p = &note->positions[i];
+        const struct token position = {
+            .term = p->term, .position = p->position, .known = true};
+        if (p->known && s != NULL) {
+            service_add_sample(s, note->echo - p->age_ms, &position);
+        }
+    }
+}
+
+/* Sends a note to one peer. */
+static void
+send_note(struct node *n, const struct node_peer *p, uint64_t unreachable,
+          bool reply, clock_ms now)
+{
+    struct agreement_note note;
+
+    const bool unable = n->leaving || promoter_is_cut_off(n->promoter, now);
+    agreement_compose(n->agreement, p->name, unreachable, unable, now, &note);
+    note.reply = reply;
+    if (reply) {
+        add_positions(n, p->name, now, &note);
+    }
+    peer_port_send(n->port, p->host, p->port, &note);
+}
+
+/* Sends a note to the witnesses, or to all peers when there is news that
+   everyone must have and this proxy is a witness itself. */
+void
+node_send_notes(struct node *n, bool news, clock_ms now)
+{
+    const uint64_t unreachable = node_unreachable(n, now);
+    const bool all = news && agreement_is_witness(n->agreement, n->name);
+
+    n->noted_at = now;
+    for (guint i = 0; i < n->peers->len; i++) {
+        const struct node_peer *p =
+            &g_array_index(n->peers, struct node_peer, i);
+        if (strcmp(p->name, n->name) != 0 &&
+            (all || agreement_is_witness(n->agreement, p->name))) {
+            send_note(n, p, unreachable, false, now);
+        }
+    }
+}
+
+/* Answers the note of a peer. */
+static void
+send_reply(struct node *n, const char *to, clock_ms now)
+{
+    for (guint i = 0; i < n->peers->len; i++) {
+        const struct node_peer *p =
+            &g_array_index(n->peers, struct node_peer, i);
+        if (strcmp(p->name, to) == 0) {
+            send_note(n, p, node_unreachable(n, now), true, now);
+            return;
+        }
+    }
+}
+
+/* Reports the view as acted on once nothing is in progress under an earlier
+   one. Returns true when that is news. */
+bool
+node_update_acted(struct node *n)
+{
+    const struct view *v = agreement_view(n->agreement);
+    GHashTableIter i;
+    void *service;
+
+    if (n->acted == v->version) {
+        return false;
+    }
+    g_hash_table_iter_init(&i, n->services);
+    while (g_hash_table_iter_next(&i, NULL, &service)) {
+        if (!service_settled(service)) {
+            return false;
+        }
+    }
+    n->acted = v->version;
+    agreement_set_acted(n->agreement, v->version);
+    return true;
+}
+
+/* Applies the view to the services and tells the peers. */
+void
+node_apply_view(struct node *n)
+{
+    const struct view *v = agreement_view(n->agreement);
+    const clock_ms now = clock_boot_now();
+
+    for (int i = 0; i < v->count; i++) {
+        const struct view_lead *l = &v->leads[i];
+        struct service *s = g_hash_table_lookup(n->services, l->service);
+        if (s != NULL) {
+            service_set_lead(s, l->epoch, l->changing ? "" : l->primary,
+                             l->changing, now);
+        }
+    }
+    node_update_acted(n);
+    node_send_notes(n, true, now);
+}
+
+/* A peer's note arrived. */
+void
+node_on_note(void *ctx, const struct agreement_note *note)
+{
+    struct node *n = ctx;
+    const clock_ms now = clock_boot_now();
+
+    if (agreement_take(n->agreement, note, now)) {
+        event_log(EVENT_STATE, "view_from_peer", "peer=%s version=%llu",
+                  note->from, (unsigned long long)note->version);
+        node_apply_view(n);
+    }
+    if (note->reply) {
+        take_positions(n, note);
+    }
+    else {
+        send_reply(n, note->from, now);
+    }
+    if (promoter_busy(n->promoter)) {
+        node_tick_promoter(n, now);
+    }
+}
+
+/* Takes over the registered proxies. */
+void
+node_set_peers(struct node *n, const struct node_peer *peers, size_t count)
+{
+    if (count == n->peers->len &&
+        (count == 0 ||
+         memcmp(peers, n->peers->data, count * sizeof(*peers)) == 0)) {
+        return;
+    }
+    struct agreement_peer *names = g_new0(struct agreement_peer, count + 1);
+
+    g_array_set_size(n->peers, 0);
+    g_array_append_vals(n->peers, peers, (guint)count);
+    for (size_t i = 0; i < count; i++) {
+        names[i].name = peers[i].name;
+        names[i].failure_domain = peers[i].failure_domain;
+    }
+    agreement_set_peers(n->agreement, names, (int)count);
+    g_free(names);
+    event_log(EVENT_STATE, "peers", "registered=%zu", count);
+    node_update_shares(n);
+    node_send_notes(n, false, clock_boot_now());
+}
+
+/* Takes what the store shows as the view, in answer to a question or a write
+   sent at asked_at. */
+void
+node_offer_view(struct node *n, const struct view *v, clock_ms asked_at)
+{
+    const bool newer = agreement_offer(n->agreement, v);
+
+    agreement_confirm_by_store(n->agreement, v->version, asked_at);
+    if (newer) {
+        event_log(EVENT_STATE, "view_from_store",
+                  "version=%llu holder=%s fence=%llu services=%d",
+                  (unsigned long long)v->version, v->holder,
+                  (unsigned long long)v->fence, v->count);
+        node_apply_view(n);
+    }
+}
--- a/platform/settings.c
+++ b/src/node/settings.c
@@ -1,4 +1,4 @@
-#include "settings.h"
+#include "node/settings.h"
 
 #include <glib.h>
 #include <string.h>
@@ -77,8 +77,7 @@
 /* Reads the settings file. Returns false with an owned text in error, which
    names the group and key. */
 bool
-settings_file_load(const char *path, struct platform_settings_file *out,
-                   char **error)
+node_settings_load(const char *path, struct node_settings *out, char **error)
 {
     GKeyFile *f = g_key_file_new();
     GError *e = NULL;
--- a/platform/settings.h
+++ b/src/node/settings.h
@@ -1,5 +1,5 @@
-#ifndef PLATFORM_SETTINGS_H
-#define PLATFORM_SETTINGS_H
+#ifndef NODE_SETTINGS_H
+#define NODE_SETTINGS_H
 
 #include "directory/member_entry.h"
 
@@ -10,8 +10,8 @@
     uint16_t port;
 };
 
-/* The settings of one process on the platform. */
-struct platform_settings_file {
+/* The settings of one galenastep-platform process. */
+struct node_settings {
     char name[MEMBER_NAME_BYTES];
     char failure_domain[MEMBER_NAME_BYTES];
     char host[MEMBER_HOST_BYTES];
@@ -25,7 +25,7 @@
 };
 
 bool endpoint_parse(const char *text, struct endpoint *out);
-bool settings_file_load(const char *path, struct platform_settings_file *out,
+bool node_settings_load(const char *path, struct node_settings *out,
                         char **error);
 
 #endif
--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -1,5 +1,7 @@
 #include "soak/soak.h"
 
+#include "base/listener.h"
+
 #include <signal.h>
 #include <stdarg.h>
 #include <stdio.h>
@@ -466,6 +468,20 @@
     rmdir(s->folder);
 }
 
+/* Chooses a network that no other soak uses now. */
+static void
+choose_network(void)
+{
+    for (int i = 0; i < NETWORKS; i++) {
+        network = 1 + (getpid() + i) % NETWORKS;
+        const int fd = listener_open(soak_host(), STORE_PORT);
+        if (fd >= 0) {
+            close(fd);
+            return;
+        }
+    }
+}
+
 int
 main(int argc, char **argv)
 {
@@ -477,7 +493,7 @@
     }
     const uint64_t seed = strtoull(argv[2], NULL, 10);
     const int64_t seconds = strtoll(argv[3], NULL, 10);
-    network = 1 + (int)(getpid() % NETWORKS);
+    choose_network();
     s.program = argv[1];
     s.log_folder = argc > 4 ? argv[4] : NULL;
     s.loop = ev_default_loop(EVFLAG_AUTO);
