--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -394,7 +394,7 @@
     }
     if (clock_now() >= s->end_at) {
         s->ending = true;
-        s->end_at = clock_now() + SETTLE_S * 1000;
+        s->end_at = clock_now() + (clock_ms)SETTLE_S * 1000;
         return;
     }
     const uint64_t what = rng_below(&s->rng, 20);
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -74,11 +74,11 @@
 struct callers *callers_create(struct soak *s, struct ev_loop *loop,
                                struct standin_group *g, uint64_t seed,
                                int count);
-void callers_destroy(struct callers *c);
-void callers_stop(struct callers *c);
-void callers_check(struct callers *c);
-void callers_report(const struct callers *c);
-long callers_served(const struct callers *c);
+void callers_destroy(struct callers *all);
+void callers_stop(struct callers *all);
+void callers_check(struct callers *all);
+void callers_report(const struct callers *all);
+long callers_served(const struct callers *all);
 
 /* Several soaks run beside each other on networks 127.N of their own. */
 const char *soak_host(void);
--- a/tests/soak/standin_group.c
+++ b/tests/soak/standin_group.c
@@ -15,7 +15,7 @@
 #define PROMOTION_MS 100
 /* The old primary learns of the new one after this time. */
 #define OLD_PRIMARY_MS 1000
-#define WORK_MAX_MS 4
+#define WORK_MAX_US 4000
 #define TICK_MS 5
 
 void (*standin_group_changed)(struct soak *s);
@@ -300,14 +300,14 @@
 ready(struct conn *c)
 {
     const struct member *m = c->member;
-    const char state = c->failed ? 'E' : c->open ? 'T' : 'I';
+    const char *state = c->failed ? "E" : c->open ? "T" : "I";
 
     if (m->log->len == 0) {
-        g_string_append_printf(c->reply, "READY %c %lu.0\r\n", state,
+        g_string_append_printf(c->reply, "READY %s %lu.0\r\n", state,
                                (unsigned long)m->term);
         return;
     }
-    g_string_append_printf(c->reply, "READY %c %lu.%lu\r\n", state,
+    g_string_append_printf(c->reply, "READY %s %lu.%lu\r\n", state,
                            (unsigned long)m->term,
                            (unsigned long)entry(m, m->log->len - 1)->number);
 }
@@ -554,8 +554,7 @@
         g_free(text);
         ev_timer_set(
             &c->work,
-            (double)rng_below(c->member->group->rng, WORK_MAX_MS * 1000) / 1e6,
-            0.0);
+            (double)rng_below(c->member->group->rng, WORK_MAX_US) / 1e6, 0.0);
         ev_timer_start(c->member->group->loop, &c->work);
     }
 }
