relay: work that is late goes behind work that can still meet its target

Change: the queue is placed in two passes; work that would end after its target comes second, and is still answered when there is room, or refused as not run at its time-out.

--- a/src/relay/dispatch.c
+++ b/src/relay/dispatch.c
@@ -18,6 +18,9 @@
    once, so that its caller can turn to another proxy. */
 #define NO_LEASE_HOLD_MS 150
 #define UNREACHABLE_HOLD_MS 700
+/* Usual time of a statement at a member, for whether an answer will be late.
+ */
+#define STATEMENT_MS 15
 #define QUEUE_MAX 512
 #define MEMBERS_MAX 32
 
@@ -195,7 +198,26 @@
     return false;
 }
 
-/* Places queued work in order, as far as there is room. */
+/* Places the queued work that is already late, or the rest. */
+static void
+place_all(struct service *s, bool lease, bool late, clock_ms now)
+{
+    GList *next = s->queue.head;
+
+    while (next != NULL) {
+        struct work *w = next->data;
+        next = next->next;
+        /* A grant may change the queue, so the scan starts again. */
+        if ((now + STATEMENT_MS >= w->target) == late &&
+            place(s, w, lease, now)) {
+            next = s->queue.head;
+        }
+    }
+}
+
+/* Places queued work as far as there is room: in the order of the queue, but
+   work that has missed its target goes behind all that can still meet it.
+   Under overload first come, first served would make every answer late. */
 void
 service_dispatch(struct service *s)
 {
@@ -209,15 +231,8 @@
         const clock_ms now = service_now(s);
         const bool lease = !s->changing && s->primary[0] != '\0' &&
                            s->lease_valid(s->ctx, s->name, now);
-        GList *next = s->queue.head;
-        while (next != NULL) {
-            struct work *w = next->data;
-            next = next->next;
-            /* A grant may change the queue, so the scan starts again. */
-            if (place(s, w, lease, now)) {
-                next = s->queue.head;
-            }
-        }
+        place_all(s, lease, false, now);
+        place_all(s, lease, true, now);
     } while (s->dispatch_again);
     s->dispatching = false;
 }
--- a/src/relay/exchange.c
+++ b/src/relay/exchange.c
@@ -34,6 +34,7 @@
         r->freshness == FRESHNESS_PRIMARY ? (struct token){0} : s->token;
     w->arrived = s->arrived;
     w->deadline = s->deadline;
+    w->target = s->arrived + r->target_ms;
     w->staleness_ms = r->max_staleness_ms;
     w->values_hash = s->values_hash;
     s->step = STEP_QUEUED;
--- a/src/relay/service.h
+++ b/src/relay/service.h
@@ -20,6 +20,7 @@
     struct token floor;   /* position that the session must see */
     clock_ms arrived;     /* on the boot clock */
     clock_ms deadline;    /* on the boot clock; refused afterwards */
+    clock_ms target;      /* an answer after this is late */
     int64_t staleness_ms; /* commits older than this must be seen */
     uint64_t values_hash; /* of the session's settings */
     char avoid[MEMBER_ID_BYTES]; /* member of the failed attempt, or empty */
--- a/tests/relay/relay_fixture.h
+++ b/tests/relay/relay_fixture.h
@@ -22,7 +22,8 @@
     void *ctx;
     bool closed;
     int sent_count;
-    int answered; /* kept by tests that play several connections */
+    clock_ms busy_until; /* kept by tests that play a load */
+    int answered;        /* kept by tests that play several connections */
     struct fixture_sent sent[64];
 };
 
