--- a/src/base/event_log.c
+++ b/src/base/event_log.c
@@ -1,5 +1,7 @@
 #include "base/event_log.h"
 
+#include "base/clock.h"
+
 #include <fcntl.h>
 #include <stdarg.h>
 #include <stdbool.h>
@@ -98,9 +100,8 @@
 /* Reports how many lines were left out since the last call. Called about once
    a second. */
 void
-event_log_flush(clock_ms now)
+event_log_flush(void)
 {
-    (void)now;
     if (budgets[EVENT_STATE].suppressed == 0 &&
         budgets[EVENT_REQUEST].suppressed == 0 && unwritten == 0) {
         return;
--- a/src/base/event_log.h
+++ b/src/base/event_log.h
@@ -1,8 +1,6 @@
 #ifndef BASE_EVENT_LOG_H
 #define BASE_EVENT_LOG_H
 
-#include "base/clock.h"
-
 /* Structured lines on standard output: "t=... event=... key=value ...".
    EVENT_STATE lines (start, stop, beliefs, dependencies) and EVENT_REQUEST
    lines (decisions about one request) have separate budgets, so that failures
@@ -16,6 +14,6 @@
 void event_log_open(void);
 void event_log(enum event_class class, const char *event, const char *fmt, ...)
     __attribute__((format(printf, 3, 4)));
-void event_log_flush(clock_ms now);
+void event_log_flush(void);
 
 #endif
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -283,7 +283,7 @@
     }
     if (now - n->flushed_at >= LOG_INTERVAL_MS) {
         n->flushed_at = now;
-        event_log_flush(now);
+        event_log_flush();
     }
 }
 
--- a/src/relay/dispatch.c
+++ b/src/relay/dispatch.c
@@ -97,8 +97,7 @@
 
 /* Hands a link to work. */
 static void
-grant(struct service *s, struct member *m, struct pooled_link *l,
-      struct work *w, bool primary)
+grant(struct service *s, struct pooled_link *l, struct work *w, bool primary)
 {
     unqueue(s, w);
     l->state = LINK_GRANTED;
@@ -106,7 +105,6 @@
     l->epoch = s->epoch;
     l->active = true;
     l->changed_at = service_now(s);
-    (void)m;
     s->counters.granted++;
     w->granted(w->ctx, l);
 }
@@ -184,7 +182,7 @@
     bool exact;
     struct pooled_link *l = idle_link(m, w->values_hash, &exact);
     if (l != NULL) {
-        grant(s, m, l, w, views[chosen].primary);
+        grant(s, l, w, views[chosen].primary);
         return true;
     }
     int opening = 0;
