--- /dev/null
+++ b/tests/soak/caught.sh
@@ -0,0 +1,14 @@
+#!/bin/sh
+# Passes when the soak notices a program that breaks a promise. The schedule of
+# real processes differs from run to run, so up to five seeds are tried.
+#
+#   caught.sh SOAK PROGRAM
+set -eu
+for seed in 4 5 6 7 8; do
+    if ! "$1" "$2" "$seed" 12 >/dev/null 2>&1; then
+        echo "caught at seed $seed"
+        exit 0
+    fi
+done
+echo "not caught"
+exit 1
