--- a/src/admission/pressure.c
+++ b/src/admission/pressure.c
@@ -7,8 +7,8 @@
    step, so that shedding starts fast and ends slowly. */
 #define HOLD_MS 300
 /* For batch kinds: one batch holds a slot for hundreds of milliseconds, and
-   only stragglers are cancelled, so admitting it too early during a peak halves
-   a member for that time. */
+   only stragglers are cancelled, so admitting it too early during a peak
+   halves a member for that time. */
 #define SLOW_HOLD_MS 10000
 
 /* Batches stay out of a member while this share of its short work waits
