node: take the configuration from a peer while the store turns this proxy away

Ruled out: members and connections (the three proxies that the store served were ready after 40 ms). Change: a proxy that lacks a part asks the sender of a note over ONC RPC with a shared key; witnesses send notes to silent proxies too; notes carry the version of the configuration, so that a proxy which alone misses the store gets newer ones. Tests: node_test_fetch (configuration from a peer, newer configuration, wrong key), directory_test_catalog_text.

--- a/scripts/generate-xdr.sh
+++ b/scripts/generate-xdr.sh
@@ -3,7 +3,8 @@
 # build needs no rpcgen.
 set -eu
 cd "$(dirname "$0")/.."
-for x in src/fleet/peer src/control/control src/lead/peer_note; do
+for x in src/fleet/peer src/control/control src/lead/peer_note \
+    src/node/copy; do
     dir=$(dirname "$x")
     name=$(basename "$x")
     (
--- a/src/directory/member_list.c
+++ b/src/directory/member_list.c
@@ -11,8 +11,8 @@
 }
 
 /* Writes one line for each member, ordered by id, so that equal lists give
-   equal texts: "ID SERVICE HOST PORT DOMAIN SLOTS ROLE". The text is owned by
-   the caller. */
+   equal texts: "ID SERVICE HOST PORT DOMAIN SLOTS ROLE STATE STARTED_AT". The
+   text is owned by the caller. STATE is "ready" or "draining". */
 char *
 member_list_format(const struct member_entry *entries, size_t n)
 {
@@ -25,9 +25,11 @@
     g_ptr_array_sort(sorted, compare);
     for (guint i = 0; i < sorted->len; i++) {
         const struct member_entry *m = sorted->pdata[i];
-        g_string_append_printf(s, "%s %s %s %u %s %d %s\n", m->id, m->service,
-                               m->host, m->port, m->failure_domain, m->slots,
-                               m->says_primary ? "primary" : "replica");
+        g_string_append_printf(
+            s, "%s %s %s %u %s %d %s %s %lld\n", m->id, m->service, m->host,
+            m->port, m->failure_domain, m->slots,
+            m->says_primary ? "primary" : "replica",
+            m->draining ? "draining" : "ready", (long long)m->started_at);
     }
     g_ptr_array_free(sorted, TRUE);
     return g_string_free(s, FALSE);
@@ -37,24 +39,28 @@
 static bool
 parse_line(const char *line, struct member_entry *m)
 {
-    char **w = g_strsplit(line, " ", 8);
+    char **w = g_strsplit(line, " ", 10);
     uint64_t port = 0;
     uint64_t slots = 0;
+    uint64_t started_at = 0;
 
     *m = (struct member_entry){0};
     const bool ok =
-        g_strv_length(w) == 7 &&
+        g_strv_length(w) == 9 &&
         g_strlcpy(m->id, w[0], sizeof(m->id)) < sizeof(m->id) &&
         g_strlcpy(m->service, w[1], sizeof(m->service)) < sizeof(m->service) &&
         g_strlcpy(m->host, w[2], sizeof(m->host)) < sizeof(m->host) &&
         g_ascii_string_to_unsigned(w[3], 10, 1, 65535, &port, NULL) &&
         g_strlcpy(m->failure_domain, w[4], sizeof(m->failure_domain)) <
             sizeof(m->failure_domain) &&
-        g_ascii_string_to_unsigned(w[5], 10, 1, 1024, &slots, NULL);
+        g_ascii_string_to_unsigned(w[5], 10, 1, 1024, &slots, NULL) &&
+        g_ascii_string_to_unsigned(w[8], 10, 0, G_MAXINT64, &started_at, NULL);
     if (ok) {
         m->port = (uint16_t)port;
         m->slots = (int)slots;
         m->says_primary = g_str_equal(w[6], "primary");
+        m->draining = g_str_equal(w[7], "draining");
+        m->started_at = (int64_t)started_at;
     }
     g_strfreev(w);
     return ok;
--- a/src/lead/agreement.h
+++ b/src/lead/agreement.h
@@ -37,15 +37,16 @@
 struct agreement_note {
     char from[VIEW_NAME_BYTES];
     uint64_t incarnation;
-    clock_ms sent_at;     /* on the sender's clock */
-    clock_ms echo;        /* sent_at of the last message received, or 0 */
-    uint64_t echo_of;     /* incarnation that sent it */
-    uint64_t acted;       /* version of the view whose changes are done */
-    uint64_t version;     /* version of the view that is known */
-    uint64_t unreachable; /* services whose primary does not answer, by
-                             index in the view of `version` */
-    bool leaving;         /* the sender cannot change the view any more */
-    bool reply;           /* answers a note, and is not answered */
+    clock_ms sent_at;       /* on the sender's clock */
+    clock_ms echo;          /* sent_at of the last message received, or 0 */
+    uint64_t echo_of;       /* incarnation that sent it */
+    uint64_t acted;         /* version of the view whose changes are done */
+    uint64_t version;       /* version of the view that is known */
+    uint64_t unreachable;   /* services whose primary does not answer, by
+                               index in the view of `version` */
+    uint64_t configuration; /* version of the operator's configuration */
+    bool leaving;           /* the sender cannot change the view any more */
+    bool reply;             /* answers a note, and is not answered */
     /* For a peer that cannot reach primaries, by index in the view. */
     struct agreement_position positions[VIEW_SERVICES_MAX];
     int position_count;
--- a/src/lead/peer_note.x
+++ b/src/lead/peer_note.x
@@ -14,6 +14,7 @@
     unsigned hyper acted;
     unsigned hyper known;
     unsigned hyper unreachable;
+    unsigned hyper configuration;
     bool leaving;
     bool reply;
     wire_position positions<32>;
--- a/src/lead/peer_note_xdr.c
+++ b/src/lead/peer_note_xdr.c
@@ -7,49 +7,50 @@
 #include "peer_note_xdr.h"
 
 bool_t
-xdr_wire_position(XDR *xdrs, wire_position *objp)
+xdr_wire_position (XDR *xdrs, wire_position *objp)
 {
-    register int32_t *buf;
+	register int32_t *buf;
 
-    if (!xdr_u_quad_t(xdrs, &objp->term))
-        return FALSE;
-    if (!xdr_u_quad_t(xdrs, &objp->number))
-        return FALSE;
-    if (!xdr_quad_t(xdrs, &objp->age_ms))
-        return FALSE;
-    return TRUE;
+	 if (!xdr_u_quad_t (xdrs, &objp->term))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->number))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->age_ms))
+		 return FALSE;
+	return TRUE;
 }
 
 bool_t
-xdr_wire_note(XDR *xdrs, wire_note *objp)
+xdr_wire_note (XDR *xdrs, wire_note *objp)
 {
-    register int32_t *buf;
+	register int32_t *buf;
 
-    if (!xdr_string(xdrs, &objp->from, 63))
-        return FALSE;
-    if (!xdr_u_quad_t(xdrs, &objp->incarnation))
-        return FALSE;
-    if (!xdr_quad_t(xdrs, &objp->sent_at))
-        return FALSE;
-    if (!xdr_quad_t(xdrs, &objp->echo))
-        return FALSE;
-    if (!xdr_u_quad_t(xdrs, &objp->echo_of))
-        return FALSE;
-    if (!xdr_u_quad_t(xdrs, &objp->acted))
-        return FALSE;
-    if (!xdr_u_quad_t(xdrs, &objp->known))
-        return FALSE;
-    if (!xdr_u_quad_t(xdrs, &objp->unreachable))
-        return FALSE;
-    if (!xdr_bool(xdrs, &objp->leaving))
-        return FALSE;
-    if (!xdr_bool(xdrs, &objp->reply))
-        return FALSE;
-    if (!xdr_array(xdrs, (char **)&objp->positions.positions_val,
-                   (u_int *)&objp->positions.positions_len, 32,
-                   sizeof(wire_position), (xdrproc_t)xdr_wire_position))
-        return FALSE;
-    if (!xdr_string(xdrs, &objp->view, 6000))
-        return FALSE;
-    return TRUE;
+	 if (!xdr_string (xdrs, &objp->from, 63))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->incarnation))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->sent_at))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->echo))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->echo_of))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->acted))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->known))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->unreachable))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->configuration))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->leaving))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->reply))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->positions.positions_val, (u_int *) &objp->positions.positions_len, 32,
+		sizeof (wire_position), (xdrproc_t) xdr_wire_position))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->view, 6000))
+		 return FALSE;
+	return TRUE;
 }
--- a/src/lead/peer_note_xdr.h
+++ b/src/lead/peer_note_xdr.h
@@ -30,6 +30,7 @@
 	u_quad_t acted;
 	u_quad_t known;
 	u_quad_t unreachable;
+	u_quad_t configuration;
 	bool_t leaving;
 	bool_t reply;
 	struct {
--- a/src/lead/peer_port.c
+++ b/src/lead/peer_port.c
@@ -41,6 +41,7 @@
         n->acted = w.acted;
         n->version = w.known;
         n->unreachable = w.unreachable;
+        n->configuration = w.configuration;
         n->leaving = w.leaving;
         n->reply = w.reply;
         n->position_count =
@@ -66,17 +67,22 @@
 {
     struct peer_port *p = w->data;
     char bytes[NOTE_BYTES];
+    char host[INET_ADDRSTRLEN];
     struct agreement_note n;
 
     (void)loop;
     (void)revents;
     for (;;) {
-        const ssize_t size = recv(p->fd, bytes, sizeof(bytes), 0);
+        struct sockaddr_in from = {0};
+        socklen_t from_size = sizeof(from);
+        const ssize_t size = recvfrom(p->fd, bytes, sizeof(bytes), 0,
+                                      (struct sockaddr *)&from, &from_size);
         if (size < 0) {
             return;
         }
         if (decode(bytes, (size_t)size, &n)) {
-            p->received(p->ctx, &n);
+            inet_ntop(AF_INET, &from.sin_addr, host, sizeof(host));
+            p->received(p->ctx, &n, host);
         }
         else {
             event_log(EVENT_STATE, "note_malformed", "bytes=%zd", size);
@@ -158,6 +164,7 @@
         .acted = n->acted,
         .known = n->version,
         .unreachable = n->unreachable,
+        .configuration = n->configuration,
         .leaving = n->leaving,
         .reply = n->reply,
         .positions = {.positions_len = (u_int)n->position_count,
--- a/src/lead/peer_port.h
+++ b/src/lead/peer_port.h
@@ -8,7 +8,9 @@
 /* The datagram socket over which proxies exchange notes, in XDR. */
 struct peer_port;
 
-typedef void (*peer_port_fn)(void *ctx, const struct agreement_note *n);
+/* host is where the note came from. */
+typedef void (*peer_port_fn)(void *ctx, const struct agreement_note *n,
+                             const char *host);
 
 struct peer_port *peer_port_create(struct ev_loop *loop, const char *host,
                                    uint16_t port, peer_port_fn received,
--- /dev/null
+++ b/src/node/copy.c
@@ -0,0 +1,181 @@
+#include "node/copy.h"
+
+#include "base/event_log.h"
+#include "fleet/rpc_client.h"
+#include "fleet/rpc_server.h"
+#include "node/copy_xdr.h"
+
+#include <string.h>
+
+/* A peer answers in a few milliseconds; one that does not is left for the
+   next one. */
+#define ASK_MS 300
+/* Peers that are connected at once; beyond that they try again later. */
+#define CONNECTIONS_MAX 64
+
+struct copy_port {
+    struct copy_config config;
+    char *name;
+    struct rpc_keys *keys;
+    struct rpc_procedure procedure;
+    struct rpc_server *server;
+    GHashTable *clients; /* "HOST:PORT" -> struct rpc_client */
+    char *asked;         /* host of the question in progress, or NULL */
+};
+
+/* Frees the texts. */
+static void
+texts_clear(struct copy_texts *t)
+{
+    g_free(t->catalog);
+    g_free(t->members);
+    g_free(t->proxies);
+}
+
+/* Answers a peer. */
+static void
+on_question(void *ctx, struct rpc_call *call, void *args)
+{
+    struct copy_port *p = ctx;
+    const copy_question *q = args;
+    struct copy_texts t = {0};
+
+    if (!p->config.give(p->config.ctx, &t)) {
+        event_log(EVENT_STATE, "copy_refused", "peer=%s", q->from);
+        rpc_call_fail(call);
+        return;
+    }
+    const copy_answer a = {
+        .catalog = t.catalog, .members = t.members, .proxies = t.proxies};
+    event_log(EVENT_STATE, "copy_given", "peer=%s bytes=%zu", q->from,
+              strlen(t.catalog) + strlen(t.members) + strlen(t.proxies));
+    rpc_call_reply(call, RPC_XDR(xdr_copy_answer), &a);
+    texts_clear(&t);
+}
+
+/* A peer has answered, or not. */
+static void
+on_answer(void *ctx, enum rpc_status status, void *result)
+{
+    struct copy_port *p = ctx;
+    const copy_answer *a = result;
+    char *host = g_steal_pointer(&p->asked);
+
+    if (host == NULL) {
+        return; /* the port is being destroyed */
+    }
+    if (status != RPC_STATUS_OK) {
+        event_log(EVENT_STATE, "copy_not_taken", "host=%s status=%s", host,
+                  rpc_status_name(status));
+        p->config.taken(p->config.ctx, host, NULL);
+    }
+    else {
+        const struct copy_texts t = {.catalog = a->catalog,
+                                     .members = a->members,
+                                     .proxies = a->proxies};
+        p->config.taken(p->config.ctx, host, &t);
+    }
+    g_free(host);
+}
+
+/* Frees a client kept in the table. */
+static void
+client_free(void *c)
+{
+    rpc_client_destroy(c);
+}
+
+/* Opens the port. On failure returns NULL and sets error to an owned text. */
+struct copy_port *
+copy_port_create(const struct copy_config *config, char **error)
+{
+    static const struct rpc_server_limits limits = {.max_connections =
+                                                        CONNECTIONS_MAX};
+    struct copy_port *p = g_new0(struct copy_port, 1);
+    const struct sview key = sview_from(config->key);
+
+    p->config = *config;
+    p->name = g_strdup(config->name);
+    p->keys = rpc_keys_create();
+    p->clients =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, client_free);
+    if (!rpc_keys_set(p->keys, &key, 1)) {
+        *error = g_strdup_printf("the key of the proxies needs %d to %d bytes",
+                                 RPC_KEY_MIN_BYTES, RPC_KEY_MAX_BYTES);
+        copy_port_destroy(p);
+        return NULL;
+    }
+    p->procedure = (struct rpc_procedure){
+        .program = COPY_PROGRAM,
+        .version = COPY_VERSION,
+        .procedure = COPY_READ,
+        .args_proc = RPC_XDR(xdr_copy_question),
+        .args_bytes = sizeof(copy_question),
+        .handler = on_question,
+        .ctx = p,
+    };
+    p->server = rpc_server_create(config->loop, config->host, config->port,
+                                  p->keys, &p->procedure, 1, &limits, error);
+    if (p->server == NULL) {
+        copy_port_destroy(p);
+        return NULL;
+    }
+    return p;
+}
+
+/* Closes the port; a question in progress is not answered. NULL is
+   allowed. */
+void
+copy_port_destroy(struct copy_port *p)
+{
+    if (p == NULL) {
+        return;
+    }
+    if (p->server != NULL) {
+        rpc_server_destroy(p->server);
+    }
+    g_clear_pointer(&p->asked, g_free);
+    g_hash_table_destroy(p->clients);
+    rpc_keys_destroy(p->keys);
+    g_free(p->name);
+    g_free(p);
+}
+
+/* Tells whether a question is in progress. */
+bool
+copy_port_is_asking(const struct copy_port *p)
+{
+    return p->asked != NULL;
+}
+
+/* Asks the peer at an address for its copies, unless a question is in
+   progress; taken() is called once. */
+void
+copy_port_ask(struct copy_port *p, const char *host, uint16_t port)
+{
+    static const struct rpc_signature read = {
+        .program = COPY_PROGRAM,
+        .version = COPY_VERSION,
+        .procedure = COPY_READ,
+        .args_proc = RPC_XDR(xdr_copy_question),
+        .result_proc = RPC_XDR(xdr_copy_answer),
+        .result_bytes = sizeof(copy_answer),
+    };
+    static const struct rpc_client_limits limits = {.connect_ms = ASK_MS,
+                                                    .fail_fast = true};
+
+    if (p->asked != NULL) {
+        return;
+    }
+    char *address = g_strdup_printf("%s:%u", host, port);
+    struct rpc_client *c = g_hash_table_lookup(p->clients, address);
+    if (c == NULL) {
+        c = rpc_client_create(p->config.loop, host, port, p->keys,
+                              (uint64_t)clock_wall_now(), &limits);
+        g_hash_table_insert(p->clients, g_strdup(address), c);
+    }
+    g_free(address);
+    p->asked = g_strdup(host);
+    const copy_question q = {.from = p->name};
+    rpc_client_call(c, &read, &q, ASK_MS, on_answer, p);
+}
--- /dev/null
+++ b/src/node/copy.h
@@ -0,0 +1,39 @@
+#ifndef NODE_COPY_H
+#define NODE_COPY_H
+
+#include "base/clock.h"
+#include "fleet/rpc_auth.h"
+
+#include <ev.h>
+
+/* Hands copies of the configuration, the members and the registered proxies
+   to proxies that cannot read the store, and fetches such copies from them. */
+struct copy_port;
+
+/* Three texts; those that are given out are owned by the receiver. */
+struct copy_texts {
+    char *catalog;
+    char *members;
+    char *proxies;
+};
+
+struct copy_config {
+    struct ev_loop *loop;
+    const char *name; /* of this proxy */
+    const char *host;
+    uint16_t port;
+    const char *key; /* shared by all proxies */
+    /* Fills in what this proxy has; returns false when it has nothing. */
+    bool (*give)(void *ctx, struct copy_texts *out);
+    /* A peer has answered; texts is NULL when it did not in time. */
+    void (*taken)(void *ctx, const char *host, const struct copy_texts *texts);
+    void *ctx;
+};
+
+struct copy_port *copy_port_create(const struct copy_config *config,
+                                   char **error);
+void copy_port_destroy(struct copy_port *p);
+void copy_port_ask(struct copy_port *p, const char *host, uint16_t port);
+bool copy_port_is_asking(const struct copy_port *p);
+
+#endif
--- /dev/null
+++ b/src/node/fetch.c
@@ -0,0 +1,271 @@
+#include "node/node_internal.h"
+
+#include "base/event_log.h"
+#include "directory/catalog_text.h"
+#include "directory/member_list.h"
+
+#include <string.h>
+
+/* Decides when to ask which peer for what the store does not give, and takes
+   the answers over. A process that starts while the store turns it away takes
+   everything from a peer; later only a newer configuration. */
+
+/* The store answers a process that starts within this time, if at all. */
+#define START_MS 150
+/* Between questions while something is missing. */
+#define AGAIN_MS 500
+/* A peer that has a newer configuration is asked for it after this time, in
+   which the store's own feed brings it as a rule. */
+#define NEWER_MS 400
+/* Peers that are remembered as sources. */
+#define SOURCES_MAX 16
+
+struct fetch {
+    struct node *node;
+    struct copy_port *copies;
+    char host[MEMBER_HOST_BYTES]; /* of this proxy */
+    uint16_t port;                /* of all proxies */
+    char sources[SOURCES_MAX][MEMBER_HOST_BYTES];
+    size_t source_count;
+    size_t next_source;
+    clock_ms started_at;
+    clock_ms asked_at;
+    char newer_host[MEMBER_HOST_BYTES]; /* a peer with a newer configuration */
+    uint64_t newer_version;
+    clock_ms newer_since; /* 0 when none is known */
+};
+
+/* Adds a host to be asked, unless it is known or this proxy's own. */
+static void
+add_source(struct fetch *f, const char *host)
+{
+    if (f->source_count == SOURCES_MAX || strcmp(f->host, host) == 0) {
+        return;
+    }
+    for (size_t i = 0; i < f->source_count; i++) {
+        if (strcmp(f->sources[i], host) == 0) {
+            return;
+        }
+    }
+    g_strlcpy(f->sources[f->source_count++], host, MEMBER_HOST_BYTES);
+}
+
+/* Tells whether the store has not given everything yet. */
+static bool
+is_incomplete(const struct node *n)
+{
+    return !n->catalog_read || !n->members_listed || !n->peers_listed;
+}
+
+/* Writes the registered proxies as lines "NAME HOST PORT DOMAIN". */
+static char *
+format_proxies(const struct node *n)
+{
+    GString *s = g_string_new(NULL);
+
+    for (guint i = 0; i < n->peers->len; i++) {
+        const struct node_peer *p =
+            &g_array_index(n->peers, struct node_peer, i);
+        g_string_append_printf(s, "%s %s %u %s\n", p->name, p->host, p->port,
+                               p->failure_domain);
+    }
+    return g_string_free(s, FALSE);
+}
+
+/* Reads one proxy. */
+static bool
+parse_proxy(const char *line, struct node_peer *p)
+{
+    char **w = g_strsplit(line, " ", 5);
+    uint64_t port = 0;
+
+    *p = (struct node_peer){0};
+    const bool ok =
+        g_strv_length(w) == 4 &&
+        g_strlcpy(p->name, w[0], sizeof(p->name)) < sizeof(p->name) &&
+        g_strlcpy(p->host, w[1], sizeof(p->host)) < sizeof(p->host) &&
+        g_ascii_string_to_unsigned(w[2], 10, 1, 65535, &port, NULL) &&
+        g_strlcpy(p->failure_domain, w[3], sizeof(p->failure_domain)) <
+            sizeof(p->failure_domain);
+    p->port = (uint16_t)port;
+    g_strfreev(w);
+    return ok;
+}
+
+/* Takes the proxies that a peer knows. */
+static void
+take_proxies(struct node *n, const char *text, const char *host)
+{
+    GArray *list = g_array_new(FALSE, TRUE, sizeof(struct node_peer));
+    char **lines = g_strsplit(text, "\n", 0);
+
+    for (int i = 0; lines[i] != NULL; i++) {
+        struct node_peer p;
+        if (lines[i][0] == '\0') {
+            continue;
+        }
+        if (parse_proxy(lines[i], &p)) {
+            g_array_append_val(list, p);
+        }
+        else {
+            event_log(EVENT_STATE, "peer_unreadable", "source=%s line=\"%s\"",
+                      host, lines[i]);
+        }
+    }
+    if (list->len > 0) {
+        node_apply_peers(n, (const struct node_peer *)(void *)list->data,
+                         list->len);
+    }
+    g_strfreev(lines);
+    g_array_free(list, TRUE);
+}
+
+/* Takes the members that a peer lists. */
+static void
+take_members(struct node *n, const char *text)
+{
+    GArray *list = member_list_parse(sview_from(text));
+
+    if (list->len > 0) {
+        node_apply_members(n, (const struct member_entry *)(void *)list->data,
+                           list->len);
+    }
+    g_array_free(list, TRUE);
+}
+
+/* Gives a peer what this proxy has. */
+static bool
+give(void *ctx, struct copy_texts *out)
+{
+    const struct fetch *f = ctx;
+    const struct node *n = f->node;
+
+    if (n->catalog->version == 0 || n->peers->len == 0) {
+        return false;
+    }
+    GArray *listed = g_array_new(FALSE, TRUE, sizeof(struct member_entry));
+    for (guint k = 0; k < n->members->len; k++) {
+        const struct known_member *m =
+            &g_array_index(n->members, struct known_member, k);
+        if (m->unlisted_at == 0) {
+            g_array_append_val(listed, m->entry);
+        }
+    }
+    out->catalog = catalog_format(n->catalog);
+    out->members = member_list_format(
+        (const struct member_entry *)(void *)listed->data, listed->len);
+    out->proxies = format_proxies(n);
+    g_array_free(listed, TRUE);
+    return true;
+}
+
+/* Takes over what a peer has given and the store has not. */
+static void
+taken(void *ctx, const char *host, const struct copy_texts *texts)
+{
+    struct fetch *f = ctx;
+    struct node *n = f->node;
+
+    /* The next note of a peer that is ahead sets these again. */
+    f->newer_since = 0;
+    f->newer_version = 0;
+    if (texts == NULL) {
+        return; /* logged by the port; the next tick asks another peer */
+    }
+    struct catalog *c = catalog_parse(sview_from(texts->catalog));
+    if (c == NULL) {
+        event_log(EVENT_STATE, "copy_unreadable", "host=%s", host);
+        return;
+    }
+    event_log(EVENT_STATE, "copy_taken",
+              "host=%s version=%" G_GUINT64_FORMAT " before=%" G_GUINT64_FORMAT
+              " store_gave_members=%d store_gave_proxies=%d",
+              host, c->version, n->catalog->version, n->members_listed,
+              n->peers_listed);
+    node_apply_catalog(n, c);
+    catalog_unref(c);
+    if (!n->members_listed) {
+        take_members(n, texts->members);
+    }
+    if (!n->peers_listed) {
+        take_proxies(n, texts->proxies, host);
+    }
+}
+
+/* Opens the port on which peers ask. On failure returns NULL and sets error to
+   an owned text. */
+struct fetch *
+fetch_create(struct node *n, const struct node_config *config, char **error)
+{
+    struct fetch *f = g_new0(struct fetch, 1);
+    const struct copy_config copies = {
+        .loop = config->loop,
+        .name = config->name,
+        .host = config->host,
+        .port = config->peer_port,
+        .key = config->key,
+        .give = give,
+        .taken = taken,
+        .ctx = f,
+    };
+
+    f->node = n;
+    g_strlcpy(f->host, config->host, sizeof(f->host));
+    f->port = config->peer_port;
+    f->started_at = clock_boot_now();
+    f->copies = copy_port_create(&copies, error);
+    if (f->copies == NULL) {
+        g_free(f);
+        return NULL;
+    }
+    return f;
+}
+
+/* Closes the port; NULL is allowed. */
+void
+fetch_destroy(struct fetch *f)
+{
+    if (f == NULL) {
+        return;
+    }
+    copy_port_destroy(f->copies);
+    g_free(f);
+}
+
+/* Asks a peer when something is missing. */
+void
+fetch_tick(struct fetch *f, clock_ms now)
+{
+    const struct node *n = f->node;
+
+    if (copy_port_is_asking(f->copies) || now - f->asked_at < AGAIN_MS) {
+        return;
+    }
+    if (n->catalog->version >= f->newer_version) {
+        f->newer_since = 0;
+    }
+    if (is_incomplete(n) && now - f->started_at >= START_MS &&
+        f->source_count > 0) {
+        const char *host = f->sources[f->next_source++ % f->source_count];
+        f->asked_at = now;
+        copy_port_ask(f->copies, host, f->port);
+    }
+    else if (f->newer_since != 0 && now - f->newer_since >= NEWER_MS) {
+        f->asked_at = now;
+        copy_port_ask(f->copies, f->newer_host, f->port);
+    }
+}
+
+/* A note came from a peer that has this version of the configuration. */
+void
+fetch_on_note(struct fetch *f, const char *host, uint64_t configuration,
+              clock_ms now)
+{
+    add_source(f, host);
+    if (configuration > f->node->catalog->version &&
+        configuration > f->newer_version) {
+        f->newer_version = configuration;
+        f->newer_since = f->newer_since == 0 ? now : f->newer_since;
+        g_strlcpy(f->newer_host, host, sizeof(f->newer_host));
+    }
+}
--- a/src/node/members.c
+++ b/src/node/members.c
@@ -40,10 +40,19 @@
     }
 }
 
-/* Takes over the whole list of members. */
+/* Takes over the whole list of members as the directory has it. */
 void
 node_set_members(struct node *n, const struct member_entry *entries,
                  size_t count)
+{
+    n->members_listed = true;
+    node_apply_members(n, entries, count);
+}
+
+/* Takes over the whole list of members. */
+void
+node_apply_members(struct node *n, const struct member_entry *entries,
+                   size_t count)
 {
     const clock_ms now = clock_boot_now();
     GArray *next = g_array_new(FALSE, TRUE, sizeof(struct known_member));
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -65,10 +65,21 @@
     }
 }
 
+/* Takes over the operator's configuration as the store holds it; NULL when the
+   store holds none. */
+void
+node_set_catalog(struct node *n, struct catalog *c)
+{
+    n->catalog_read = true;
+    if (c != NULL) {
+        node_apply_catalog(n, c);
+    }
+}
+
 /* Takes over a version of the operator's configuration. Older versions are
    ignored. */
 void
-node_set_catalog(struct node *n, struct catalog *c)
+node_apply_catalog(struct node *n, struct catalog *c)
 {
     if (n->catalog->version >= c->version) {
         return;
@@ -260,6 +271,7 @@
     tick_services(n, now);
     relay_tick(n->relay, now);
     node_tick_promoter(n, now);
+    fetch_tick(n->fetch, now);
     check_apart(n, now);
     const bool acted = node_update_acted(n);
     const uint64_t unreachable = node_unreachable(n, now);
@@ -324,9 +336,15 @@
         .ctx = n,
     };
 
+    n->fetch = fetch_create(n, config, error);
+    if (n->fetch == NULL) {
+        g_free(n);
+        return NULL;
+    }
     n->port = peer_port_create(config->loop, config->host, config->peer_port,
                                node_on_note, n, error);
     if (n->port == NULL) {
+        fetch_destroy(n->fetch);
         g_free(n);
         return NULL;
     }
@@ -354,6 +372,7 @@
 node_destroy(struct node *n)
 {
     ev_timer_stop(n->loop, &n->tick);
+    fetch_destroy(n->fetch);
     g_hash_table_destroy(n->services);
     relay_destroy(n->relay);
     peer_port_destroy(n->port);
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -34,7 +34,8 @@
     const char *name;
     const char *failure_domain;
     const char *host;
-    uint16_t peer_port;
+    uint16_t peer_port; /* UDP for notes, TCP for copies; the same for all */
+    const char *key;    /* shared by all proxies */
     const struct node_platform *platform;
 };
 
--- a/src/node/node_internal.h
+++ b/src/node/node_internal.h
@@ -2,9 +2,10 @@
 #define NODE_NODE_INTERNAL_H
 
 #include "lead/peer_port.h"
+#include "node/copy.h"
 #include "node/node.h"
 
-/* Shared by node.c, notes.c, members.c and metrics.c only. */
+/* Shared by node.c, notes.c, members.c, fetch.c and metrics.c only. */
 
 #define MEMBERS_MAX 16
 
@@ -31,6 +32,7 @@
     ev_timer tick;
     clock_ms last_tick;
     clock_ms noted_at;
+    guint greeted;             /* index of the next silent peer to greet */
     uint64_t told_unreachable; /* in the last note */
     clock_ms asked_at;
     clock_ms valid_at;
@@ -39,12 +41,17 @@
     clock_ms list_checked_at;
     char *stored_list; /* the list of members that the store holds */
     bool remembered;
+    bool catalog_read;   /* the store has given the configuration */
+    bool members_listed; /* the store has given the members */
+    bool peers_listed;   /* the store has given the registered proxies */
+    struct fetch *fetch;
     uint64_t acted; /* version reported as acted on */
     bool leaving;
 };
 
 /* node.c */
 void node_update_shares(struct node *n);
+void node_apply_catalog(struct node *n, struct catalog *c);
 void node_tick_promoter(struct node *n, clock_ms now);
 
 /* notes.c */
@@ -52,10 +59,23 @@
 void node_send_notes(struct node *n, bool news, clock_ms now);
 bool node_update_acted(struct node *n);
 void node_apply_view(struct node *n);
-void node_on_note(void *ctx, const struct agreement_note *note);
+void node_on_note(void *ctx, const struct agreement_note *note,
+                  const char *host);
+void node_apply_peers(struct node *n, const struct node_peer *peers,
+                      size_t count);
 
 /* members.c */
 void node_update_members(struct node *n);
 void node_store_members(struct node *n, clock_ms now);
+void node_apply_members(struct node *n, const struct member_entry *entries,
+                        size_t count);
+
+/* fetch.c */
+struct fetch *fetch_create(struct node *n, const struct node_config *config,
+                           char **error);
+void fetch_destroy(struct fetch *f);
+void fetch_tick(struct fetch *f, clock_ms now);
+void fetch_on_note(struct fetch *f, const char *host, uint64_t configuration,
+                   clock_ms now);
 
 #endif
--- a/src/node/notes.c
+++ b/src/node/notes.c
@@ -83,12 +83,31 @@
     const bool unable = n->leaving || promoter_is_cut_off(n->promoter, now);
     agreement_compose(n->agreement, p->name, unreachable, unable, now, &note);
     note.reply = reply;
+    note.configuration = n->catalog->version;
     if (reply) {
         add_positions(n, p->name, now, &note);
     }
     peer_port_send(n->port, p->host, p->port, &note);
 }
 
+/* Sends a note to one of the proxies that are not heard, another one each
+   time: it may have started while the store turns it away, and learns from
+   the note whom it can ask. */
+static void
+greet_silent_peer(struct node *n, uint64_t unreachable, clock_ms now)
+{
+    for (guint k = 0; k < n->peers->len; k++) {
+        const struct node_peer *p = &g_array_index(
+            n->peers, struct node_peer, n->greeted++ % n->peers->len);
+        if (strcmp(p->name, n->name) != 0 &&
+            !agreement_is_witness(n->agreement, p->name) &&
+            !agreement_alive(n->agreement, p->name, now)) {
+            send_note(n, p, unreachable, false, now);
+            return;
+        }
+    }
+}
+
 /* Sends a note to the witnesses, or to all peers when there is news that
    everyone must have and this proxy is a witness itself. */
 void
@@ -106,6 +125,9 @@
             send_note(n, p, unreachable, false, now);
         }
     }
+    if (!all && agreement_is_witness(n->agreement, n->name)) {
+        greet_silent_peer(n, unreachable, now);
+    }
 }
 
 /* Answers the note of a peer. */
@@ -166,11 +188,12 @@
 
 /* A peer's note arrived. */
 void
-node_on_note(void *ctx, const struct agreement_note *note)
+node_on_note(void *ctx, const struct agreement_note *note, const char *host)
 {
     struct node *n = ctx;
     const clock_ms now = clock_boot_now();
 
+    fetch_on_note(n->fetch, host, note->configuration, now);
     if (agreement_take(n->agreement, note, now)) {
         event_log(EVENT_STATE, "view_from_peer", "peer=%s version=%llu",
                   note->from, (unsigned long long)note->version);
@@ -187,9 +210,17 @@
     }
 }
 
-/* Takes over the registered proxies. */
+/* Takes over the registered proxies as the store lists them. */
 void
 node_set_peers(struct node *n, const struct node_peer *peers, size_t count)
+{
+    n->peers_listed = true;
+    node_apply_peers(n, peers, count);
+}
+
+/* Takes over the registered proxies. */
+void
+node_apply_peers(struct node *n, const struct node_peer *peers, size_t count)
 {
     if (count == n->peers->len &&
         (count == 0 ||
--- a/src/node/settings.c
+++ b/src/node/settings.c
@@ -101,6 +101,7 @@
         read_endpoint(f, "proxy", "ready_listen", &out->ready_listen, error) &&
         read_number(f, "proxy", "peer_port", 65535, &peer, error) &&
         read_number(f, "proxy", "metrics_port", 65535, &metrics, error) &&
+        read_text(f, "peers", "key", out->key, sizeof(out->key), error) &&
         read_endpoint(f, "store", "address", &out->store, error) &&
         read_endpoint(f, "orders", "address", &out->orders, error) &&
         read_number(f, "limits", "grace_ms", 3600000, &grace, error);
--- a/src/node/settings.h
+++ b/src/node/settings.h
@@ -5,6 +5,8 @@
 
 #include <stdint.h>
 
+#define NODE_KEY_BYTES 257
+
 struct endpoint {
     char host[MEMBER_HOST_BYTES];
     uint16_t port;
@@ -19,6 +21,7 @@
     struct endpoint ready_listen;
     struct endpoint store;
     struct endpoint orders;
+    char key[NODE_KEY_BYTES];
     uint16_t peer_port;
     uint16_t metrics_port;
     int64_t grace_ms; /* from SIGTERM to SIGKILL */
--- /dev/null
+++ b/tests/node/test_fetch.c
@@ -0,0 +1,261 @@
+#include "node/node.h"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <cmocka.h>
+
+/* Two nodes on loopback. The store gives the first one everything and turns
+   the second one away. */
+
+#define KEY "0123456789abcdef0123456789abcdef"
+/* Stops a run that hangs; no verdict depends on it otherwise. */
+#define WATCHDOG_S 30.0
+
+struct fixture {
+    struct ev_loop *loop;
+    struct node *served;
+    struct node *refused;
+    uint16_t peer_port;
+    ev_timer poll;
+    ev_timer watchdog;
+    uint64_t awaited; /* version of the configuration */
+    bool hung;
+};
+
+/* Does nothing: these nodes change no view. */
+static void
+ignore_view(void *ctx, const struct view *next)
+{
+    (void)ctx;
+    (void)next;
+}
+
+/* The store does not answer. */
+static void
+ignore_read(void *ctx)
+{
+    (void)ctx;
+}
+
+/* Nothing is ordered. */
+static void
+ignore_order(void *ctx, const char *service, const char *member,
+             uint64_t fence)
+{
+    (void)ctx;
+    (void)service;
+    (void)member;
+    (void)fence;
+}
+
+/* The store does not answer. */
+static void
+ignore_members(void *ctx, const char *text)
+{
+    (void)ctx;
+    (void)text;
+}
+
+/* Returns a port that is free on both hosts. */
+static uint16_t
+free_port(void)
+{
+    struct sockaddr_in at = {.sin_family = AF_INET};
+    socklen_t size = sizeof(at);
+    const int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+    assert_int_equal(bind(fd, (struct sockaddr *)&at, sizeof(at)), 0);
+    assert_int_equal(getsockname(fd, (struct sockaddr *)&at, &size), 0);
+    close(fd);
+    return ntohs(at.sin_port);
+}
+
+/* Starts a node. */
+static struct node *
+start(struct fixture *f, const char *name, const char *host, const char *key)
+{
+    static const struct node_platform platform = {
+        .write_view = ignore_view,
+        .read_view = ignore_read,
+        .order = ignore_order,
+        .write_members = ignore_members,
+    };
+    const struct node_config config = {
+        .loop = f->loop,
+        .name = name,
+        .failure_domain = name,
+        .host = host,
+        .peer_port = f->peer_port,
+        .key = key,
+        .platform = &platform,
+    };
+    char *error = NULL;
+    struct node *n = node_create(&config, &error);
+
+    assert_null(error);
+    return n;
+}
+
+/* Returns a catalog without services. */
+static struct catalog *
+catalog(uint64_t version)
+{
+    struct catalog *c = catalog_create(version);
+    struct database_route *r = g_new0(struct database_route, 1);
+
+    r->database = g_strdup("fish");
+    r->service = g_strdup("s1");
+    catalog_add_route(c, r);
+    return c;
+}
+
+/* Gives the first node what the store has. */
+static void
+serve(struct fixture *f, uint64_t version)
+{
+    const struct node_peer peers[] = {
+        {.name = "a",
+         .host = "127.0.0.1",
+         .failure_domain = "a",
+         .port = f->peer_port},
+        {.name = "b",
+         .host = "127.0.0.2",
+         .failure_domain = "b",
+         .port = f->peer_port},
+    };
+    struct catalog *c = catalog(version);
+
+    node_set_catalog(f->served, c);
+    catalog_unref(c);
+    node_set_members(f->served, NULL, 0);
+    node_set_peers(f->served, peers, 2);
+}
+
+/* Ends the run when the second node has the configuration. */
+static void
+on_poll(struct ev_loop *loop, ev_timer *w, int revents)
+{
+    struct fixture *f = w->data;
+
+    (void)revents;
+    if (node_catalog(f->refused)->version >= f->awaited) {
+        ev_break(loop, EVBREAK_ALL);
+    }
+}
+
+/* The run takes too long. */
+static void
+on_watchdog(struct ev_loop *loop, ev_timer *w, int revents)
+{
+    struct fixture *f = w->data;
+
+    (void)revents;
+    f->hung = true;
+    ev_break(loop, EVBREAK_ALL);
+}
+
+/* Runs until the second node has a version, for limit_s at the most. Returns
+   whether it has it. */
+static bool
+run_until(struct fixture *f, uint64_t version, double limit_s)
+{
+    f->awaited = version;
+    f->hung = false;
+    ev_timer_init(&f->poll, on_poll, 0.01, 0.01);
+    f->poll.data = f;
+    ev_timer_start(f->loop, &f->poll);
+    ev_timer_init(&f->watchdog, on_watchdog, limit_s, 0.0);
+    f->watchdog.data = f;
+    ev_timer_start(f->loop, &f->watchdog);
+    ev_run(f->loop, 0);
+    ev_timer_stop(f->loop, &f->poll);
+    ev_timer_stop(f->loop, &f->watchdog);
+    return !f->hung;
+}
+
+/* Prepares the fixture. */
+static void
+begin(struct fixture *f, const char *key)
+{
+    memset(f, 0, sizeof(*f));
+    f->loop = ev_loop_new(EVFLAG_AUTO);
+    f->peer_port = free_port();
+    f->served = start(f, "a", "127.0.0.1", KEY);
+    f->refused = start(f, "b", "127.0.0.2", key);
+}
+
+/* Ends the nodes. */
+static void
+end(struct fixture *f)
+{
+    node_destroy(f->served);
+    node_destroy(f->refused);
+    ev_loop_destroy(f->loop);
+}
+
+/* Guards against a process that serves nobody after a restart while the store
+   turns it away: it takes the configuration from the sender of a note. */
+static void
+test_configuration_from_peer(void **state)
+{
+    struct fixture f;
+
+    (void)state;
+    begin(&f, KEY);
+    serve(&f, 7);
+    assert_true(run_until(&f, 7, WATCHDOG_S));
+    assert_non_null(catalog_route(node_catalog(f.refused), "fish"));
+    end(&f);
+}
+
+/* Guards against a proxy that keeps an old configuration while the store turns
+   only it away. */
+static void
+test_newer_configuration(void **state)
+{
+    struct fixture f;
+
+    (void)state;
+    begin(&f, KEY);
+    struct catalog *old = catalog(5);
+    node_set_catalog(f.refused, old);
+    catalog_unref(old);
+    node_set_members(f.refused, NULL, 0);
+    node_set_peers(f.refused, NULL, 0);
+    serve(&f, 9);
+    assert_true(run_until(&f, 9, WATCHDOG_S));
+    end(&f);
+}
+
+/* Guards against a configuration from someone without the key. */
+static void
+test_wrong_key(void **state)
+{
+    struct fixture f;
+
+    (void)state;
+    begin(&f, "another key, as long as the real one");
+    serve(&f, 7);
+    /* Long enough for several questions. */
+    assert_false(run_until(&f, 7, 2.0));
+    end(&f);
+}
+
+int
+main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(test_configuration_from_peer),
+        cmocka_unit_test(test_newer_configuration),
+        cmocka_unit_test(test_wrong_key),
+    };
+
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/tests/node/test_settings.c
+++ b/tests/node/test_settings.c
@@ -12,7 +12,8 @@
 static const char good[] =
     "[proxy]\nname = n1\nfailure_domain = a\nhost = 10.1.0.8\n"
     "listen = 10.1.0.8:8784\nready_listen = 10.1.0.8:8785\n"
-    "peer_port = 7440\nmetrics_port = 7455\n[store]\n"
+    "peer_port = 7440\nmetrics_port = 7455\n[peers]\n"
+    "key = 0123456789abcdef0123456789abcdef\n[store]\n"
     "address = 10.200.1.7:8783\n[orders]\naddress = 10.200.0.160:8783\n"
     "[limits]\ngrace_ms = 6000\n";
 
@@ -45,6 +46,7 @@
     assert_string_equal(s.store.host, "10.200.1.7");
     assert_int_equal(s.store.port, 8783);
     assert_int_equal(s.peer_port, 7440);
+    assert_string_equal(s.key, "0123456789abcdef0123456789abcdef");
     assert_int_equal(s.grace_ms, 6000);
 }
 
@@ -63,6 +65,7 @@
         {"peer_port = 7440", "peer_port = 0", "[proxy] peer_port"},
         {"peer_port = 7440", "peer_port = 70000", "[proxy] peer_port"},
         {"metrics_port = 7455", "metrics_port = x", "[proxy] metrics_port"},
+        {"key = 0123456789abcdef0123456789abcdef", "", "[peers] key"},
         {"address = 10.200.1.7:8783", "address =", "[store] address"},
         {"grace_ms = 6000", "grace_ms = -1", "[limits] grace_ms"},
     };
--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -236,7 +236,8 @@
     char *text = g_strdup_printf(
         "[proxy]\nname = n%d\nfailure_domain = z%d\nhost = %s\n"
         "listen = %s:%d\nready_listen = %s:%d\npeer_port = %d\n"
-        "metrics_port = %d\n[store]\naddress = %s:%d\n[orders]\n"
+        "metrics_port = %d\n[peers]\nkey = galenastep-soak-0123456789abcdef0\n"
+        "[store]\naddress = %s:%d\n[orders]\n"
         "address = %s:%d\n[limits]\ngrace_ms = 3000\n",
         n->index, n->index % SOAK_MEMBERS, soak_front_host(n->index),
         soak_front_host(n->index), FRONT_PORT, soak_front_host(n->index),
