lead: unregister lost proxies; no lease for a proxy that the others do not know

Cause: two faults of the list of registered proxies. (1) The row of a VM lost for good stayed: it counted in the shares of connections and as a witness that never answers. (2) A proxy took a lease from the store as soon as it started, although the holder waits only for proxies whose rows it has read: a change of primary right after a start did not wait for it. Ruled out: a wait after each deletion (not known to a holder that starts later); an expiry by rewritten rows (each write wakes every proxy's feed).

--- a/src/lead/agreement.c
+++ b/src/lead/agreement.c
@@ -21,13 +21,17 @@
     char name[VIEW_NAME_BYTES];
     bool witness;
     uint64_t incarnation;
-    clock_ms last_heard; /* own clock; 0 when never */
+    clock_ms known_since; /* own clock */
+    clock_ms last_heard;  /* own clock; 0 when never */
     clock_ms their_sent_at;
     clock_ms confirmed; /* own clock: it had no newer view after this */
     clock_ms acted_at;  /* own sent time that it echoed with acted */
     uint64_t acted;
     uint64_t version;
     uint64_t unreachable;
+    uint64_t roster; /* hash of the proxies that it knows */
+    uint64_t silent[AGREEMENT_SILENT_MAX];
+    int silent_count;
     bool leaving;
 };
 
@@ -41,6 +45,8 @@
     clock_ms majority_at;      /* since then */
     struct peer peers[AGREEMENT_PEERS_MAX];
     int count;
+    uint64_t roster; /* hash of the registered proxies, with this one */
+    bool known;      /* the others have this proxy in their lists */
     bool is_witness;
     int witnesses; /* with this proxy, if it is one */
 };
@@ -90,12 +96,28 @@
     a->acted = version;
 }
 
-/* The store showed version in answer to a question sent at asked_at. */
+/* The other proxies have this one in their lists: it was registered before it
+   started, or there are no others. Else their answers to its notes tell. */
+void
+agreement_set_known(struct agreement *a)
+{
+    a->known = true;
+}
+
+/* The store showed version in answer to a question sent at asked_at, and
+   whether this proxy was registered then. Whoever changes the view waits only
+   for proxies that it knows, so the answer proves nothing to one that it may
+   not know. */
 void
 agreement_confirm_by_store(struct agreement *a, uint64_t version,
-                           clock_ms asked_at)
+                           clock_ms asked_at, bool registered)
 {
-    if (version == a->view.version && asked_at > a->store_confirmed) {
+#ifdef AGREEMENT_BREAK_UNKNOWN
+    registered = true;
+    a->known = true;
+#endif
+    if (version == a->view.version && asked_at > a->store_confirmed &&
+        registered && a->known) {
         a->store_confirmed = asked_at;
     }
 }
@@ -112,6 +134,13 @@
     return NULL;
 }
 
+/* Returns the hash that stands for a proxy in notes. */
+static uint64_t
+hash_of(const char *name)
+{
+    return XXH64(name, strlen(name), 0);
+}
+
 /* A proxy while the witnesses are chosen. */
 struct ranked {
     const char *name;
@@ -150,7 +179,7 @@
     for (int i = 0; i < n; i++) {
         r[i].name = peers[i].name;
         r[i].failure_domain = peers[i].failure_domain;
-        r[i].hash = XXH64(peers[i].name, strlen(peers[i].name), 0);
+        r[i].hash = hash_of(peers[i].name);
     }
     qsort(r, (size_t)n, sizeof(*r), compare_hashes);
     for (int i = 0; i < n; i++) {
@@ -187,11 +216,15 @@
    those that stay is kept. */
 void
 agreement_set_peers(struct agreement *a, const struct agreement_peer *peers,
-                    int n)
+                    int n, clock_ms now)
 {
     struct peer *kept = g_new0(struct peer, AGREEMENT_PEERS_MAX);
     int count = 0;
 
+    a->roster = 0;
+    for (int i = 0; i < n; i++) {
+        a->roster += hash_of(peers[i].name); /* in any order */
+    }
     for (int i = 0; i < n && count < AGREEMENT_PEERS_MAX; i++) {
         if (strcmp(peers[i].name, a->name) == 0) {
             continue;
@@ -200,6 +233,9 @@
         if (old != NULL) {
             kept[count] = *old;
         }
+        else {
+            kept[count].known_since = now;
+        }
         g_strlcpy(kept[count].name, peers[i].name, sizeof(kept[count].name));
         kept[count].witness = false;
         count++;
@@ -227,6 +263,28 @@
     return a->count;
 }
 
+/* Tells whether a peer was not heard for so long that it may be lost. */
+static bool
+is_silent(const struct peer *p, clock_ms now)
+{
+    return now - MAX(p->last_heard, p->known_since) >= AGREEMENT_SILENT_MS;
+}
+
+/* Lists the peers that may be lost. Only witnesses hear all proxies. */
+static void
+add_silent(const struct agreement *a, clock_ms now, struct agreement_note *out)
+{
+    if (!a->is_witness) {
+        return;
+    }
+    for (int i = 0; i < a->count && out->silent_count < AGREEMENT_SILENT_MAX;
+         i++) {
+        if (is_silent(&a->peers[i], now)) {
+            out->silent[out->silent_count++] = hash_of(a->peers[i].name);
+        }
+    }
+}
+
 /* Fills in the message for one peer. The view is included when the peer is
    not known to have it. */
 void
@@ -244,6 +302,8 @@
     out->version = a->view.version;
     out->unreachable = unreachable;
     out->leaving = leaving;
+    out->roster = a->roster;
+    add_silent(a, now, out);
     if (p != NULL) {
         out->echo = p->their_sent_at;
         out->echo_of = p->incarnation;
@@ -270,7 +330,8 @@
             return false;
         }
         const struct peer old = *p;
-        *p = (struct peer){.witness = old.witness};
+        *p = (struct peer){.witness = old.witness,
+                           .known_since = old.known_since};
         memcpy(p->name, old.name, sizeof(p->name));
         p->incarnation = n->incarnation;
     }
@@ -282,6 +343,12 @@
     p->version = n->version;
     p->unreachable = n->unreachable;
     p->leaving = n->leaving;
+    p->roster = n->roster;
+    p->silent_count = CLAMP(n->silent_count, 0, AGREEMENT_SILENT_MAX);
+    memcpy(p->silent, n->silent, sizeof(p->silent));
+    if (n->echo_of == a->incarnation) {
+        a->known = true; /* it echoes only proxies of its list */
+    }
     if (n->acted > p->acted) {
         p->acted = n->acted;
     }
@@ -340,7 +407,9 @@
 /* Tells whether no proxy relies on a view before version any more, which was
    put into force at since: each one has acted on it, or a majority of the
    witnesses has and the leases that it can still have confirmed have run out.
-   Without a majority the wait is longer. */
+   Without a majority the wait is longer. That each one has acted counts only
+   when all know the same proxies: one that this proxy does not know yet, or no
+   longer, may have had its lease confirmed by another. */
 bool
 agreement_all_acted(struct agreement *a, uint64_t version, clock_ms since,
                     clock_ms now)
@@ -356,7 +425,11 @@
     }
     for (int i = 0; i < a->count; i++) {
         const bool has = a->peers[i].acted >= version;
+#ifdef AGREEMENT_BREAK_ROSTER
         acted += has;
+#else
+        acted += has && a->peers[i].roster == a->roster;
+#endif
         witnesses += has && a->peers[i].witness;
     }
     if (acted == a->count) {
@@ -455,3 +528,50 @@
 
     return p == NULL || p->version != a->view.version ? 0 : p->unreachable;
 }
+
+/* Tells whether a peer has reported that it does not hear another one. */
+static bool
+reports_silent(const struct peer *p, uint64_t hash)
+{
+    for (int i = 0; i < p->silent_count; i++) {
+        if (p->silent[i] == hash) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Returns the name of a proxy that is lost, so that its registration can be
+   deleted, or NULL. So many witnesses do not hear it that the others cannot
+   confirm its lease, and all live proxies know of earlier deletions: lists of
+   proxies never differ by many members. */
+const char *
+agreement_retirable(const struct agreement *a, clock_ms now)
+{
+    if (!a->is_witness) {
+        return NULL;
+    }
+    for (int i = 0; i < a->count; i++) {
+        const struct peer *p = &a->peers[i];
+        if (agreement_alive(a, p->name, now) && p->roster != a->roster) {
+            return NULL;
+        }
+    }
+    for (int i = 0; i < a->count; i++) {
+        const struct peer *lost = &a->peers[i];
+        if (!is_silent(lost, now)) {
+            continue;
+        }
+        const uint64_t hash = hash_of(lost->name);
+        int reports = 1; /* this proxy's own */
+        for (int k = 0; k < a->count; k++) {
+            const struct peer *p = &a->peers[k];
+            reports += p->witness && agreement_alive(a, p->name, now) &&
+                       reports_silent(p, hash);
+        }
+        if (reports > a->witnesses - enough(a)) {
+            return lost->name;
+        }
+    }
+    return NULL;
+}
--- a/src/lead/agreement.h
+++ b/src/lead/agreement.h
@@ -24,6 +24,10 @@
 #define AGREEMENT_ALIVE_MS 1000
 #define AGREEMENT_WITNESSES 7
 #define AGREEMENT_PEERS_MAX 512
+/* A proxy that is not heard for this time may be lost for good. A restart or a
+   suspended VM takes a few seconds. */
+#define AGREEMENT_SILENT_MS 15000
+#define AGREEMENT_SILENT_MAX 8
 
 /* A position that a primary's log had, and how long ago that was known. */
 struct agreement_position {
@@ -45,8 +49,13 @@
     uint64_t unreachable;   /* services whose primary does not answer, by
                                index in the view of `version` */
     uint64_t configuration; /* version of the operator's configuration */
-    bool leaving;           /* the sender cannot change the view any more */
-    bool reply;             /* answers a note, and is not answered */
+    uint64_t roster;        /* hash of the proxies that the sender knows */
+    /* Hashes of proxies that the sender, a witness, has not heard for
+       AGREEMENT_SILENT_MS. */
+    uint64_t silent[AGREEMENT_SILENT_MAX];
+    int silent_count;
+    bool leaving; /* the sender cannot change the view any more */
+    bool reply;   /* answers a note, and is not answered */
     /* For a peer that cannot reach primaries, by index in the view. */
     struct agreement_position positions[VIEW_SERVICES_MAX];
     int position_count;
@@ -59,8 +68,9 @@
 bool agreement_offer(struct agreement *a, const struct view *v);
 const struct view *agreement_view(const struct agreement *a);
 void agreement_set_acted(struct agreement *a, uint64_t version);
+void agreement_set_known(struct agreement *a);
 void agreement_confirm_by_store(struct agreement *a, uint64_t version,
-                                clock_ms asked_at);
+                                clock_ms asked_at, bool registered);
 
 /* A registered proxy. */
 struct agreement_peer {
@@ -69,7 +79,8 @@
 };
 
 void agreement_set_peers(struct agreement *a,
-                         const struct agreement_peer *peers, int n);
+                         const struct agreement_peer *peers, int n,
+                         clock_ms now);
 bool agreement_is_witness(const struct agreement *a, const char *name);
 int agreement_peer_count(const struct agreement *a);
 void agreement_compose(const struct agreement *a, const char *to,
@@ -90,5 +101,6 @@
                                     const char *name);
 int agreement_votes(const struct agreement *a, int lead, clock_ms now);
 clock_ms agreement_last_heard(const struct agreement *a, const char *name);
+const char *agreement_retirable(const struct agreement *a, clock_ms now);
 
 #endif
--- a/src/lead/change.c
+++ b/src/lead/change.c
@@ -6,16 +6,12 @@
 #include <string.h>
 
 #define ANSWER_MS 300 /* wait for the answers of members to a question */
-/* wait for the answers of members to a question */
 /* A primary that is said not to answer has this long to prove otherwise; an
    answer takes about 20 ms. */
 #define SILENT_ANSWER_MS 80
 #define CATCH_UP_MS 1500 /* wait for a replica to receive all of the log */
-/* wait for a replica to receive all of the log */
 #define ASK_AGAIN_MS 40 /* between questions while waiting */
-/* between questions while waiting */
 #define CONFIRM_MS 1500 /* for a promotion to take effect */
-/* for a promotion to take effect */
 #define ORDER_RETRY_MS 100
 #define EXCLUDED_MS 1000 /* a member that does not run is not named again */
 
--- a/src/lead/peer_note.x
+++ b/src/lead/peer_note.x
@@ -15,6 +15,8 @@
     unsigned hyper known;
     unsigned hyper unreachable;
     unsigned hyper configuration;
+    unsigned hyper roster;
+    unsigned hyper silent<8>;
     bool leaving;
     bool reply;
     wire_position positions<32>;
--- a/src/lead/peer_note_xdr.c
+++ b/src/lead/peer_note_xdr.c
@@ -43,6 +43,11 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->configuration))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->roster))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->silent.silent_val, (u_int *) &objp->silent.silent_len, 8,
+		sizeof (u_quad_t), (xdrproc_t) xdr_u_quad_t))
+		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->leaving))
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->reply))
--- a/src/lead/peer_note_xdr.h
+++ b/src/lead/peer_note_xdr.h
@@ -31,6 +31,11 @@
 	u_quad_t known;
 	u_quad_t unreachable;
 	u_quad_t configuration;
+	u_quad_t roster;
+	struct {
+		u_int silent_len;
+		u_quad_t *silent_val;
+	} silent;
 	bool_t leaving;
 	bool_t reply;
 	struct {
--- a/src/lead/peer_port.c
+++ b/src/lead/peer_port.c
@@ -42,6 +42,11 @@
         n->version = w.known;
         n->unreachable = w.unreachable;
         n->configuration = w.configuration;
+        n->roster = w.roster;
+        n->silent_count = (int)MIN(w.silent.silent_len, AGREEMENT_SILENT_MAX);
+        for (int i = 0; i < n->silent_count; i++) {
+            n->silent[i] = w.silent.silent_val[i];
+        }
         n->leaving = w.leaving;
         n->reply = w.reply;
         n->position_count =
@@ -165,6 +170,9 @@
         .known = n->version,
         .unreachable = n->unreachable,
         .configuration = n->configuration,
+        .roster = n->roster,
+        .silent = {.silent_len = (u_int)n->silent_count,
+                   .silent_val = (u_quad_t *)n->silent},
         .leaving = n->leaving,
         .reply = n->reply,
         .positions = {.positions_len = (u_int)n->position_count,
--- a/src/node/copy_xdr.c
+++ b/src/node/copy_xdr.c
@@ -7,25 +7,25 @@
 #include "copy_xdr.h"
 
 bool_t
-xdr_copy_question (XDR *xdrs, copy_question *objp)
+xdr_copy_question(XDR *xdrs, copy_question *objp)
 {
-	register int32_t *buf;
+    register int32_t *buf;
 
-	 if (!xdr_string (xdrs, &objp->from, 63))
-		 return FALSE;
-	return TRUE;
+    if (!xdr_string(xdrs, &objp->from, 63))
+        return FALSE;
+    return TRUE;
 }
 
 bool_t
-xdr_copy_answer (XDR *xdrs, copy_answer *objp)
+xdr_copy_answer(XDR *xdrs, copy_answer *objp)
 {
-	register int32_t *buf;
+    register int32_t *buf;
 
-	 if (!xdr_string (xdrs, &objp->catalog, ~0))
-		 return FALSE;
-	 if (!xdr_string (xdrs, &objp->members, ~0))
-		 return FALSE;
-	 if (!xdr_string (xdrs, &objp->proxies, ~0))
-		 return FALSE;
-	return TRUE;
+    if (!xdr_string(xdrs, &objp->catalog, ~0))
+        return FALSE;
+    if (!xdr_string(xdrs, &objp->members, ~0))
+        return FALSE;
+    if (!xdr_string(xdrs, &objp->proxies, ~0))
+        return FALSE;
+    return TRUE;
 }
--- a/src/node/copy_xdr.h
+++ b/src/node/copy_xdr.h
@@ -8,21 +8,19 @@
 
 #include <rpc/rpc.h>
 
-
 #ifdef __cplusplus
 extern "C" {
 #endif
 
-
 struct copy_question {
-	char *from;
+    char *from;
 };
 typedef struct copy_question copy_question;
 
 struct copy_answer {
-	char *catalog;
-	char *members;
-	char *proxies;
+    char *catalog;
+    char *members;
+    char *proxies;
 };
 typedef struct copy_answer copy_answer;
 
@@ -31,26 +29,26 @@
 
 #if defined(__STDC__) || defined(__cplusplus)
 #define COPY_READ 1
-extern  copy_answer * copy_read_1(copy_question *, CLIENT *);
-extern  copy_answer * copy_read_1_svc(copy_question *, struct svc_req *);
-extern int copy_program_1_freeresult (SVCXPRT *, xdrproc_t, caddr_t);
+extern copy_answer *copy_read_1(copy_question *, CLIENT *);
+extern copy_answer *copy_read_1_svc(copy_question *, struct svc_req *);
+extern int copy_program_1_freeresult(SVCXPRT *, xdrproc_t, caddr_t);
 
 #else /* K&R C */
 #define COPY_READ 1
-extern  copy_answer * copy_read_1();
-extern  copy_answer * copy_read_1_svc();
-extern int copy_program_1_freeresult ();
+extern copy_answer *copy_read_1();
+extern copy_answer *copy_read_1_svc();
+extern int copy_program_1_freeresult();
 #endif /* K&R C */
 
 /* the xdr functions */
 
 #if defined(__STDC__) || defined(__cplusplus)
-extern  bool_t xdr_copy_question (XDR *, copy_question*);
-extern  bool_t xdr_copy_answer (XDR *, copy_answer*);
+extern bool_t xdr_copy_question(XDR *, copy_question *);
+extern bool_t xdr_copy_answer(XDR *, copy_answer *);
 
 #else /* K&R C */
-extern bool_t xdr_copy_question ();
-extern bool_t xdr_copy_answer ();
+extern bool_t xdr_copy_question();
+extern bool_t xdr_copy_answer();
 
 #endif /* K&R C */
 
--- a/src/node/members.c
+++ b/src/node/members.c
@@ -115,18 +115,10 @@
     node_update_members(n);
 }
 
-/* Stores the list of members when it has changed; the proxy that orders
-   promotions does it, or the first one alive in its place. */
-void
-node_store_members(struct node *n, clock_ms now)
+/* Stores the list of members when it has changed. */
+static void
+store_members(struct node *n, clock_ms now)
 {
-    const struct view *v = agreement_view(n->agreement);
-    const bool holder = strcmp(v->holder, n->name) == 0;
-
-    if (!holder && (agreement_alive(n->agreement, v->holder, now) ||
-                    agreement_rank(n->agreement, now) != 0)) {
-        return;
-    }
     GArray *list = g_array_new(FALSE, TRUE, sizeof(struct member_entry));
     for (guint k = 0; k < n->members->len; k++) {
         const struct known_member *m =
@@ -143,3 +135,33 @@
     g_free(text);
     g_array_free(list, TRUE);
 }
+
+/* Deletes the registration of a proxy that is lost for good. */
+static void
+retire_proxy(struct node *n, clock_ms now)
+{
+    const char *name = agreement_retirable(n->agreement, now);
+
+    if (name != NULL) {
+        event_log(EVENT_STATE, "proxy_retired", "name=%s last_heard_ms=%lld",
+                  name,
+                  (long long)(now - agreement_last_heard(n->agreement, name)));
+        n->platform.retire(n->platform.ctx, name);
+    }
+}
+
+/* Keeps the lists of the store; the proxy that orders promotions does it, or
+   the first one alive in its place. */
+void
+node_keep_lists(struct node *n, clock_ms now)
+{
+    const struct view *v = agreement_view(n->agreement);
+    const bool holder = strcmp(v->holder, n->name) == 0;
+
+    if (!holder && (agreement_alive(n->agreement, v->holder, now) ||
+                    agreement_rank(n->agreement, now) != 0)) {
+        return;
+    }
+    store_members(n, now);
+    retire_proxy(n, now);
+}
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -291,7 +291,7 @@
     }
     if (!n->leaving && now - n->list_checked_at >= LIST_INTERVAL_MS) {
         n->list_checked_at = now;
-        node_store_members(n, now);
+        node_keep_lists(n, now);
     }
     if (now - n->flushed_at >= LOG_INTERVAL_MS) {
         n->flushed_at = now;
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -22,6 +22,9 @@
     /* Orders a promotion; answered by node_ordered(). */
     void (*order)(void *ctx, const char *service, const char *member,
                   uint64_t fence);
+    /* Deletes the registration of a proxy that is lost, unless it has changed
+       since it was read. */
+    void (*retire)(void *ctx, const char *name);
     /* Stores the list of members for processes that start while the directory
        has lost entries. */
     void (*write_members)(void *ctx, const char *text);
@@ -62,7 +65,9 @@
 void node_remember_members(struct node *n, const char *text);
 void node_set_peers(struct node *n, const struct node_peer *peers,
                     size_t count);
-void node_offer_view(struct node *n, const struct view *v, clock_ms asked_at);
+void node_set_registered(struct node *n);
+void node_offer_view(struct node *n, const struct view *v, clock_ms asked_at,
+                     bool registered);
 void node_view_written(struct node *n, bool done);
 void node_ordered(struct node *n, const char *service,
                   enum order_result result);
--- a/src/node/node_internal.h
+++ b/src/node/node_internal.h
@@ -66,7 +66,7 @@
 
 /* members.c */
 void node_update_members(struct node *n);
-void node_store_members(struct node *n, clock_ms now);
+void node_keep_lists(struct node *n, clock_ms now);
 void node_apply_members(struct node *n, const struct member_entry *entries,
                         size_t count);
 
--- a/src/node/notes.c
+++ b/src/node/notes.c
@@ -235,21 +235,30 @@
         names[i].name = peers[i].name;
         names[i].failure_domain = peers[i].failure_domain;
     }
-    agreement_set_peers(n->agreement, names, (int)count);
+    agreement_set_peers(n->agreement, names, (int)count, clock_boot_now());
     g_free(names);
     event_log(EVENT_STATE, "peers", "registered=%zu", count);
     node_update_shares(n);
     node_send_notes(n, false, clock_boot_now());
 }
 
+/* This proxy was registered before it started, or it is the only one: all
+   others have it in their lists. */
+void
+node_set_registered(struct node *n)
+{
+    agreement_set_known(n->agreement);
+}
+
 /* Takes what the store shows as the view, in answer to a question or a write
-   sent at asked_at. */
+   sent at asked_at, and whether the answer shows this proxy as registered. */
 void
-node_offer_view(struct node *n, const struct view *v, clock_ms asked_at)
+node_offer_view(struct node *n, const struct view *v, clock_ms asked_at,
+                bool registered)
 {
     const bool newer = agreement_offer(n->agreement, v);
 
-    agreement_confirm_by_store(n->agreement, v->version, asked_at);
+    agreement_confirm_by_store(n->agreement, v->version, asked_at, registered);
     if (newer) {
         event_log(EVENT_STATE, "view_from_store",
                   "version=%llu holder=%s fence=%llu services=%d",
--- a/tests/lead/model_agreement.c
+++ b/tests/lead/model_agreement.c
@@ -1,6 +1,7 @@
 /* A model of proxies that agree on a view over a bad network: datagrams are
    delayed, lost and cut, proxies freeze and restart, and the store turns some
-   of them away. Checks the one promise that the promoter builds on: once
+   of them away. Proxies register and are unregistered meanwhile, which the
+   others learn late. Checks the one promise that the promoter builds on: once
    agreement_all_acted() holds for a version, no proxy relies on an older one.
 
      model_agreement SEED STEPS */
@@ -19,6 +20,16 @@
 #define CONFIRM_AFTER_MS 500
 #define CONFIRM_AGAIN_MS 300
 #define TICK_MS 25
+#define REGISTER_MS 12
+/* The feed of the store brings a change of the list within this time, but for
+   a connection that has gone silent. */
+#define FEED_MS 400
+#define SILENT_FEED_MS 5000
+/* Between looks for proxies that are lost for good. */
+#define RETIRE_MS 1500
+/* A process is not killed sooner after it has registered: the others would
+   know its row, as it does at its next start. */
+#define REGISTERED_MS 6000
 
 struct model_node {
     struct agreement *agreement;
@@ -34,6 +45,12 @@
     uint64_t changing; /* version that this node waits for, 0 if none */
     clock_ms changed_at;
     uint64_t incarnation;
+    bool registered; /* in the store */
+    clock_ms registered_at;
+    clock_ms register_at;  /* its registration is stored, 0 if it is */
+    uint64_t list_version; /* of the list of proxies that it knows */
+    clock_ms list_due;     /* when its feed brings a newer list */
+    clock_ms retire_at;
 };
 
 struct message {
@@ -53,6 +70,8 @@
     bool cut[NODES_MAX][NODES_MAX];
     clock_ms cut_until;
     uint64_t left_before; /* all have acted on this version */
+    uint64_t list_version;
+    long retired;
     long checks;
     long changes;
 };
@@ -72,17 +91,65 @@
     return m->now + m->nodes[i].clock_offset;
 }
 
-/* Registers all nodes with one node. */
+/* Gives one node the list of registered proxies. */
 static void
 set_peers(struct model *m, int i)
 {
     struct agreement_peer peers[NODES_MAX];
+    int n = 0;
 
     for (int k = 0; k < m->count; k++) {
-        peers[k] = (struct agreement_peer){
-            .name = m->nodes[k].name, .failure_domain = m->nodes[k].domain};
+        if (m->nodes[k].registered) {
+            peers[n++] =
+                (struct agreement_peer){.name = m->nodes[k].name,
+                                        .failure_domain = m->nodes[k].domain};
+        }
     }
-    agreement_set_peers(m->nodes[i].agreement, peers, m->count);
+    m->nodes[i].list_version = m->list_version;
+    agreement_set_peers(m->nodes[i].agreement, peers, n, time_of(m, i));
+}
+
+/* Writes or deletes the row of a node; the others learn of it later. */
+static void
+set_registered(struct model *m, int i, bool registered)
+{
+    if (m->nodes[i].registered == registered) {
+        return;
+    }
+    m->nodes[i].registered = registered;
+    m->nodes[i].registered_at = m->now;
+    m->list_version++;
+    for (int k = 0; k < m->count; k++) {
+        const bool silent = rng_below(&m->rng, 10) == 0;
+        m->nodes[k].list_due =
+            m->now +
+            (clock_ms)rng_below(&m->rng, silent ? SILENT_FEED_MS : FEED_MS);
+    }
+}
+
+/* Returns whether other proxies are registered than this one. */
+static bool
+is_alone(const struct model *m, int i)
+{
+    for (int k = 0; k < m->count; k++) {
+        if (k != i && m->nodes[k].registered) {
+            return false;
+        }
+    }
+    return true;
+}
+
+/* A read of the store by a node: the view, and whether it is registered. */
+static void
+confirm(struct model *m, int i)
+{
+    const struct model_node *n = &m->nodes[i];
+
+    if (n->registered && is_alone(m, i)) {
+        agreement_set_known(n->agreement);
+    }
+    agreement_confirm_by_store(n->agreement, m->stored.version, time_of(m, i),
+                               n->registered);
 }
 
 /* Starts a node, which reads the view from the store. */
@@ -96,11 +163,15 @@
     n->agreement = agreement_create(n->name, n->incarnation);
     n->clock_offset = (clock_ms)1000 * (i + 1);
     n->changing = 0;
+    n->register_at = n->registered ? 0 : m->now + REGISTER_MS;
+    n->retire_at = m->now;
     set_peers(m, i);
+    if (n->registered) {
+        agreement_set_known(n->agreement);
+    }
     if (m->stored.version > 0) {
         agreement_offer(n->agreement, &m->stored);
-        agreement_confirm_by_store(n->agreement, m->stored.version,
-                                   time_of(m, i));
+        confirm(m, i);
         agreement_set_acted(n->agreement, m->stored.version);
     }
 }
@@ -218,6 +289,21 @@
     view_taken(m, i);
 }
 
+/* Lets a node delete the row of a proxy that is lost. */
+static void
+retire(struct model *m, int i)
+{
+    const char *name =
+        agreement_retirable(m->nodes[i].agreement, time_of(m, i));
+
+    for (int k = 0; name != NULL && k < m->count; k++) {
+        if (strcmp(m->nodes[k].name, name) == 0) {
+            set_registered(m, k, false);
+            m->retired++;
+        }
+    }
+}
+
 /* One tick of a node. */
 static void
 tick(struct model *m, int i)
@@ -242,7 +328,23 @@
         if (agreement_offer(n->agreement, &m->stored)) {
             view_taken(m, i);
         }
-        agreement_confirm_by_store(n->agreement, m->stored.version, now);
+        confirm(m, i);
+    }
+    if (n->list_version != m->list_version && m->now >= n->list_due &&
+        m->now >= n->store_cut_until) {
+        set_peers(m, i);
+        if (!n->registered && n->register_at == 0) {
+            n->register_at = m->now + REGISTER_MS;
+        }
+    }
+    if (n->register_at != 0 && m->now >= n->register_at &&
+        m->now >= n->store_cut_until) {
+        n->register_at = 0;
+        set_registered(m, i, true);
+    }
+    if (m->now - n->retire_at >= RETIRE_MS && m->now >= n->store_cut_until) {
+        n->retire_at = m->now;
+        retire(m, i);
     }
     if (n->changing != 0 &&
         agreement_all_acted(n->agreement, n->changing, n->changed_at, now)) {
@@ -259,15 +361,39 @@
     const int i = (int)rng_below(&m->rng, (uint64_t)m->count);
     struct model_node *n = &m->nodes[i];
 
-    switch (rng_below(&m->rng, 8)) {
+    switch (rng_below(&m->rng, 11)) {
     case 0:
         n->frozen_until = m->now + (clock_ms)rng_below(&m->rng, 4000);
         break;
     case 1:
+        if (m->now - n->registered_at < REGISTERED_MS) {
+            break;
+        }
         n->down_until = m->now + (clock_ms)rng_below(&m->rng, 3000);
         n->frozen_until = 0;
         start(m, i);
         break;
+    case 5: /* a planned end and a start */
+        set_registered(m, i, false);
+        n->down_until = m->now + (clock_ms)rng_below(&m->rng, 1000);
+        n->frozen_until = 0;
+        start(m, i);
+        n->register_at = n->down_until + REGISTER_MS;
+        break;
+    case 6: /* lost for good, or so it seems */
+        if (rng_below(&m->rng, 6) == 0) {
+            n->frozen_until = m->now + (clock_ms)rng_below(&m->rng, 40000);
+        }
+        break;
+    case 7: /* alone with the store */
+        if (rng_below(&m->rng, 6) == 0) {
+            for (int k = 0; k < m->count; k++) {
+                m->cut[i][k] = true;
+                m->cut[k][i] = true;
+            }
+            m->cut_until = m->now + (clock_ms)rng_below(&m->rng, 40000);
+        }
+        break;
     case 2:
         n->store_cut_until = m->now + (clock_ms)rng_below(&m->rng, 5000);
         break;
@@ -301,6 +427,9 @@
         g_snprintf(m->nodes[i].domain, sizeof(m->nodes[i].domain), "%d",
                    i % 3);
     }
+    for (int i = 0; i < m->count; i++) {
+        m->nodes[i].registered = true;
+    }
     for (int i = 0; i < m->count; i++) {
         start(m, i);
     }
@@ -320,8 +449,9 @@
             disturb(m);
         }
     }
-    printf("seed=%llu nodes=%d changes=%ld checked=%ld\n",
-           (unsigned long long)seed, m->count, m->changes, m->checks);
+    printf("seed=%llu nodes=%d changes=%ld checked=%ld retired=%ld\n",
+           (unsigned long long)seed, m->count, m->changes, m->checks,
+           m->retired);
     for (int i = 0; i < m->count; i++) {
         agreement_destroy(m->nodes[i].agreement);
     }
--- a/tests/lead/test_agreement.c
+++ b/tests/lead/test_agreement.c
@@ -34,7 +34,7 @@
     const struct view v = {.version = 1};
     struct agreement *a = agreement_create(name, incarnation);
 
-    agreement_set_peers(a, three, 3);
+    agreement_set_peers(a, three, 3, 0);
     agreement_offer(a, &v);
     agreement_set_acted(a, 1);
     return a;
@@ -126,13 +126,13 @@
         peers[i] = (struct agreement_peer){
             .name = names[i], .failure_domain = i % 2 ? "x" : "y"};
     }
-    agreement_set_peers(a, peers, 20);
+    agreement_set_peers(a, peers, 20, 0);
     for (int i = 0; i < 10; i++) {
         const struct agreement_peer swap = peers[i];
         peers[i] = peers[19 - i];
         peers[19 - i] = swap;
     }
-    agreement_set_peers(b, peers, 20);
+    agreement_set_peers(b, peers, 20, 0);
     for (int i = 0; i < 20; i++) {
         count += agreement_is_witness(a, names[i]);
         assert_int_equal(agreement_is_witness(a, names[i]),
@@ -143,6 +143,82 @@
     agreement_destroy(b);
 }
 
+/* Guards against a lease of a proxy that whoever changes the view does not
+   know and does not wait for: the store proves nothing to one that is not
+   registered, or that the others may not know yet. */
+static void
+test_store_confirms_known_proxies_only(void **state)
+{
+    struct agreement *a = proxy("a", 1);
+    struct agreement *b = proxy("b", 1);
+
+    (void)state;
+    agreement_confirm_by_store(a, 1, 10000, true);
+    assert_false(agreement_valid(a, 10100));
+    exchange(a, "a", b, "b", 10200);
+    agreement_confirm_by_store(a, 1, 11500, false);
+    assert_false(agreement_valid(a, 11600));
+    agreement_confirm_by_store(a, 1, 11500, true);
+    assert_true(agreement_valid(a, 11600));
+    agreement_destroy(a);
+    agreement_destroy(b);
+}
+
+/* Guards against a change that does not wait for a proxy which another witness
+   knows, and whose lease that witness may have confirmed. */
+static void
+test_change_waits_for_equal_lists(void **state)
+{
+    static const struct agreement_peer four[] = {
+        {.name = "a", .failure_domain = "x"},
+        {.name = "b", .failure_domain = "y"},
+        {.name = "c", .failure_domain = "z"},
+        {.name = "d", .failure_domain = "z"},
+    };
+    struct agreement *a = proxy("a", 1);
+    struct agreement *b = proxy("b", 1);
+    struct agreement *c = proxy("c", 1);
+
+    (void)state;
+    agreement_set_peers(b, four, 4, 9000);
+    exchange(b, "b", a, "a", 10000);
+    exchange(c, "c", a, "a", 10000);
+    assert_false(agreement_all_acted(a, 1, 10000, 10100));
+    agreement_set_peers(b, three, 3, 10200);
+    exchange(b, "b", a, "a", 10200);
+    assert_true(agreement_all_acted(a, 1, 10000, 10300));
+    agreement_destroy(a);
+    agreement_destroy(b);
+    agreement_destroy(c);
+}
+
+/* Guards against the deletion of a living proxy that only one witness does not
+   hear, and against a registration that stays for good. */
+static void
+test_lost_proxy_is_retired(void **state)
+{
+    const clock_ms lost = AGREEMENT_SILENT_MS;
+    struct agreement *a = proxy("a", 1);
+    struct agreement *b = proxy("b", 1);
+    struct agreement *c = proxy("c", 1);
+
+    (void)state;
+    exchange(a, "a", b, "b", 1000);
+    exchange(c, "c", b, "b", 5000);
+    /* a has not heard c for 15 s, b has. */
+    exchange(a, "a", b, "b", 1000 + lost);
+    assert_null(agreement_retirable(a, 1000 + lost));
+    exchange(a, "a", b, "b", 5000 + lost);
+    assert_string_equal(agreement_retirable(a, 5000 + lost), "c");
+    /* b has a list of its own: an earlier change is not known to all. */
+    agreement_set_peers(b, three, 2, 5000 + lost);
+    exchange(a, "a", b, "b", 5100 + lost);
+    assert_null(agreement_retirable(a, 5100 + lost));
+    agreement_destroy(a);
+    agreement_destroy(b);
+    agreement_destroy(c);
+}
+
 int
 main(void)
 {
@@ -151,6 +227,9 @@
         cmocka_unit_test(test_outdated_view_is_not_confirmed),
         cmocka_unit_test(test_change_waits_for_leases),
         cmocka_unit_test(test_witnesses),
+        cmocka_unit_test(test_store_confirms_known_proxies_only),
+        cmocka_unit_test(test_change_waits_for_equal_lists),
+        cmocka_unit_test(test_lost_proxy_is_retired),
     };
 
     return cmocka_run_group_tests(tests, NULL, NULL);
--- a/tests/lead/test_promoter.c
+++ b/tests/lead/test_promoter.c
@@ -79,7 +79,7 @@
     memset(f, 0, sizeof(*f));
     f->now = 100000;
     f->agreement = agreement_create("b", 1);
-    agreement_set_peers(f->agreement, peers, 3);
+    agreement_set_peers(f->agreement, peers, 3, 0);
     g_strlcpy(v.holder, holder, sizeof(v.holder));
     g_strlcpy(v.leads[0].service, "db", sizeof(v.leads[0].service));
     g_strlcpy(v.leads[0].primary, "m1", sizeof(v.leads[0].primary));
@@ -115,7 +115,10 @@
                                .version =
                                    agreement_view(f->agreement)->version,
                                .unreachable = unreachable};
+    struct agreement_note own;
 
+    agreement_compose(f->agreement, name, 0, false, f->now, &own);
+    n.roster = own.roster; /* all know the same proxies */
     g_strlcpy(n.from, name, sizeof(n.from));
     agreement_take(f->agreement, &n, f->now);
 }
--- a/tests/node/test_fetch.c
+++ b/tests/node/test_fetch.c
@@ -57,7 +57,7 @@
 
 /* The store does not answer. */
 static void
-ignore_members(void *ctx, const char *text)
+ignore_text(void *ctx, const char *text)
 {
     (void)ctx;
     (void)text;
@@ -85,7 +85,8 @@
         .write_view = ignore_view,
         .read_view = ignore_read,
         .order = ignore_order,
-        .write_members = ignore_members,
+        .write_members = ignore_text,
+        .retire = ignore_text,
     };
     const struct node_config config = {
         .loop = f->loop,
