relay: connections right after a start leave room for all proxies

Cause: after a loss of power members count dead connections for 3 s. Ruled out: the store (all had the configuration after 20 ms); slots (idle meanwhile). Change: for 0.4 s after its start, within which all start, a proxy keeps only what is left divided by the proxies. With 46 connections and 34 proxies one each does not fit either (11 are left); open. Test: relay_test_decisions, test_share_at_start.

--- a/src/node/node.c
+++ b/src/node/node.c
@@ -23,6 +23,8 @@
 #define APART_AFTER_MS 600
 /* The balancer notices within this time; then idle callers are sent away. */
 #define BALANCER_MS 2100
+/* Processes that start together after a loss of power do so within 0.3 s. */
+#define START_TOGETHER_MS 400
 /* Between looks at whether the stored list of members is outdated. */
 #define LIST_INTERVAL_MS 1500
 #define LOG_INTERVAL_MS 1000
@@ -50,6 +52,7 @@
 node_update_shares(struct node *n)
 {
     const int proxies = agreement_peer_count(n->agreement) + 1;
+    const bool starting = clock_boot_now() - n->started_at < START_TOGETHER_MS;
     GHashTableIter i;
     void *name;
     void *service;
@@ -59,10 +62,13 @@
         const struct service_limits *l =
             g_hash_table_lookup(n->catalog->services, name);
         if (l != NULL) {
-            service_set_share(service,
-                              share_connections(l->max_connections, proxies));
+            service_set_share(
+                service, starting
+                             ? share_at_start(l->max_connections, proxies)
+                             : share_connections(l->max_connections, proxies));
         }
     }
+    n->starting = starting;
 }
 
 /* Takes over the operator's configuration as the store holds it; NULL when the
@@ -272,6 +278,9 @@
     relay_tick(n->relay, now);
     node_tick_promoter(n, now);
     fetch_tick(n->fetch, now);
+    if (n->starting && now - n->started_at >= START_TOGETHER_MS) {
+        node_update_shares(n);
+    }
     check_apart(n, now);
     const bool acted = node_update_acted(n);
     const uint64_t unreachable = node_unreachable(n, now);
@@ -348,6 +357,7 @@
         g_free(n);
         return NULL;
     }
+    n->started_at = clock_boot_now();
     n->loop = config->loop;
     n->name = g_strdup(config->name);
     n->failure_domain = g_strdup(config->failure_domain);
--- a/src/node/node_internal.h
+++ b/src/node/node_internal.h
@@ -30,6 +30,8 @@
     GArray *members;      /* of struct known_member */
     GArray *peers;        /* of struct node_peer */
     ev_timer tick;
+    clock_ms started_at;
+    bool starting; /* the shares are those of a start */
     clock_ms last_tick;
     clock_ms noted_at;
     guint greeted;             /* index of the next silent peer to greet */
--- a/src/relay/share.c
+++ b/src/relay/share.c
@@ -24,3 +24,16 @@
 
     return CLAMP(half, MAX(MIN(WANTED, whole), 1), MOST);
 }
+
+/* Returns how many connections to one member a proxy may keep right after its
+   start. All proxies may have lost power, and the member may still count their
+   dead connections; what is left of its limit is divided, so that the first
+   ones to start do not take it all and leave the others without any. */
+int
+share_at_start(int max_connections, int proxies)
+{
+    const int share = share_connections(max_connections, proxies);
+    const int left = max_connections - SPARE - share * proxies;
+
+    return CLAMP(left / MAX(proxies, 1), 1, share);
+}
--- a/tests/relay/test_decisions.c
+++ b/tests/relay/test_decisions.c
@@ -151,11 +151,35 @@
     g_free(text);
 }
 
+/* Guards against proxies that get no connection for seconds after all have
+   lost power: the first to start took what was left beside the dead
+   connections (16 for five proxies: three took two each, two got none). */
+static void
+test_share_at_start(void **state)
+{
+    (void)state;
+    for (int max = 2; max < 200; max++) {
+        for (int proxies = 1; proxies < 40; proxies++) {
+            const int share = share_connections(max, proxies);
+            const int start = share_at_start(max, proxies);
+            assert_true(start >= 1);
+            assert_true(start <= share);
+            if (start > 1) {
+                assert_true((share + start) * proxies <= max - 1);
+            }
+        }
+    }
+    assert_int_equal(share_at_start(16, 5), 1);
+    assert_true(5 * (share_connections(16, 5) + share_at_start(16, 5)) < 16);
+    assert_int_equal(share_at_start(28, 4), 3);
+}
+
 int
 main(void)
 {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(test_share),
+        cmocka_unit_test(test_share_at_start),
         cmocka_unit_test(test_placement_spares_the_primary),
         cmocka_unit_test(test_placement_needs_a_position),
         cmocka_unit_test(test_samples),
