relay: a replica that is behind serves the reads that it can

Cause: after one LAGGING answer a replica got no read at all for 30 to 240 ms, also none that may be as old as the replica is. Besides, reads of a member that is ahead raise the session's token, so sessions that the replica could serve drifted away from it. Ruled out: the replica's lag itself (1.2 s, bounds of 1.5 s and 2.5 s); the number of connections (idle meanwhile). Change: the position that a replica was seen to have and the lowest one that it was found to lack are kept per member; a read within the first goes there at once, others wait as before; a replica that is behind is preferred for what it can serve, unless others are clearly freer. Tokens rise as before.

--- a/src/relay/dispatch.c
+++ b/src/relay/dispatch.c
@@ -67,6 +67,17 @@
     return best;
 }
 
+/* Tells whether a replica may have the position that work needs: it was seen
+   to have it, or was not found to lack it lately. A replica that is far behind
+   still serves the reads that may be as old as it is. */
+static bool
+may_have(const struct member *m, const struct work *w, clock_ms now)
+{
+    return now >= m->lag_until ||
+           (m->position.known && w->after.known &&
+            token_is_met(&w->after, m->position.term, m->position.position));
+}
+
 /* Describes a member for placement. */
 static struct placement_member
 view_of(const struct service *s, const struct member *m, const struct work *w,
@@ -76,9 +87,10 @@
         .usable = m->unreachable_since == 0,
         .primary = lease && strcmp(m->entry.id, s->primary) == 0 &&
                    now >= m->not_primary_until,
-        .caught_up = now >= m->lag_until && !m->entry.draining &&
+        .caught_up = may_have(m, w, now) && !m->entry.draining &&
                      (m->gone_at == 0 || now - m->gone_at < GONE_AFTER_MS),
         .local = strcmp(m->entry.failure_domain, s->failure_domain) == 0,
+        .behind = m->missing.known,
         .avoided = strcmp(w->avoid, m->entry.id) == 0,
         .limit = m->entry.slots + EXTRA_STATEMENTS,
         .statement_us = m->statement_us,
--- a/src/relay/links.c
+++ b/src/relay/links.c
@@ -9,8 +9,8 @@
 #define FULL_RETRY_MS 100
 /* Pause after the believed primary refused work for being a replica. */
 #define NOT_PRIMARY_RETRY_MS 40
-/* A replica that was behind is not asked again for about its usual lag, and
-   for longer while it stays behind. */
+/* A replica that lacked a position is not asked again for that or a later one
+   for about its usual lag, and for longer while it stays behind. */
 #define LAG_RETRY_FIRST_MS 30
 #define LAG_RETRY_LONGEST_MS 240
 
@@ -136,6 +136,30 @@
     service_dispatch(s);
 }
 
+/* Takes what an answer shows of a replica's position. */
+static void
+note_position(struct member *m, const struct pooled_link *l,
+              const struct answer *a, clock_ms now)
+{
+    if (a->failure == FAILURE_LAGGING) {
+        m->position = a->position; /* lower than before after a promotion */
+        m->missing = l->after;
+        m->lag_pause_ms = CLAMP(m->lag_pause_ms * 2, LAG_RETRY_FIRST_MS,
+                                LAG_RETRY_LONGEST_MS);
+        m->lag_until = now + m->lag_pause_ms;
+        return;
+    }
+    if (a->position.known) {
+        token_raise(&m->position, a->position.term, a->position.position);
+    }
+    if (m->missing.known && m->position.known &&
+        token_is_met(&m->missing, m->position.term, m->position.position)) {
+        m->missing.known = false;
+        m->lag_pause_ms = 0;
+        m->lag_until = 0;
+    }
+}
+
 /* An answer arrived. */
 static void
 on_answered(void *ctx, const struct answer *a)
@@ -158,13 +182,8 @@
     if (a->failure == FAILURE_READ_ONLY && l->as_primary) {
         m->not_primary_until = now + NOT_PRIMARY_RETRY_MS;
     }
-    if (a->failure == FAILURE_LAGGING) {
-        m->lag_pause_ms = CLAMP(m->lag_pause_ms * 2, LAG_RETRY_FIRST_MS,
-                                LAG_RETRY_LONGEST_MS);
-        m->lag_until = now + m->lag_pause_ms;
-    }
-    else if (!l->as_primary && a->failure == FAILURE_NONE) {
-        m->lag_pause_ms = 0;
+    if (!l->as_primary) {
+        note_position(m, l, a, now);
     }
     if (l->state == LINK_GRANTED) {
         if (l->user != NULL) {
@@ -246,6 +265,7 @@
     l->outstanding++;
     l->sent_at = now;
     l->active = true;
+    l->after = after != NULL ? *after : (struct token){0};
     l->timed = verb_runs_at_member(r->verb);
     l->lease_at_send = l->as_primary && s->lease_valid(s->ctx, s->name, now);
     s->codec->send(l->link, r, after);
--- a/src/relay/placement.c
+++ b/src/relay/placement.c
@@ -8,6 +8,11 @@
 #define PRIMARY_PENALTY_US 12000
 #define AVOIDED_PENALTY_US 1000000
 
+/* A read that a replica which is behind can serve goes there, unless others
+   are clearly freer: reads of a member that is ahead raise the session's
+   token, and the replica that is behind cannot serve the session any more. */
+#define BEHIND_BONUS_US 12000
+
 /* Estimates the time until a statement is done at a member. */
 static int64_t
 expected_us(const struct placement_member *m, bool needs_primary)
@@ -20,6 +25,9 @@
     if (m->primary && !needs_primary) {
         us += PRIMARY_PENALTY_US;
     }
+    if (m->behind && !m->primary) {
+        us -= BEHIND_BONUS_US;
+    }
     if (m->avoided) {
         us += AVOIDED_PENALTY_US;
     }
--- a/src/relay/placement.h
+++ b/src/relay/placement.h
@@ -11,6 +11,7 @@
     bool usable;    /* in the directory, not leaving, not known to be silent */
     bool primary;   /* holds the lead, under a valid lease of this proxy */
     bool caught_up; /* may have the position that a read needs */
+    bool behind;    /* was found to lack a position that others need */
     bool local;     /* in this proxy's failure domain */
     bool avoided;   /* failed the previous attempt of the same request */
     bool link_free; /* a connection is idle or may be opened */
--- a/src/relay/service_internal.h
+++ b/src/relay/service_internal.h
@@ -28,7 +28,9 @@
     clock_ms retry_at;
     clock_ms full_until;
     clock_ms not_primary_until;
-    clock_ms lag_until;
+    struct token position; /* newest that it was seen to have */
+    struct token missing;  /* lowest that it was found to lack */
+    clock_ms lag_until;    /* until then it is not tried for `missing` */
     int64_t lag_pause_ms;
     int failures;
     int64_t statement_us;
@@ -46,6 +48,7 @@
     clock_ms sent_at;
     clock_ms changed_at;
     bool lease_at_send;
+    struct token after; /* position that the last request asked for */
     GHashTable *values;
     uint64_t values_hash;
     GHashTable *prepared;
--- a/tests/relay/test_decisions.c
+++ b/tests/relay/test_decisions.c
@@ -85,6 +85,23 @@
     assert_int_equal(placement_choose(m, 2, false, true), PLACEMENT_NONE);
 }
 
+/* Guards against sessions that drift away from a replica that is behind and
+   still could serve them, and against a crowd there while others are free. */
+static void
+test_placement_prefers_replica_behind(void **state)
+{
+    struct placement_member m[2] = {free_member(false), free_member(false)};
+
+    (void)state;
+    m[1].behind = true;
+    assert_int_equal(placement_choose(m, 2, false, true), 1);
+    m[1].executing = 2;
+    assert_int_equal(placement_choose(m, 2, false, true), 0);
+    m[1].executing = 0;
+    m[1].caught_up = false;
+    assert_int_equal(placement_choose(m, 2, false, true), 0);
+}
+
 /* Guards against a floor that misses commits acknowledged before the moment
    asked for, and against one that demands more than needed. */
 static void
@@ -182,6 +199,7 @@
         cmocka_unit_test(test_share_at_start),
         cmocka_unit_test(test_placement_spares_the_primary),
         cmocka_unit_test(test_placement_needs_a_position),
+        cmocka_unit_test(test_placement_prefers_replica_behind),
         cmocka_unit_test(test_samples),
         cmocka_unit_test(test_member_list),
     };
