relay: do not trust the position of a replica that contradicts itself

Cause: relay_test_lagging_replica_is_left_alone failed after the last commit: its replica refuses a position and reports one beyond it, so it was asked on each read. Change: such a position is forgotten; the replica is then left alone as before.

--- a/src/relay/links.c
+++ b/src/relay/links.c
@@ -143,6 +143,9 @@
 {
     if (a->failure == FAILURE_LAGGING) {
         m->position = a->position; /* lower than before after a promotion */
+        if (token_is_met(&l->after, a->position.term, a->position.position)) {
+            m->position.known = false; /* it contradicts itself */
+        }
         m->missing = l->after;
         m->lag_pause_ms = CLAMP(m->lag_pause_ms * 2, LAG_RETRY_FIRST_MS,
                                 LAG_RETRY_LONGEST_MS);
