--- a/src/lead/agreement.c
+++ b/src/lead/agreement.c
@@ -28,7 +28,8 @@
     clock_ms acted_at;  /* own sent time that it echoed with acted */
     uint64_t acted;
     uint64_t version;
-    uint64_t unreachable;
+    struct service_set unreachable;
+    bool misses_any; /* unreachable is not empty */
     uint64_t roster; /* hash of the proxies that it knows */
     uint64_t silent[AGREEMENT_SILENT_MAX];
     int silent_count;
@@ -48,7 +49,9 @@
     uint64_t roster; /* hash of the registered proxies, with this one */
     bool known;      /* the others have this proxy in their lists */
     bool is_witness;
-    int witnesses; /* with this proxy, if it is one */
+    int witnesses;                          /* with this proxy, if it is one */
+    int witness_peers[AGREEMENT_WITNESSES]; /* indexes of the others */
+    int witness_peer_count;
 };
 
 /* Creates the state of a proxy that knows nothing yet. */
@@ -191,10 +194,12 @@
     qsort(r, (size_t)n, sizeof(*r), compare_rounds);
     a->is_witness = n <= AGREEMENT_WITNESSES;
     a->witnesses = MIN(n, AGREEMENT_WITNESSES);
+    a->witness_peer_count = 0;
     for (int i = 0; i < a->witnesses; i++) {
         struct peer *p = find(a, r[i].name);
         if (p != NULL) {
             p->witness = true;
+            a->witness_peers[a->witness_peer_count++] = (int)(p - a->peers);
         }
         else if (strcmp(r[i].name, a->name) == 0) {
             a->is_witness = true;
@@ -285,12 +290,12 @@
     }
 }
 
-/* Fills in the message for one peer. The view is included when the peer is
-   not known to have it. */
+/* Fills in the message for one peer. What has changed in the view is included
+   when the peer is not known to have it, if it fits. */
 void
 agreement_compose(const struct agreement *a, const char *to,
-                  uint64_t unreachable, bool leaving, clock_ms now,
-                  struct agreement_note *out)
+                  const struct service_set *unreachable, bool leaving,
+                  clock_ms now, struct agreement_note *out)
 {
     const struct peer *p = find(a, to);
 
@@ -300,7 +305,9 @@
     out->sent_at = now;
     out->acted = a->acted;
     out->version = a->view.version;
-    out->unreachable = unreachable;
+    if (unreachable != NULL) {
+        out->unreachable = *unreachable;
+    }
     out->leaving = leaving;
     out->roster = a->roster;
     add_silent(a, now, out);
@@ -309,10 +316,37 @@
         out->echo_of = p->incarnation;
     }
     if (p == NULL || p->version < a->view.version) {
-        out->view = a->view;
+        const struct view *v = &a->view;
+        out->since = p == NULL ? 0 : p->version;
+        out->change_count =
+            view_changes(v, out->since, out->changes, AGREEMENT_CHANGES_MAX);
+        out->has_changes = out->change_count <= AGREEMENT_CHANGES_MAX;
+        if (!out->has_changes) {
+            out->change_count = 0;
+        }
+        memcpy(out->holder, v->holder, sizeof(out->holder));
+        out->fence = v->fence;
     }
 }
 
+/* Takes over a newer view from what has changed in it, if this proxy has all
+   that came before. */
+static bool
+take_changes(struct agreement *a, const struct agreement_note *n)
+{
+    if (!n->has_changes || n->version <= a->view.version ||
+        n->since > a->view.version) {
+        return false;
+    }
+    if (!view_apply(&a->view, n->changes, n->change_count)) {
+        return false; /* more services than a view takes; the store tells */
+    }
+    a->view.version = n->version;
+    a->view.fence = n->fence;
+    memcpy(a->view.holder, n->holder, sizeof(a->view.holder));
+    return true;
+}
+
 /* Takes a message. Returns true when it brought a newer view. Messages of
    proxies that are not registered are ignored. */
 bool
@@ -342,6 +376,7 @@
     p->their_sent_at = n->sent_at;
     p->version = n->version;
     p->unreachable = n->unreachable;
+    p->misses_any = service_set_used(&n->unreachable) > 0;
     p->leaving = n->leaving;
     p->roster = n->roster;
     p->silent_count = CLAMP(n->silent_count, 0, AGREEMENT_SILENT_MAX);
@@ -352,7 +387,7 @@
     if (n->acted > p->acted) {
         p->acted = n->acted;
     }
-    const bool newer = n->view.version > 0 && agreement_offer(a, &n->view);
+    const bool newer = take_changes(a, n);
     /* The peer had no newer view when it wrote this, which was after it got
        the message that it echoes. */
 #ifdef AGREEMENT_BREAK_EVIDENCE
@@ -382,12 +417,10 @@
 {
     clock_ms times[AGREEMENT_WITNESSES];
     const int needed = enough(a) - a->is_witness; /* besides this proxy */
-    int n = 0;
+    const int n = a->witness_peer_count;
 
-    for (int i = 0; i < a->count && n < AGREEMENT_WITNESSES; i++) {
-        if (a->peers[i].witness) {
-            times[n++] = a->peers[i].confirmed;
-        }
+    for (int i = 0; i < n; i++) {
+        times[i] = a->peers[a->witness_peers[i]].confirmed;
     }
     if (needed < 1 || n < needed) {
         return a->store_confirmed;
@@ -451,6 +484,14 @@
                                : MINORITY_WAIT_MS);
 }
 
+/* Tells whether a peer was heard recently. */
+static bool
+is_alive(const struct peer *p, clock_ms now)
+{
+    return p->last_heard > 0 && now - p->last_heard < AGREEMENT_ALIVE_MS &&
+           !p->leaving;
+}
+
 /* Tells whether a proxy was heard recently. This proxy is always alive. */
 bool
 agreement_alive(const struct agreement *a, const char *name, clock_ms now)
@@ -460,8 +501,7 @@
     if (p == NULL) {
         return strcmp(name, a->name) == 0;
     }
-    return p->last_heard > 0 && now - p->last_heard < AGREEMENT_ALIVE_MS &&
-           !p->leaving;
+    return is_alive(p, now);
 }
 
 /* Returns how many live witnesses come before this one by name. They act first
@@ -477,7 +517,7 @@
     }
     for (int i = 0; i < a->count; i++) {
         rank += a->peers[i].witness && strcmp(a->peers[i].name, a->name) < 0 &&
-                agreement_alive(a, a->peers[i].name, now);
+                is_alive(&a->peers[i], now);
     }
     return rank;
 }
@@ -489,7 +529,7 @@
     int n = 0;
 
     for (int i = 0; i < a->count; i++) {
-        n += agreement_alive(a, a->peers[i].name, now);
+        n += is_alive(&a->peers[i], now);
     }
     return n;
 }
@@ -503,9 +543,8 @@
 
     for (int i = 0; i < a->count; i++) {
         const struct peer *p = &a->peers[i];
-        n += p->version == a->view.version &&
-             agreement_alive(a, p->name, now) &&
-             (p->unreachable >> lead & 1) != 0;
+        n += p->misses_any && p->version == a->view.version &&
+             service_set_has(&p->unreachable, lead) && is_alive(p, now);
     }
     return n;
 }
@@ -520,13 +559,15 @@
 }
 
 /* Returns the services whose primaries a peer said not to reach, by index in
-   its view; 0 when its view is another one. */
-uint64_t
+   its view; NULL when there are none or its view is another one. */
+const struct service_set *
 agreement_peer_unreachable(const struct agreement *a, const char *name)
 {
     const struct peer *p = find(a, name);
 
-    return p == NULL || p->version != a->view.version ? 0 : p->unreachable;
+    return p == NULL || !p->misses_any || p->version != a->view.version
+               ? NULL
+               : &p->unreachable;
 }
 
 /* Tells whether a peer has reported that it does not hear another one. */
@@ -553,7 +594,7 @@
     }
     for (int i = 0; i < a->count; i++) {
         const struct peer *p = &a->peers[i];
-        if (agreement_alive(a, p->name, now) && p->roster != a->roster) {
+        if (is_alive(p, now) && p->roster != a->roster) {
             return NULL;
         }
     }
@@ -566,8 +607,8 @@
         int reports = 1; /* this proxy's own */
         for (int k = 0; k < a->count; k++) {
             const struct peer *p = &a->peers[k];
-            reports += p->witness && agreement_alive(a, p->name, now) &&
-                       reports_silent(p, hash);
+            reports +=
+                p->witness && is_alive(p, now) && reports_silent(p, hash);
         }
         if (reports > a->witnesses - enough(a)) {
             return lost->name;
--- a/src/lead/agreement.h
+++ b/src/lead/agreement.h
@@ -2,6 +2,7 @@
 #define LEAD_AGREEMENT_H
 
 #include "base/clock.h"
+#include "lead/service_set.h"
 #include "lead/view.h"
 
 /* Decides which view this proxy follows and until when it may rely on it.
@@ -28,10 +29,14 @@
    suspended VM takes a few seconds. */
 #define AGREEMENT_SILENT_MS 15000
 #define AGREEMENT_SILENT_MAX 8
+/* A note fits in a datagram of 8 KB. A proxy that lacks more changes than this
+   reads the view from the store. */
+#define AGREEMENT_CHANGES_MAX 32
+#define AGREEMENT_POSITIONS_MAX 32
 
 /* A position that a primary's log had, and how long ago that was known. */
 struct agreement_position {
-    bool known;
+    int index; /* of the service, in the view */
     uint64_t term;
     uint64_t position;
     int64_t age_ms;
@@ -41,13 +46,13 @@
 struct agreement_note {
     char from[VIEW_NAME_BYTES];
     uint64_t incarnation;
-    clock_ms sent_at;       /* on the sender's clock */
-    clock_ms echo;          /* sent_at of the last message received, or 0 */
-    uint64_t echo_of;       /* incarnation that sent it */
-    uint64_t acted;         /* version of the view whose changes are done */
-    uint64_t version;       /* version of the view that is known */
-    uint64_t unreachable;   /* services whose primary does not answer, by
-                               index in the view of `version` */
+    clock_ms sent_at; /* on the sender's clock */
+    clock_ms echo;    /* sent_at of the last message received, or 0 */
+    uint64_t echo_of; /* incarnation that sent it */
+    uint64_t acted;   /* version of the view whose changes are done */
+    uint64_t version; /* version of the view that is known */
+    /* Services whose primary does not answer, in the view of `version`. */
+    struct service_set unreachable;
     uint64_t configuration; /* version of the operator's configuration */
     uint64_t roster;        /* hash of the proxies that the sender knows */
     /* Hashes of proxies that the sender, a witness, has not heard for
@@ -56,10 +61,16 @@
     int silent_count;
     bool leaving; /* the sender cannot change the view any more */
     bool reply;   /* answers a note, and is not answered */
-    /* For a peer that cannot reach primaries, by index in the view. */
-    struct agreement_position positions[VIEW_SERVICES_MAX];
+    /* For a peer that cannot reach primaries. */
+    struct agreement_position positions[AGREEMENT_POSITIONS_MAX];
     int position_count;
-    struct view view; /* version 0 when it is not included */
+    /* What has changed in the view after the version `since`. */
+    bool has_changes;
+    uint64_t since;
+    char holder[VIEW_NAME_BYTES];
+    uint64_t fence;
+    struct view_lead changes[AGREEMENT_CHANGES_MAX];
+    int change_count;
 };
 
 struct agreement *agreement_create(const char *name, uint64_t incarnation);
@@ -84,8 +95,8 @@
 bool agreement_is_witness(const struct agreement *a, const char *name);
 int agreement_peer_count(const struct agreement *a);
 void agreement_compose(const struct agreement *a, const char *to,
-                       uint64_t unreachable, bool leaving, clock_ms now,
-                       struct agreement_note *out);
+                       const struct service_set *unreachable, bool leaving,
+                       clock_ms now, struct agreement_note *out);
 bool agreement_take(struct agreement *a, const struct agreement_note *n,
                     clock_ms now);
 
@@ -97,8 +108,8 @@
                      clock_ms now);
 int agreement_rank(const struct agreement *a, clock_ms now);
 int agreement_alive_count(const struct agreement *a, clock_ms now);
-uint64_t agreement_peer_unreachable(const struct agreement *a,
-                                    const char *name);
+const struct service_set *agreement_peer_unreachable(const struct agreement *a,
+                                                     const char *name);
 int agreement_votes(const struct agreement *a, int lead, clock_ms now);
 clock_ms agreement_last_heard(const struct agreement *a, const char *name);
 const char *agreement_retirable(const struct agreement *a, clock_ms now);
--- a/src/lead/change.c
+++ b/src/lead/change.c
@@ -10,8 +10,8 @@
    answer takes about 20 ms. */
 #define SILENT_ANSWER_MS 80
 #define CATCH_UP_MS 1500 /* wait for a replica to receive all of the log */
-#define ASK_AGAIN_MS 40 /* between questions while waiting */
-#define CONFIRM_MS 1500 /* for a promotion to take effect */
+#define ASK_AGAIN_MS 40  /* between questions while waiting */
+#define CONFIRM_MS 1500  /* for a promotion to take effect */
 #define ORDER_RETRY_MS 100
 #define EXCLUDED_MS 1000 /* a member that does not run is not named again */
 
@@ -103,7 +103,7 @@
                 const struct member_report *status, clock_ms now)
 {
     struct change *c = promoter_change_of(p, service);
-    struct member_note *m = c == NULL ? NULL : change_find_member(c, member);
+    struct member_note *m = change_find_member(c, member);
 
     if (m == NULL) {
         return;
@@ -302,9 +302,6 @@
 {
     struct change *c = promoter_change_of(p, service);
 
-    if (c == NULL) {
-        return;
-    }
     event_log(EVENT_STATE, "promotion_answered",
               "service=%s member=%s result=%d took_ms=%lld", service,
               c->chosen, result, (long long)(now - c->ordered_at));
--- a/src/lead/peer_note_xdr.c
+++ b/src/lead/peer_note_xdr.c
@@ -11,6 +11,8 @@
 {
 	register int32_t *buf;
 
+	 if (!xdr_u_int (xdrs, &objp->index))
+		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->term))
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->number))
@@ -20,6 +22,24 @@
 	return TRUE;
 }
 
+bool_t
+xdr_wire_lead (XDR *xdrs, wire_lead *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, &objp->service, 63))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->primary, 63))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->epoch))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->term))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->changing))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_wire_note (XDR *xdrs, wire_note *objp)
 {
@@ -39,7 +59,8 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->known))
 		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->unreachable))
+	 if (!xdr_array (xdrs, (char **)&objp->unreachable.unreachable_val, (u_int *) &objp->unreachable.unreachable_len, 16,
+		sizeof (u_quad_t), (xdrproc_t) xdr_u_quad_t))
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->configuration))
 		 return FALSE;
@@ -55,7 +76,16 @@
 	 if (!xdr_array (xdrs, (char **)&objp->positions.positions_val, (u_int *) &objp->positions.positions_len, 32,
 		sizeof (wire_position), (xdrproc_t) xdr_wire_position))
 		 return FALSE;
-	 if (!xdr_string (xdrs, &objp->view, 6000))
+	 if (!xdr_bool (xdrs, &objp->has_changes))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->since))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->holder, 63))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->fence))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->changes.changes_val, (u_int *) &objp->changes.changes_len, 32,
+		sizeof (wire_lead), (xdrproc_t) xdr_wire_lead))
 		 return FALSE;
 	return TRUE;
 }
--- a/src/lead/peer_note_xdr.h
+++ b/src/lead/peer_note_xdr.h
@@ -15,12 +15,22 @@
 
 
 struct wire_position {
+	u_int index;
 	u_quad_t term;
 	u_quad_t number;
 	quad_t age_ms;
 };
 typedef struct wire_position wire_position;
 
+struct wire_lead {
+	char *service;
+	char *primary;
+	u_quad_t epoch;
+	u_quad_t term;
+	bool_t changing;
+};
+typedef struct wire_lead wire_lead;
+
 struct wire_note {
 	char *from;
 	u_quad_t incarnation;
@@ -29,7 +39,10 @@
 	u_quad_t echo_of;
 	u_quad_t acted;
 	u_quad_t known;
-	u_quad_t unreachable;
+	struct {
+		u_int unreachable_len;
+		u_quad_t *unreachable_val;
+	} unreachable;
 	u_quad_t configuration;
 	u_quad_t roster;
 	struct {
@@ -42,7 +55,14 @@
 		u_int positions_len;
 		wire_position *positions_val;
 	} positions;
-	char *view;
+	bool_t has_changes;
+	u_quad_t since;
+	char *holder;
+	u_quad_t fence;
+	struct {
+		u_int changes_len;
+		wire_lead *changes_val;
+	} changes;
 };
 typedef struct wire_note wire_note;
 
@@ -50,10 +70,12 @@
 
 #if defined(__STDC__) || defined(__cplusplus)
 extern  bool_t xdr_wire_position (XDR *, wire_position*);
+extern  bool_t xdr_wire_lead (XDR *, wire_lead*);
 extern  bool_t xdr_wire_note (XDR *, wire_note*);
 
 #else /* K&R C */
 extern bool_t xdr_wire_position ();
+extern bool_t xdr_wire_lead ();
 extern bool_t xdr_wire_note ();
 
 #endif /* K&R C */
--- a/src/lead/peer_port.c
+++ b/src/lead/peer_port.c
@@ -21,6 +21,55 @@
     void *ctx;
 };
 
+/* Copies a received note; counts are bounded by the codec. */
+static void
+take_note(const wire_note *w, struct agreement_note *n)
+{
+    g_strlcpy(n->from, w->from, sizeof(n->from));
+    n->incarnation = w->incarnation;
+    n->sent_at = w->sent_at;
+    n->echo = w->echo;
+    n->echo_of = w->echo_of;
+    n->acted = w->acted;
+    n->version = w->known;
+    n->configuration = w->configuration;
+    n->roster = w->roster;
+    n->leaving = w->leaving;
+    n->reply = w->reply;
+    n->has_changes = w->has_changes;
+    n->since = w->since;
+    n->fence = w->fence;
+    g_strlcpy(n->holder, w->holder, sizeof(n->holder));
+    for (u_int i = 0; i < w->unreachable.unreachable_len; i++) {
+        n->unreachable.words[i] = w->unreachable.unreachable_val[i];
+    }
+    n->silent_count = (int)w->silent.silent_len;
+    for (int i = 0; i < n->silent_count; i++) {
+        n->silent[i] = w->silent.silent_val[i];
+    }
+    for (u_int i = 0; i < w->positions.positions_len; i++) {
+        const wire_position *x = &w->positions.positions_val[i];
+        if (x->index < VIEW_SERVICES_MAX) {
+            n->positions[n->position_count++] = (struct agreement_position){
+                .index = (int)x->index,
+                .term = x->term,
+                .position = x->number,
+                .age_ms = x->age_ms,
+            };
+        }
+    }
+    n->change_count = (int)w->changes.changes_len;
+    for (int i = 0; i < n->change_count; i++) {
+        const wire_lead *x = &w->changes.changes_val[i];
+        struct view_lead *l = &n->changes[i];
+        g_strlcpy(l->service, x->service, sizeof(l->service));
+        g_strlcpy(l->primary, x->primary, sizeof(l->primary));
+        l->epoch = x->epoch;
+        l->term = x->term;
+        l->changing = x->changing;
+    }
+}
+
 /* Decodes a datagram. Returns false when it is not a note. */
 static bool
 decode(char *bytes, size_t size, struct agreement_note *n)
@@ -30,37 +79,10 @@
 
     memset(n, 0, sizeof(*n));
     xdrmem_create(&x, bytes, (u_int)size, XDR_DECODE);
-    bool ok = xdr_wire_note(&x, &w);
+    const bool ok = xdr_wire_note(&x, &w);
     xdr_destroy(&x);
     if (ok) {
-        g_strlcpy(n->from, w.from, sizeof(n->from));
-        n->incarnation = w.incarnation;
-        n->sent_at = w.sent_at;
-        n->echo = w.echo;
-        n->echo_of = w.echo_of;
-        n->acted = w.acted;
-        n->version = w.known;
-        n->unreachable = w.unreachable;
-        n->configuration = w.configuration;
-        n->roster = w.roster;
-        n->silent_count = (int)MIN(w.silent.silent_len, AGREEMENT_SILENT_MAX);
-        for (int i = 0; i < n->silent_count; i++) {
-            n->silent[i] = w.silent.silent_val[i];
-        }
-        n->leaving = w.leaving;
-        n->reply = w.reply;
-        n->position_count =
-            (int)MIN(w.positions.positions_len, VIEW_SERVICES_MAX);
-        for (int i = 0; i < n->position_count; i++) {
-            const wire_position *x = &w.positions.positions_val[i];
-            n->positions[i] = (struct agreement_position){
-                .known = x->age_ms >= 0,
-                .term = x->term,
-                .position = x->number,
-                .age_ms = x->age_ms,
-            };
-        }
-        ok = w.view[0] == '\0' || view_parse(sview_from(w.view), &n->view);
+        take_note(&w, n);
     }
     xdr_free((xdrproc_t)xdr_wire_note, (char *)&w);
     return ok;
@@ -143,22 +165,27 @@
                const struct agreement_note *n)
 {
     struct sockaddr_in to = {.sin_family = AF_INET, .sin_port = htons(port)};
-    char view[VIEW_TEXT_BYTES + 1] = "";
     char bytes[NOTE_BYTES];
-    wire_position positions[VIEW_SERVICES_MAX];
+    wire_position positions[AGREEMENT_POSITIONS_MAX];
+    wire_lead changes[AGREEMENT_CHANGES_MAX];
     XDR x;
 
     for (int i = 0; i < n->position_count; i++) {
         positions[i] = (wire_position){
+            .index = (u_int)n->positions[i].index,
             .term = n->positions[i].term,
             .number = n->positions[i].position,
-            .age_ms = n->positions[i].known ? n->positions[i].age_ms : -1,
+            .age_ms = n->positions[i].age_ms,
         };
     }
-    if (n->view.version > 0 &&
-        view_format(&n->view, view, sizeof(view)) == 0) {
-        event_log(EVENT_STATE, "view_too_large", "services=%d", n->view.count);
-        return;
+    for (int i = 0; i < n->change_count; i++) {
+        changes[i] = (wire_lead){
+            .service = (char *)n->changes[i].service,
+            .primary = (char *)n->changes[i].primary,
+            .epoch = n->changes[i].epoch,
+            .term = n->changes[i].term,
+            .changing = n->changes[i].changing,
+        };
     }
     wire_note w = {
         .from = (char *)n->from,
@@ -168,7 +195,9 @@
         .echo_of = n->echo_of,
         .acted = n->acted,
         .known = n->version,
-        .unreachable = n->unreachable,
+        .unreachable = {.unreachable_len =
+                            (u_int)service_set_used(&n->unreachable),
+                        .unreachable_val = (u_quad_t *)n->unreachable.words},
         .configuration = n->configuration,
         .roster = n->roster,
         .silent = {.silent_len = (u_int)n->silent_count,
@@ -177,7 +206,12 @@
         .reply = n->reply,
         .positions = {.positions_len = (u_int)n->position_count,
                       .positions_val = positions},
-        .view = view,
+        .has_changes = n->has_changes,
+        .since = n->since,
+        .holder = (char *)n->holder,
+        .fence = n->fence,
+        .changes = {.changes_len = (u_int)n->change_count,
+                    .changes_val = changes},
     };
     xdrmem_create(&x, bytes, sizeof(bytes), XDR_ENCODE);
     const bool ok = xdr_wire_note(&x, &w);
--- a/src/lead/promoter.c
+++ b/src/lead/promoter.c
@@ -42,6 +42,7 @@
     g_strlcpy(p->name, name, sizeof(p->name));
     p->agreement = a;
     p->actions = *actions;
+    p->changes = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
     return p;
 }
 
@@ -49,6 +50,7 @@
 void
 promoter_destroy(struct promoter *p)
 {
+    g_hash_table_destroy(p->changes);
     g_free(p);
 }
 
@@ -56,12 +58,7 @@
 bool
 promoter_busy(const struct promoter *p)
 {
-    for (int i = 0; i < p->count; i++) {
-        if (p->changes[i].phase != PHASE_NONE) {
-            return true;
-        }
-    }
-    return false;
+    return p->busy;
 }
 
 /* Tells whether a change waits because the store does not take the view. The
@@ -75,20 +72,17 @@
     return failing && promoter_busy(p);
 }
 
-/* Returns the record of a service, made when it is new; NULL without room. */
+/* Returns the record of a service, made when it is new. */
 struct change *
 promoter_change_of(struct promoter *p, const char *service)
 {
-    for (int i = 0; i < p->count; i++) {
-        if (strcmp(p->changes[i].service, service) == 0) {
-            return &p->changes[i];
-        }
-    }
-    if (p->count == VIEW_SERVICES_MAX) {
-        return NULL;
+    struct change *c = g_hash_table_lookup(p->changes, service);
+
+    if (c == NULL) {
+        c = g_new0(struct change, 1);
+        g_strlcpy(c->service, service, sizeof(c->service));
+        g_hash_table_insert(p->changes, c->service, c);
     }
-    struct change *c = &p->changes[p->count++];
-    g_strlcpy(c->service, service, sizeof(c->service));
     return c;
 }
 
@@ -184,8 +178,9 @@
     return since != 0 && delay != CLOCK_NEVER && now - since >= ms + delay;
 }
 
-/* Adds a service to the view once the directory shows who leads it. When that
-   is not clear, it is added as changing, and the survey decides. */
+/* Marks a service to be added to the view once the directory shows who leads
+   it. When that is not clear, it is added as changing, and the survey
+   decides. */
 static void
 add_service(struct promoter *p, struct change *c, clock_ms now)
 {
@@ -206,18 +201,43 @@
     if (!held(c->missing_since, patience, acting_delay(p, v, now), now)) {
         return;
     }
-    struct view next = *v;
-    struct view_lead *l = view_add(&next, c->service);
-    if (l == NULL) {
-        return;
+    c->adding = true;
+    g_strlcpy(c->chosen, primaries == 1 ? primary : "", sizeof(c->chosen));
+}
+
+/* Ends a round of promoter_tick() for all services: writes those that are new
+   into the view, together, and notes whether a change is carried out here. */
+void
+promoter_flush(struct promoter *p, clock_ms now)
+{
+    struct view next = *agreement_view(p->agreement);
+    const int before = next.count;
+    GHashTableIter i;
+    void *value;
+
+    p->busy = false;
+    g_hash_table_iter_init(&i, p->changes);
+    while (g_hash_table_iter_next(&i, NULL, &value)) {
+        struct change *c = value;
+        p->busy = p->busy || c->phase != PHASE_NONE;
+        if (!c->adding) {
+            continue;
+        }
+        c->adding = false;
+        struct view_lead *l = view_add(&next, c->service);
+        if (l == NULL) {
+            event_log(EVENT_STATE, "view_full", "service=%s services=%d",
+                      c->service, next.count);
+            continue;
+        }
+        l->epoch = next.version + 1;
+        l->changing = c->chosen[0] == '\0';
+        g_strlcpy(l->primary, c->chosen, sizeof(l->primary));
     }
-    l->epoch = next.version + 1;
-    l->changing = primaries != 1;
-    g_strlcpy(l->primary, primaries == 1 ? primary : "", sizeof(l->primary));
-    if (promoter_write_view(p, &next, now)) {
-        event_log(EVENT_STATE, "service_added",
-                  "service=%s primary=%s says_primary=%d", c->service,
-                  l->primary, primaries);
+    if (next.count > before && promoter_write_view(p, &next, now)) {
+        event_log(EVENT_STATE, "services_added",
+                  "first=%s added=%d services=%d", next.leads[before].service,
+                  next.count - before, next.count);
     }
 }
 
@@ -323,9 +343,25 @@
     }
 }
 
+/* Finds the service in the view; services keep their index. */
+static bool
+find_lead(const struct view *v, struct change *c)
+{
+    if (c->index < v->count &&
+        strcmp(v->leads[c->index].service, c->service) == 0) {
+        return true;
+    }
+    for (c->index = 0; c->index < v->count; c->index++) {
+        if (strcmp(v->leads[c->index].service, c->service) == 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
 /* Looks at one service: members as the directory lists them, and whether its
    primary does not answer this proxy. Called every few tens of milliseconds
-   for each configured service. */
+   for each configured service, and promoter_flush() after all of them. */
 void
 promoter_tick(struct promoter *p, const char *service,
               const struct candidate *members, size_t n, bool unreachable,
@@ -334,20 +370,12 @@
     const struct view *v = agreement_view(p->agreement);
     struct change *c = promoter_change_of(p, service);
 
-    if (c == NULL) {
-        return;
-    }
     update_members(c, members, n);
-    int index = -1;
-    for (int i = 0; i < v->count; i++) {
-        if (strcmp(v->leads[i].service, service) == 0) {
-            index = i;
-        }
-    }
-    if (index < 0) {
+    if (!find_lead(v, c)) {
         add_service(p, c, now);
         return;
     }
+    const int index = c->index;
     const struct view_lead *l = &v->leads[index];
     const bool holder = strcmp(v->holder, p->name) == 0;
     if (c->changing_fence != v->fence) {
@@ -357,6 +385,7 @@
     }
     track(&c->changing_since, l->changing, now);
     if (l->changing && holder) {
+        p->busy = true;
         change_run(p, c, l, index, now);
         return;
     }
--- a/src/lead/promoter.h
+++ b/src/lead/promoter.h
@@ -44,6 +44,7 @@
 void promoter_tick(struct promoter *p, const char *service,
                    const struct candidate *members, size_t n, bool unreachable,
                    clock_ms now);
+void promoter_flush(struct promoter *p, clock_ms now);
 void promoter_view_written(struct promoter *p, bool done);
 void promoter_status(struct promoter *p, const char *service,
                      const char *member, const struct member_report *status,
--- a/src/lead/promoter_internal.h
+++ b/src/lead/promoter_internal.h
@@ -3,6 +3,8 @@
 
 #include "lead/promoter.h"
 
+#include <glib.h>
+
 /* Shared by promoter.c, which decides that a primary is to be replaced, and
    change.c, which carries the change out. */
 
@@ -34,6 +36,8 @@
 
 struct change {
     char service[VIEW_NAME_BYTES];
+    int index;   /* in the view, if it is there */
+    bool adding; /* to be added to the view, with `chosen` as its primary */
     enum phase phase;
     clock_ms since;         /* of the phase */
     uint64_t version;       /* at which the change began */
@@ -65,8 +69,8 @@
     bool writing;
     clock_ms written_at;
     int64_t write_pause_ms;
-    struct change changes[VIEW_SERVICES_MAX];
-    int count;
+    GHashTable *changes; /* service -> struct change */
+    bool busy;           /* carries a change out */
 };
 
 /* promoter.c */
--- /dev/null
+++ b/src/lead/service_set.h
@@ -0,0 +1,48 @@
+#ifndef LEAD_SERVICE_SET_H
+#define LEAD_SERVICE_SET_H
+
+#include "lead/view.h"
+
+#include <string.h>
+
+#define SERVICE_SET_WORDS (VIEW_SERVICES_MAX / 64)
+
+/* A set of services, by their index in the view. */
+struct service_set {
+    uint64_t words[SERVICE_SET_WORDS];
+};
+
+/* Adds a service. */
+static inline void
+service_set_add(struct service_set *s, int index)
+{
+    s->words[index / 64] |= UINT64_C(1) << (index % 64);
+}
+
+/* Tells whether a service is in the set. */
+static inline bool
+service_set_has(const struct service_set *s, int index)
+{
+    return (s->words[index / 64] >> (index % 64) & 1) != 0;
+}
+
+/* Returns how many words hold all members of the set. */
+static inline int
+service_set_used(const struct service_set *s)
+{
+    int n = SERVICE_SET_WORDS;
+
+    while (n > 0 && s->words[n - 1] == 0) {
+        n--;
+    }
+    return n;
+}
+
+/* Tells whether two sets are equal. */
+static inline bool
+service_set_equal(const struct service_set *a, const struct service_set *b)
+{
+    return memcmp(a, b, sizeof(*a)) == 0;
+}
+
+#endif
--- a/src/lead/view.c
+++ b/src/lead/view.c
@@ -4,11 +4,11 @@
 #include <stdio.h>
 #include <string.h>
 
-/* Writes the text form: a line "view VERSION FENCE HOLDER", then a line
-   "lead SERVICE EPOCH TERM CHANGING PRIMARY" for each service, where "-"
-   stands for none. Returns its length, 0 when it does not fit. */
-size_t
-view_format(const struct view *v, char *out, size_t size)
+/* Writes the text form, owned by the caller: a line "view VERSION FENCE
+   HOLDER", then a line "lead SERVICE EPOCH TERM CHANGING PRIMARY" for each
+   service, where "-" stands for none. */
+char *
+view_format(const struct view *v)
 {
     GString *s = g_string_new(NULL);
 
@@ -22,11 +22,7 @@
             l->service, l->epoch, l->term, l->changing,
             l->primary[0] != '\0' ? l->primary : "-");
     }
-    const size_t n = s->len < size ? s->len : 0;
-    memcpy(out, s->str, n);
-    out[n] = '\0';
-    g_string_free(s, TRUE);
-    return n;
+    return g_string_free(s, FALSE);
 }
 
 /* Copies a word into a field; "-" gives an empty one. Returns false when it
@@ -114,3 +110,38 @@
     g_strlcpy(l->service, service, sizeof(l->service));
     return l;
 }
+
+/* Copies the leads that have changed after a version, at most max. Returns how
+   many there are, which may be more. */
+int
+view_changes(const struct view *v, uint64_t since, struct view_lead *out,
+             int max)
+{
+    int n = 0;
+
+    for (int i = 0; i < v->count; i++) {
+        if (v->leads[i].epoch > since) {
+            if (n < max) {
+                out[n] = v->leads[i];
+            }
+            n++;
+        }
+    }
+    return n;
+}
+
+/* Puts changed leads into a view. New services are added in their order.
+   Returns false when there is no room for all. */
+bool
+view_apply(struct view *v, const struct view_lead *changes, int n)
+{
+    for (int i = 0; i < n; i++) {
+        struct view_lead *l = view_find(v, changes[i].service);
+        l = l != NULL ? l : view_add(v, changes[i].service);
+        if (l == NULL) {
+            return false;
+        }
+        *l = changes[i];
+    }
+    return true;
+}
--- a/src/lead/view.h
+++ b/src/lead/view.h
@@ -7,12 +7,12 @@
 #include <stdbool.h>
 #include <stdint.h>
 
-#define VIEW_SERVICES_MAX 32
+/* The text form of this many fits in a row of 64 KB. */
+#define VIEW_SERVICES_MAX 1024
 #define VIEW_NAME_BYTES 64
-/* Longest text form of a view; it fits in one datagram beside the rest. */
-#define VIEW_TEXT_BYTES 6000
 
-/* Who leads one service. epoch grows with each change of the other fields.
+/* Who leads one service. epoch is the version of the view with which the other
+   fields changed last.
    While changing, no proxy uses a primary of the service. */
 struct view_lead {
     char service[VIEW_NAME_BYTES];
@@ -33,9 +33,12 @@
     struct view_lead leads[VIEW_SERVICES_MAX];
 };
 
-size_t view_format(const struct view *v, char *out, size_t size);
+char *view_format(const struct view *v);
 bool view_parse(struct sview text, struct view *out);
 struct view_lead *view_find(struct view *v, const char *service);
 struct view_lead *view_add(struct view *v, const char *service);
+int view_changes(const struct view *v, uint64_t since, struct view_lead *out,
+                 int max);
+bool view_apply(struct view *v, const struct view_lead *changes, int n);
 
 #endif
--- a/src/node/members.c
+++ b/src/node/members.c
@@ -9,6 +9,48 @@
    may still be asked to step down. */
 #define REMEMBER_MS 10000
 
+/* Orders members by service. */
+static int
+compare_services(const void *a, const void *b)
+{
+    const struct known_member *x = a;
+    const struct known_member *y = b;
+
+    return strcmp(x->entry.service, y->entry.service);
+}
+
+/* Orders the members by service and notes where each service's begin. */
+static void
+index_members(struct node *n)
+{
+    struct member_range *r = NULL;
+    const char *service = "";
+
+    g_array_sort(n->members, compare_services);
+    g_hash_table_remove_all(n->member_ranges);
+    for (guint k = 0; k < n->members->len; k++) {
+        const struct known_member *m =
+            &g_array_index(n->members, struct known_member, k);
+        if (r == NULL || strcmp(m->entry.service, service) != 0) {
+            service = m->entry.service;
+            r = g_new0(struct member_range, 1);
+            r->first = k;
+            g_hash_table_insert(n->member_ranges, g_strdup(service), r);
+        }
+        r->count++;
+    }
+}
+
+/* Returns where the members of a service are. */
+struct member_range
+node_members_of(const struct node *n, const char *service)
+{
+    const struct member_range *r =
+        g_hash_table_lookup(n->member_ranges, service);
+
+    return r != NULL ? *r : (struct member_range){0};
+}
+
 /* Hands each service its members from the directory. */
 void
 node_update_members(struct node *n)
@@ -18,22 +60,24 @@
     void *name;
     void *service;
 
+    index_members(n);
     g_hash_table_iter_init(&i, n->services);
     while (g_hash_table_iter_next(&i, &name, &service)) {
         struct member_entry list[MEMBERS_MAX];
         size_t count = 0;
-        for (guint k = 0; k < n->members->len && count < MEMBERS_MAX; k++) {
+        const struct member_range r = node_members_of(n, name);
+        for (guint k = 0; k < r.count && count < MEMBERS_MAX; k++) {
             const struct known_member *m =
-                &g_array_index(n->members, struct known_member, k);
-            if (m->unlisted_at == 0 && strcmp(m->entry.service, name) == 0) {
+                &g_array_index(n->members, struct known_member, r.first + k);
+            if (m->unlisted_at == 0) {
                 list[count++] = m->entry;
             }
         }
         service_set_members(service, list, count, now);
-        for (guint k = 0; k < n->members->len; k++) {
+        for (guint k = 0; k < r.count; k++) {
             const struct known_member *m =
-                &g_array_index(n->members, struct known_member, k);
-            if (m->unlisted_at != 0 && strcmp(m->entry.service, name) == 0) {
+                &g_array_index(n->members, struct known_member, r.first + k);
+            if (m->unlisted_at != 0) {
                 service_remember(service, &m->entry, m->unlisted_at, now);
             }
         }
@@ -56,25 +100,24 @@
 {
     const clock_ms now = clock_boot_now();
     GArray *next = g_array_new(FALSE, TRUE, sizeof(struct known_member));
+    GHashTable *listed = g_hash_table_new(g_str_hash, g_str_equal);
 
     for (size_t i = 0; i < count; i++) {
         const struct known_member m = {.entry = entries[i]};
         g_array_append_val(next, m);
+        g_hash_table_add(listed, (char *)entries[i].id);
     }
     for (guint k = 0; k < n->members->len; k++) {
         struct known_member m =
             g_array_index(n->members, struct known_member, k);
-        bool listed = false;
-        for (size_t i = 0; i < count && !listed; i++) {
-            listed = strcmp(entries[i].id, m.entry.id) == 0;
-        }
         /* Unlisted members are remembered as long as they are in use. */
-        if (!listed &&
+        if (!g_hash_table_contains(listed, m.entry.id) &&
             (m.unlisted_at == 0 || now - m.unlisted_at < REMEMBER_MS)) {
             m.unlisted_at = m.unlisted_at == 0 ? now : m.unlisted_at;
             g_array_append_val(next, m);
         }
     }
+    g_hash_table_destroy(listed);
     g_array_free(n->members, TRUE);
     n->members = next;
     node_update_members(n);
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -190,21 +190,21 @@
     while (g_hash_table_iter_next(&i, &name, &service)) {
         struct candidate list[MEMBERS_MAX];
         size_t count = 0;
-        for (guint k = 0; k < n->members->len && count < MEMBERS_MAX; k++) {
+        const struct member_range r = node_members_of(n, name);
+        for (guint k = 0; k < r.count && count < MEMBERS_MAX; k++) {
             const struct known_member *m =
-                &g_array_index(n->members, struct known_member, k);
-            if (strcmp(m->entry.service, name) == 0) {
-                list[count++] = (struct candidate){
-                    .id = m->entry.id,
-                    .listed = m->unlisted_at == 0,
-                    .draining = m->entry.draining,
-                    .says_primary = m->entry.says_primary,
-                };
-            }
+                &g_array_index(n->members, struct known_member, r.first + k);
+            list[count++] = (struct candidate){
+                .id = m->entry.id,
+                .listed = m->unlisted_at == 0,
+                .draining = m->entry.draining,
+                .says_primary = m->entry.says_primary,
+            };
         }
         promoter_tick(n->promoter, name, list, count,
                       service_primary_unreachable(service, now), now);
     }
+    promoter_flush(n->promoter, now);
 }
 
 /* Takes the outcome of an order. */
@@ -245,18 +245,19 @@
 check_apart(struct node *n, clock_ms now)
 {
     const struct view *v = agreement_view(n->agreement);
-    const uint64_t unreachable = node_unreachable(n, now);
     const int others = agreement_alive_count(n->agreement, now);
+    struct service_set unreachable;
     bool apart = false;
 
+    node_unreachable(n, now, &unreachable);
     for (int i = 0; i < v->count && !apart; i++) {
-        apart = (unreachable >> i & 1) != 0 && others > 0 &&
+        apart = service_set_has(&unreachable, i) && others > 0 &&
                 agreement_votes(n->agreement, i, now) * 2 <= others;
     }
     if (apart && n->apart_since == 0) {
         n->apart_since = now;
         event_log(EVENT_STATE, "apart", "unreachable=%llx others=%d",
-                  (unsigned long long)unreachable, others);
+                  (unsigned long long)unreachable.words[0], others);
     }
     else if (!apart && n->apart_since != 0) {
         event_log(EVENT_STATE, "apart_over", "after_ms=%lld",
@@ -283,8 +284,9 @@
     }
     check_apart(n, now);
     const bool acted = node_update_acted(n);
-    const uint64_t unreachable = node_unreachable(n, now);
-    const bool news = unreachable != n->told_unreachable;
+    struct service_set unreachable;
+    node_unreachable(n, now, &unreachable);
+    const bool news = !service_set_equal(&unreachable, &n->told_unreachable);
     n->told_unreachable = unreachable;
     if (acted || news || now - n->noted_at >= NOTE_INTERVAL_MS) {
         node_send_notes(n, acted, now);
@@ -369,6 +371,8 @@
     n->services = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
                                         (GDestroyNotify)service_destroy);
     n->members = g_array_new(FALSE, TRUE, sizeof(struct known_member));
+    n->member_ranges =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     n->peers = g_array_new(FALSE, TRUE, sizeof(struct node_peer));
     n->relay = relay_create(&relay);
     ev_timer_init(&n->tick, on_tick, TICK_MS / 1000.0, TICK_MS / 1000.0);
@@ -391,6 +395,7 @@
     catalog_unref(n->catalog);
     g_free(n->stored_list);
     g_array_free(n->members, TRUE);
+    g_hash_table_destroy(n->member_ranges);
     g_array_free(n->peers, TRUE);
     g_free(n->name);
     g_free(n->failure_domain);
--- a/src/node/node_internal.h
+++ b/src/node/node_internal.h
@@ -15,6 +15,12 @@
     clock_ms unlisted_at; /* 0 while listed */
 };
 
+/* The members of one service in the array of all. */
+struct member_range {
+    guint first;
+    guint count;
+};
+
 struct node {
     struct ev_loop *loop;
     char *name;
@@ -26,16 +32,18 @@
     struct peer_port *port;
     struct relay *relay;
     struct catalog *catalog;
-    GHashTable *services; /* name -> struct service */
-    GArray *members;      /* of struct known_member */
-    GArray *peers;        /* of struct node_peer */
+    GHashTable *services;      /* name -> struct service */
+    GArray *members;           /* of struct known_member, by service */
+    GHashTable *member_ranges; /* service -> struct member_range */
+    GArray *peers;             /* of struct node_peer */
     ev_timer tick;
     clock_ms started_at;
     bool starting; /* the shares are those of a start */
     clock_ms last_tick;
     clock_ms noted_at;
-    guint greeted;             /* index of the next silent peer to greet */
-    uint64_t told_unreachable; /* in the last note */
+    guint greeted; /* index of the next silent peer to greet */
+    struct service_set told_unreachable; /* in the last note */
+    int positions_next; /* index of the first service for the next note */
     clock_ms asked_at;
     clock_ms valid_at;
     clock_ms apart_since; /* only this proxy misses a primary; 0 if not */
@@ -57,7 +65,8 @@
 void node_tick_promoter(struct node *n, clock_ms now);
 
 /* notes.c */
-uint64_t node_unreachable(const struct node *n, clock_ms now);
+void node_unreachable(const struct node *n, clock_ms now,
+                      struct service_set *out);
 void node_send_notes(struct node *n, bool news, clock_ms now);
 bool node_update_acted(struct node *n);
 void node_apply_view(struct node *n);
@@ -68,6 +77,7 @@
 
 /* members.c */
 void node_update_members(struct node *n);
+struct member_range node_members_of(const struct node *n, const char *service);
 void node_keep_lists(struct node *n, clock_ms now);
 void node_apply_members(struct node *n, const struct member_entry *entries,
                         size_t count);
--- a/src/node/notes.c
+++ b/src/node/notes.c
@@ -4,51 +4,58 @@
 
 #include <string.h>
 
-/* Returns which services' primaries do not answer, by index in the view. */
-uint64_t
-node_unreachable(const struct node *n, clock_ms now)
+/* Finds which services' primaries do not answer. */
+void
+node_unreachable(const struct node *n, clock_ms now, struct service_set *out)
 {
     const struct view *v = agreement_view(n->agreement);
-    uint64_t bits = 0;
 
+    memset(out, 0, sizeof(*out));
     for (int i = 0; i < v->count; i++) {
         const struct service *s =
             g_hash_table_lookup(n->services, v->leads[i].service);
         if (s != NULL && service_primary_unreachable(s, now)) {
-            bits |= UINT64_C(1) << i;
+            service_set_add(out, i);
         }
     }
-    return bits;
 }
 
 /* Adds the positions of the primaries that a peer cannot reach, so that it can
-   go on to serve reads from replicas. */
+   go on to serve reads from replicas. When not all fit, each note begins with
+   those that the one before left out. */
 static void
 add_positions(struct node *n, const char *to, clock_ms now,
               struct agreement_note *note)
 {
     const struct view *v = agreement_view(n->agreement);
-    const uint64_t wanted = agreement_peer_unreachable(n->agreement, to);
+    const struct service_set *wanted =
+        agreement_peer_unreachable(n->agreement, to);
 
-    if (wanted == 0) {
+    if (wanted == NULL) {
         return;
     }
-    note->position_count = v->count;
-    for (int i = 0; i < v->count; i++) {
+    for (int k = 0;
+         k < v->count && note->position_count < AGREEMENT_POSITIONS_MAX; k++) {
+        const int i = (n->positions_next + k) % v->count;
         const struct service *s =
             g_hash_table_lookup(n->services, v->leads[i].service);
         clock_ms at;
         struct token position;
-        if ((wanted >> i & 1) != 0 && s != NULL &&
+        if (service_set_has(wanted, i) && s != NULL &&
             service_newest_sample(s, &at, &position)) {
-            note->positions[i] = (struct agreement_position){
-                .known = true,
-                .term = position.term,
-                .position = position.position,
-                .age_ms = now - at,
-            };
+            note->positions[note->position_count++] =
+                (struct agreement_position){
+                    .index = i,
+                    .term = position.term,
+                    .position = position.position,
+                    .age_ms = now - at,
+                };
         }
     }
+    if (note->position_count == AGREEMENT_POSITIONS_MAX) {
+        n->positions_next =
+            note->positions[AGREEMENT_POSITIONS_MAX - 1].index + 1;
+    }
 }
 
 /* Takes the positions that a peer has sent in answer to a note. They held
@@ -61,13 +68,15 @@
     if (note->version != v->version || note->echo_of != n->incarnation) {
         return;
     }
-    for (int i = 0; i < note->position_count && i < v->count; i++) {
-        struct service *s =
-            g_hash_table_lookup(n->services, v->leads[i].service);
+    for (int i = 0; i < note->position_count; i++) {
         const struct agreement_position *p = &note->positions[i];
+        struct service *s =
+            p->index < v->count
+                ? g_hash_table_lookup(n->services, v->leads[p->index].service)
+                : NULL;
         const struct token position = {
             .term = p->term, .position = p->position, .known = true};
-        if (p->known && s != NULL) {
+        if (s != NULL) {
             service_add_sample(s, note->echo - p->age_ms, &position);
         }
     }
@@ -75,8 +84,8 @@
 
 /* Sends a note to one peer. */
 static void
-send_note(struct node *n, const struct node_peer *p, uint64_t unreachable,
-          bool reply, clock_ms now)
+send_note(struct node *n, const struct node_peer *p,
+          const struct service_set *unreachable, bool reply, clock_ms now)
 {
     struct agreement_note note;
 
@@ -94,7 +103,8 @@
    time: it may have started while the store turns it away, and learns from
    the note whom it can ask. */
 static void
-greet_silent_peer(struct node *n, uint64_t unreachable, clock_ms now)
+greet_silent_peer(struct node *n, const struct service_set *unreachable,
+                  clock_ms now)
 {
     for (guint k = 0; k < n->peers->len; k++) {
         const struct node_peer *p = &g_array_index(
@@ -113,20 +123,21 @@
 void
 node_send_notes(struct node *n, bool news, clock_ms now)
 {
-    const uint64_t unreachable = node_unreachable(n, now);
+    struct service_set unreachable;
     const bool all = news && agreement_is_witness(n->agreement, n->name);
 
     n->noted_at = now;
+    node_unreachable(n, now, &unreachable);
     for (guint i = 0; i < n->peers->len; i++) {
         const struct node_peer *p =
             &g_array_index(n->peers, struct node_peer, i);
         if (strcmp(p->name, n->name) != 0 &&
             (all || agreement_is_witness(n->agreement, p->name))) {
-            send_note(n, p, unreachable, false, now);
+            send_note(n, p, &unreachable, false, now);
         }
     }
     if (!all && agreement_is_witness(n->agreement, n->name)) {
-        greet_silent_peer(n, unreachable, now);
+        greet_silent_peer(n, &unreachable, now);
     }
 }
 
@@ -134,11 +145,14 @@
 static void
 send_reply(struct node *n, const char *to, clock_ms now)
 {
+    struct service_set unreachable;
+
     for (guint i = 0; i < n->peers->len; i++) {
         const struct node_peer *p =
             &g_array_index(n->peers, struct node_peer, i);
         if (strcmp(p->name, to) == 0) {
-            send_note(n, p, node_unreachable(n, now), true, now);
+            node_unreachable(n, now, &unreachable);
+            send_note(n, p, &unreachable, true, now);
             return;
         }
     }
--- a/tests/lead/test_agreement.c
+++ b/tests/lead/test_agreement.c
@@ -7,6 +7,7 @@
 #include <string.h>
 
 #include <cmocka.h>
+#include <glib.h>
 
 static const struct agreement_peer three[] = {
     {.name = "a", .failure_domain = "x"},
@@ -78,7 +79,7 @@
     agreement_compose(a, "b", 0, false, 10000, &n);
     agreement_take(b, &n, 10000);
     agreement_compose(b, "a", 0, false, 10000, &n);
-    n.view.version = 0; /* as if the view itself did not fit */
+    n.has_changes = false; /* as if they did not fit */
     agreement_take(a, &n, 10000);
     assert_false(agreement_valid(a, 10001));
     agreement_destroy(a);
@@ -219,6 +220,86 @@
     agreement_destroy(c);
 }
 
+/* Adds services to a view under its next version. */
+static void
+add_services(struct view *v, int from, int n)
+{
+    v->version++;
+    for (int i = from; i < from + n; i++) {
+        char name[16];
+        g_snprintf(name, sizeof(name), "db%d", i);
+        struct view_lead *l = view_add(v, name);
+        assert_non_null(l);
+        l->epoch = v->version;
+        g_snprintf(l->primary, sizeof(l->primary), "m%d", i);
+    }
+}
+
+/* Guards against services beyond a limit that nobody leads (a view took 32 and
+   a fleet of 30 proxies has 100), and against a proxy that takes over a part
+   of what has changed. */
+static void
+test_view_of_many_services(void **state)
+{
+    static struct view v;
+    static struct view read;
+    static struct agreement_note n;
+    struct agreement *a = proxy("a", 1);
+    struct agreement *b = proxy("b", 1);
+
+    (void)state;
+    v = *agreement_view(a);
+    add_services(&v, 0, 1000);
+    char *text = view_format(&v);
+    assert_true(strlen(text) < 65536); /* a row of the store */
+    assert_true(view_parse(sview_from(text), &read));
+    g_free(text);
+    assert_int_equal(read.count, 1000);
+    assert_string_equal(read.leads[999].primary, "m999");
+    agreement_offer(a, &v);
+    /* 1,000 changes do not fit in a note. */
+    agreement_compose(a, "b", 0, false, 10000, &n);
+    assert_false(agreement_take(b, &n, 10000));
+    assert_int_equal(agreement_view(b)->count, 0);
+    agreement_offer(b, &v);
+    exchange(b, "b", a, "a", 10100);
+    /* A few do, together with those that came before in the same order. */
+    v.leads[500].epoch = ++v.version;
+    v.leads[500].changing = true;
+    add_services(&v, 1000, 2);
+    agreement_offer(a, &v);
+    agreement_compose(a, "b", 0, false, 10200, &n);
+    assert_int_equal(n.change_count, 3);
+    assert_true(agreement_take(b, &n, 10200));
+    assert_int_equal(agreement_view(b)->version, v.version);
+    assert_true(agreement_view(b)->leads[500].changing);
+    assert_string_equal(agreement_view(b)->leads[1001].service, "db1001");
+    agreement_destroy(a);
+    agreement_destroy(b);
+}
+
+/* Guards against changes put on a view that lacks earlier ones. */
+static void
+test_changes_need_what_came_before(void **state)
+{
+    static struct view v;
+    static struct agreement_note n;
+    struct agreement *a = proxy("a", 1);
+    struct agreement *b = proxy("b", 1);
+
+    (void)state;
+    exchange(b, "b", a, "a", 10000);
+    v = *agreement_view(a);
+    add_services(&v, 0, 1);
+    agreement_offer(a, &v);
+    agreement_compose(a, "b", 0, false, 10100, &n);
+    n.since = 9;
+    assert_false(agreement_take(b, &n, 10100));
+    assert_int_equal(agreement_view(b)->version, 1);
+    agreement_destroy(a);
+    agreement_destroy(b);
+}
+
 int
 main(void)
 {
@@ -230,6 +311,8 @@
         cmocka_unit_test(test_store_confirms_known_proxies_only),
         cmocka_unit_test(test_change_waits_for_equal_lists),
         cmocka_unit_test(test_lost_proxy_is_retired),
+        cmocka_unit_test(test_view_of_many_services),
+        cmocka_unit_test(test_changes_need_what_came_before),
     };
 
     return cmocka_run_group_tests(tests, NULL, NULL);
--- a/tests/lead/test_promoter.c
+++ b/tests/lead/test_promoter.c
@@ -105,7 +105,7 @@
 
 /* Lets a peer be heard, with its vote and what it has acted on. */
 static void
-hear(struct fixture *f, const char *name, uint64_t unreachable, uint64_t acted)
+hear(struct fixture *f, const char *name, bool unreachable, uint64_t acted)
 {
     struct agreement_note n = {.incarnation = 1,
                                .sent_at = f->now,
@@ -113,11 +113,13 @@
                                .echo_of = 1,
                                .acted = acted,
                                .version =
-                                   agreement_view(f->agreement)->version,
-                               .unreachable = unreachable};
+                                   agreement_view(f->agreement)->version};
     struct agreement_note own;
 
     agreement_compose(f->agreement, name, 0, false, f->now, &own);
+    if (unreachable) {
+        service_set_add(&n.unreachable, 0);
+    }
     n.roster = own.roster; /* all know the same proxies */
     g_strlcpy(n.from, name, sizeof(n.from));
     agreement_take(f->agreement, &n, f->now);
@@ -134,6 +136,7 @@
         hear(f, "a", unreachable, acted);
         hear(f, "c", unreachable, acted);
         promoter_tick(f->promoter, "db", members, 3, unreachable, f->now);
+        promoter_flush(f->promoter, f->now);
     }
 }
 
@@ -381,6 +384,27 @@
     teardown(&f);
 }
 
+/* Guards against new services that enter the view one by one: with hundreds of
+   them the last would wait for many writes of the store. */
+static void
+test_new_services_share_a_write(void **state)
+{
+    struct fixture f;
+
+    (void)state;
+    setup(&f, "b", false);
+    f.now += 25;
+    hear(&f, "a", false, 5);
+    promoter_tick(f.promoter, "db", members, 3, false, f.now);
+    promoter_tick(f.promoter, "db2", members, 3, false, f.now);
+    promoter_tick(f.promoter, "db3", members, 3, false, f.now);
+    promoter_flush(f.promoter, f.now);
+    assert_int_equal(f.writes, 1);
+    assert_int_equal(f.written.count, 3);
+    assert_string_equal(f.written.leads[1].primary, "m1");
+    teardown(&f);
+}
+
 int
 main(void)
 {
@@ -391,6 +415,7 @@
         cmocka_unit_test(test_false_alarms),
         cmocka_unit_test(test_unlisted_primary_that_answers),
         cmocka_unit_test(test_change_is_handed_over),
+        cmocka_unit_test(test_new_services_share_a_write),
     };
 
     return cmocka_run_group_tests(tests, NULL, NULL);
