relay: waiting for room is not waiting without a member

Cause: the 0.3 s that work may wait without any member counted from its arrival. Ruled out: a change of primary (no lead changed), the store. Change: the wait counts from the moment when the member, the lease or the lead was lost, if that is later.

--- a/src/relay/dispatch.c
+++ b/src/relay/dispatch.c
@@ -161,6 +161,20 @@
     return NO_MEMBER_HOLD_MS;
 }
 
+/* Returns since when no member can serve work that needs the primary; 0 when
+   that is not known to have begun. Time that work waited in the queue before,
+   for a member that was only busy, does not count as waiting without one. */
+static clock_ms
+blocked_since(const struct service *s)
+{
+    const struct member *m = service_find_member(s, s->primary);
+
+    if (s->changing) {
+        return s->fenced_at;
+    }
+    return MAX(s->lease_lost_at, m != NULL ? m->unreachable_since : 0);
+}
+
 /* Places one piece of work. Returns true when it left the queue. */
 static bool
 place(struct service *s, struct work *w, bool lease, clock_ms now)
@@ -178,7 +192,7 @@
     }
     const int chosen = placement_choose(views, n, w->needs_primary, bounded);
     if (chosen == PLACEMENT_NONE) {
-        if (now - w->arrived >= hold_ms(s, now)) {
+        if (now - MAX(w->arrived, blocked_since(s)) >= hold_ms(s, now)) {
             refuse(s, w, &s->counters.refused_no_member,
                    s->changing ? "primary_changing"
                    : lease     ? "no_member"
--- a/tests/relay/test_session.c
+++ b/tests/relay/test_session.c
@@ -290,6 +290,34 @@
     fixture_teardown(&f);
 }
 
+/* Guards against work that is refused the moment its primary becomes silent,
+   because it had waited for a busy connection before: with a lost answer on
+   each connection the primary was back after 70 ms (incident inc-8780). */
+static void
+test_wait_for_room_is_not_a_wait_without_member(void **state)
+{
+    struct fixture f;
+    struct session *s[4];
+
+    (void)state;
+    fixture_setup(&f, FRESHNESS_PRIMARY);
+    for (int i = 0; i < 4; i++) {
+        s[i] = fixture_session(&f);
+        fixture_request(s[i], VERB_WRITE, "WRITE x v");
+        fixture_open_all(&f);
+    }
+    assert_int_equal(f.link_count, 3);
+    fixture_pass(&f, 500);
+    assert_int_equal(f.link_count, 4); /* the primary is asked again */
+    assert_int_equal(f.answers, 0);
+    fixture_open_all(&f);
+    assert_int_equal(f.answers, 0);
+    for (int i = 0; i < 4; i++) {
+        session_end(s[i]);
+    }
+    fixture_teardown(&f);
+}
+
 /* Guards against reads that are refused because this proxy alone cannot reach
    the primary: with its position from another proxy a replica can serve them.
  */
@@ -373,6 +401,7 @@
         cmocka_unit_test(test_silent_member_is_probed),
         cmocka_unit_test(test_remembered_members_serve),
         cmocka_unit_test(test_hopeless_work_is_refused_at_once),
+        cmocka_unit_test(test_wait_for_room_is_not_a_wait_without_member),
         cmocka_unit_test(test_position_of_another_proxy),
         cmocka_unit_test(test_lagging_replica_is_left_alone),
     };
