relay: a lost answer does not keep a proxy from its member

Cause: a connection whose answer is lost counts as one of the proxy's connections and statements at the member until the time-out, up to 0.8 s. Ruled out: opening sooner than after 0.25 s (statements take up to 0.2 s). Change: a connection that has waited 0.25 s for an answer counts neither as a connection nor as a statement of the proxy, as long as all of its connections stay within its part of what the member takes. Test: relay_test_session, test_lost_answers_leave_a_connection.

--- a/src/node/node.c
+++ b/src/node/node.c
@@ -62,10 +62,12 @@
         const struct service_limits *l =
             g_hash_table_lookup(n->catalog->services, name);
         if (l != NULL) {
+            const int share =
+                starting ? share_at_start(l->max_connections, proxies)
+                         : share_connections(l->max_connections, proxies);
             service_set_share(
-                service, starting
-                             ? share_at_start(l->max_connections, proxies)
-                             : share_connections(l->max_connections, proxies));
+                service, share,
+                starting ? share : share_most(l->max_connections, proxies));
         }
     }
     n->starting = starting;
--- a/src/relay/dispatch.c
+++ b/src/relay/dispatch.c
@@ -7,6 +7,10 @@
 /* Statements that one proxy has at a member: one more than the member's slots
    keeps them busy during the round trip. */
 #define EXTRA_STATEMENTS 1
+/* An answer that takes this long may be lost: statements take 15 ms as a rule
+   and rarely more than 200 ms. Its connection does not keep the proxy from
+   opening another one. */
+#define STUCK_MS 250
 /* The bound on staleness is met with this much to spare, for the time that
    passes before a request is read. */
 #define STALENESS_MARGIN_MS 100
@@ -97,13 +101,17 @@
     };
 
     bool idle = false;
+    int working = 0;
     for (guint k = 0; k < m->links->len; k++) {
         const struct pooled_link *l = m->links->pdata[k];
-        p.executing += l->active;
+        const bool stuck = link_waited_ms(l, now) >= STUCK_MS;
+        p.executing += l->active && !stuck;
+        working += !stuck;
         idle = idle || l->state == LINK_IDLE;
     }
     p.link_free =
-        idle || (m->links->len < (guint)s->share && now >= m->full_until);
+        idle || (working < s->share && (int)m->links->len < s->share_most &&
+                 now >= m->full_until);
     return p;
 }
 
--- a/src/relay/links.c
+++ b/src/relay/links.c
@@ -83,6 +83,17 @@
            l->state != LINK_IDLE && l->state != LINK_OPENING;
 }
 
+/* Returns how long a link has waited for an answer or its opening, without
+   the time before the process was resumed. */
+int64_t
+link_waited_ms(const struct pooled_link *l, clock_ms now)
+{
+    if (l->state != LINK_OPENING && l->outstanding == 0) {
+        return 0;
+    }
+    return now - clock_later(l->sent_at, l->member->service->resumed_at);
+}
+
 /* The member accepted the connection. */
 static void
 on_opened(void *ctx, const struct token *position)
--- a/src/relay/service.c
+++ b/src/relay/service.c
@@ -36,6 +36,7 @@
     s->members = g_ptr_array_new();
     g_queue_init(&s->queue);
     s->share = 2;
+    s->share_most = 2;
     return s;
 }
 
@@ -160,11 +161,13 @@
     service_dispatch(s);
 }
 
-/* Sets how many connections to each member this proxy may have. */
+/* Sets how many connections to each member this proxy may have, and how many
+   together with those whose answer seems lost. */
 void
-service_set_share(struct service *s, int connections)
+service_set_share(struct service *s, int connections, int most)
 {
     s->share = connections;
+    s->share_most = most;
 }
 
 /* Takes over who leads. While changing, nobody does. Work in progress at the
--- a/src/relay/service.h
+++ b/src/relay/service.h
@@ -69,7 +69,7 @@
                          size_t n, clock_ms now);
 void service_remember(struct service *s, const struct member_entry *m,
                       clock_ms unlisted_at, clock_ms now);
-void service_set_share(struct service *s, int connections);
+void service_set_share(struct service *s, int connections, int most);
 void service_set_lead(struct service *s, uint64_t epoch, const char *primary,
                       bool changing, clock_ms now);
 bool service_newest_sample(const struct service *s, clock_ms *at,
--- a/src/relay/service_internal.h
+++ b/src/relay/service_internal.h
@@ -65,7 +65,8 @@
     void *ctx;
     GPtrArray *members; /* of struct member */
     GQueue queue;       /* of struct work, by priority, then arrival */
-    int share;
+    int share;          /* connections to a member */
+    int share_most;     /* with those whose answer seems lost */
     uint64_t epoch;
     char primary[MEMBER_ID_BYTES];
     bool changing;
@@ -92,6 +93,8 @@
 void member_free(struct member *m, const char *why);
 bool link_is_outdated(const struct pooled_link *l);
 
+int64_t link_waited_ms(const struct pooled_link *l, clock_ms now);
+
 /* dispatch.c */
 void service_dispatch(struct service *s);
 
--- a/src/relay/share.c
+++ b/src/relay/share.c
@@ -25,6 +25,16 @@
     return CLAMP(half, MAX(MIN(WANTED, whole), 1), MOST);
 }
 
+/* Returns how many connections to one member a proxy may have while some of
+   its own wait for an answer that seems lost: its part of all that the member
+   takes. */
+int
+share_most(int max_connections, int proxies)
+{
+    return MAX((max_connections - SPARE) / MAX(proxies, 1),
+               share_connections(max_connections, proxies));
+}
+
 /* Returns how many connections to one member a proxy may keep right after its
    start. All proxies may have lost power, and the member may still count their
    dead connections; what is left of its limit is divided, so that the first
--- a/src/relay/upkeep.c
+++ b/src/relay/upkeep.c
@@ -39,23 +39,12 @@
     }
 }
 
-/* Returns how long a link has waited for an answer or its opening, without
-   the time before the process was resumed. */
-static int64_t
-waited_ms(const struct pooled_link *l, clock_ms now)
-{
-    if (l->state != LINK_OPENING && l->outstanding == 0) {
-        return 0;
-    }
-    return now - clock_later(l->sent_at, l->member->service->resumed_at);
-}
-
 /* Closes a link that is of no use any more. */
 static void
 close_useless(struct pooled_link *l, clock_ms now)
 {
     const struct service *s = l->member->service;
-    const int64_t waited = waited_ms(l, now);
+    const int64_t waited = link_waited_ms(l, now);
 
     switch (l->state) {
     case LINK_OPENING:
@@ -91,7 +80,7 @@
 {
     for (guint k = 0; k < m->links->len; k++) {
         const struct pooled_link *l = m->links->pdata[k];
-        if (waited_ms(l, now) >= SILENT_MS && l->state != LINK_OPENING &&
+        if (link_waited_ms(l, now) >= SILENT_MS && l->state != LINK_OPENING &&
             now - clock_later(m->last_heard, m->service->resumed_at) >=
                 SILENT_MS) {
             member_failed(m, "silent", now);
--- a/tests/relay/relay_fixture.c
+++ b/tests/relay/relay_fixture.c
@@ -114,7 +114,7 @@
         .ctx = f,
     };
     f->service = service_create(&sc);
-    service_set_share(f->service, 3);
+    service_set_share(f->service, 3, 4);
     service_set_members(f->service, members, 3, f->now);
     service_set_lead(f->service, 1, "m1", false, f->now);
     f->catalog = catalog_create(1);
--- a/tests/relay/test_session.c
+++ b/tests/relay/test_session.c
@@ -312,12 +312,45 @@
     assert_int_equal(f.answers, 0);
     fixture_open_all(&f);
     assert_int_equal(f.answers, 0);
+    assert_int_equal(fixture_link(&f, 3)->sent_count, 1);
     for (int i = 0; i < 4; i++) {
         session_end(s[i]);
     }
     fixture_teardown(&f);
 }
 
+/* Guards against connections that wait for lost answers and keep a proxy from
+   its primary, which answers others: the next statement gets one more, within
+   the proxy's part of what the member takes. */
+static void
+test_lost_answers_leave_a_connection(void **state)
+{
+    struct fixture f;
+    struct session *s[5];
+
+    (void)state;
+    fixture_setup(&f, FRESHNESS_PRIMARY);
+    for (int i = 0; i < 4; i++) {
+        s[i] = fixture_session(&f);
+        fixture_request(s[i], VERB_WRITE, "WRITE x v");
+        fixture_open_all(&f);
+    }
+    fixture_pass(&f, 225);
+    assert_int_equal(f.link_count, 3);
+    fixture_pass(&f, 50);
+    assert_int_equal(f.link_count, 4);
+    fixture_open_all(&f);
+    assert_int_equal(fixture_link(&f, 3)->sent_count, 1);
+    s[4] = fixture_session(&f);
+    fixture_request(s[4], VERB_WRITE, "WRITE x v");
+    fixture_pass(&f, 25);
+    assert_int_equal(f.link_count, 4); /* no more than its part */
+    for (int i = 0; i < 5; i++) {
+        session_end(s[i]);
+    }
+    fixture_teardown(&f);
+}
+
 /* Guards against reads that are refused because this proxy alone cannot reach
    the primary: with its position from another proxy a replica can serve them.
  */
@@ -402,6 +435,7 @@
         cmocka_unit_test(test_remembered_members_serve),
         cmocka_unit_test(test_hopeless_work_is_refused_at_once),
         cmocka_unit_test(test_wait_for_room_is_not_a_wait_without_member),
+        cmocka_unit_test(test_lost_answers_leave_a_connection),
         cmocka_unit_test(test_position_of_another_proxy),
         cmocka_unit_test(test_lagging_replica_is_left_alone),
     };
