lead: sign the notes between proxies

Cause: whoever reached the peer port could confirm a lease, vote for a change of primary or bring a view (known gap of docs/platform.md). Change: a note is followed by its HMAC-SHA256 under the key of the proxies, as calls between proxies are; others are dropped and logged. The key set belongs to the node and serves both ports. Test: lead_test_peer_port (longest note, strangers).

--- a/src/lead/peer_port.c
+++ b/src/lead/peer_port.c
@@ -12,11 +12,15 @@
 #include <unistd.h>
 
 #define NOTE_BYTES 8192
+/* Keeps the signature of a note from passing as one of an RPC. */
+#define NOTE_PROGRAM 0x20673704
+#define NOTE_VERSION 1
 
 struct peer_port {
     struct ev_loop *loop;
     int fd;
     ev_io io;
+    const struct rpc_keys *keys;
     peer_port_fn received;
     void *ctx;
 };
@@ -70,6 +74,30 @@
     }
 }
 
+/* Returns what the signature of a note covers. */
+static struct rpc_signed
+signed_note(const char *bytes, size_t size)
+{
+    return (struct rpc_signed){
+        .program = NOTE_PROGRAM,
+        .version = NOTE_VERSION,
+        .body = {.p = bytes, .n = size},
+    };
+}
+
+/* Tells whether a datagram ends with the signature of a proxy. */
+static bool
+is_signed(const struct peer_port *p, const char *bytes, size_t size)
+{
+    if (size <= RPC_MAC_BYTES) {
+        return false;
+    }
+    const struct rpc_signed what = signed_note(bytes, size - RPC_MAC_BYTES);
+    const char *mac = bytes + size - RPC_MAC_BYTES;
+
+    return rpc_auth_verify(p->keys, &what, (const uint8_t *)mac) >= 0;
+}
+
 /* Decodes a datagram. Returns false when it is not a note. */
 static bool
 decode(char *bytes, size_t size, struct agreement_note *n)
@@ -107,7 +135,12 @@
         if (size < 0) {
             return;
         }
-        if (decode(bytes, (size_t)size, &n)) {
+        if (!is_signed(p, bytes, (size_t)size)) {
+            inet_ntop(AF_INET, &from.sin_addr, host, sizeof(host));
+            event_log(EVENT_STATE, "note_unsigned", "host=%s bytes=%zd", host,
+                      size);
+        }
+        else if (decode(bytes, (size_t)size - RPC_MAC_BYTES, &n)) {
             inet_ntop(AF_INET, &from.sin_addr, host, sizeof(host));
             p->received(p->ctx, &n, host);
         }
@@ -117,11 +150,12 @@
     }
 }
 
-/* Opens the socket. On failure returns NULL and sets error to an owned
-   text. */
+/* Opens the socket; keys are borrowed. On failure returns NULL and sets error
+   to an owned text. */
 struct peer_port *
 peer_port_create(struct ev_loop *loop, const char *host, uint16_t port,
-                 peer_port_fn received, void *ctx, char **error)
+                 const struct rpc_keys *keys, peer_port_fn received, void *ctx,
+                 char **error)
 {
     struct sockaddr_in at = {.sin_family = AF_INET, .sin_port = htons(port)};
     const int fd =
@@ -139,6 +173,7 @@
     struct peer_port *p = g_new0(struct peer_port, 1);
     p->loop = loop;
     p->fd = fd;
+    p->keys = keys;
     p->received = received;
     p->ctx = ctx;
     ev_io_init(&p->io, on_readable, fd, EV_READ);
@@ -217,11 +252,14 @@
     const bool ok = xdr_wire_note(&x, &w);
     const u_int size = xdr_getpos(&x);
     xdr_destroy(&x);
-    if (!ok || inet_pton(AF_INET, host, &to.sin_addr) != 1) {
+    const struct rpc_signed what = signed_note(bytes, size);
+    if (!ok || size + RPC_MAC_BYTES > sizeof(bytes) ||
+        !rpc_auth_sign(p->keys, &what, 0, (uint8_t *)bytes + size) ||
+        inet_pton(AF_INET, host, &to.sin_addr) != 1) {
         event_log(EVENT_STATE, "note_not_sent", "to=%s:%u", host, port);
         return;
     }
-    const ssize_t sent =
-        sendto(p->fd, bytes, size, 0, (struct sockaddr *)&to, sizeof(to));
+    const ssize_t sent = sendto(p->fd, bytes, size + RPC_MAC_BYTES, 0,
+                                (struct sockaddr *)&to, sizeof(to));
     (void)sent;
 }
--- a/src/node/copy.c
+++ b/src/node/copy.c
@@ -16,7 +16,6 @@
 struct copy_port {
     struct copy_config config;
     char *name;
-    struct rpc_keys *keys;
     struct rpc_procedure procedure;
     struct rpc_server *server;
     GHashTable *clients; /* "HOST:PORT" -> struct rpc_client */
@@ -92,19 +91,11 @@
     static const struct rpc_server_limits limits = {.max_connections =
                                                         CONNECTIONS_MAX};
     struct copy_port *p = g_new0(struct copy_port, 1);
-    const struct sview key = sview_from(config->key);
 
     p->config = *config;
     p->name = g_strdup(config->name);
-    p->keys = rpc_keys_create();
     p->clients =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, client_free);
-    if (!rpc_keys_set(p->keys, &key, 1)) {
-        *error = g_strdup_printf("the key of the proxies needs %d to %d bytes",
-                                 RPC_KEY_MIN_BYTES, RPC_KEY_MAX_BYTES);
-        copy_port_destroy(p);
-        return NULL;
-    }
     p->procedure = (struct rpc_procedure){
         .program = COPY_PROGRAM,
         .version = COPY_VERSION,
@@ -114,8 +105,9 @@
         .handler = on_question,
         .ctx = p,
     };
-    p->server = rpc_server_create(config->loop, config->host, config->port,
-                                  p->keys, &p->procedure, 1, &limits, error);
+    p->server =
+        rpc_server_create(config->loop, config->host, config->port,
+                          p->config.keys, &p->procedure, 1, &limits, error);
     if (p->server == NULL) {
         copy_port_destroy(p);
         return NULL;
@@ -136,7 +128,6 @@
     }
     g_clear_pointer(&p->asked, g_free);
     g_hash_table_destroy(p->clients);
-    rpc_keys_destroy(p->keys);
     g_free(p->name);
     g_free(p);
 }
@@ -170,7 +161,7 @@
     char *address = g_strdup_printf("%s:%u", host, port);
     struct rpc_client *c = g_hash_table_lookup(p->clients, address);
     if (c == NULL) {
-        c = rpc_client_create(p->config.loop, host, port, p->keys,
+        c = rpc_client_create(p->config.loop, host, port, p->config.keys,
                               (uint64_t)clock_wall_now(), &limits);
         g_hash_table_insert(p->clients, g_strdup(address), c);
     }
--- a/src/node/copy.h
+++ b/src/node/copy.h
@@ -22,7 +22,7 @@
     const char *name; /* of this proxy */
     const char *host;
     uint16_t port;
-    const char *key; /* shared by all proxies */
+    const struct rpc_keys *keys; /* shared by all proxies; borrowed */
     /* Fills in what this proxy has; returns false when it has nothing. */
     bool (*give)(void *ctx, struct copy_texts *out);
     /* A peer has answered; texts is NULL when it did not in time. */
--- a/src/node/fetch.c
+++ b/src/node/fetch.c
@@ -203,7 +203,7 @@
         .name = config->name,
         .host = config->host,
         .port = config->peer_port,
-        .key = config->key,
+        .keys = n->keys,
         .give = give,
         .taken = taken,
         .ctx = f,
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -330,6 +330,27 @@
     return g_hash_table_lookup(n->services, name);
 }
 
+/* Sets the key and opens the ports between proxies. Returns false with an
+   owned text in error. */
+static bool
+open_ports(struct node *n, const struct node_config *config, char **error)
+{
+    const struct sview key = sview_from(config->key);
+
+    if (!rpc_keys_set(n->keys, &key, 1)) {
+        *error = g_strdup_printf("the key of the proxies needs %d to %d bytes",
+                                 RPC_KEY_MIN_BYTES, RPC_KEY_MAX_BYTES);
+        return false;
+    }
+    n->fetch = fetch_create(n, config, error);
+    if (n->fetch == NULL) {
+        return false;
+    }
+    n->port = peer_port_create(config->loop, config->host, config->peer_port,
+                               n->keys, node_on_note, n, error);
+    return n->port != NULL;
+}
+
 /* Creates the node and starts its timer. On failure returns NULL and sets
    error to an owned text. */
 struct node *
@@ -349,15 +370,10 @@
         .ctx = n,
     };
 
-    n->fetch = fetch_create(n, config, error);
-    if (n->fetch == NULL) {
-        g_free(n);
-        return NULL;
-    }
-    n->port = peer_port_create(config->loop, config->host, config->peer_port,
-                               node_on_note, n, error);
-    if (n->port == NULL) {
+    n->keys = rpc_keys_create();
+    if (!open_ports(n, config, error)) {
         fetch_destroy(n->fetch);
+        rpc_keys_destroy(n->keys);
         g_free(n);
         return NULL;
     }
@@ -392,6 +408,7 @@
     g_hash_table_destroy(n->services);
     relay_destroy(n->relay);
     peer_port_destroy(n->port);
+    rpc_keys_destroy(n->keys);
     promoter_destroy(n->promoter);
     agreement_destroy(n->agreement);
     catalog_unref(n->catalog);
--- a/src/node/node_internal.h
+++ b/src/node/node_internal.h
@@ -26,6 +26,7 @@
     char *name;
     char *failure_domain;
     struct node_platform platform;
+    struct rpc_keys *keys; /* of all proxies */
     uint64_t incarnation;
     struct agreement *agreement;
     struct promoter *promoter;
--- /dev/null
+++ b/tests/lead/test_peer_port.c
@@ -0,0 +1,200 @@
+#include "lead/peer_port.h"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <cmocka.h>
+#include <glib.h>
+
+#define KEY "0123456789abcdef0123456789abcdef"
+#define OTHER_KEY "fedcba9876543210fedcba9876543210"
+/* Stops a run that hangs; no verdict depends on it otherwise. */
+#define WATCHDOG_S 10.0
+
+struct fixture {
+    struct ev_loop *loop;
+    struct rpc_keys *keys;
+    struct rpc_keys *other_keys;
+    struct peer_port *a; /* 127.0.0.1 */
+    struct peer_port *b; /* 127.0.0.2 */
+    uint16_t port;
+    int received; /* by b */
+    struct agreement_note last;
+    char host[64];
+};
+
+/* Makes a set of one key. */
+static struct rpc_keys *
+make_keys(const char *key)
+{
+    struct rpc_keys *k = rpc_keys_create();
+    const struct sview v = sview_from(key);
+
+    assert_true(rpc_keys_set(k, &v, 1));
+    return k;
+}
+
+/* b has received a note. */
+static void
+on_note(void *ctx, const struct agreement_note *n, const char *host)
+{
+    struct fixture *f = ctx;
+
+    f->received++;
+    f->last = *n;
+    g_strlcpy(f->host, host, sizeof(f->host));
+    ev_break(f->loop, EVBREAK_ALL);
+}
+
+/* a receives nothing. */
+static void
+ignore_note(void *ctx, const struct agreement_note *n, const char *host)
+{
+    (void)ctx;
+    (void)n;
+    (void)host;
+}
+
+/* Returns a port that is free. */
+static uint16_t
+free_port(void)
+{
+    struct sockaddr_in at = {.sin_family = AF_INET};
+    socklen_t size = sizeof(at);
+    const int fd = socket(AF_INET, SOCK_DGRAM, 0);
+
+    assert_int_equal(bind(fd, (struct sockaddr *)&at, sizeof(at)), 0);
+    assert_int_equal(getsockname(fd, (struct sockaddr *)&at, &size), 0);
+    close(fd);
+    return ntohs(at.sin_port);
+}
+
+/* Opens both ports; a may have another key. */
+static void
+begin(struct fixture *f, bool same_key)
+{
+    char *error = NULL;
+
+    memset(f, 0, sizeof(*f));
+    f->loop = ev_loop_new(EVFLAG_AUTO);
+    f->keys = make_keys(KEY);
+    f->other_keys = make_keys(OTHER_KEY);
+    f->port = free_port();
+    f->a = peer_port_create(f->loop, "127.0.0.1", f->port,
+                            same_key ? f->keys : f->other_keys, ignore_note, f,
+                            &error);
+    f->b = peer_port_create(f->loop, "127.0.0.2", f->port, f->keys, on_note, f,
+                            &error);
+    assert_null(error);
+}
+
+/* Closes both. */
+static void
+end(struct fixture *f)
+{
+    peer_port_destroy(f->a);
+    peer_port_destroy(f->b);
+    rpc_keys_destroy(f->keys);
+    rpc_keys_destroy(f->other_keys);
+    ev_loop_destroy(f->loop);
+}
+
+/* The run takes too long. */
+static void
+on_watchdog(struct ev_loop *loop, ev_timer *w, int revents)
+{
+    (void)w;
+    (void)revents;
+    ev_break(loop, EVBREAK_ALL);
+}
+
+/* Runs until b has received a note, for limit_s at the most. */
+static void
+run(struct fixture *f, double limit_s)
+{
+    ev_timer watchdog;
+
+    ev_timer_init(&watchdog, on_watchdog, limit_s, 0.0);
+    ev_timer_start(f->loop, &watchdog);
+    ev_run(f->loop, 0);
+    ev_timer_stop(f->loop, &watchdog);
+}
+
+/* Guards against a field that is lost or changed on the way; the longest note
+   must fit in a datagram. */
+static void
+test_longest_note_arrives_whole(void **state)
+{
+    static struct agreement_note n;
+    struct fixture f;
+
+    (void)state;
+    begin(&f, true);
+    memset(n.from, 'n', sizeof(n.from) - 1);
+    n.version = 77;
+    n.configuration = 5;
+    n.roster = 6;
+    n.has_changes = true;
+    n.since = 70;
+    n.change_count = AGREEMENT_CHANGES_MAX;
+    for (int i = 0; i < AGREEMENT_CHANGES_MAX; i++) {
+        memset(n.changes[i].service, 's', VIEW_NAME_BYTES - 1);
+        memset(n.changes[i].primary, 'p', MEMBER_ID_BYTES - 1);
+        n.changes[i].epoch = 71;
+    }
+    n.position_count = AGREEMENT_POSITIONS_MAX;
+    n.positions[3].index = 1023;
+    n.positions[3].position = 9;
+    service_set_add(&n.unreachable, 1023);
+    n.silent_count = AGREEMENT_SILENT_MAX;
+    n.silent[7] = 8;
+    peer_port_send(f.a, "127.0.0.2", f.port, &n);
+    run(&f, WATCHDOG_S);
+    assert_int_equal(f.received, 1);
+    assert_string_equal(f.host, "127.0.0.1");
+    assert_memory_equal(&f.last, &n, sizeof(n));
+    end(&f);
+}
+
+/* Guards against a stranger who confirms leases or brings a view: a note that
+   is signed with another key, and datagrams without a signature. */
+static void
+test_strangers_are_not_heard(void **state)
+{
+    static struct agreement_note n = {.from = "a", .version = 77};
+    struct fixture f;
+    const char forged[] = "a note without a signature that is long enough";
+    struct sockaddr_in to = {.sin_family = AF_INET};
+
+    (void)state;
+    begin(&f, false);
+    peer_port_send(f.a, "127.0.0.2", f.port, &n);
+    to.sin_port = htons(f.port);
+    inet_pton(AF_INET, "127.0.0.2", &to.sin_addr);
+    const int fd = socket(AF_INET, SOCK_DGRAM, 0);
+    assert_true(sendto(fd, forged, sizeof(forged), 0, (struct sockaddr *)&to,
+                       sizeof(to)) > 0);
+    assert_true(sendto(fd, forged, 3, 0, (struct sockaddr *)&to, sizeof(to)) >
+                0);
+    close(fd);
+    run(&f, 0.3);
+    assert_int_equal(f.received, 0);
+    end(&f);
+}
+
+int
+main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(test_longest_note_arrives_whole),
+        cmocka_unit_test(test_strangers_are_not_heard),
+    };
+
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/tests/node/test_fetch.c
+++ b/tests/node/test_fetch.c
@@ -235,7 +235,7 @@
     end(&f);
 }
 
-/* Guards against a configuration from someone without the key. */
+/* Guards against a configuration or a note from someone without the key. */
 static void
 test_wrong_key(void **state)
 {
