node: the work of a tick grows with what a proxy serves

Each change of one member made each proxy decode all rows of members; each tick, 40 a second, looked at all services, also those without any connection, and prepared changes at proxies that never make one. Ruled out: notes (witnesses only), the relay (no traffic yet).

--- a/src/node/node.c
+++ b/src/node/node.c
@@ -25,6 +25,10 @@
 #define BALANCER_MS 2100
 /* Processes that start together after a loss of power do so within 0.3 s. */
 #define START_TOGETHER_MS 400
+/* A service without connections and work is looked at in each eighth tick, so
+   that the work of a tick grows with what a proxy serves and not with all
+   services. */
+#define IDLE_TICKS 8
 /* Between looks at whether the stored list of members is outdated. */
 #define LIST_INTERVAL_MS 1500
 #define LOG_INTERVAL_MS 1000
@@ -181,7 +185,11 @@
 void
 node_tick_promoter(struct node *n, clock_ms now)
 {
-    if (n->leaving) {
+    const char *holder = agreement_view(n->agreement)->holder;
+
+    /* Only witnesses change the view. */
+    if (n->leaving || (!agreement_is_witness(n->agreement, n->name) &&
+                       strcmp(holder, n->name) != 0)) {
         return;
     }
     GHashTableIter i;
@@ -233,12 +241,15 @@
         event_log(EVENT_STATE, "suspended", "for_ms=%lld", (long long)gap);
     }
     n->last_tick = now;
+    n->ticks++;
     g_hash_table_iter_init(&i, n->services);
     while (g_hash_table_iter_next(&i, NULL, &service)) {
         if (suspended) {
             service_resumed(service, now);
         }
-        service_tick(service, now);
+        if (n->ticks % IDLE_TICKS == 0 || !service_is_idle(service)) {
+            service_tick(service, now);
+        }
     }
 }
 
--- a/src/node/node_internal.h
+++ b/src/node/node_internal.h
@@ -41,6 +41,7 @@
     clock_ms started_at;
     bool starting; /* the shares are those of a start */
     clock_ms last_tick;
+    uint64_t ticks;
     clock_ms noted_at;
     guint greeted; /* index of the next silent peer to greet */
     struct service_set told_unreachable; /* in the last note */
--- a/src/relay/service.c
+++ b/src/relay/service.c
@@ -246,3 +246,20 @@
 {
     s->resumed_at = now;
 }
+
+/* Tells whether there is nothing that a tick could end: no work waits and no
+   connection stands. */
+bool
+service_is_idle(const struct service *s)
+{
+    if (s->queue.length > 0) {
+        return false;
+    }
+    for (guint i = 0; i < s->members->len; i++) {
+        const struct member *m = s->members->pdata[i];
+        if (m->links->len > 0 || m->unreachable_since != 0) {
+            return false;
+        }
+    }
+    return true;
+}
--- a/src/relay/service.h
+++ b/src/relay/service.h
@@ -77,6 +77,7 @@
 void service_add_sample(struct service *s, clock_ms at,
                         const struct token *position);
 bool service_settled(const struct service *s);
+bool service_is_idle(const struct service *s);
 bool service_primary_unreachable(const struct service *s, clock_ms now);
 void service_tick(struct service *s, clock_ms now);
 void service_resumed(struct service *s, clock_ms now);
