--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -10,9 +10,11 @@
 seconds=$4
 folder=$(mktemp -d)
 trap 'rm -rf "$folder"' EXIT
+# Copies, since a build beside a long run replaces the programs.
+cp "$build/tests/soak/soak" "$build/platform/galenastep-platform" "$folder/"
 seq "$first" $((first + count - 1)) |
     xargs -P 4 -I SEED sh -c "
-        '$build/tests/soak/soak' '$build/platform/galenastep-platform' \
+        '$folder/soak' '$folder/galenastep-platform' \
             SEED $seconds >'$folder/SEED' 2>&1 || echo SEED >>'$folder/failed'"
 grep -h -E '^seed=|^VIOLATION' "$folder"/[0-9]* || true
 if [ -e "$folder/failed" ]; then
