node: do not send a list of members that the store refuses

Also, change_published was logged before the store had taken the view. Change: a list over 49,000 bytes is not sent, which is logged once; the event is change_publishing.

--- a/src/lead/change.c
+++ b/src/lead/change.c
@@ -354,7 +354,7 @@
     l->term = m != NULL ? m->status.term : 0;
     g_strlcpy(l->primary, c->chosen, sizeof(l->primary));
     if (promoter_write_view(p, &next, now)) {
-        event_log(EVENT_STATE, "change_published",
+        event_log(EVENT_STATE, "change_publishing",
                   "service=%s primary=%s term=%llu took_ms=%lld", c->service,
                   c->chosen, (unsigned long long)l->term,
                   (long long)(now - c->begun));
--- a/src/node/members.c
+++ b/src/node/members.c
@@ -8,6 +8,8 @@
 /* Members that are no longer listed are remembered for the time in which they
    may still be asked to step down. */
 #define REMEMBER_MS 10000
+/* A longer list does not fit in a row of 64 KB in base64 and is not stored. */
+#define STORED_LIST_BYTES 49000
 
 /* Orders members by service. */
 static int
@@ -172,7 +174,15 @@
     }
     char *text = member_list_format(
         (const struct member_entry *)(void *)list->data, list->len);
-    if (list->len > 0 && g_strcmp0(text, n->stored_list) != 0) {
+    if (strlen(text) > STORED_LIST_BYTES) {
+        if (!n->list_too_long) {
+            event_log(EVENT_STATE, "members_not_stored",
+                      "members=%u bytes=%zu", list->len, strlen(text));
+        }
+        n->list_too_long = true;
+    }
+    else if (list->len > 0 && g_strcmp0(text, n->stored_list) != 0) {
+        n->list_too_long = false;
         n->platform.write_members(n->platform.ctx, text);
     }
     g_free(text);
--- a/src/node/node_internal.h
+++ b/src/node/node_internal.h
@@ -51,7 +51,8 @@
     clock_ms apart_since; /* only this proxy misses a primary; 0 if not */
     clock_ms flushed_at;
     clock_ms list_checked_at;
-    char *stored_list; /* the list of members that the store holds */
+    char *stored_list;  /* the list of members that the store holds */
+    bool list_too_long; /* to be stored; logged once */
     bool remembered;
     bool catalog_read;   /* the store has given the configuration */
     bool members_listed; /* the store has given the members */
