cloud: rename the slice that talks to the table service, the object store and the VM list

src/platform was easily taken for the adapter in platform/. Names follow: cloud_client, cloud_multi. No change of behaviour; the tests' names follow as well.

--- a/src/cloud/answer.c
+++ b/src/cloud/answer.c
@@ -1,4 +1,4 @@
-#include "platform/answer.h"
+#include "cloud/answer.h"
 
 #include <jansson.h>
 #include <stdlib.h>
@@ -6,7 +6,7 @@
 
 /* Frees what an answer holds. */
 void
-platform_answer_clear(struct platform_answer *a)
+cloud_answer_clear(struct cloud_answer *a)
 {
     for (size_t i = 0; i < a->n_rows; i++) {
         g_free(a->rows[i].key);
@@ -24,7 +24,7 @@
 
 /* Reads {"key": ..., "value": ...}. */
 static bool
-decode_row(const json_t *json, struct platform_row *row)
+decode_row(const json_t *json, struct cloud_row *row)
 {
     const char *key = json_string_value(json_object_get(json, "key"));
     const char *value = json_string_value(json_object_get(json, "value"));
@@ -39,7 +39,7 @@
 
 /* Reads one entry of the VM list; its state is live or leaving. */
 static bool
-decode_vm(const json_t *json, struct platform_vm *vm)
+decode_vm(const json_t *json, struct cloud_vm *vm)
 {
     const char *name = json_string_value(json_object_get(json, "name"));
     const char *address = json_string_value(json_object_get(json, "address"));
@@ -60,10 +60,9 @@
 
 /* Reads {"rows": [...]} or {"vms": [...]} into out. */
 static bool
-decode_list(enum platform_body kind, const json_t *json,
-            struct platform_answer *out)
+decode_list(enum cloud_body kind, const json_t *json, struct cloud_answer *out)
 {
-    bool vms = kind == PLATFORM_BODY_VMS;
+    bool vms = kind == CLOUD_BODY_VMS;
     const json_t *list = json_object_get(json, vms ? "vms" : "rows");
     size_t n = json_array_size(list);
 
@@ -71,7 +70,7 @@
         return false;
     }
     if (vms) {
-        out->vms = g_new0(struct platform_vm, n + 1);
+        out->vms = g_new0(struct cloud_vm, n + 1);
         while (out->n_vms < n) {
             if (!decode_vm(json_array_get(list, out->n_vms),
                            &out->vms[out->n_vms])) {
@@ -81,7 +80,7 @@
         }
         return true;
     }
-    out->rows = g_new0(struct platform_row, n + 1);
+    out->rows = g_new0(struct cloud_row, n + 1);
     while (out->n_rows < n) {
         if (!decode_row(json_array_get(list, out->n_rows),
                         &out->rows[out->n_rows])) {
@@ -95,18 +94,18 @@
 /* Decodes an answer body of n bytes, at most 1 MB. Returns false, with out
    empty, when it is not what kind says. */
 bool
-platform_answer_decode(enum platform_body kind, const char *body, size_t n,
-                       struct platform_answer *out)
+cloud_answer_decode(enum cloud_body kind, const char *body, size_t n,
+                    struct cloud_answer *out)
 {
     memset(out, 0, sizeof(*out));
-    if (kind == PLATFORM_BODY_RAW || kind == PLATFORM_BODY_NONE) {
+    if (kind == CLOUD_BODY_RAW || kind == CLOUD_BODY_NONE) {
         return true;
     }
     json_t *json = json_loadb(body, n, JSON_REJECT_DUPLICATES, NULL);
     bool ok = json != NULL;
 
-    if (ok && kind == PLATFORM_BODY_ROW) {
-        out->rows = g_new0(struct platform_row, 1);
+    if (ok && kind == CLOUD_BODY_ROW) {
+        out->rows = g_new0(struct cloud_row, 1);
         ok = decode_row(json, out->rows);
         out->n_rows = ok;
     }
@@ -115,7 +114,7 @@
     }
     json_decref(json);
     if (!ok) {
-        platform_answer_clear(out);
+        cloud_answer_clear(out);
     }
     return ok;
 }
@@ -123,7 +122,7 @@
 /* Returns the body of a table write, {"value": VALUE}, to be freed; NULL
    when value is not UTF-8. */
 char *
-platform_value_encode(const char *value)
+cloud_value_encode(const char *value)
 {
     json_t *json = json_pack("{s:s}", "value", value);
     char *text = json ? json_dumps(json, JSON_COMPACT) : NULL;
--- a/src/cloud/answer.h
+++ b/src/cloud/answer.h
@@ -1,28 +1,28 @@
-#ifndef PLATFORM_ANSWER_H
-#define PLATFORM_ANSWER_H
+#ifndef CLOUD_ANSWER_H
+#define CLOUD_ANSWER_H
 
-#include "platform/client.h"
+#include "cloud/client.h"
 
 /* What the body of an answer is expected to be. */
-enum platform_body {
-    PLATFORM_BODY_ROW,
-    PLATFORM_BODY_ROWS,
-    PLATFORM_BODY_VMS,
-    PLATFORM_BODY_RAW,
-    PLATFORM_BODY_NONE,
+enum cloud_body {
+    CLOUD_BODY_ROW,
+    CLOUD_BODY_ROWS,
+    CLOUD_BODY_VMS,
+    CLOUD_BODY_RAW,
+    CLOUD_BODY_NONE,
 };
 
 /* Decoded contents of an answer. */
-struct platform_answer {
-    struct platform_row *rows;
+struct cloud_answer {
+    struct cloud_row *rows;
     size_t n_rows;
-    struct platform_vm *vms;
+    struct cloud_vm *vms;
     size_t n_vms;
 };
 
-bool platform_answer_decode(enum platform_body kind, const char *body,
-                            size_t n, struct platform_answer *out);
-void platform_answer_clear(struct platform_answer *a);
-char *platform_value_encode(const char *value);
+bool cloud_answer_decode(enum cloud_body kind, const char *body, size_t n,
+                         struct cloud_answer *out);
+void cloud_answer_clear(struct cloud_answer *a);
+char *cloud_value_encode(const char *value);
 
 #endif
--- a/src/cloud/client.c
+++ b/src/cloud/client.c
@@ -1,11 +1,11 @@
 #define LOG_MODULE "platform"
 
-#include "platform/client.h"
+#include "cloud/client.h"
 
 #include "base/clock.h"
 #include "base/log.h"
-#include "platform/answer.h"
-#include "platform/multi.h"
+#include "cloud/answer.h"
+#include "cloud/multi.h"
 
 #include <string.h>
 
@@ -17,14 +17,14 @@
 #define BACKOFF_MAX_MS 2000
 
 struct request {
-    struct platform_client *client;
+    struct cloud_client *client;
     uint64_t id;
     CURL *easy; /* NULL between attempts */
     struct curl_slist *headers;
     char *url;
     char *body; /* NULL for reads */
     size_t n_body;
-    enum platform_body expect;
+    enum cloud_body expect;
     bool insert;
     int attempts_left;
     int attempt;
@@ -33,13 +33,13 @@
     bool too_large;
     ev_timer timer;      /* backoff, or the report of a refusal */
     const char *refusal; /* set when the request was refused */
-    platform_done_fn done;
+    cloud_done_fn done;
     void *ctx;
 };
 
-struct platform_client {
+struct cloud_client {
     struct ev_loop *loop;
-    struct platform_multi *multi;
+    struct cloud_multi *multi;
     char *table_url, *object_url, *vms_url;
     int timeout_ms, rate, attempts;
     guint max_in_flight;
@@ -48,7 +48,7 @@
     double tokens;
     clock_ms filled_at;
     struct rng rng;
-    struct platform_counters counters;
+    struct cloud_counters counters;
     int callbacks; /* depth of done calls */
     bool freed;    /* freed inside a callback */
 };
@@ -57,7 +57,7 @@
 
 /* Takes a token of the request rate. The bucket holds one second's worth. */
 static bool
-take_token(struct platform_client *c)
+take_token(struct cloud_client *c)
 {
     clock_ms now = clock_now();
 
@@ -77,7 +77,7 @@
 drop_easy(struct request *r)
 {
     if (r->easy) {
-        platform_multi_remove(r->client->multi, r->easy);
+        cloud_multi_remove(r->client->multi, r->easy);
         curl_easy_cleanup(r->easy);
         r->easy = NULL;
     }
@@ -100,10 +100,10 @@
 
 /* Releases the client itself. */
 static void
-destroy(struct platform_client *c)
+destroy(struct cloud_client *c)
 {
     g_hash_table_destroy(c->requests);
-    platform_multi_free(c->multi);
+    cloud_multi_free(c->multi);
     g_free(c->table_url);
     g_free(c->object_url);
     g_free(c->vms_url);
@@ -121,16 +121,16 @@
 
 /* Calls done and frees the request. */
 static void
-finish(struct request *r, struct platform_result *result)
+finish(struct request *r, struct cloud_result *result)
 {
-    struct platform_client *c = r->client;
-    platform_done_fn done = r->done;
+    struct cloud_client *c = r->client;
+    cloud_done_fn done = r->done;
     void *ctx = r->ctx;
 
-    if (result->outcome == PLATFORM_DONE) {
+    if (result->outcome == CLOUD_DONE) {
         c->counters.done++;
     }
-    else if (result->outcome == PLATFORM_UNKNOWN) {
+    else if (result->outcome == CLOUD_UNKNOWN) {
         c->counters.unknown++;
     }
     else {
@@ -150,8 +150,8 @@
 static void
 finish_failed(struct request *r, int status, const char *reason)
 {
-    struct platform_result result = {
-        .outcome = r->in_doubt ? PLATFORM_UNKNOWN : PLATFORM_NOT_DONE,
+    struct cloud_result result = {
+        .outcome = r->in_doubt ? CLOUD_UNKNOWN : CLOUD_NOT_DONE,
         .status = status,
         .reason = reason,
         .too_large = r->too_large,
@@ -214,11 +214,11 @@
 static void
 take_answer(struct request *r, int status)
 {
-    struct platform_client *c = r->client;
+    struct cloud_client *c = r->client;
     bool row_in_place = r->insert && status == 412;
     bool with_body = status == 200 || row_in_place;
-    enum platform_body kind = with_body ? r->expect : PLATFORM_BODY_NONE;
-    struct platform_answer answer;
+    enum cloud_body kind = with_body ? r->expect : CLOUD_BODY_NONE;
+    struct cloud_answer answer;
 
     if (status == 503 || status == 429) {
         retry_or_finish(r, &c->counters.retry_status, status, "status");
@@ -235,8 +235,7 @@
         finish_failed(r, status, "status");
         return;
     }
-    if (!platform_answer_decode(kind, r->answer->str, r->answer->len,
-                                &answer)) {
+    if (!cloud_answer_decode(kind, r->answer->str, r->answer->len, &answer)) {
         c->counters.answer_malformed++;
         /* A 412 that cannot be read still says that a row is in place, but
            not which one. */
@@ -244,8 +243,8 @@
         finish_failed(r, status, "malformed");
         return;
     }
-    struct platform_result result = {
-        .outcome = PLATFORM_DONE,
+    struct cloud_result result = {
+        .outcome = CLOUD_DONE,
         .status = status,
         .rows = answer.rows,
         .n_rows = answer.n_rows,
@@ -256,14 +255,14 @@
     };
 
     finish(r, &result);
-    platform_answer_clear(&answer);
+    cloud_answer_clear(&answer);
 }
 
 /* Takes the end of an attempt. */
 static void
 on_ended(void *ctx, CURL *easy, CURLcode code)
 {
-    struct platform_client *c = ctx;
+    struct cloud_client *c = ctx;
     struct request *r = NULL;
     long status = 0;
     long sent = 0;
@@ -301,7 +300,7 @@
     struct request *r = ctx;
     size_t bytes = size * n;
 
-    if (r->answer->len + bytes > PLATFORM_BODY_MAX_BYTES) {
+    if (r->answer->len + bytes > CLOUD_BODY_MAX_BYTES) {
         r->too_large = true;
         return 0;
     }
@@ -313,7 +312,7 @@
 static void
 start_attempt(struct request *r)
 {
-    struct platform_client *c = r->client;
+    struct cloud_client *c = r->client;
     CURL *easy = curl_easy_init();
 
     r->easy = easy;
@@ -330,7 +329,7 @@
     curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, on_bytes);
     curl_easy_setopt(easy, CURLOPT_WRITEDATA, r);
     curl_easy_setopt(easy, CURLOPT_MAXFILESIZE_LARGE,
-                     (curl_off_t)PLATFORM_BODY_MAX_BYTES);
+                     (curl_off_t)CLOUD_BODY_MAX_BYTES);
     if (r->body) {
         /* On a reused connection libcurl would send a write again by itself
            when the connection closes without an answer. */
@@ -341,13 +340,13 @@
                          (curl_off_t)r->n_body);
     }
     curl_easy_setopt(easy, CURLOPT_HTTPHEADER, r->headers);
-    platform_multi_add(c->multi, easy);
+    cloud_multi_add(c->multi, easy);
 }
 
 /* Creates a request. Takes url and body. */
 static struct request *
-new_request(struct platform_client *c, char *url, char *body, size_t n_body,
-            enum platform_body expect, int attempts, platform_done_fn done,
+new_request(struct cloud_client *c, char *url, char *body, size_t n_body,
+            enum cloud_body expect, int attempts, cloud_done_fn done,
             void *ctx)
 {
     struct request *r = g_new0(struct request, 1);
@@ -377,14 +376,14 @@
 static uint64_t
 submit(struct request *r)
 {
-    struct platform_client *c = r->client;
+    struct cloud_client *c = r->client;
 
     c->counters.requests++;
     if (g_hash_table_size(c->requests) >= c->max_in_flight) {
         c->counters.refused_in_flight++;
         r->refusal = "in_flight";
     }
-    else if (r->n_body > PLATFORM_BODY_MAX_BYTES) {
+    else if (r->n_body > CLOUD_BODY_MAX_BYTES) {
         c->counters.refused_body++;
         r->refusal = "body_too_large";
     }
@@ -415,14 +414,14 @@
 }
 
 /* Creates a client on loop; the settings are copied. seed is for jitter. */
-struct platform_client *
-platform_client_new(struct ev_loop *loop, const struct platform_settings *s,
-                    uint64_t seed)
+struct cloud_client *
+cloud_client_new(struct ev_loop *loop, const struct platform_settings *s,
+                 uint64_t seed)
 {
-    struct platform_client *c = g_new0(struct platform_client, 1);
+    struct cloud_client *c = g_new0(struct cloud_client, 1);
 
     c->loop = loop;
-    c->multi = platform_multi_new(loop, on_ended, c);
+    c->multi = cloud_multi_new(loop, on_ended, c);
     c->table_url = g_strdup(s->table_url);
     c->object_url = g_strdup(s->object_url);
     c->vms_url = g_strdup(s->vms_url);
@@ -442,7 +441,7 @@
 /* Cancels all requests without calling done and frees the client. Allowed
    inside a done callback, and then completed from the loop. */
 void
-platform_client_free(struct platform_client *c)
+cloud_client_free(struct cloud_client *c)
 {
     if (!c) {
         return;
@@ -457,24 +456,23 @@
 }
 
 /* Returns the counters, which live as long as the client. */
-const struct platform_counters *
-platform_client_counters(const struct platform_client *c)
+const struct cloud_counters *
+cloud_client_counters(const struct cloud_client *c)
 {
     return &c->counters;
 }
 
 /* Cancels a request; done is not called. Unknown ids are ignored. */
 void
-platform_cancel(struct platform_client *c, uint64_t id)
+cloud_cancel(struct cloud_client *c, uint64_t id)
 {
     g_hash_table_remove(c->requests, &id);
 }
 
 /* Lists rows with a key above after, in order, at most limit. */
 uint64_t
-platform_table_list(struct platform_client *c, const char *table,
-                    const char *after, int limit, int attempts,
-                    platform_done_fn done, void *ctx)
+cloud_table_list(struct cloud_client *c, const char *table, const char *after,
+                 int limit, int attempts, cloud_done_fn done, void *ctx)
 {
     char *base = make_url(c->table_url, table, NULL);
     char *key = g_uri_escape_string(after, NULL, FALSE);
@@ -483,83 +481,79 @@
     g_free(base);
     g_free(key);
     return submit(
-        new_request(c, url, NULL, 0, PLATFORM_BODY_ROWS, attempts, done, ctx));
+        new_request(c, url, NULL, 0, CLOUD_BODY_ROWS, attempts, done, ctx));
 }
 
 /* Reads one row; status is 200 or 404. */
 uint64_t
-platform_table_get(struct platform_client *c, const char *table,
-                   const char *key, int attempts, platform_done_fn done,
-                   void *ctx)
+cloud_table_get(struct cloud_client *c, const char *table, const char *key,
+                int attempts, cloud_done_fn done, void *ctx)
 {
     return submit(new_request(c, make_url(c->table_url, table, key), NULL, 0,
-                              PLATFORM_BODY_ROW, attempts, done, ctx));
+                              CLOUD_BODY_ROW, attempts, done, ctx));
 }
 
 /* Creates a table write. A value that is not UTF-8 is a programming error. */
 static struct request *
-new_write(struct platform_client *c, const char *table, const char *key,
-          const char *value, int attempts, platform_done_fn done, void *ctx)
+new_write(struct cloud_client *c, const char *table, const char *key,
+          const char *value, int attempts, cloud_done_fn done, void *ctx)
 {
-    char *body = platform_value_encode(value);
+    char *body = cloud_value_encode(value);
 
     g_assert(body);
     return new_request(c, make_url(c->table_url, table, key), body,
-                       strlen(body), PLATFORM_BODY_NONE, attempts, done, ctx);
+                       strlen(body), CLOUD_BODY_NONE, attempts, done, ctx);
 }
 
 /* Inserts a row unless its key exists: status 201, or 412 with the row in
    place as rows[0]. */
 uint64_t
-platform_table_insert(struct platform_client *c, const char *table,
-                      const char *key, const char *value, int attempts,
-                      platform_done_fn done, void *ctx)
+cloud_table_insert(struct cloud_client *c, const char *table, const char *key,
+                   const char *value, int attempts, cloud_done_fn done,
+                   void *ctx)
 {
     struct request *r = new_write(c, table, key, value, attempts, done, ctx);
 
     r->insert = true;
-    r->expect = PLATFORM_BODY_ROW;
+    r->expect = CLOUD_BODY_ROW;
     r->headers = curl_slist_append(r->headers, "If-None-Match: *");
     return submit(r);
 }
 
 /* Writes a row whether its key exists or not. */
 uint64_t
-platform_table_put(struct platform_client *c, const char *table,
-                   const char *key, const char *value, int attempts,
-                   platform_done_fn done, void *ctx)
+cloud_table_put(struct cloud_client *c, const char *table, const char *key,
+                const char *value, int attempts, cloud_done_fn done, void *ctx)
 {
     return submit(new_write(c, table, key, value, attempts, done, ctx));
 }
 
 /* Reads an object into body; status is 200 or 404. */
 uint64_t
-platform_object_get(struct platform_client *c, const char *name, int attempts,
-                    platform_done_fn done, void *ctx)
+cloud_object_get(struct cloud_client *c, const char *name, int attempts,
+                 cloud_done_fn done, void *ctx)
 {
     return submit(new_request(c, make_url(c->object_url, name, NULL), NULL, 0,
-                              PLATFORM_BODY_RAW, attempts, done, ctx));
+                              CLOUD_BODY_RAW, attempts, done, ctx));
 }
 
 /* Writes an object of n bytes. */
 uint64_t
-platform_object_put(struct platform_client *c, const char *name,
-                    const char *body, size_t n, int attempts,
-                    platform_done_fn done, void *ctx)
+cloud_object_put(struct cloud_client *c, const char *name, const char *body,
+                 size_t n, int attempts, cloud_done_fn done, void *ctx)
 {
     char *copy = g_malloc(n + 1);
 
     memcpy(copy, body, n);
     copy[n] = '\0';
     return submit(new_request(c, make_url(c->object_url, name, NULL), copy, n,
-                              PLATFORM_BODY_NONE, attempts, done, ctx));
+                              CLOUD_BODY_NONE, attempts, done, ctx));
 }
 
 /* Reads the VM list. */
 uint64_t
-platform_vms(struct platform_client *c, int attempts, platform_done_fn done,
-             void *ctx)
+cloud_vms(struct cloud_client *c, int attempts, cloud_done_fn done, void *ctx)
 {
-    return submit(new_request(c, g_strdup(c->vms_url), NULL, 0,
-                              PLATFORM_BODY_VMS, attempts, done, ctx));
+    return submit(new_request(c, g_strdup(c->vms_url), NULL, 0, CLOUD_BODY_VMS,
+                              attempts, done, ctx));
 }
--- a/src/cloud/client.h
+++ b/src/cloud/client.h
@@ -1,5 +1,5 @@
-#ifndef PLATFORM_CLIENT_H
-#define PLATFORM_CLIENT_H
+#ifndef CLOUD_CLIENT_H
+#define CLOUD_CLIENT_H
 
 #include "base/rng.h"
 
@@ -8,20 +8,20 @@
 #include <stdbool.h>
 
 /* Answers and request bodies over this size are refused. */
-#define PLATFORM_BODY_MAX_BYTES ((size_t)1 << 20)
+#define CLOUD_BODY_MAX_BYTES ((size_t)1 << 20)
 
-enum platform_outcome {
-    PLATFORM_DONE,     /* answered; status tells what */
-    PLATFORM_NOT_DONE, /* certainly without effect */
-    PLATFORM_UNKNOWN,  /* a write was sent and not answered */
+enum cloud_outcome {
+    CLOUD_DONE,     /* answered; status tells what */
+    CLOUD_NOT_DONE, /* certainly without effect */
+    CLOUD_UNKNOWN,  /* a write was sent and not answered */
 };
 
-struct platform_row {
+struct cloud_row {
     char *key;
     char *value;
 };
 
-struct platform_vm {
+struct cloud_vm {
     char *name;
     char *address;
     char *failure_domain;
@@ -29,20 +29,20 @@
 };
 
 /* What came of a request; valid during the callback only. */
-struct platform_result {
-    enum platform_outcome outcome;
+struct cloud_result {
+    enum cloud_outcome outcome;
     int status;         /* HTTP status, 0 without an answer */
     const char *reason; /* word for logs when outcome is not DONE */
-    bool too_large;     /* the answer was over PLATFORM_BODY_MAX_BYTES */
-    const struct platform_row *rows;
+    bool too_large;     /* the answer was over CLOUD_BODY_MAX_BYTES */
+    const struct cloud_row *rows;
     size_t n_rows;
-    const struct platform_vm *vms;
+    const struct cloud_vm *vms;
     size_t n_vms;
     const char *body; /* object reads, terminated by zero */
     size_t n_body;
 };
 
-typedef void (*platform_done_fn)(void *ctx, const struct platform_result *r);
+typedef void (*cloud_done_fn)(void *ctx, const struct cloud_result *r);
 
 struct platform_settings {
     const char *table_url; /* http://IP:PORT/table */
@@ -54,7 +54,7 @@
     int max_in_flight;
 };
 
-struct platform_counters {
+struct cloud_counters {
     uint64_t requests;
     uint64_t done;
     uint64_t not_done;
@@ -70,37 +70,37 @@
     uint64_t answer_malformed;
 };
 
-struct platform_client;
+struct cloud_client;
 
-struct platform_client *platform_client_new(struct ev_loop *loop,
-                                            const struct platform_settings *s,
-                                            uint64_t seed);
-void platform_client_free(struct platform_client *c);
-const struct platform_counters *
-platform_client_counters(const struct platform_client *c);
+struct cloud_client *cloud_client_new(struct ev_loop *loop,
+                                      const struct platform_settings *s,
+                                      uint64_t seed);
+void cloud_client_free(struct cloud_client *c);
+const struct cloud_counters *
+cloud_client_counters(const struct cloud_client *c);
 
-/* Each call returns an id for platform_cancel(). done is called once from
+/* Each call returns an id for cloud_cancel(). done is called once from
    the loop, never inside the call, unless the request is cancelled. attempts
    0 stands for the number in the settings. */
-uint64_t platform_table_list(struct platform_client *c, const char *table,
-                             const char *after, int limit, int attempts,
-                             platform_done_fn done, void *ctx);
-uint64_t platform_table_get(struct platform_client *c, const char *table,
-                            const char *key, int attempts,
-                            platform_done_fn done, void *ctx);
-uint64_t platform_table_insert(struct platform_client *c, const char *table,
-                               const char *key, const char *value,
-                               int attempts, platform_done_fn done, void *ctx);
-uint64_t platform_table_put(struct platform_client *c, const char *table,
+uint64_t cloud_table_list(struct cloud_client *c, const char *table,
+                          const char *after, int limit, int attempts,
+                          cloud_done_fn done, void *ctx);
+uint64_t cloud_table_get(struct cloud_client *c, const char *table,
+                         const char *key, int attempts, cloud_done_fn done,
+                         void *ctx);
+uint64_t cloud_table_insert(struct cloud_client *c, const char *table,
                             const char *key, const char *value, int attempts,
-                            platform_done_fn done, void *ctx);
-uint64_t platform_object_get(struct platform_client *c, const char *name,
-                             int attempts, platform_done_fn done, void *ctx);
-uint64_t platform_object_put(struct platform_client *c, const char *name,
-                             const char *body, size_t n, int attempts,
-                             platform_done_fn done, void *ctx);
-uint64_t platform_vms(struct platform_client *c, int attempts,
-                      platform_done_fn done, void *ctx);
-void platform_cancel(struct platform_client *c, uint64_t id);
+                            cloud_done_fn done, void *ctx);
+uint64_t cloud_table_put(struct cloud_client *c, const char *table,
+                         const char *key, const char *value, int attempts,
+                         cloud_done_fn done, void *ctx);
+uint64_t cloud_object_get(struct cloud_client *c, const char *name,
+                          int attempts, cloud_done_fn done, void *ctx);
+uint64_t cloud_object_put(struct cloud_client *c, const char *name,
+                          const char *body, size_t n, int attempts,
+                          cloud_done_fn done, void *ctx);
+uint64_t cloud_vms(struct cloud_client *c, int attempts, cloud_done_fn done,
+                   void *ctx);
+void cloud_cancel(struct cloud_client *c, uint64_t id);
 
 #endif
--- a/src/cloud/multi.c
+++ b/src/cloud/multi.c
@@ -1,21 +1,21 @@
-#include "platform/multi.h"
+#include "cloud/multi.h"
 
 #include <glib.h>
 
 /* Idle connections kept for reuse: the three services. */
 #define IDLE_CONNECTIONS 8L
 
-struct platform_multi {
+struct cloud_multi {
     struct ev_loop *loop;
     CURLM *handle;
     ev_timer timer;
-    platform_multi_fn ended;
+    cloud_multi_fn ended;
     void *ctx;
 };
 
 /* Hands ended transfers to the owner. */
 static void
-report_ended(struct platform_multi *m)
+report_ended(struct cloud_multi *m)
 {
     const CURLMsg *msg;
     int left = 0;
@@ -31,7 +31,7 @@
 static void
 on_io(struct ev_loop *loop, ev_io *io, int events)
 {
-    struct platform_multi *m = io->data;
+    struct cloud_multi *m = io->data;
     int running = 0;
     int mask = (events & EV_READ ? CURL_CSELECT_IN : 0) |
                (events & EV_WRITE ? CURL_CSELECT_OUT : 0);
@@ -45,7 +45,7 @@
 static void
 on_timer(struct ev_loop *loop, ev_timer *timer, int events)
 {
-    struct platform_multi *m = timer->data;
+    struct cloud_multi *m = timer->data;
     int running = 0;
 
     (void)loop;
@@ -58,7 +58,7 @@
 static int
 watch_socket(CURL *easy, curl_socket_t fd, int what, void *ctx, void *watcher)
 {
-    struct platform_multi *m = ctx;
+    struct cloud_multi *m = ctx;
     ev_io *io = watcher;
 
     (void)easy;
@@ -86,7 +86,7 @@
 static int
 set_timer(CURLM *handle, long timeout_ms, void *ctx)
 {
-    struct platform_multi *m = ctx;
+    struct cloud_multi *m = ctx;
 
     (void)handle;
     ev_timer_stop(m->loop, &m->timer);
@@ -98,10 +98,10 @@
 }
 
 /* Creates a multi handle on loop. */
-struct platform_multi *
-platform_multi_new(struct ev_loop *loop, platform_multi_fn ended, void *ctx)
+struct cloud_multi *
+cloud_multi_new(struct ev_loop *loop, cloud_multi_fn ended, void *ctx)
 {
-    struct platform_multi *m = g_new0(struct platform_multi, 1);
+    struct cloud_multi *m = g_new0(struct cloud_multi, 1);
 
     m->loop = loop;
     m->ended = ended;
@@ -119,7 +119,7 @@
 
 /* Frees the handle. All easy handles were removed before. */
 void
-platform_multi_free(struct platform_multi *m)
+cloud_multi_free(struct cloud_multi *m)
 {
     curl_multi_cleanup(m->handle);
     ev_timer_stop(m->loop, &m->timer);
@@ -128,14 +128,14 @@
 
 /* Starts a transfer. */
 void
-platform_multi_add(struct platform_multi *m, CURL *easy)
+cloud_multi_add(struct cloud_multi *m, CURL *easy)
 {
     curl_multi_add_handle(m->handle, easy);
 }
 
 /* Ends a transfer at once. */
 void
-platform_multi_remove(struct platform_multi *m, CURL *easy)
+cloud_multi_remove(struct cloud_multi *m, CURL *easy)
 {
     curl_multi_remove_handle(m->handle, easy);
 }
--- a/src/cloud/ticket_result.c
+++ b/src/cloud/ticket_result.c
@@ -1,17 +1,16 @@
-#include "platform/ticket_result.h"
+#include "cloud/ticket_result.h"
 
-/* Translates the result of platform_table_insert() for
+/* Translates the result of cloud_table_insert() for
    ticket_submission_on_insert(). *row is the row in place, or NULL. Inserts
    are sent with one attempt, because the submission has its own retries. */
 enum ticket_store_result
-platform_ticket_insert_result(const struct platform_result *r,
-                              const char **row)
+cloud_ticket_insert_result(const struct cloud_result *r, const char **row)
 {
     *row = NULL;
-    if (r->outcome == PLATFORM_UNKNOWN) {
+    if (r->outcome == CLOUD_UNKNOWN) {
         return TICKET_STORE_LOST;
     }
-    if (r->outcome == PLATFORM_NOT_DONE) {
+    if (r->outcome == CLOUD_NOT_DONE) {
         return TICKET_STORE_NOT_DONE;
     }
     if (r->status == 412 && r->n_rows == 1) {
@@ -23,13 +22,13 @@
     return r->status == 201 ? TICKET_STORE_DONE : TICKET_STORE_LOST;
 }
 
-/* Translates the result of platform_table_get() for
+/* Translates the result of cloud_table_get() for
    ticket_submission_on_read(). */
 enum ticket_store_result
-platform_ticket_read_result(const struct platform_result *r, const char **row)
+cloud_ticket_read_result(const struct cloud_result *r, const char **row)
 {
     *row = NULL;
-    if (r->outcome != PLATFORM_DONE) {
+    if (r->outcome != CLOUD_DONE) {
         return TICKET_STORE_NOT_DONE;
     }
     if (r->status == 404) {
@@ -42,12 +41,12 @@
     return TICKET_STORE_DONE;
 }
 
-/* Translates the result of platform_table_list() for
+/* Translates the result of cloud_table_list() for
    ticket_sync_on_rows(). */
 enum ticket_list_result
-platform_ticket_list_result(const struct platform_result *r)
+cloud_ticket_list_result(const struct cloud_result *r)
 {
-    if (r->outcome == PLATFORM_DONE && r->status == 200) {
+    if (r->outcome == CLOUD_DONE && r->status == 200) {
         return TICKET_LIST_DONE;
     }
     return r->too_large ? TICKET_LIST_TOO_LARGE : TICKET_LIST_FAILED;
--- a/src/daemon/tickets.c
+++ b/src/daemon/tickets.c
@@ -1,6 +1,6 @@
 #include "daemon/tickets.h"
 
-#include "platform/ticket_result.h"
+#include "cloud/ticket_result.h"
 #include "ticket/submission.h"
 #include "ticket/sync.h"
 
@@ -31,7 +31,7 @@
 
 struct tickets {
     struct tickets_config config;
-    struct platform_client *platform; /* NULL without a table service */
+    struct cloud_client *platform; /* NULL without a table service */
     struct ticket_state *state;
     struct ticket_sync *sync;
     struct ticket_fixed_database databases[SETTINGS_MAX_DATABASES];
@@ -110,7 +110,7 @@
 
 /* Takes a page of the tickets table. */
 static void
-on_list(void *ctx, const struct platform_result *r)
+on_list(void *ctx, const struct cloud_result *r)
 {
     struct list_request *l = ctx;
     struct ticket_row *rows = g_new0(struct ticket_row, r->n_rows + 1);
@@ -120,7 +120,7 @@
                                       .text = r->rows[i].value};
     }
     ticket_sync_on_rows(l->tickets->sync, clock_now(), l->id,
-                        platform_ticket_list_result(r), rows, r->n_rows);
+                        cloud_ticket_list_result(r), rows, r->n_rows);
     g_free(rows);
     g_free(l);
 }
@@ -136,16 +136,16 @@
     }
     struct list_request *l = g_new0(struct list_request, 1);
     *l = (struct list_request){.tickets = t, .id = id};
-    platform_table_list(t->platform, PLATFORM_TICKET_TABLE, after, limit, 0,
-                        on_list, l);
+    cloud_table_list(t->platform, CLOUD_TICKET_TABLE, after, limit, 0, on_list,
+                     l);
 }
 
 /* Takes the snapshot object; a failure is told as an empty text. */
 static void
-on_snapshot(void *ctx, const struct platform_result *r)
+on_snapshot(void *ctx, const struct cloud_result *r)
 {
     struct tickets *t = ctx;
-    const bool there = r->outcome == PLATFORM_DONE && r->status == 200;
+    const bool there = r->outcome == CLOUD_DONE && r->status == 200;
 
     ticket_sync_on_snapshot(t->sync, clock_now(), there ? r->body : NULL,
                             there ? r->n_body : 0);
@@ -160,16 +160,15 @@
     if (t->platform == NULL) {
         return;
     }
-    platform_object_get(t->platform, PLATFORM_TICKET_SNAPSHOT, 0, on_snapshot,
-                        t);
+    cloud_object_get(t->platform, CLOUD_TICKET_SNAPSHOT, 0, on_snapshot, t);
 }
 
 /* Takes the answer to a written snapshot. */
 static void
-on_snapshot_written(void *ctx, const struct platform_result *r)
+on_snapshot_written(void *ctx, const struct cloud_result *r)
 {
     (void)ctx;
-    if (r->outcome != PLATFORM_DONE) {
+    if (r->outcome != CLOUD_DONE) {
         LOG_INFO("snapshot", NULL, "not written: %s", r->reason);
     }
 }
@@ -181,8 +180,8 @@
     struct tickets *t = ctx;
 
     if (t->platform != NULL) {
-        platform_object_put(t->platform, PLATFORM_TICKET_SNAPSHOT, text,
-                            strlen(text), 1, on_snapshot_written, t);
+        cloud_object_put(t->platform, CLOUD_TICKET_SNAPSHOT, text,
+                         strlen(text), 1, on_snapshot_written, t);
     }
 }
 
@@ -196,12 +195,12 @@
 
 /* Takes the answer to a conditional insert. */
 static void
-on_insert(void *ctx, const struct platform_result *r)
+on_insert(void *ctx, const struct cloud_result *r)
 {
     struct submission *s = ctx;
     const char *row = NULL;
     const enum ticket_store_result result =
-        platform_ticket_insert_result(r, &row);
+        cloud_ticket_insert_result(r, &row);
 
     s->request = 0;
     ticket_submission_on_insert(s->machine, clock_now(), result, row);
@@ -209,12 +208,11 @@
 
 /* Takes the answer to a read. */
 static void
-on_read(void *ctx, const struct platform_result *r)
+on_read(void *ctx, const struct cloud_result *r)
 {
     struct submission *s = ctx;
     const char *row = NULL;
-    const enum ticket_store_result result =
-        platform_ticket_read_result(r, &row);
+    const enum ticket_store_result result = cloud_ticket_read_result(r, &row);
 
     s->request = 0;
     ticket_submission_on_read(s->machine, clock_now(), result, row);
@@ -226,9 +224,8 @@
 {
     struct submission *s = ctx;
 
-    s->request =
-        platform_table_insert(s->tickets->platform, PLATFORM_TICKET_TABLE, key,
-                              text, 1, on_insert, s);
+    s->request = cloud_table_insert(s->tickets->platform, CLOUD_TICKET_TABLE,
+                                    key, text, 1, on_insert, s);
 }
 
 /* Submission's action: reads the number's row. */
@@ -237,8 +234,8 @@
 {
     struct submission *s = ctx;
 
-    s->request = platform_table_get(s->tickets->platform,
-                                    PLATFORM_TICKET_TABLE, key, 1, on_read, s);
+    s->request = cloud_table_get(s->tickets->platform, CLOUD_TICKET_TABLE, key,
+                                 1, on_read, s);
 }
 
 /* Submission's action: the store has taken the ticket. */
@@ -303,7 +300,7 @@
     struct submission *s = p;
 
     if (s->request != 0) {
-        platform_cancel(s->tickets->platform, s->request);
+        cloud_cancel(s->tickets->platform, s->request);
     }
     if (s->reply != NULL) {
         control_reply_send(s->reply, CONTROL_FAILED,
@@ -495,14 +492,14 @@
     set_rules(t);
     if (s->table_url != NULL) {
         t->platform =
-            platform_client_new(config->loop,
-                                &(struct platform_settings){
-                                    .table_url = s->table_url,
-                                    .object_url = s->object_url,
-                                    .vms_url = s->vms_url,
-                                    .timeout_ms = (int)s->platform_timeout_ms,
-                                },
-                                rng_next(&t->rng));
+            cloud_client_new(config->loop,
+                             &(struct platform_settings){
+                                 .table_url = s->table_url,
+                                 .object_url = s->object_url,
+                                 .vms_url = s->vms_url,
+                                 .timeout_ms = (int)s->platform_timeout_ms,
+                             },
+                             rng_next(&t->rng));
     }
     for (int i = 0; i < s->peer_count; i++) {
         ticket_sync_peer_up(t->sync, s->peers[i].id);
@@ -525,7 +522,7 @@
     ev_timer_stop(t->config.loop, &t->tick);
     g_ptr_array_free(t->submissions, TRUE);
     if (t->platform != NULL) {
-        platform_client_free(t->platform);
+        cloud_client_free(t->platform);
     }
     ticket_sync_free(t->sync);
     ticket_state_free(t->state);
--- a/src/daemon/vms.c
+++ b/src/daemon/vms.c
@@ -1,6 +1,6 @@
 #include "daemon/vms.h"
 
-#include "platform/client.h"
+#include "cloud/client.h"
 
 #include <string.h>
 
@@ -19,7 +19,7 @@
     struct ev_loop *loop;
     const struct settings *settings;
     struct group **groups;
-    struct platform_client *platform;
+    struct cloud_client *platform;
     struct rng rng;
     ev_timer tick;
     clock_ms next;
@@ -41,8 +41,8 @@
 }
 
 /* Finds the VM of a member; NULL when the list does not have it. */
-static const struct platform_vm *
-find_vm(const struct platform_result *r, const struct settings_address *a)
+static const struct cloud_vm *
+find_vm(const struct cloud_result *r, const struct settings_address *a)
 {
     for (size_t i = 0; i < r->n_vms; i++) {
         if (is_member(r->vms[i].address, a)) {
@@ -55,18 +55,18 @@
 /* Takes the list. A member that it lacks keeps its mark, since the list lags
    and may not have it yet, or not any more. */
 static void
-on_list(void *ctx, const struct platform_result *r)
+on_list(void *ctx, const struct cloud_result *r)
 {
     struct vms *v = ctx;
 
     v->reading = false;
-    if (r->outcome != PLATFORM_DONE || r->status != 200) {
+    if (r->outcome != CLOUD_DONE || r->status != 200) {
         return;
     }
     for (int i = 0; i < v->settings->database_count; i++) {
         const struct settings_database *d = &v->settings->databases[i];
         for (int m = 0; m < d->member_count; m++) {
-            const struct platform_vm *vm = find_vm(r, &d->members[m].address);
+            const struct cloud_vm *vm = find_vm(r, &d->members[m].address);
             if (vm != NULL) {
                 group_set_leaving(v->groups[i], m, vm->leaving);
             }
@@ -101,7 +101,7 @@
     }
     v->next = now + interval_ms(v);
     v->reading = true;
-    platform_vms(v->platform, 1, on_list, v);
+    cloud_vms(v->platform, 1, on_list, v);
 }
 
 /* Begins to follow the list; NULL when the settings name none. */
@@ -118,14 +118,14 @@
     v->groups = groups;
     rng_seed(&v->rng, (uint64_t)clock_now_us() ^ (uint64_t)s->id << 48);
     v->platform =
-        platform_client_new(loop,
-                            &(struct platform_settings){
-                                .table_url = s->table_url,
-                                .object_url = s->object_url,
-                                .vms_url = s->vms_url,
-                                .timeout_ms = (int)s->platform_timeout_ms,
-                            },
-                            rng_next(&v->rng));
+        cloud_client_new(loop,
+                         &(struct platform_settings){
+                             .table_url = s->table_url,
+                             .object_url = s->object_url,
+                             .vms_url = s->vms_url,
+                             .timeout_ms = (int)s->platform_timeout_ms,
+                         },
+                         rng_next(&v->rng));
     ev_timer_init(&v->tick, on_tick, 0.0, VMS_TICK_S);
     v->tick.data = v;
     ev_timer_start(loop, &v->tick);
@@ -140,6 +140,6 @@
         return;
     }
     ev_timer_stop(v->loop, &v->tick);
-    platform_client_free(v->platform);
+    cloud_client_free(v->platform);
     g_free(v);
 }
--- a/tests/cloud/test_client.c
+++ b/tests/cloud/test_client.c
@@ -1,4 +1,4 @@
-#include "platform/client.h"
+#include "cloud/client.h"
 
 #include "base/clock.h"
 #include "platform.h"
@@ -18,14 +18,14 @@
 
 static struct ev_loop *loop;
 static struct fake_platform *fake;
-static struct platform_client *client;
+static struct cloud_client *client;
 static char base[64];
 
 /* The last result, copied. */
 static struct {
     int calls;
     int refused; /* with reason "rate" */
-    enum platform_outcome outcome;
+    enum cloud_outcome outcome;
     int status;
     char reason[32];
     size_t n_rows, n_vms, n_body;
@@ -35,7 +35,7 @@
 } got;
 
 static void
-on_done(void *ctx, const struct platform_result *r)
+on_done(void *ctx, const struct cloud_result *r)
 {
     (void)ctx;
     got.calls++;
@@ -54,7 +54,7 @@
     got.too_large = r->too_large;
     got.leaving = r->n_vms > 0 && r->vms[0].leaving;
     if (got.free_client) {
-        platform_client_free(client);
+        cloud_client_free(client);
         client = NULL;
     }
     ev_break(loop, EVBREAK_ONE);
@@ -91,7 +91,7 @@
 }
 
 /* Creates a client for the stand-in at base. */
-static struct platform_client *
+static struct cloud_client *
 connect_client(int timeout_ms, int rate)
 {
     char *table = g_strconcat(base, "/table", NULL);
@@ -102,7 +102,7 @@
                                         .vms_url = vms,
                                         .timeout_ms = timeout_ms,
                                         .rate = rate};
-    struct platform_client *c = platform_client_new(loop, &s, 1);
+    struct cloud_client *c = cloud_client_new(loop, &s, 1);
 
     g_free(table);
     g_free(object);
@@ -127,7 +127,7 @@
 teardown(void **state)
 {
     (void)state;
-    platform_client_free(client);
+    cloud_client_free(client);
     fake_platform_stop(fake);
     ev_loop_destroy(loop);
     return 0;
@@ -158,26 +158,26 @@
 test_insert_get_list(void **state)
 {
     (void)state;
-    platform_table_insert(client, "t", "k 1", "a\n\"b\"", 0, on_done, NULL);
+    cloud_table_insert(client, "t", "k 1", "a\n\"b\"", 0, on_done, NULL);
     wait_done();
     assert_int_equal(got.status, 201);
-    platform_table_insert(client, "t", "k 1", "other", 0, on_done, NULL);
+    cloud_table_insert(client, "t", "k 1", "other", 0, on_done, NULL);
     wait_done();
-    assert_int_equal(got.outcome, PLATFORM_DONE);
+    assert_int_equal(got.outcome, CLOUD_DONE);
     assert_int_equal(got.status, 412);
     assert_string_equal(got.value, "a\n\"b\"");
-    platform_table_get(client, "t", "k 2", 0, on_done, NULL);
+    cloud_table_get(client, "t", "k 2", 0, on_done, NULL);
     wait_done();
     assert_int_equal(got.status, 404);
-    platform_table_put(client, "t", "k 2", "x", 0, on_done, NULL);
+    cloud_table_put(client, "t", "k 2", "x", 0, on_done, NULL);
     wait_done();
-    platform_table_put(client, "u", "k 3", "x", 0, on_done, NULL);
+    cloud_table_put(client, "u", "k 3", "x", 0, on_done, NULL);
     wait_done();
-    platform_table_list(client, "t", "", 10, 0, on_done, NULL);
+    cloud_table_list(client, "t", "", 10, 0, on_done, NULL);
     wait_done();
     assert_int_equal(got.n_rows, 2);
     assert_string_equal(got.key, "k 1");
-    platform_table_list(client, "t", "k 1", 10, 0, on_done, NULL);
+    cloud_table_list(client, "t", "k 1", 10, 0, on_done, NULL);
     wait_done();
     assert_int_equal(got.n_rows, 1);
     assert_string_equal(got.key, "k 2");
@@ -190,15 +190,15 @@
 {
     (void)state;
     put("/fault", "{\"lose_answers\":true}");
-    platform_table_insert(client, "t", "k", "v", 0, on_done, NULL);
+    cloud_table_insert(client, "t", "k", "v", 0, on_done, NULL);
     wait_done();
-    assert_int_equal(got.outcome, PLATFORM_UNKNOWN);
-    platform_table_get(client, "t", "k", 0, on_done, NULL);
+    assert_int_equal(got.outcome, CLOUD_UNKNOWN);
+    cloud_table_get(client, "t", "k", 0, on_done, NULL);
     wait_done();
-    assert_int_equal(got.outcome, PLATFORM_NOT_DONE);
-    assert_int_equal(platform_client_counters(client)->retry_transport, 2);
+    assert_int_equal(got.outcome, CLOUD_NOT_DONE);
+    assert_int_equal(cloud_client_counters(client)->retry_transport, 2);
     put("/fault", "{\"lose_answers\":false}");
-    platform_table_get(client, "t", "k", 0, on_done, NULL);
+    cloud_table_get(client, "t", "k", 0, on_done, NULL);
     wait_done();
     assert_string_equal(got.value, "v");
 }
@@ -210,11 +210,11 @@
 {
     (void)state;
     put("/fault", "{\"down\":true}");
-    platform_table_insert(client, "t", "k", "v", 0, on_done, NULL);
+    cloud_table_insert(client, "t", "k", "v", 0, on_done, NULL);
     wait_done();
-    assert_int_equal(got.outcome, PLATFORM_NOT_DONE);
+    assert_int_equal(got.outcome, CLOUD_NOT_DONE);
     assert_int_equal(got.status, 503);
-    assert_int_equal(platform_client_counters(client)->retry_status, 2);
+    assert_int_equal(cloud_client_counters(client)->retry_status, 2);
     put("/fault", "{\"down\":false}");
     /* A port that is bound without a listener: nothing is sent. Holding it
        keeps other programs from taking it meanwhile. */
@@ -227,11 +227,11 @@
     assert_int_equal(getsockname(fd, (struct sockaddr *)&a, &n), 0);
     (void)g_snprintf(base, sizeof(base), "http://127.0.0.1:%d",
                      ntohs(a.sin_port));
-    platform_client_free(client);
+    cloud_client_free(client);
     client = connect_client(5000, 1000);
-    platform_table_insert(client, "t", "k", "v", 2, on_done, NULL);
+    cloud_table_insert(client, "t", "k", "v", 2, on_done, NULL);
     wait_done();
-    assert_int_equal(got.outcome, PLATFORM_NOT_DONE);
+    assert_int_equal(got.outcome, CLOUD_NOT_DONE);
     assert_string_equal(got.reason, "connect");
     close(fd);
 }
@@ -242,12 +242,12 @@
 test_silent_service_times_out(void **state)
 {
     (void)state;
-    platform_client_free(client);
+    cloud_client_free(client);
     client = connect_client(1000, 1000);
     put("/fault", "{\"delay_ms\":3000}");
-    platform_table_insert(client, "t", "k", "v", 0, on_done, NULL);
+    cloud_table_insert(client, "t", "k", "v", 0, on_done, NULL);
     wait_done();
-    assert_int_equal(got.outcome, PLATFORM_UNKNOWN);
+    assert_int_equal(got.outcome, CLOUD_UNKNOWN);
     assert_string_equal(got.reason, "timeout");
 }
 
@@ -258,18 +258,18 @@
     (void)state;
     char *value = g_strnfill(900000, 'x');
 
-    platform_table_put(client, "t", "a", value, 0, on_done, NULL);
+    cloud_table_put(client, "t", "a", value, 0, on_done, NULL);
     wait_done();
-    platform_table_put(client, "t", "b", value, 0, on_done, NULL);
+    cloud_table_put(client, "t", "b", value, 0, on_done, NULL);
     wait_done();
-    platform_table_list(client, "t", "", 2, 0, on_done, NULL);
+    cloud_table_list(client, "t", "", 2, 0, on_done, NULL);
     wait_done();
-    assert_int_equal(got.outcome, PLATFORM_NOT_DONE);
+    assert_int_equal(got.outcome, CLOUD_NOT_DONE);
     assert_true(got.too_large);
-    assert_int_equal(platform_client_counters(client)->answer_too_large, 1);
-    platform_object_put(client, "o", value, 900000, 0, on_done, NULL);
+    assert_int_equal(cloud_client_counters(client)->answer_too_large, 1);
+    cloud_object_put(client, "o", value, 900000, 0, on_done, NULL);
     wait_done();
-    platform_object_get(client, "o", 0, on_done, NULL);
+    cloud_object_get(client, "o", 0, on_done, NULL);
     wait_done();
     assert_int_equal(got.n_body, 900000);
     g_free(value);
@@ -281,15 +281,14 @@
 test_rate_is_limited(void **state)
 {
     (void)state;
-    platform_client_free(client);
+    cloud_client_free(client);
     client = connect_client(5000, 2);
     for (int i = 0; i < 50; i++) {
-        platform_table_get(client, "t", "k", 0, on_done, NULL);
+        cloud_table_get(client, "t", "k", 0, on_done, NULL);
     }
     wait_calls(50);
     assert_true(got.refused > 0);
-    assert_int_equal(platform_client_counters(client)->refused_rate,
-                     got.refused);
+    assert_int_equal(cloud_client_counters(client)->refused_rate, got.refused);
 }
 
 /* Guards against callbacks after a cancel or a free, and against leaks when
@@ -298,18 +297,18 @@
 test_cancel_and_free(void **state)
 {
     (void)state;
-    uint64_t id = platform_table_get(client, "t", "a", 0, on_done, NULL);
+    uint64_t id = cloud_table_get(client, "t", "a", 0, on_done, NULL);
 
-    platform_cancel(client, id);
-    platform_cancel(client, id);
-    platform_table_get(client, "t", "b", 0, on_done, NULL);
+    cloud_cancel(client, id);
+    cloud_cancel(client, id);
+    cloud_table_get(client, "t", "b", 0, on_done, NULL);
     wait_done();
-    platform_table_get(client, "t", "c", 0, on_done, NULL);
-    platform_client_free(client);
+    cloud_table_get(client, "t", "c", 0, on_done, NULL);
+    cloud_client_free(client);
     client = connect_client(5000, 1000);
     got.free_client = true;
-    platform_table_get(client, "t", "d", 0, on_done, NULL);
-    platform_table_get(client, "t", "e", 0, on_done, NULL);
+    cloud_table_get(client, "t", "d", 0, on_done, NULL);
+    cloud_table_get(client, "t", "e", 0, on_done, NULL);
     wait_done();
     assert_null(client);
     ev_run(loop, 0); /* completes the free; nothing else is left */
@@ -324,20 +323,20 @@
     (void)state;
     put("/vms", "{\"vms\":[{\"name\":\"p1\",\"address\":\"127.0.0.1\","
                 "\"failure_domain\":\"d1\",\"state\":\"leaving\"}]}");
-    platform_vms(client, 0, on_done, NULL);
+    cloud_vms(client, 0, on_done, NULL);
     wait_done();
     assert_int_equal(got.n_vms, 1);
     assert_true(got.leaving);
     /* With a lag the newer list is not shown yet. */
     put("/fault", "{\"vms_lag_ms\":10000000}");
-    platform_vms(client, 0, on_done, NULL);
+    cloud_vms(client, 0, on_done, NULL);
     wait_done();
     assert_int_equal(got.n_vms, 0);
     put("/fault", "{\"vms_lag_ms\":0}");
     put("/vms", "{\"vms\":[{\"name\":\"p1\",\"state\":\"live\"}]}");
-    platform_vms(client, 0, on_done, NULL);
+    cloud_vms(client, 0, on_done, NULL);
     wait_done();
-    assert_int_equal(got.outcome, PLATFORM_NOT_DONE);
+    assert_int_equal(got.outcome, CLOUD_NOT_DONE);
     assert_string_equal(got.reason, "malformed");
 }
 
--- a/tests/cloud/test_ticket_store.c
+++ b/tests/cloud/test_ticket_store.c
@@ -1,5 +1,5 @@
+#include "cloud/ticket_result.h"
 #include "platform.h"
-#include "platform/ticket_result.h"
 
 #include "base/clock.h"
 
@@ -17,7 +17,7 @@
 
 /* A submission that is driven by the loop, as the daemon does it. */
 static struct ev_loop *loop;
-static struct platform_client *client;
+static struct cloud_client *client;
 static struct ticket_submission *submission;
 static char base[64];
 static int answers;
@@ -44,10 +44,10 @@
 }
 
 static void
-insert_done(void *ctx, const struct platform_result *r)
+insert_done(void *ctx, const struct cloud_result *r)
 {
     const char *row = NULL;
-    enum ticket_store_result result = platform_ticket_insert_result(r, &row);
+    enum ticket_store_result result = cloud_ticket_insert_result(r, &row);
 
     (void)ctx;
     if (result == TICKET_STORE_LOST) {
@@ -58,10 +58,10 @@
 }
 
 static void
-read_done(void *ctx, const struct platform_result *r)
+read_done(void *ctx, const struct cloud_result *r)
 {
     const char *row = NULL;
-    enum ticket_store_result result = platform_ticket_read_result(r, &row);
+    enum ticket_store_result result = cloud_ticket_read_result(r, &row);
 
     (void)ctx;
     ticket_submission_on_read(submission, clock_now(), result, row);
@@ -70,14 +70,14 @@
 static void
 op_insert(void *ctx, const char *key, const char *text)
 {
-    platform_table_insert(client, PLATFORM_TICKET_TABLE, key, text, 1,
-                          insert_done, ctx);
+    cloud_table_insert(client, CLOUD_TICKET_TABLE, key, text, 1, insert_done,
+                       ctx);
 }
 
 static void
 op_read(void *ctx, const char *key)
 {
-    platform_table_get(client, PLATFORM_TICKET_TABLE, key, 1, read_done, ctx);
+    cloud_table_get(client, CLOUD_TICKET_TABLE, key, 1, read_done, ctx);
 }
 
 static void
@@ -163,10 +163,10 @@
                                         .timeout_ms = 5000,
                                         .rate = 1000};
 
-    client = platform_client_new(loop, &s, 1);
+    client = cloud_client_new(loop, &s, 1);
     int failed = cmocka_run_group_tests(tests, NULL, NULL);
 
-    platform_client_free(client);
+    cloud_client_free(client);
     fake_platform_stop(fake);
     ev_loop_destroy(loop);
     g_free(table);
