--- a/src/base/http_server.c
+++ b/src/base/http_server.c
@@ -9,6 +9,8 @@
 #include <unistd.h>
 
 #define REQUEST_MAX 8192
+/* Balancers ask once a second, scrapers every few seconds. */
+#define IDLE_S 30.0
 
 struct http_server {
     struct ev_loop *loop;
@@ -22,6 +24,7 @@
 struct http_client {
     struct http_server *http;
     struct stream *stream;
+    ev_timer idle;
     GList link;
 };
 
@@ -30,10 +33,20 @@
 client_free(struct http_client *c)
 {
     g_queue_unlink(&c->http->clients, &c->link);
+    ev_timer_stop(c->http->loop, &c->idle);
     stream_close(c->stream);
     g_free(c);
 }
 
+/* A client has sent nothing for long. */
+static void
+on_idle(struct ev_loop *loop, ev_timer *w, int revents)
+{
+    (void)loop;
+    (void)revents;
+    client_free(w->data);
+}
+
 /* Answers one request. */
 static void
 respond(struct http_client *c, const char *path)
@@ -62,6 +75,7 @@
 {
     struct http_client *c = ctx;
 
+    ev_timer_again(c->http->loop, &c->idle);
     for (;;) {
         const struct sview in = stream_input(c->stream);
         const char *end = memmem(in.p, in.n, "\r\n\r\n", 4);
@@ -110,6 +124,9 @@
         c->http = h;
         c->stream = stream_accepted(loop, fd, &stream_events, c);
         c->link.data = c;
+        ev_timer_init(&c->idle, on_idle, IDLE_S, IDLE_S);
+        c->idle.data = c;
+        ev_timer_start(loop, &c->idle);
         g_queue_push_tail_link(&h->clients, &c->link);
     }
 }
