lead: pass over a holder that the store does not answer

Cause: the others gave a live holder 1 s to act, also when the store had not answered it for seconds. Ruled out: detection (9.1 s to 9.2 s at three proxies), the members (answered within 20 ms). Change: notes say whether the store answers the sender; a holder that it does not answer counts as absent, and itself acts only after the others had their time. Test: lead_test_promoter, test_holder_without_store_is_passed_over.

--- a/src/lead/agreement.c
+++ b/src/lead/agreement.c
@@ -34,6 +34,7 @@
     uint64_t silent[AGREEMENT_SILENT_MAX];
     int silent_count;
     bool leaving;
+    bool store_lost;
 };
 
 struct agreement {
@@ -378,6 +379,7 @@
     p->unreachable = n->unreachable;
     p->misses_any = service_set_used(&n->unreachable) > 0;
     p->leaving = n->leaving;
+    p->store_lost = n->store_lost;
     p->roster = n->roster;
     p->silent_count = CLAMP(n->silent_count, 0, AGREEMENT_SILENT_MAX);
     memcpy(p->silent, n->silent, sizeof(p->silent));
@@ -504,6 +506,16 @@
     return is_alive(p, now);
 }
 
+/* Tells whether a proxy could change the view now: it is alive, and the store
+   answers it. */
+bool
+agreement_can_act(const struct agreement *a, const char *name, clock_ms now)
+{
+    const struct peer *p = find(a, name);
+
+    return agreement_alive(a, name, now) && (p == NULL || !p->store_lost);
+}
+
 /* Returns how many live witnesses come before this one by name. They act first
    when the holder is not there. Returns -1 when this proxy is not a witness:
    it does not act. */
@@ -517,7 +529,7 @@
     }
     for (int i = 0; i < a->count; i++) {
         rank += a->peers[i].witness && strcmp(a->peers[i].name, a->name) < 0 &&
-                is_alive(&a->peers[i], now);
+                is_alive(&a->peers[i], now) && !a->peers[i].store_lost;
     }
     return rank;
 }
--- a/src/lead/agreement.h
+++ b/src/lead/agreement.h
@@ -59,8 +59,9 @@
        AGREEMENT_SILENT_MS. */
     uint64_t silent[AGREEMENT_SILENT_MAX];
     int silent_count;
-    bool leaving; /* the sender cannot change the view any more */
-    bool reply;   /* answers a note, and is not answered */
+    bool leaving;    /* the sender cannot change the view any more */
+    bool store_lost; /* the store does not answer the sender */
+    bool reply;      /* answers a note, and is not answered */
     /* For a peer that cannot reach primaries. */
     struct agreement_position positions[AGREEMENT_POSITIONS_MAX];
     int position_count;
@@ -106,6 +107,8 @@
                          clock_ms now);
 bool agreement_alive(const struct agreement *a, const char *name,
                      clock_ms now);
+bool agreement_can_act(const struct agreement *a, const char *name,
+                       clock_ms now);
 int agreement_rank(const struct agreement *a, clock_ms now);
 int agreement_alive_count(const struct agreement *a, clock_ms now);
 const struct service_set *agreement_peer_unreachable(const struct agreement *a,
--- a/src/lead/peer_note.x
+++ b/src/lead/peer_note.x
@@ -27,6 +27,7 @@
     unsigned hyper roster;
     unsigned hyper silent<8>;
     bool leaving;
+    bool store_lost;
     bool reply;
     wire_position positions<32>;
     bool has_changes;
--- a/src/lead/peer_note_xdr.c
+++ b/src/lead/peer_note_xdr.c
@@ -45,6 +45,117 @@
 {
 	register int32_t *buf;
 
+
+	if (xdrs->x_op == XDR_ENCODE) {
+		 if (!xdr_string (xdrs, &objp->from, 63))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->incarnation))
+			 return FALSE;
+		 if (!xdr_quad_t (xdrs, &objp->sent_at))
+			 return FALSE;
+		 if (!xdr_quad_t (xdrs, &objp->echo))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->echo_of))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->acted))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->known))
+			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->unreachable.unreachable_val, (u_int *) &objp->unreachable.unreachable_len, 16,
+			sizeof (u_quad_t), (xdrproc_t) xdr_u_quad_t))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->configuration))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->roster))
+			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->silent.silent_val, (u_int *) &objp->silent.silent_len, 8,
+			sizeof (u_quad_t), (xdrproc_t) xdr_u_quad_t))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_bool (xdrs, &objp->leaving))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->store_lost))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->reply))
+				 return FALSE;
+
+		} else {
+		IXDR_PUT_BOOL(buf, objp->leaving);
+		IXDR_PUT_BOOL(buf, objp->store_lost);
+		IXDR_PUT_BOOL(buf, objp->reply);
+		}
+		 if (!xdr_array (xdrs, (char **)&objp->positions.positions_val, (u_int *) &objp->positions.positions_len, 32,
+			sizeof (wire_position), (xdrproc_t) xdr_wire_position))
+			 return FALSE;
+		 if (!xdr_bool (xdrs, &objp->has_changes))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->since))
+			 return FALSE;
+		 if (!xdr_string (xdrs, &objp->holder, 63))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->fence))
+			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->changes.changes_val, (u_int *) &objp->changes.changes_len, 32,
+			sizeof (wire_lead), (xdrproc_t) xdr_wire_lead))
+			 return FALSE;
+		return TRUE;
+	} else if (xdrs->x_op == XDR_DECODE) {
+		 if (!xdr_string (xdrs, &objp->from, 63))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->incarnation))
+			 return FALSE;
+		 if (!xdr_quad_t (xdrs, &objp->sent_at))
+			 return FALSE;
+		 if (!xdr_quad_t (xdrs, &objp->echo))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->echo_of))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->acted))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->known))
+			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->unreachable.unreachable_val, (u_int *) &objp->unreachable.unreachable_len, 16,
+			sizeof (u_quad_t), (xdrproc_t) xdr_u_quad_t))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->configuration))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->roster))
+			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->silent.silent_val, (u_int *) &objp->silent.silent_len, 8,
+			sizeof (u_quad_t), (xdrproc_t) xdr_u_quad_t))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_bool (xdrs, &objp->leaving))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->store_lost))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->reply))
+				 return FALSE;
+
+		} else {
+		objp->leaving = IXDR_GET_BOOL(buf);
+		objp->store_lost = IXDR_GET_BOOL(buf);
+		objp->reply = IXDR_GET_BOOL(buf);
+		}
+		 if (!xdr_array (xdrs, (char **)&objp->positions.positions_val, (u_int *) &objp->positions.positions_len, 32,
+			sizeof (wire_position), (xdrproc_t) xdr_wire_position))
+			 return FALSE;
+		 if (!xdr_bool (xdrs, &objp->has_changes))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->since))
+			 return FALSE;
+		 if (!xdr_string (xdrs, &objp->holder, 63))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->fence))
+			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->changes.changes_val, (u_int *) &objp->changes.changes_len, 32,
+			sizeof (wire_lead), (xdrproc_t) xdr_wire_lead))
+			 return FALSE;
+	 return TRUE;
+	}
+
 	 if (!xdr_string (xdrs, &objp->from, 63))
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->incarnation))
@@ -71,6 +182,8 @@
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->leaving))
 		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->store_lost))
+		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->reply))
 		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->positions.positions_val, (u_int *) &objp->positions.positions_len, 32,
--- a/src/lead/peer_note_xdr.h
+++ b/src/lead/peer_note_xdr.h
@@ -50,6 +50,7 @@
 		u_quad_t *silent_val;
 	} silent;
 	bool_t leaving;
+	bool_t store_lost;
 	bool_t reply;
 	struct {
 		u_int positions_len;
--- a/src/lead/peer_port.c
+++ b/src/lead/peer_port.c
@@ -39,6 +39,7 @@
     n->configuration = w->configuration;
     n->roster = w->roster;
     n->leaving = w->leaving;
+    n->store_lost = w->store_lost;
     n->reply = w->reply;
     n->has_changes = w->has_changes;
     n->since = w->since;
@@ -238,6 +239,7 @@
         .silent = {.silent_len = (u_int)n->silent_count,
                    .silent_val = (u_quad_t *)n->silent},
         .leaving = n->leaving,
+        .store_lost = n->store_lost,
         .reply = n->reply,
         .positions = {.positions_len = (u_int)n->position_count,
                       .positions_val = positions},
--- a/src/lead/promoter.c
+++ b/src/lead/promoter.c
@@ -61,6 +61,14 @@
     return p->busy;
 }
 
+/* Notes whether the store answers this proxy. One that it does not answer
+   lets the others act first. */
+void
+promoter_set_store_lost(struct promoter *p, bool lost)
+{
+    p->store_lost = lost;
+}
+
 /* Tells whether a change waits because the store does not take the view. The
    proxy then lets another one carry the change on. */
 bool
@@ -148,11 +156,14 @@
     if (rank < 0) {
         return CLOCK_NEVER;
     }
+    if (p->store_lost) {
+        return HOLDER_STEP_MS + RANK_STEP_MS * rank;
+    }
     if (strcmp(v->holder, p->name) == 0) {
         return 0;
     }
     if (v->holder[0] != '\0' &&
-        agreement_alive(p->agreement, v->holder, now)) {
+        agreement_can_act(p->agreement, v->holder, now)) {
         return HOLDER_STEP_MS + RANK_STEP_MS * rank;
     }
     return RANK_STEP_MS * rank;
@@ -391,7 +402,7 @@
     }
     c->phase = PHASE_NONE;
     if (l->changing) {
-        const bool alive = agreement_alive(p->agreement, v->holder, now);
+        const bool alive = agreement_can_act(p->agreement, v->holder, now);
         if (held(c->changing_since, alive ? STUCK_MS : 0,
                  acting_delay(p, v, now), now)) {
             c->silent = false;
--- a/src/lead/promoter.h
+++ b/src/lead/promoter.h
@@ -51,6 +51,7 @@
                      clock_ms now);
 void promoter_ordered(struct promoter *p, const char *service,
                       enum order_result result, clock_ms now);
+void promoter_set_store_lost(struct promoter *p, bool lost);
 bool promoter_busy(const struct promoter *p);
 bool promoter_is_cut_off(const struct promoter *p, clock_ms now);
 
--- a/src/lead/promoter_internal.h
+++ b/src/lead/promoter_internal.h
@@ -71,6 +71,7 @@
     int64_t write_pause_ms;
     GHashTable *changes; /* service -> struct change */
     bool busy;           /* carries a change out */
+    bool store_lost;     /* the store does not answer this proxy */
 };
 
 /* promoter.c */
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -65,6 +65,7 @@
 void node_remember_members(struct node *n, const char *text);
 void node_set_peers(struct node *n, const struct node_peer *peers,
                     size_t count);
+void node_set_store_lost(struct node *n, bool lost);
 void node_set_registered(struct node *n);
 void node_offer_view(struct node *n, const struct view *v, clock_ms asked_at,
                      bool registered);
--- a/src/node/node_internal.h
+++ b/src/node/node_internal.h
@@ -60,6 +60,7 @@
     struct fetch *fetch;
     uint64_t acted; /* version reported as acted on */
     bool leaving;
+    bool store_lost; /* the store does not answer this proxy */
 };
 
 /* node.c */
--- a/src/node/notes.c
+++ b/src/node/notes.c
@@ -92,6 +92,7 @@
     const bool unable = n->leaving || promoter_is_cut_off(n->promoter, now);
     agreement_compose(n->agreement, p->name, unreachable, unable, now, &note);
     note.reply = reply;
+    note.store_lost = n->store_lost;
     note.configuration = n->catalog->version;
     if (reply) {
         add_positions(n, p->name, now, &note);
@@ -256,6 +257,19 @@
     node_send_notes(n, false, clock_boot_now());
 }
 
+/* Notes whether the store answers this proxy, and tells the witnesses, so that
+   one that it answers changes the view when that is due. */
+void
+node_set_store_lost(struct node *n, bool lost)
+{
+    if (n->store_lost == lost) {
+        return;
+    }
+    n->store_lost = lost;
+    promoter_set_store_lost(n->promoter, lost);
+    node_send_notes(n, true, clock_boot_now());
+}
+
 /* This proxy was registered before it started, or it is the only one: all
    others have it in their lists. */
 void
--- a/tests/lead/test_peer_port.c
+++ b/tests/lead/test_peer_port.c
@@ -140,6 +140,7 @@
     n.version = 77;
     n.configuration = 5;
     n.roster = 6;
+    n.store_lost = true;
     n.has_changes = true;
     n.since = 70;
     n.change_count = AGREEMENT_CHANGES_MAX;
--- a/tests/lead/test_promoter.c
+++ b/tests/lead/test_promoter.c
@@ -13,6 +13,7 @@
     struct agreement *agreement;
     struct promoter *promoter;
     clock_ms now;
+    const char *store_lost; /* peer that the store does not answer */
     struct view written;
     int writes;
     int orders;
@@ -120,6 +121,7 @@
     if (unreachable) {
         service_set_add(&n.unreachable, 0);
     }
+    n.store_lost = f->store_lost != NULL && strcmp(f->store_lost, name) == 0;
     n.roster = own.roster; /* all know the same proxies */
     g_strlcpy(n.from, name, sizeof(n.from));
     agreement_take(f->agreement, &n, f->now);
@@ -384,6 +386,33 @@
     teardown(&f);
 }
 
+/* Guards against a change that waits for a holder which the store does not
+   answer (a holder cut from the store held a change up for 1.2 s). */
+static void
+test_holder_without_store_is_passed_over(void **state)
+{
+    struct fixture f;
+
+    (void)state;
+    setup(&f, "a", false);
+    pass(&f, 500, true, 5);
+    assert_int_equal(f.writes, 0); /* a has 1 s to act */
+    teardown(&f);
+    setup(&f, "a", false);
+    f.store_lost = "a";
+    pass(&f, 500, true, 5);
+    assert_int_equal(f.writes, 1);
+    teardown(&f);
+    /* The holder itself lets the others act first. */
+    setup(&f, "b", false);
+    promoter_set_store_lost(f.promoter, true);
+    pass(&f, 500, true, 5);
+    assert_int_equal(f.writes, 0);
+    pass(&f, 1000, true, 5);
+    assert_int_equal(f.writes, 1);
+    teardown(&f);
+}
+
 /* Guards against new services that enter the view one by one: with hundreds of
    them the last would wait for many writes of the store. */
 static void
@@ -416,6 +445,7 @@
         cmocka_unit_test(test_unlisted_primary_that_answers),
         cmocka_unit_test(test_change_is_handed_over),
         cmocka_unit_test(test_new_services_share_a_write),
+        cmocka_unit_test(test_holder_without_store_is_passed_over),
     };
 
     return cmocka_run_group_tests(tests, NULL, NULL);
