lead: copy the view only when services are added

Cause: found when reading: promoter_flush copied the view, 150 KB since it takes 1,024 services, in each tick.

--- a/src/lead/promoter.c
+++ b/src/lead/promoter.c
@@ -216,21 +216,18 @@
     g_strlcpy(c->chosen, primaries == 1 ? primary : "", sizeof(c->chosen));
 }
 
-/* Ends a round of promoter_tick() for all services: writes those that are new
-   into the view, together, and notes whether a change is carried out here. */
-void
-promoter_flush(struct promoter *p, clock_ms now)
+/* Writes the services that are marked into the view, together. */
+static void
+add_marked(struct promoter *p, clock_ms now)
 {
     struct view next = *agreement_view(p->agreement);
     const int before = next.count;
     GHashTableIter i;
     void *value;
 
-    p->busy = false;
     g_hash_table_iter_init(&i, p->changes);
     while (g_hash_table_iter_next(&i, NULL, &value)) {
         struct change *c = value;
-        p->busy = p->busy || c->phase != PHASE_NONE;
         if (!c->adding) {
             continue;
         }
@@ -252,6 +249,27 @@
     }
 }
 
+/* Ends a round of promoter_tick() for all services: adds those that are new to
+   the view, and notes whether a change is carried out here. */
+void
+promoter_flush(struct promoter *p, clock_ms now)
+{
+    GHashTableIter i;
+    void *value;
+    bool adding = false;
+
+    p->busy = false;
+    g_hash_table_iter_init(&i, p->changes);
+    while (g_hash_table_iter_next(&i, NULL, &value)) {
+        const struct change *c = value;
+        p->busy = p->busy || c->phase != PHASE_NONE;
+        adding = adding || c->adding;
+    }
+    if (adding) {
+        add_marked(p, now);
+    }
+}
+
 /* Returns why the primary has to be replaced, or NULL. */
 static const char *
 reason_to_change(struct promoter *p, struct change *c,
