coordination, node: count bytes by cause, and shorten messages between proxies

A message at rest took 168 bytes, so seven witnesses cost more than the budget of 4 KB a second. Change: the metrics port counts bytes by cause and by failure domain of the peer. The view's changes and the lists of a message are left out while empty, flags share a word, and the signature is truncated to 16 bytes (HMAC-SHA256).

--- a/src/coordination/peer_message.x
+++ b/src/coordination/peer_message.x
@@ -16,6 +16,26 @@
     bool changing;
 };
 
+/* Bits of `flags`. */
+const WIRE_LEAVING = 1;
+const WIRE_STORE_LOST = 2;
+const WIRE_REPLY = 4;
+
+/* Left out while all of them are empty. */
+struct wire_details {
+    unsigned hyper unreachable<16>;
+    unsigned hyper silent<8>;
+    wire_position positions<32>;
+};
+
+/* Left out unless the receiver lacks the view. */
+struct wire_changes {
+    unsigned hyper base_version;
+    string holder<63>;
+    unsigned hyper fence;
+    wire_entry entries<32>;
+};
+
 struct wire_message {
     string from<63>;
     unsigned hyper incarnation;
@@ -24,17 +44,9 @@
     unsigned hyper echo_incarnation;
     unsigned hyper applied;
     unsigned hyper view_version;
-    unsigned hyper unreachable<16>;
     unsigned hyper catalog_version;
     unsigned hyper registry_hash;
-    unsigned hyper silent<8>;
-    bool leaving;
-    bool store_lost;
-    bool reply;
-    wire_position positions<32>;
-    bool has_changes;
-    unsigned hyper base_version;
-    string holder<63>;
-    unsigned hyper fence;
-    wire_entry changes<32>;
+    unsigned int flags;
+    wire_details *details;
+    wire_changes *changes;
 };
--- a/src/coordination/peer_message_xdr.c
+++ b/src/coordination/peer_message_xdr.c
@@ -41,120 +41,43 @@
 }
 
 bool_t
-xdr_wire_message (XDR *xdrs, wire_message *objp)
+xdr_wire_details (XDR *xdrs, wire_details *objp)
 {
 	register int32_t *buf;
 
+	 if (!xdr_array (xdrs, (char **)&objp->unreachable.unreachable_val, (u_int *) &objp->unreachable.unreachable_len, 16,
+		sizeof (u_quad_t), (xdrproc_t) xdr_u_quad_t))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->silent.silent_val, (u_int *) &objp->silent.silent_len, 8,
+		sizeof (u_quad_t), (xdrproc_t) xdr_u_quad_t))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->positions.positions_val, (u_int *) &objp->positions.positions_len, 32,
+		sizeof (wire_position), (xdrproc_t) xdr_wire_position))
+		 return FALSE;
+	return TRUE;
+}
 
-	if (xdrs->x_op == XDR_ENCODE) {
-		 if (!xdr_string (xdrs, &objp->from, 63))
-			 return FALSE;
-		 if (!xdr_u_quad_t (xdrs, &objp->incarnation))
-			 return FALSE;
-		 if (!xdr_quad_t (xdrs, &objp->sent_at))
-			 return FALSE;
-		 if (!xdr_quad_t (xdrs, &objp->echo))
-			 return FALSE;
-		 if (!xdr_u_quad_t (xdrs, &objp->echo_incarnation))
-			 return FALSE;
-		 if (!xdr_u_quad_t (xdrs, &objp->applied))
-			 return FALSE;
-		 if (!xdr_u_quad_t (xdrs, &objp->view_version))
-			 return FALSE;
-		 if (!xdr_array (xdrs, (char **)&objp->unreachable.unreachable_val, (u_int *) &objp->unreachable.unreachable_len, 16,
-			sizeof (u_quad_t), (xdrproc_t) xdr_u_quad_t))
-			 return FALSE;
-		 if (!xdr_u_quad_t (xdrs, &objp->catalog_version))
-			 return FALSE;
-		 if (!xdr_u_quad_t (xdrs, &objp->registry_hash))
-			 return FALSE;
-		 if (!xdr_array (xdrs, (char **)&objp->silent.silent_val, (u_int *) &objp->silent.silent_len, 8,
-			sizeof (u_quad_t), (xdrproc_t) xdr_u_quad_t))
-			 return FALSE;
-		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
-		if (buf == NULL) {
-			 if (!xdr_bool (xdrs, &objp->leaving))
-				 return FALSE;
-			 if (!xdr_bool (xdrs, &objp->store_lost))
-				 return FALSE;
-			 if (!xdr_bool (xdrs, &objp->reply))
-				 return FALSE;
+bool_t
+xdr_wire_changes (XDR *xdrs, wire_changes *objp)
+{
+	register int32_t *buf;
 
-		} else {
-		IXDR_PUT_BOOL(buf, objp->leaving);
-		IXDR_PUT_BOOL(buf, objp->store_lost);
-		IXDR_PUT_BOOL(buf, objp->reply);
-		}
-		 if (!xdr_array (xdrs, (char **)&objp->positions.positions_val, (u_int *) &objp->positions.positions_len, 32,
-			sizeof (wire_position), (xdrproc_t) xdr_wire_position))
-			 return FALSE;
-		 if (!xdr_bool (xdrs, &objp->has_changes))
-			 return FALSE;
-		 if (!xdr_u_quad_t (xdrs, &objp->base_version))
-			 return FALSE;
-		 if (!xdr_string (xdrs, &objp->holder, 63))
-			 return FALSE;
-		 if (!xdr_u_quad_t (xdrs, &objp->fence))
-			 return FALSE;
-		 if (!xdr_array (xdrs, (char **)&objp->changes.changes_val, (u_int *) &objp->changes.changes_len, 32,
-			sizeof (wire_entry), (xdrproc_t) xdr_wire_entry))
-			 return FALSE;
-		return TRUE;
-	} else if (xdrs->x_op == XDR_DECODE) {
-		 if (!xdr_string (xdrs, &objp->from, 63))
-			 return FALSE;
-		 if (!xdr_u_quad_t (xdrs, &objp->incarnation))
-			 return FALSE;
-		 if (!xdr_quad_t (xdrs, &objp->sent_at))
-			 return FALSE;
-		 if (!xdr_quad_t (xdrs, &objp->echo))
-			 return FALSE;
-		 if (!xdr_u_quad_t (xdrs, &objp->echo_incarnation))
-			 return FALSE;
-		 if (!xdr_u_quad_t (xdrs, &objp->applied))
-			 return FALSE;
-		 if (!xdr_u_quad_t (xdrs, &objp->view_version))
-			 return FALSE;
-		 if (!xdr_array (xdrs, (char **)&objp->unreachable.unreachable_val, (u_int *) &objp->unreachable.unreachable_len, 16,
-			sizeof (u_quad_t), (xdrproc_t) xdr_u_quad_t))
-			 return FALSE;
-		 if (!xdr_u_quad_t (xdrs, &objp->catalog_version))
-			 return FALSE;
-		 if (!xdr_u_quad_t (xdrs, &objp->registry_hash))
-			 return FALSE;
-		 if (!xdr_array (xdrs, (char **)&objp->silent.silent_val, (u_int *) &objp->silent.silent_len, 8,
-			sizeof (u_quad_t), (xdrproc_t) xdr_u_quad_t))
-			 return FALSE;
-		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
-		if (buf == NULL) {
-			 if (!xdr_bool (xdrs, &objp->leaving))
-				 return FALSE;
-			 if (!xdr_bool (xdrs, &objp->store_lost))
-				 return FALSE;
-			 if (!xdr_bool (xdrs, &objp->reply))
-				 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->base_version))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->holder, 63))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->fence))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->entries.entries_val, (u_int *) &objp->entries.entries_len, 32,
+		sizeof (wire_entry), (xdrproc_t) xdr_wire_entry))
+		 return FALSE;
+	return TRUE;
+}
 
-		} else {
-		objp->leaving = IXDR_GET_BOOL(buf);
-		objp->store_lost = IXDR_GET_BOOL(buf);
-		objp->reply = IXDR_GET_BOOL(buf);
-		}
-		 if (!xdr_array (xdrs, (char **)&objp->positions.positions_val, (u_int *) &objp->positions.positions_len, 32,
-			sizeof (wire_position), (xdrproc_t) xdr_wire_position))
-			 return FALSE;
-		 if (!xdr_bool (xdrs, &objp->has_changes))
-			 return FALSE;
-		 if (!xdr_u_quad_t (xdrs, &objp->base_version))
-			 return FALSE;
-		 if (!xdr_string (xdrs, &objp->holder, 63))
-			 return FALSE;
-		 if (!xdr_u_quad_t (xdrs, &objp->fence))
-			 return FALSE;
-		 if (!xdr_array (xdrs, (char **)&objp->changes.changes_val, (u_int *) &objp->changes.changes_len, 32,
-			sizeof (wire_entry), (xdrproc_t) xdr_wire_entry))
-			 return FALSE;
-	 return TRUE;
-	}
+bool_t
+xdr_wire_message (XDR *xdrs, wire_message *objp)
+{
+	register int32_t *buf;
 
 	 if (!xdr_string (xdrs, &objp->from, 63))
 		 return FALSE;
@@ -170,35 +93,15 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->view_version))
 		 return FALSE;
-	 if (!xdr_array (xdrs, (char **)&objp->unreachable.unreachable_val, (u_int *) &objp->unreachable.unreachable_len, 16,
-		sizeof (u_quad_t), (xdrproc_t) xdr_u_quad_t))
-		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->catalog_version))
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->registry_hash))
 		 return FALSE;
-	 if (!xdr_array (xdrs, (char **)&objp->silent.silent_val, (u_int *) &objp->silent.silent_len, 8,
-		sizeof (u_quad_t), (xdrproc_t) xdr_u_quad_t))
-		 return FALSE;
-	 if (!xdr_bool (xdrs, &objp->leaving))
-		 return FALSE;
-	 if (!xdr_bool (xdrs, &objp->store_lost))
+	 if (!xdr_u_int (xdrs, &objp->flags))
 		 return FALSE;
-	 if (!xdr_bool (xdrs, &objp->reply))
+	 if (!xdr_pointer (xdrs, (char **)&objp->details, sizeof (wire_details), (xdrproc_t) xdr_wire_details))
 		 return FALSE;
-	 if (!xdr_array (xdrs, (char **)&objp->positions.positions_val, (u_int *) &objp->positions.positions_len, 32,
-		sizeof (wire_position), (xdrproc_t) xdr_wire_position))
-		 return FALSE;
-	 if (!xdr_bool (xdrs, &objp->has_changes))
-		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->base_version))
-		 return FALSE;
-	 if (!xdr_string (xdrs, &objp->holder, 63))
-		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->fence))
-		 return FALSE;
-	 if (!xdr_array (xdrs, (char **)&objp->changes.changes_val, (u_int *) &objp->changes.changes_len, 32,
-		sizeof (wire_entry), (xdrproc_t) xdr_wire_entry))
+	 if (!xdr_pointer (xdrs, (char **)&objp->changes, sizeof (wire_changes), (xdrproc_t) xdr_wire_changes))
 		 return FALSE;
 	return TRUE;
 }
--- a/src/coordination/peer_message_xdr.h
+++ b/src/coordination/peer_message_xdr.h
@@ -30,40 +30,50 @@
 	bool_t changing;
 };
 typedef struct wire_entry wire_entry;
+#define WIRE_LEAVING 1
+#define WIRE_STORE_LOST 2
+#define WIRE_REPLY 4
 
-struct wire_message {
-	char *from;
-	u_quad_t incarnation;
-	quad_t sent_at;
-	quad_t echo;
-	u_quad_t echo_incarnation;
-	u_quad_t applied;
-	u_quad_t view_version;
+struct wire_details {
 	struct {
 		u_int unreachable_len;
 		u_quad_t *unreachable_val;
 	} unreachable;
-	u_quad_t catalog_version;
-	u_quad_t registry_hash;
 	struct {
 		u_int silent_len;
 		u_quad_t *silent_val;
 	} silent;
-	bool_t leaving;
-	bool_t store_lost;
-	bool_t reply;
 	struct {
 		u_int positions_len;
 		wire_position *positions_val;
 	} positions;
-	bool_t has_changes;
+};
+typedef struct wire_details wire_details;
+
+struct wire_changes {
 	u_quad_t base_version;
 	char *holder;
 	u_quad_t fence;
 	struct {
-		u_int changes_len;
-		wire_entry *changes_val;
-	} changes;
+		u_int entries_len;
+		wire_entry *entries_val;
+	} entries;
+};
+typedef struct wire_changes wire_changes;
+
+struct wire_message {
+	char *from;
+	u_quad_t incarnation;
+	quad_t sent_at;
+	quad_t echo;
+	u_quad_t echo_incarnation;
+	u_quad_t applied;
+	u_quad_t view_version;
+	u_quad_t catalog_version;
+	u_quad_t registry_hash;
+	u_int flags;
+	wire_details *details;
+	wire_changes *changes;
 };
 typedef struct wire_message wire_message;
 
@@ -72,11 +82,15 @@
 #if defined(__STDC__) || defined(__cplusplus)
 extern  bool_t xdr_wire_position (XDR *, wire_position*);
 extern  bool_t xdr_wire_entry (XDR *, wire_entry*);
+extern  bool_t xdr_wire_details (XDR *, wire_details*);
+extern  bool_t xdr_wire_changes (XDR *, wire_changes*);
 extern  bool_t xdr_wire_message (XDR *, wire_message*);
 
 #else /* K&R C */
 extern bool_t xdr_wire_position ();
 extern bool_t xdr_wire_entry ();
+extern bool_t xdr_wire_details ();
+extern bool_t xdr_wire_changes ();
 extern bool_t xdr_wire_message ();
 
 #endif /* K&R C */
--- a/src/coordination/peer_socket.c
+++ b/src/coordination/peer_socket.c
@@ -15,7 +15,9 @@
 /* Part of the signed data, so that the signature of a message is never valid
    for an RPC. */
 #define SIGNATURE_PROGRAM 0x20673704
-#define SIGNATURE_VERSION 1
+#define SIGNATURE_VERSION 2
+/* HMAC-SHA256 truncated to half its length, as RFC 2104 allows. */
+#define SIGNATURE_BYTES 16
 
 struct peer_socket {
     struct ev_loop *loop;
@@ -26,27 +28,9 @@
     void *ctx;
 };
 
-/* Copies a decoded message. The array lengths have been checked by the XDR
-   decoder. */
 static void
-read_message(const wire_message *w, struct agreement_message *m)
+read_details(const wire_details *w, struct agreement_message *m)
 {
-    g_strlcpy(m->from, w->from, sizeof(m->from));
-    m->incarnation = w->incarnation;
-    m->sent_at = w->sent_at;
-    m->echo = w->echo;
-    m->echo_incarnation = w->echo_incarnation;
-    m->applied = w->applied;
-    m->version = w->view_version;
-    m->catalog_version = w->catalog_version;
-    m->registry_hash = w->registry_hash;
-    m->leaving = w->leaving;
-    m->store_lost = w->store_lost;
-    m->reply = w->reply;
-    m->has_changes = w->has_changes;
-    m->base_version = w->base_version;
-    m->fence = w->fence;
-    g_strlcpy(m->holder, w->holder, sizeof(m->holder));
     for (u_int i = 0; i < w->unreachable.unreachable_len; i++) {
         m->unreachable.words[i] = w->unreachable.unreachable_val[i];
     }
@@ -65,9 +49,18 @@
             };
         }
     }
-    m->change_count = (int)w->changes.changes_len;
+}
+
+static void
+read_changes(const wire_changes *w, struct agreement_message *m)
+{
+    m->has_changes = true;
+    m->base_version = w->base_version;
+    m->fence = w->fence;
+    g_strlcpy(m->holder, w->holder, sizeof(m->holder));
+    m->change_count = (int)w->entries.entries_len;
     for (int i = 0; i < m->change_count; i++) {
-        const wire_entry *x = &w->changes.changes_val[i];
+        const wire_entry *x = &w->entries.entries_val[i];
         struct view_entry *e = &m->changes[i];
         g_strlcpy(e->service, x->service, sizeof(e->service));
         g_strlcpy(e->primary, x->primary, sizeof(e->primary));
@@ -77,6 +70,31 @@
     }
 }
 
+/* Copies a decoded message. The array lengths have been checked by the XDR
+   decoder. */
+static void
+read_message(const wire_message *w, struct agreement_message *m)
+{
+    g_strlcpy(m->from, w->from, sizeof(m->from));
+    m->incarnation = w->incarnation;
+    m->sent_at = w->sent_at;
+    m->echo = w->echo;
+    m->echo_incarnation = w->echo_incarnation;
+    m->applied = w->applied;
+    m->version = w->view_version;
+    m->catalog_version = w->catalog_version;
+    m->registry_hash = w->registry_hash;
+    m->leaving = (w->flags & WIRE_LEAVING) != 0;
+    m->store_lost = (w->flags & WIRE_STORE_LOST) != 0;
+    m->reply = (w->flags & WIRE_REPLY) != 0;
+    if (w->details != NULL) {
+        read_details(w->details, m);
+    }
+    if (w->changes != NULL) {
+        read_changes(w->changes, m);
+    }
+}
+
 /* Returns the data that the signature of a message covers. */
 static struct rpc_signed
 signed_data(const char *bytes, size_t size)
@@ -93,13 +111,14 @@
 has_valid_signature(const struct peer_socket *p, const char *bytes,
                     size_t size)
 {
-    if (size <= RPC_MAC_BYTES) {
+    if (size <= SIGNATURE_BYTES) {
         return false;
     }
-    const struct rpc_signed what = signed_data(bytes, size - RPC_MAC_BYTES);
-    const char *mac = bytes + size - RPC_MAC_BYTES;
+    const struct rpc_signed what = signed_data(bytes, size - SIGNATURE_BYTES);
+    const char *mac = bytes + size - SIGNATURE_BYTES;
 
-    return rpc_auth_verify(p->keys, &what, (const uint8_t *)mac) >= 0;
+    return rpc_auth_verify_truncated(p->keys, &what, (const uint8_t *)mac,
+                                     SIGNATURE_BYTES) >= 0;
 }
 
 /* Decodes a datagram. Returns false if it is not a valid message. */
@@ -144,9 +163,9 @@
             event_log(EVENT_STATE, "note_unsigned", "host=%s bytes=%zd", host,
                       size);
         }
-        else if (decode(bytes, (size_t)size - RPC_MAC_BYTES, &m)) {
+        else if (decode(bytes, (size_t)size - SIGNATURE_BYTES, &m)) {
             inet_ntop(AF_INET, &from.sin_addr, host, sizeof(host));
-            p->received(p->ctx, &m, host);
+            p->received(p->ctx, &m, host, (size_t)size);
         }
         else {
             event_log(EVENT_STATE, "note_malformed", "bytes=%zd", size);
@@ -199,13 +218,15 @@
 }
 
 /* Signs and sends a message. Delivery is not guaranteed: a lost datagram is
-   made up for by the next one. */
-void
+   made up for by the next one. Returns the size of the datagram, 0 if it could
+   not be sent. */
+size_t
 peer_socket_send(struct peer_socket *p, const char *host, uint16_t port,
                  const struct agreement_message *m)
 {
     struct sockaddr_in to = {.sin_family = AF_INET, .sin_port = htons(port)};
     char bytes[MESSAGE_MAX_BYTES];
+    uint8_t mac[RPC_MAC_BYTES];
     wire_position positions[AGREEMENT_POSITIONS_MAX];
     wire_entry changes[AGREEMENT_CHANGES_MAX];
     XDR x;
@@ -227,45 +248,53 @@
             .changing = m->changes[i].changing,
         };
     }
-    wire_message w = {
-        .from = (char *)m->from,
-        .incarnation = m->incarnation,
-        .sent_at = m->sent_at,
-        .echo = m->echo,
-        .echo_incarnation = m->echo_incarnation,
-        .applied = m->applied,
-        .view_version = m->version,
+    wire_details details = {
         .unreachable = {.unreachable_len =
                             (u_int)service_set_word_count(&m->unreachable),
                         .unreachable_val = (u_quad_t *)m->unreachable.words},
-        .catalog_version = m->catalog_version,
-        .registry_hash = m->registry_hash,
         .silent = {.silent_len = (u_int)m->silent_count,
                    .silent_val = (u_quad_t *)m->silent},
-        .leaving = m->leaving,
-        .store_lost = m->store_lost,
-        .reply = m->reply,
         .positions = {.positions_len = (u_int)m->position_count,
                       .positions_val = positions},
-        .has_changes = m->has_changes,
+    };
+    wire_changes view_changes = {
         .base_version = m->base_version,
         .holder = (char *)m->holder,
         .fence = m->fence,
-        .changes = {.changes_len = (u_int)m->change_count,
-                    .changes_val = changes},
+        .entries = {.entries_len = (u_int)m->change_count,
+                    .entries_val = changes},
+    };
+    const bool has_details = details.unreachable.unreachable_len > 0 ||
+                             m->silent_count > 0 || m->position_count > 0;
+    wire_message w = {
+        .from = (char *)m->from,
+        .incarnation = m->incarnation,
+        .sent_at = m->sent_at,
+        .echo = m->echo,
+        .echo_incarnation = m->echo_incarnation,
+        .applied = m->applied,
+        .view_version = m->version,
+        .catalog_version = m->catalog_version,
+        .registry_hash = m->registry_hash,
+        .flags = (m->leaving ? WIRE_LEAVING : 0U) |
+                 (m->store_lost ? WIRE_STORE_LOST : 0U) |
+                 (m->reply ? WIRE_REPLY : 0U),
+        .details = has_details ? &details : NULL,
+        .changes = m->has_changes ? &view_changes : NULL,
     };
     xdrmem_create(&x, bytes, sizeof(bytes), XDR_ENCODE);
     const bool ok = xdr_wire_message(&x, &w);
     const u_int size = xdr_getpos(&x);
     xdr_destroy(&x);
     const struct rpc_signed what = signed_data(bytes, size);
-    if (!ok || size + RPC_MAC_BYTES > sizeof(bytes) ||
-        !rpc_auth_sign(p->keys, &what, 0, (uint8_t *)bytes + size) ||
+    if (!ok || size + SIGNATURE_BYTES > sizeof(bytes) ||
+        !rpc_auth_sign(p->keys, &what, 0, mac) ||
         inet_pton(AF_INET, host, &to.sin_addr) != 1) {
         event_log(EVENT_STATE, "note_not_sent", "to=%s:%u", host, port);
-        return;
+        return 0;
     }
-    const ssize_t sent = sendto(p->fd, bytes, size + RPC_MAC_BYTES, 0,
+    memcpy(bytes + size, mac, SIGNATURE_BYTES);
+    const ssize_t sent = sendto(p->fd, bytes, size + SIGNATURE_BYTES, 0,
                                 (struct sockaddr *)&to, sizeof(to));
-    (void)sent;
+    return sent < 0 ? 0 : (size_t)sent;
 }
--- a/src/coordination/peer_socket.h
+++ b/src/coordination/peer_socket.h
@@ -10,9 +10,9 @@
    encoded message followed by its HMAC under a key that all proxies share. */
 struct peer_socket;
 
-/* host is the address of the sender. */
+/* host is the address of the sender, bytes the size of the datagram. */
 typedef void (*peer_socket_fn)(void *ctx, const struct agreement_message *m,
-                               const char *host);
+                               const char *host, size_t bytes);
 
 struct peer_socket *peer_socket_create(struct ev_loop *loop, const char *host,
                                        uint16_t port,
@@ -20,7 +20,7 @@
                                        peer_socket_fn received, void *ctx,
                                        char **error);
 void peer_socket_destroy(struct peer_socket *p);
-void peer_socket_send(struct peer_socket *p, const char *host, uint16_t port,
-                      const struct agreement_message *m);
+size_t peer_socket_send(struct peer_socket *p, const char *host, uint16_t port,
+                        const struct agreement_message *m);
 
 #endif
--- a/src/fleet/rpc_auth.c
+++ b/src/fleet/rpc_auth.c
@@ -160,12 +160,22 @@
 int
 rpc_auth_verify(const struct rpc_keys *k, const struct rpc_signed *msg,
                 const uint8_t mac[RPC_MAC_BYTES])
+{
+    return rpc_auth_verify_truncated(k, msg, mac, RPC_MAC_BYTES);
+}
+
+/* The same for a signature of which only the first mac_bytes, at most
+   RPC_MAC_BYTES, were sent. */
+int
+rpc_auth_verify_truncated(const struct rpc_keys *k,
+                          const struct rpc_signed *msg, const uint8_t *mac,
+                          size_t mac_bytes)
 {
     for (int i = 0; i < k->count; i++) {
         uint8_t own[RPC_MAC_BYTES];
 
         if (rpc_auth_sign(k, msg, i, own) &&
-            CRYPTO_memcmp(own, mac, RPC_MAC_BYTES) == 0) {
+            CRYPTO_memcmp(own, mac, mac_bytes) == 0) {
             return i;
         }
     }
--- a/src/fleet/rpc_auth.h
+++ b/src/fleet/rpc_auth.h
@@ -44,6 +44,9 @@
                    int key, uint8_t mac[RPC_MAC_BYTES]);
 int rpc_auth_verify(const struct rpc_keys *k, const struct rpc_signed *msg,
                     const uint8_t mac[RPC_MAC_BYTES]);
+int rpc_auth_verify_truncated(const struct rpc_keys *k,
+                              const struct rpc_signed *msg, const uint8_t *mac,
+                              size_t mac_bytes);
 
 struct rpc_nonces;
 
--- a/src/node/metrics.c
+++ b/src/node/metrics.c
@@ -8,6 +8,27 @@
                            (unsigned long long)value);
 }
 
+/* Appends the bytes exchanged, by cause and failure domain of the peer. */
+static void
+put_traffic(GString *out, const struct traffic *t)
+{
+    char labels[160];
+
+    for (int c = 0; c < TRAFFIC_CAUSES; c++) {
+        for (int p = 0; p < TRAFFIC_PEERS; p++) {
+            if (t->sent[c][p] == 0 && t->received[c][p] == 0) {
+                continue;
+            }
+            g_snprintf(labels, sizeof(labels),
+                       "{cause=\"%s\",failure_domain=\"%s\"}",
+                       traffic_cause_name((enum traffic_cause)c),
+                       traffic_peer_name((enum traffic_peer)p));
+            put_metric(out, "bytes_sent_total", labels, t->sent[c][p]);
+            put_metric(out, "bytes_received_total", labels, t->received[c][p]);
+        }
+    }
+}
+
 /* Appends all counters and the histogram of statement times. */
 void
 node_write_metrics(const struct node *n, GString *out)
@@ -27,6 +48,7 @@
                    failure_name((enum failure)f));
         put_metric(out, "failures_total", labels, r->failures[f]);
     }
+    put_traffic(out, n->traffic);
     uint64_t below = 0;
     for (int b = 0; b < 16; b++) {
         below += r->latency[b];
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -399,6 +399,7 @@
     n->name = g_strdup(config->name);
     n->failure_domain = g_strdup(config->failure_domain);
     n->platform = *config->platform;
+    n->traffic = config->traffic;
     n->incarnation = (uint64_t)clock_realtime_ms();
     n->agreement = agreement_create(config->name, n->incarnation);
     n->promoter = promoter_create(config->name, n->agreement, &actions);
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -1,6 +1,7 @@
 #ifndef NODE_NODE_H
 #define NODE_NODE_H
 
+#include "base/traffic.h"
 #include "coordination/promoter.h"
 #include "directory/catalog.h"
 #include "relay/session.h"
@@ -40,6 +41,7 @@
     uint16_t peer_port; /* UDP for messages, TCP for copies; same for all */
     const char *key;    /* shared by all proxies */
     const struct node_platform *platform;
+    struct traffic *traffic; /* counts the messages between proxies */
 };
 
 /* A proxy registered in the store. */
--- a/src/node/node_internal.h
+++ b/src/node/node_internal.h
@@ -27,6 +27,7 @@
     char *name;
     char *failure_domain;
     struct node_platform platform;
+    struct traffic *traffic;
     struct rpc_keys *keys; /* shared by all proxies */
     uint64_t incarnation;
     struct agreement *agreement;
@@ -79,7 +80,7 @@
 bool node_update_applied(struct node *n);
 void node_apply_view(struct node *n);
 void node_on_message(void *ctx, const struct agreement_message *message,
-                     const char *host);
+                     const char *host, size_t bytes);
 void node_apply_peers(struct node *n, const struct node_peer *peers,
                       size_t count);
 
--- a/src/node/peer_messages.c
+++ b/src/node/peer_messages.c
@@ -102,7 +102,9 @@
     if (reply) {
         add_positions(n, p->name, now, &message);
     }
-    peer_socket_send(n->port, p->host, p->port, &message);
+    n->traffic->sent[TRAFFIC_AGREEMENT]
+                    [traffic_peer_of(n->failure_domain, p->failure_domain)] +=
+        peer_socket_send(n->port, p->host, p->port, &message);
 }
 
 /* Sends a message to one silent peer that is not a witness, a different one
@@ -147,20 +149,30 @@
     }
 }
 
+/* Returns the registered proxy of that name, or NULL. */
+static const struct node_peer *
+find_peer(const struct node *n, const char *name)
+{
+    for (guint i = 0; i < n->peers->len; i++) {
+        const struct node_peer *p =
+            &g_array_index(n->peers, struct node_peer, i);
+        if (strcmp(p->name, name) == 0) {
+            return p;
+        }
+    }
+    return NULL;
+}
+
 /* Answers a message from a peer. */
 static void
 send_reply(struct node *n, const char *to, clock_ms now)
 {
+    const struct node_peer *p = find_peer(n, to);
     struct service_set unreachable;
 
-    for (guint i = 0; i < n->peers->len; i++) {
-        const struct node_peer *p =
-            &g_array_index(n->peers, struct node_peer, i);
-        if (strcmp(p->name, to) == 0) {
-            node_list_unreachable(n, now, &unreachable);
-            send_message(n, p, &unreachable, true, now);
-            return;
-        }
+    if (p != NULL) {
+        node_list_unreachable(n, now, &unreachable);
+        send_message(n, p, &unreachable, true, now);
     }
 }
 
@@ -206,13 +218,19 @@
     node_send_messages(n, true, now);
 }
 
-/* Processes a message from a peer; host is where it came from. */
+/* Processes a message of so many bytes from a peer; host is where it came
+   from. */
 void
 node_on_message(void *ctx, const struct agreement_message *message,
-                const char *host)
+                const char *host, size_t bytes)
 {
     struct node *n = ctx;
     const clock_ms now = clock_boottime_ms();
+    const struct node_peer *from = find_peer(n, message->from);
+
+    n->traffic->received[TRAFFIC_AGREEMENT][traffic_peer_of(
+        n->failure_domain, from != NULL ? from->failure_domain : NULL)] +=
+        bytes;
 
     copy_fetcher_on_message(n->copy_fetcher, host, message->catalog_version,
                             now);
--- a/tests/coordination/test_peer_socket.c
+++ b/tests/coordination/test_peer_socket.c
@@ -25,6 +25,7 @@
     struct peer_socket *b; /* 127.0.0.2 */
     uint16_t port;
     int received; /* by b */
+    size_t bytes; /* of the last message */
     struct agreement_message last;
     char host[64];
 };
@@ -41,22 +42,26 @@
 }
 
 static void
-on_message(void *ctx, const struct agreement_message *m, const char *host)
+on_message(void *ctx, const struct agreement_message *m, const char *host,
+           size_t bytes)
 {
     struct fixture *f = ctx;
 
     f->received++;
+    f->bytes = bytes;
     f->last = *m;
     g_strlcpy(f->host, host, sizeof(f->host));
     ev_break(f->loop, EVBREAK_ALL);
 }
 
 static void
-ignore_message(void *ctx, const struct agreement_message *m, const char *host)
+ignore_message(void *ctx, const struct agreement_message *m, const char *host,
+               size_t bytes)
 {
     (void)ctx;
     (void)m;
     (void)host;
+    (void)bytes;
 }
 
 static uint16_t
@@ -158,6 +163,33 @@
     end(&f);
 }
 
+/* Guards against messages that outgrow the budget of a proxy at rest: it sends
+   one to each of seven witnesses, and answers as many, every 400 ms. */
+static void
+test_message_at_rest_fits_the_budget(void **state)
+{
+    static struct agreement_message m = {
+        .from = "front-far-harbour-12",
+        .incarnation = 1,
+        .sent_at = 2,
+        .echo = 3,
+        .version = 4,
+    };
+    const size_t budget_per_s = 4096;
+    const size_t messages_per_s = 2 * 7 * 1000 / 400;
+    struct fixture f;
+
+    (void)state;
+    begin(&f, true);
+    const size_t sent = peer_socket_send(f.a, "127.0.0.2", f.port, &m);
+    run(&f, WATCHDOG_S);
+    assert_int_equal(f.received, 1);
+    assert_int_equal(f.bytes, sent);
+    assert_memory_equal(&f.last, &m, sizeof(m));
+    assert_true(sent * messages_per_s <= budget_per_s);
+    end(&f);
+}
+
 /* Guards against an attacker without the key who confirms leases or sends a
    view. Covers a message signed with another key and datagrams without a valid
    signature. */
@@ -191,6 +223,7 @@
 {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(test_longest_message_arrives_unchanged),
+        cmocka_unit_test(test_message_at_rest_fits_the_budget),
         cmocka_unit_test(test_unauthenticated_messages_are_ignored),
     };
 
--- a/tests/node/test_fetch.c
+++ b/tests/node/test_fetch.c
@@ -27,6 +27,7 @@
     ev_timer watchdog;
     uint64_t awaited; /* version of the configuration */
     bool hung;
+    struct traffic traffic; /* of all nodes */
 };
 
 /* These nodes never change the view. */
@@ -93,6 +94,7 @@
         .peer_port = f->peer_port,
         .key = key,
         .platform = &platform,
+        .traffic = &f->traffic,
     };
     char *error = NULL;
     struct node *n = node_create(&config, &error);
