relay: place reads at near members and on open connections

Cause: the estimate of a member's delay counted each statement in progress as a whole one ahead, though members run several at once, so a second read left the failure domain; and it did not count the 12 ms of a new connection. Change: statements share the slots and wait beyond them; a member elsewhere counts 12 ms more, one to which a connection has to be opened 14 ms. Test: one test covers a read on a replica, which now goes to a member nearby: its replicas are placed near the proxy, its checks are the same.

--- a/src/relay/dispatch.c
+++ b/src/relay/dispatch.c
@@ -99,6 +99,7 @@
             strcmp(m->entry.failure_domain, s->failure_domain) == 0,
         .behind = m->missing_position.known,
         .avoided = strcmp(w->avoid_member, m->entry.id) == 0,
+        .slots = m->entry.slots,
         .max_executing = m->entry.slots + EXTRA_STATEMENTS,
         .mean_statement_us = m->mean_statement_us,
     };
@@ -112,6 +113,7 @@
         working += !overdue;
         idle = idle || l->state == LINK_IDLE;
     }
+    p.connection_idle = idle;
     p.connection_available =
         idle ||
         (working < s->connection_share &&
--- a/src/relay/placement.c
+++ b/src/relay/placement.c
@@ -1,8 +1,13 @@
 #include "relay/placement.h"
 
+#include <glib.h>
+
 /* A member in another failure domain costs a round trip of 1.8 ms and
-   traffic between failure domains. */
-#define REMOTE_PENALTY_US 3000
+   traffic between failure domains, which is worth more than a short wait. */
+#define REMOTE_PENALTY_US 12000
+/* Opening a connection occupies a slot of the member for 12 ms, besides the
+   round trips. */
+#define OPEN_PENALTY_US 14000
 /* Keeps reads away from the primary, which is needed for writes, unless the
    replicas are clearly busier. */
 #define PRIMARY_PENALTY_US 12000
@@ -14,11 +19,19 @@
 #define BEHIND_BONUS_US 12000
 
 /* Estimates the time until a new statement would be done at a member, with
-   penalties for members that should be avoided. */
+   penalties for members that should be avoided. Statements of this proxy share
+   the slots with those of other proxies, and wait once there are more of them
+   than slots. */
 static int64_t
 expected_us(const struct placement_member *m, bool needs_primary)
 {
-    int64_t us = (m->executing + 1) * m->mean_statement_us;
+    const int64_t per_slot_us = m->mean_statement_us / MAX(m->slots, 1);
+    const int waiting = MAX(m->executing + 1 - m->slots, 0);
+    int64_t us = m->mean_statement_us + (m->executing + waiting) * per_slot_us;
+
+    if (!m->connection_idle) {
+        us += OPEN_PENALTY_US;
+    }
 
     if (!m->same_failure_domain) {
         us += REMOTE_PENALTY_US;
--- a/src/relay/placement.h
+++ b/src/relay/placement.h
@@ -16,6 +16,8 @@
     bool same_failure_domain;  /* as this proxy */
     bool avoided;              /* the previous attempt failed there */
     bool connection_available; /* a connection is idle or may be opened */
+    bool connection_idle;      /* none has to be opened first */
+    int slots;                 /* statements that the member runs at once */
     int executing;             /* statements that this proxy has there */
     int max_executing;         /* statements that this proxy may have there */
     int64_t mean_statement_us;
--- a/tests/relay/relay_fixture.h
+++ b/tests/relay/relay_fixture.h
@@ -33,6 +33,7 @@
     clock_ms now;
     bool lease; /* result of lease_valid() */
     struct catalog *catalog;
+    struct member_entry members[3];
     struct service *service;
     struct relay *relay;
     struct member_codec codec;
@@ -47,6 +48,7 @@
 
 void fixture_setup(struct fixture *f, enum freshness freshness);
 void fixture_teardown(struct fixture *f);
+void fixture_move_replicas_near(struct fixture *f);
 struct session *fixture_session(struct fixture *f);
 void fixture_request(struct session *s, enum verb verb, const char *text);
 struct member_link *fixture_link(struct fixture *f, int n);
--- a/tests/relay/test_decisions.c
+++ b/tests/relay/test_decisions.c
@@ -42,6 +42,8 @@
         .caught_up = true,
         .same_failure_domain = true,
         .connection_available = true,
+        .connection_idle = true,
+        .slots = 2,
         .max_executing = 3,
         .mean_statement_us = 10000,
     };
@@ -103,6 +105,44 @@
     assert_int_equal(placement_choose(m, 2, false, true), 0);
 }
 
+/* Load: reads of 12 ms at a near member that has a free slot, and
+   then at one that has none. Guards against paying for traffic between failure
+   domains while the near member answers as soon, and against a wait for a slot
+   while a member elsewhere is free. */
+static void
+test_reads_stay_in_the_failure_domain(void **state)
+{
+    struct placement_member m[2] = {free_member(false), free_member(false)};
+
+    (void)state;
+    for (int i = 0; i < 2; i++) {
+        m[i].slots = 3;
+        m[i].max_executing = 4;
+        m[i].mean_statement_us = 12000;
+    }
+    m[1].same_failure_domain = false;
+    for (m[0].executing = 0; m[0].executing < m[0].slots; m[0].executing++) {
+        assert_int_equal(placement_choose(m, 2, false, true), 0);
+    }
+    assert_int_equal(placement_choose(m, 2, false, true), 1);
+}
+
+/* Load: reads of a proxy that has a connection to one of two replicas. Guards
+   against opening one, which occupies a slot, while the other is not busy. */
+static void
+test_open_connections_are_used_first(void **state)
+{
+    struct placement_member m[2] = {free_member(false), free_member(false)};
+
+    (void)state;
+    m[0].connection_idle = false;
+    assert_int_equal(placement_choose(m, 2, false, true), 1);
+    m[1].executing = 1;
+    assert_int_equal(placement_choose(m, 2, false, true), 1);
+    m[1].executing = 2;
+    assert_int_equal(placement_choose(m, 2, false, true), 0);
+}
+
 /* Guards against a minimum position that does not include all commits
    acknowledged before the given time, and against a higher one than needed. */
 static void
@@ -207,6 +247,8 @@
         cmocka_unit_test(test_reads_prefer_replicas),
         cmocka_unit_test(test_reads_need_a_known_position),
         cmocka_unit_test(test_reads_prefer_lagging_replica),
+        cmocka_unit_test(test_reads_stay_in_the_failure_domain),
+        cmocka_unit_test(test_open_connections_are_used_first),
         cmocka_unit_test(test_position_samples),
         cmocka_unit_test(test_member_list),
     };
--- a/tests/relay/test_session.c
+++ b/tests/relay/test_session.c
@@ -95,6 +95,7 @@
 
     (void)state;
     fixture_setup(&f, FRESHNESS_BOUNDED);
+    fixture_move_replicas_near(&f);
     struct session *s = fixture_session(&f);
     fixture_request(s, VERB_READ, "READ x");
     fixture_accept_all(&f);
