relay: open connections on demand where proxies outnumber them

Change: where a member accepts fewer connections than there are proxies, a proxy opens them on demand, up to four at once, and keeps idle ones only as long as its average stays within its part of three quarters of them. A window for each member shrinks when it refuses connections or statements, and the next attempt waits with jitter. The fleets that fit keep their connections. Weighed: passing statements to proxies that serve the database (two processes and a hop for 12 of 13 statements, and homes to agree on) and lending connections; opening costs 12 ms of a slot, and members use a tenth of theirs.

--- a/src/node/node.c
+++ b/src/node/node.c
@@ -5,6 +5,7 @@
 #include "relay/connection_share.h"
 
 #include <string.h>
+#include <xxhash.h>
 
 #define TICK_MS 25
 /* Less than half of the lease, so that a single lost datagram does not let it
@@ -69,14 +70,9 @@
         const struct service_limits *l =
             g_hash_table_lookup(n->catalog->services, name);
         if (l != NULL) {
-            const int share =
-                starting
-                    ? connection_share_at_start(l->max_connections, proxies)
-                    : connection_share(l->max_connections, proxies);
-            service_set_connection_share(
-                service, share,
-                starting ? share
-                         : connection_share_max(l->max_connections, proxies));
+            const struct connection_limits limits =
+                connection_limits(l->max_connections, proxies, starting);
+            service_set_connection_limits(service, &limits);
         }
     }
     n->starting = starting;
@@ -120,6 +116,7 @@
                 .lease_valid = lease_valid,
                 .now = boot_now,
                 .ctx = n,
+                .seed = XXH64(n->name, strlen(n->name), n->incarnation),
             };
             g_hash_table_insert(n->services, g_strdup(name),
                                 service_create(&config));
--- a/src/relay/connection_share.c
+++ b/src/relay/connection_share.c
@@ -11,6 +11,15 @@
 /* A member with two slots does not get faster with more than three statements
    of one proxy. */
 #define MAX_SHARE 3
+/* Limits of a proxy that has no connections of its own, because there are too
+   many proxies. The proxies use a member at different times, so each may open
+   several at once: more than transactions usually are open at one database. */
+#define ON_DEMAND_WORKING 4
+#define ON_DEMAND_TOTAL 6
+/* Part of a member's connections, in thousandths, that the proxies together
+   keep open on average while they open them on demand. The rest is for peaks,
+   and for dead connections that the member still counts. */
+#define ON_DEMAND_OPEN_PERMILLE 750
 
 /* Returns how many connections each proxy may have to a member that accepts
    max_connections in total. The proxies together leave half of them unused:
@@ -48,3 +57,34 @@
 
     return CLAMP(left / MAX(proxies, 1), 1, share);
 }
+
+/* Returns the limits for one of so many proxies; starting is true right after
+   its start. If a member accepts a connection of each proxy, these stay open.
+   Otherwise connections are opened on demand and closed so that the average of
+   all proxies stays below what the member accepts: some proxies would have
+   none if the others kept theirs. */
+struct connection_limits
+connection_limits(int max_connections, int proxies, bool starting)
+{
+    const int usable = MAX(max_connections - RESERVED_CONNECTIONS, 1);
+    const int count = MAX(proxies, 1);
+
+#ifdef RELAY_BREAK_KEEP_CONNECTIONS
+    return (struct connection_limits){.working = 1, .total = 1};
+#endif
+    if (usable < count) {
+        return (struct connection_limits){
+            .working = ON_DEMAND_WORKING,
+            .total = ON_DEMAND_TOTAL,
+            .idle_permille = MAX(usable * ON_DEMAND_OPEN_PERMILLE / count, 1),
+        };
+    }
+    if (starting) {
+        const int share = connection_share_at_start(max_connections, proxies);
+        return (struct connection_limits){.working = share, .total = share};
+    }
+    return (struct connection_limits){
+        .working = connection_share(max_connections, proxies),
+        .total = connection_share_max(max_connections, proxies),
+    };
+}
--- a/src/relay/dispatch.c
+++ b/src/relay/dispatch.c
@@ -114,10 +114,12 @@
         idle = idle || l->state == LINK_IDLE;
     }
     p.connection_idle = idle;
+    const int limit =
+        s->limits.idle_permille > 0 ? (int)m->window : s->limits.working;
     p.connection_available =
-        idle ||
-        (working < s->connection_share &&
-         (int)m->links->len < s->connection_share_max && now >= m->full_until);
+        now >= m->busy_until &&
+        (idle || (working < limit && (int)m->links->len < s->limits.total &&
+                  now >= m->full_until));
     return p;
 }
 
--- a/src/relay/links.c
+++ b/src/relay/links.c
@@ -6,8 +6,16 @@
    one, and the maximum after doubling. */
 #define RECONNECT_FIRST_MS 50
 #define RECONNECT_MAX_MS 400
-/* Delay after a member refused a connection because it has too many. */
-#define FULL_RETRY_MS 100
+/* Delay after a member refused a connection because it has too many: the first
+   one, and the maximum after doubling. Half of it is random, since all proxies
+   wait for the same connections. */
+#define FULL_RETRY_FIRST_MS 40
+#define FULL_RETRY_MAX_MS 320
+/* Delay after a member refused a statement because of its load, about one
+   statement; up to twice as long at random. */
+#define BUSY_RETRY_MS 10
+/* Growth of a member's window with each statement that succeeds. */
+#define WINDOW_STEP 0.25
 /* Delay before the presumed primary gets requests again after it answered that
    it is a replica. */
 #define NOT_PRIMARY_RETRY_MS 40
@@ -99,6 +107,37 @@
     return now - clock_later(l->sent_at, l->member->service->resumed_at);
 }
 
+/* Called when a member refuses connections or statements, of which all proxies
+   together have too many. */
+static void
+shrink_window(struct member *m)
+{
+    m->window = MAX(m->window / 2, 1.0);
+}
+
+/* Called when a member has refused a statement because of its load. */
+static void
+mark_busy(struct member *m, clock_ms now)
+{
+    shrink_window(m);
+    m->busy_until = now + BUSY_RETRY_MS +
+                    (int64_t)rng_below(&m->service->rng, BUSY_RETRY_MS + 1);
+}
+
+/* Schedules the next attempt at a member that has too many connections. */
+static void
+mark_full(struct member *m, clock_ms now)
+{
+    shrink_window(m);
+    const int64_t delay_ms =
+        MIN(FULL_RETRY_FIRST_MS << MIN(m->refusals, 3), FULL_RETRY_MAX_MS);
+
+    m->refusals++;
+    m->full_until =
+        now + delay_ms / 2 +
+        (int64_t)rng_below(&m->service->rng, (uint64_t)delay_ms / 2 + 1);
+}
+
 static void
 on_opened(void *ctx, const struct token *position)
 {
@@ -108,6 +147,7 @@
     (void)position;
     const clock_ms now = service_now(s);
     member_mark_reachable(l->member, now);
+    l->member->refusals = 0;
     link_make_idle(l, now);
     service_dispatch(s);
 }
@@ -124,7 +164,7 @@
               m->service->name, m->entry.id, failure_name(why));
     if (why == FAILURE_CONNECTION_LIMIT) {
         member_mark_reachable(m, now);
-        m->full_until = now + FULL_RETRY_MS;
+        mark_full(m, now);
     }
     else {
         member_mark_unreachable(m, failure_name(why), now);
@@ -191,6 +231,12 @@
 
     member_mark_reachable(m, now);
     l->outstanding--;
+    if (a->failure == FAILURE_BUSY) {
+        mark_busy(m, now);
+    }
+    else if (l->timed && a->failure == FAILURE_NONE) {
+        m->window = MIN(m->window + WINDOW_STEP, s->limits.working);
+    }
     if (l->timed && l->outstanding == 0) {
         m->mean_statement_us +=
             ((now - l->sent_at) * 1000 - m->mean_statement_us) / 16;
--- a/src/relay/service.c
+++ b/src/relay/service.c
@@ -6,6 +6,9 @@
 
 /* Initial value of a member's mean statement time. */
 #define INITIAL_STATEMENT_US 15000
+/* Initial value of a member's window: a transaction does not block the other
+   statements of the proxy. */
+#define INITIAL_WINDOW 2.0
 
 clock_ms
 service_now(const struct service *s)
@@ -34,8 +37,8 @@
     s->ctx = config->ctx;
     s->members = g_ptr_array_new();
     g_queue_init(&s->queue);
-    s->connection_share = 2;
-    s->connection_share_max = 2;
+    s->limits = (struct connection_limits){.working = 2, .total = 2};
+    rng_seed(&s->rng, config->seed);
     return s;
 }
 
@@ -91,6 +94,8 @@
     m->service = s;
     m->links = g_ptr_array_new();
     m->last_answer_at = now;
+    m->idle_credit_at = now;
+    m->window = INITIAL_WINDOW;
     m->mean_statement_us = INITIAL_STATEMENT_US;
     g_ptr_array_add(s->members, m);
     return m;
@@ -157,14 +162,12 @@
     service_dispatch(s);
 }
 
-/* Sets how many connections to each member this proxy may have, without those
-   with an overdue answer (connections) and in total (connections_max). */
+/* Sets how many connections to each member this proxy may have. */
 void
-service_set_connection_share(struct service *s, int connections,
-                             int connections_max)
+service_set_connection_limits(struct service *s,
+                              const struct connection_limits *limits)
 {
-    s->connection_share = connections;
-    s->connection_share_max = connections_max;
+    s->limits = *limits;
 }
 
 /* Sets the primary; ignored if the epoch is the current one. While
--- a/src/relay/service.h
+++ b/src/relay/service.h
@@ -3,6 +3,7 @@
 
 #include "base/clock.h"
 #include "directory/member_entry.h"
+#include "relay/connection_share.h"
 #include "relay/member_link.h"
 
 #include <glib.h>
@@ -54,6 +55,7 @@
     bool (*lease_valid)(void *ctx, const char *service, clock_ms now);
     clock_ms (*now)(void *ctx); /* the boot clock */
     void *ctx;
+    uint64_t seed; /* of the jitter; differs between proxies */
 };
 
 /* Counters since the start. */
@@ -78,8 +80,8 @@
 void service_add_unlisted_member(struct service *s,
                                  const struct member_entry *m,
                                  clock_ms unlisted_since, clock_ms now);
-void service_set_connection_share(struct service *s, int connections,
-                                  int connections_max);
+void service_set_connection_limits(struct service *s,
+                                   const struct connection_limits *limits);
 void service_set_primary(struct service *s, uint64_t epoch,
                          const char *primary, bool primary_changing,
                          clock_ms now);
--- a/src/relay/service_internal.h
+++ b/src/relay/service_internal.h
@@ -1,6 +1,7 @@
 #ifndef RELAY_SERVICE_INTERNAL_H
 #define RELAY_SERVICE_INTERNAL_H
 
+#include "base/rng.h"
 #include "relay/position_samples.h"
 #include "relay/service.h"
 
@@ -35,7 +36,17 @@
     clock_ms lag_retry_at; /* before, it only gets reads that `position`
                               satisfies */
     int64_t lag_retry_ms;
-    int failures; /* in a row; determines retry_at */
+    int failures;        /* in a row; determines retry_at */
+    int refusals;        /* of connections, in a row; determines full_until */
+    clock_ms busy_until; /* gets no statement before: it refused one because
+                            of its load */
+    /* Connections opened on demand that may be in use at once, from 1 to
+       limits.working. */
+    double window;
+    /* Time for which connections may still be open, in connection
+       milliseconds, while limits.idle_permille is set. */
+    double idle_credit_ms;
+    clock_ms idle_credit_at;
     int64_t mean_statement_us;
 };
 
@@ -69,10 +80,9 @@
     void *ctx;
     GPtrArray *members; /* of struct member */
     GQueue queue; /* of struct connection_request, by priority, then arrival */
-    int connection_share;     /* connections to each member that this proxy may
-                                 have, without those with an overdue answer */
-    int connection_share_max; /* the same, with all connections counted */
-    uint64_t epoch;           /* of the primary */
+    struct connection_limits limits; /* of each member */
+    struct rng rng;
+    uint64_t epoch;                /* of the primary */
     char primary[MEMBER_ID_BYTES]; /* empty if unknown */
     bool primary_changing;
     clock_ms primary_changed_at;
--- a/src/relay/upkeep.c
+++ b/src/relay/upkeep.c
@@ -21,6 +21,10 @@
    the request was sent; an answer that has not arrived by then is lost. */
 #define ABANDONED_CLOSE_MS 700
 #define IDLE_CLOSE_MS 15000
+/* Limits of the time for which connections opened on demand may be open: what
+   is saved up without use, and what is owed after long use. */
+#define IDLE_CREDIT_MAX_MS 500.0
+#define IDLE_DEBT_MAX_MS 200.0
 
 /* Closes the links with requests in progress at a replaced primary, after the
    grace time or when it is unreachable. */
@@ -68,8 +72,12 @@
         link_drop(l, "no answer");
         return;
     case LINK_IDLE:
-        if (now - l->changed_at < IDLE_CLOSE_MS &&
-            l->member->links->len <= (guint)s->connection_share) {
+        if (s->limits.idle_permille > 0 && l->member->idle_credit_ms > 0) {
+            return;
+        }
+        if (s->limits.idle_permille == 0 &&
+            now - l->changed_at < IDLE_CLOSE_MS &&
+            l->member->links->len <= (guint)s->limits.working) {
             return;
         }
         link_drop(l, "idle");
@@ -109,9 +117,25 @@
     link_open(m, now);
 }
 
+/* Updates the time for which connections to a member may still be open. It
+   grows with the proxy's part of the member's connections and shrinks with its
+   open ones, so that their average stays within that part. */
+static void
+update_idle_credit(struct member *m, clock_ms now)
+{
+    const double part = m->service->limits.idle_permille / 1000.0;
+    const double elapsed_ms = (double)(now - m->idle_credit_at);
+
+    m->idle_credit_at = now;
+    m->idle_credit_ms =
+        CLAMP(m->idle_credit_ms + elapsed_ms * (part - (double)m->links->len),
+              -IDLE_DEBT_MAX_MS, IDLE_CREDIT_MAX_MS);
+}
+
 static void
 check_member(struct member *m, clock_ms now)
 {
+    update_idle_credit(m, now);
     for (guint k = m->links->len; k > 0; k--) {
         if (k <= m->links->len) {
             close_expired_link(m->links->pdata[k - 1], now);
--- a/tests/relay/relay_fixture.c
+++ b/tests/relay/relay_fixture.c
@@ -108,7 +108,8 @@
         .ctx = f,
     };
     f->service = service_create(&sc);
-    service_set_connection_share(f->service, 3, 4);
+    const struct connection_limits limits = {.working = 3, .total = 4};
+    service_set_connection_limits(f->service, &limits);
     service_set_members(f->service, members, 3, f->now);
     service_set_primary(f->service, 1, "m1", false, f->now);
     f->catalog = catalog_create(1);
--- a/tests/relay/test_decisions.c
+++ b/tests/relay/test_decisions.c
@@ -32,6 +32,33 @@
     assert_int_equal(connection_share(16, 40), 1);
 }
 
+/* Load: more proxies than a member accepts connections. Guards against proxies
+   that together keep more connections open than it accepts, and against limits
+   that change where all of them fit. */
+static void
+test_connections_on_demand(void **state)
+{
+    (void)state;
+    for (int max = 4; max <= 200; max++) {
+        for (int proxies = 1; proxies <= 400; proxies++) {
+            const struct connection_limits l =
+                connection_limits(max, proxies, false);
+            assert_true(l.working >= 1 && l.total >= l.working);
+            if (proxies <= max - 1) {
+                assert_int_equal(l.idle_permille, 0);
+                assert_int_equal(l.working, connection_share(max, proxies));
+                assert_int_equal(connection_limits(max, proxies, true).working,
+                                 connection_share_at_start(max, proxies));
+            }
+            else {
+                assert_true(l.idle_permille > 0);
+                assert_true(l.idle_permille * proxies <=
+                            MAX((max - 1) * 1000, proxies));
+            }
+        }
+    }
+}
+
 /* Returns a member without load. */
 static struct placement_member
 free_member(bool primary)
@@ -243,6 +270,7 @@
 {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(test_share),
+        cmocka_unit_test(test_connections_on_demand),
         cmocka_unit_test(test_share_at_start),
         cmocka_unit_test(test_reads_prefer_replicas),
         cmocka_unit_test(test_reads_need_a_known_position),
