relay, ctl: refuse at once in long changes of primary; explain silent members

And explain called a statement whose member was silent 'connection ended'. Change: once a change has taken 2 s, statements that need the primary are refused at once. statement_failed tells how long the member of a statement that was given up had not answered; explain prints it, and which members were unreachable. Test: test_long_change_refuses_at_once and test_silent_member fail before.

--- a/src/ctl/explain.c
+++ b/src/ctl/explain.c
@@ -55,6 +55,9 @@
     {"unknown_outcome", "",
      "the connection to the member was lost after the statement was sent and "
      "before an answer; it may have run"},
+    {"aborted", "statement timeout",
+     "the member did not answer what its transaction needed before the "
+     "statement; the transaction was rolled back"},
     {"timeout", "",
      "the member did not answer before the statement timeout; it may have "
      "run"},
@@ -194,6 +197,45 @@
     }
 }
 
+/* Prints what is known about members that did not answer: the one that the
+   request waited for, and those that became unreachable around it. */
+static void
+print_silent_members(const GPtrArray *lines, const struct log_line *first,
+                     const struct log_line *last, const char *service,
+                     FILE *out)
+{
+    char member[VALUE_MAX_BYTES];
+    char value[VALUE_MAX_BYTES];
+    const char *separator = "";
+
+    if (get_value(last->text, "silent_ms", value) && strcmp(value, "0") != 0 &&
+        get_value(last->text, "member", member)) {
+        fprintf(out, "Member %s had not answered for %s ms.\n", member, value);
+    }
+    GHashTable *seen =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    for (guint i = 0; i < lines->len; i++) {
+        const struct log_line *l = lines->pdata[i];
+        if (l->at < first->at - WINDOW_BEFORE_MS || l->at > last->at ||
+            strstr(l->text, "event=member_unreachable ") == NULL ||
+            !is_state_event(l, service) ||
+            !get_value(l->text, "member", member) ||
+            !g_hash_table_add(seen, g_strdup(member))) {
+            continue;
+        }
+        get_value(l->text, "why", value);
+        if (separator[0] == '\0') {
+            fprintf(out, "Unreachable members of %s: ", service);
+        }
+        fprintf(out, "%s%s (%s)", separator, member, value);
+        separator = ", ";
+    }
+    if (separator[0] != '\0') {
+        fprintf(out, ".\n");
+    }
+    g_hash_table_destroy(seen);
+}
+
 /* Prints the log lines of a request, the state changes around it, and its
    cause. files is a NULL-terminated list of logs. Returns an exit code (enum
    ctl_exit): CTL_FAILED if no line has the id or a file cannot be read. */
@@ -241,6 +283,7 @@
     else {
         print_state_events(lines, first, last, service, out);
         fprintf(out, "\nCause: %s.\n", find_cause(last->text));
+        print_silent_members(lines, first, last, service, out);
     }
     g_ptr_array_free(lines, TRUE);
     return code;
--- a/src/relay/dispatch.c
+++ b/src/relay/dispatch.c
@@ -18,6 +18,9 @@
    the primary is being changed. */
 #define NO_MEMBER_WAIT_MS 300
 #define PRIMARY_CHANGE_WAIT_MS 1200
+/* A change that has taken longer waits for proxies that do not answer, and may
+   still take seconds: requests are refused without waiting. */
+#define PRIMARY_CHANGE_LONG_MS 2000
 /* Once the lease has been invalid, or the primary unreachable, for this long,
    it is not expected back soon: requests are refused without waiting, so that
    the caller can turn to another proxy. */
@@ -165,7 +168,9 @@
     const struct member *m = service_find_member(s, s->primary);
 
     if (s->primary_changing) {
-        return PRIMARY_CHANGE_WAIT_MS;
+        return now - s->primary_changed_at >= PRIMARY_CHANGE_LONG_MS
+                   ? 0
+                   : PRIMARY_CHANGE_WAIT_MS;
     }
     if (s->lease_lost_at != 0 && now - s->lease_lost_at >= NO_LEASE_WAIT_MS) {
         return 0;
--- a/src/relay/exchange.c
+++ b/src/relay/exchange.c
@@ -450,6 +450,8 @@
     }
     if (now >= s->deadline) {
         const bool sent = s->step == STEP_STATEMENT;
+        s->silent_ms = pooled_silent_ms(s->pooled, now);
+        g_strlcpy(s->member, pooled_member(s->pooled), sizeof(s->member));
         session_release_link(s);
         s->step = STEP_IDLE;
         s->begun = false;
--- a/src/relay/links.c
+++ b/src/relay/links.c
@@ -419,6 +419,14 @@
     return l->member->entry.id;
 }
 
+/* Returns how long the member has not answered on any of its connections. */
+int64_t
+pooled_silent_ms(const struct pooled_link *l, clock_ms now)
+{
+    return now - clock_later(l->member->last_answer_at,
+                             l->member->service->resumed_at);
+}
+
 uint64_t
 pooled_settings_hash(const struct pooled_link *l)
 {
--- a/src/relay/session.c
+++ b/src/relay/session.c
@@ -109,16 +109,18 @@
     }
     if (a->failure != FAILURE_NONE) {
         r->counters.failures[a->failure]++;
-        event_log(EVENT_REQUEST, "statement_failed",
-                  "id=%.*s database=%s service=%s outcome=%s detail=\"%.*s\" "
-                  "attempts=%d took_ms=%lld member=%s queue=%zu catalog=%llu",
-                  (int)s->request.id.n, s->request.id.p, s->database,
-                  s->service != NULL ? service_name(s->service) : "-",
-                  failure_name(a->failure), (int)a->detail.n, a->detail.p,
-                  s->attempts, (long long)(now - s->arrived_at),
-                  s->member[0] != '\0' ? s->member : "-",
-                  s->service != NULL ? service_queue_length(s->service) : 0,
-                  (unsigned long long)(s->catalog ? s->catalog->version : 0));
+        event_log(
+            EVENT_REQUEST, "statement_failed",
+            "id=%.*s database=%s service=%s outcome=%s detail=\"%.*s\" "
+            "attempts=%d took_ms=%lld member=%s silent_ms=%lld queue=%zu "
+            "catalog=%llu",
+            (int)s->request.id.n, s->request.id.p, s->database,
+            s->service != NULL ? service_name(s->service) : "-",
+            failure_name(a->failure), (int)a->detail.n, a->detail.p,
+            s->attempts, (long long)(now - s->arrived_at),
+            s->member[0] != '\0' ? s->member : "-", (long long)s->silent_ms,
+            s->service != NULL ? service_queue_length(s->service) : 0,
+            (unsigned long long)(s->catalog ? s->catalog->version : 0));
     }
     else if (verb_runs_at_member(s->request.verb) &&
              now - s->arrived_at > s->route->target_ms) {
@@ -219,6 +221,7 @@
 start_statement(struct session *s)
 {
     s->attempts = 0;
+    s->silent_ms = 0;
     s->member[0] = '\0';
     s->connection_request.needs_primary = false;
     s->connection_request.avoid_member[0] = '\0';
--- a/src/relay/session_internal.h
+++ b/src/relay/session_internal.h
@@ -56,6 +56,8 @@
     clock_ms deadline;
     clock_ms sent_at;
     char member[MEMBER_ID_BYTES]; /* that the statement was last sent to */
+    int64_t silent_ms; /* how long that member had not answered when the
+                          statement was given up; 0 otherwise */
     struct connection_request connection_request;
     struct pooled_link *pooled; /* NULL unless granted */
 };
--- a/tests/ctl/test_explain.c
+++ b/tests/ctl/test_explain.c
@@ -23,7 +23,10 @@
     "took_ms=700 member=m1 queue=0 catalog=4\n"
     "t=1700 event=statement_failed id=a2 database=boats service=db "
     "outcome=busy detail=\"queue_deadline\" attempts=1 took_ms=800 member=- "
-    "queue=41 catalog=4\n";
+    "queue=41 catalog=4\n"
+    "t=1800 event=statement_failed id=a3 database=boats service=db "
+    "outcome=aborted detail=\"statement timeout\" attempts=1 took_ms=800 "
+    "member=m1 silent_ms=790 queue=0 catalog=4\n";
 static const char second_log[] =
     "0.1 front-1 t=1310 event=lead service=db epoch=8 primary= changing=1 "
     "before=m1\n"
@@ -87,6 +90,20 @@
     free(text);
 }
 
+/* Guards against taking a member that did not answer for a connection that
+   ended. */
+static void
+test_silent_member(void **state)
+{
+    char *text = explain("a3", CTL_OK);
+
+    (void)state;
+    assert_null(strstr(text, "connection of its transaction ended"));
+    assert_non_null(strstr(text, "had not answered for 790 ms"));
+    assert_non_null(strstr(text, "Unreachable members of db: m1 (silent)"));
+    free(text);
+}
+
 /* Guards against omitting the retries of a late request. */
 static void
 test_late(void **state)
@@ -115,9 +132,8 @@
 main(void)
 {
     const struct CMUnitTest tests[] = {
-        cmocka_unit_test(test_in_doubt),
-        cmocka_unit_test(test_refused),
-        cmocka_unit_test(test_late),
+        cmocka_unit_test(test_in_doubt),      cmocka_unit_test(test_refused),
+        cmocka_unit_test(test_silent_member), cmocka_unit_test(test_late),
         cmocka_unit_test(test_unknown_id),
     };
 
--- a/tests/relay/test_session.c
+++ b/tests/relay/test_session.c
@@ -293,6 +293,36 @@
     fixture_teardown(&f);
 }
 
+/* Load: statements for the primary during a change of primary that cannot be
+   completed, because proxies that are cut off may still use the old one.
+   Guards against holding each of them for most of its time, although it will
+   not be served and could be at another proxy. */
+static void
+test_long_change_refuses_at_once(void **state)
+{
+    struct fixture f;
+
+    (void)state;
+    fixture_setup(&f, FRESHNESS_PRIMARY);
+    struct session *s = fixture_session(&f);
+    service_set_primary(f.service, 2, "", true, f.now);
+    fixture_request(s, VERB_WRITE, "WRITE x v");
+    fixture_advance_time(&f, 500);
+    assert_int_equal(f.answers, 0); /* most changes are done by then */
+    fixture_advance_time(&f, 400);
+    assert_int_equal(f.answers, 1); /* its statement timeout */
+    fixture_advance_time(&f, 1500);
+    fixture_request(s, VERB_WRITE, "WRITE x v");
+    assert_int_equal(f.answers, 2);
+    assert_int_equal(f.failure, FAILURE_BUSY);
+    /* Once there is a primary, statements are served again. */
+    service_set_primary(f.service, 3, "m1", false, f.now);
+    fixture_request(s, VERB_WRITE, "WRITE x v");
+    assert_int_equal(f.answers, 2);
+    session_end(s);
+    fixture_teardown(&f);
+}
+
 /* Guards against refusing a statement as soon as the primary becomes
    unreachable, because it had already waited for a busy connection. With a
    lost answer on each connection, the primary was reachable again after 70 ms
@@ -437,6 +467,7 @@
         cmocka_unit_test(test_silent_member_is_probed),
         cmocka_unit_test(test_remembered_members_serve),
         cmocka_unit_test(test_unservable_work_is_refused_at_once),
+        cmocka_unit_test(test_long_change_refuses_at_once),
         cmocka_unit_test(test_queue_time_is_not_time_without_primary),
         cmocka_unit_test(test_lost_answers_allow_another_connection),
         cmocka_unit_test(test_position_of_another_proxy),
