base, platform: bound what callers and rows can make a proxy hold or do

Cause, found by reading for malformed messages and planned stops that took others down: a caller's requests sent ahead and answers that it did not read were kept without limit; without a free descriptor the loop spun on accept(); a drain disconnected callers whose answer was not sent yet, or whose next request had arrived unread; a row's id, service or zone with a line end went into STARTUP and into the stored list of members; limits of the configuration were cast and added without a range. Change: reading pauses at 2 MB ahead, handling at 1 MB unread; an acceptor pauses 100 ms after a failure; idle callers are those that have all answers and sent nothing; texts of members must be words; figures are limited. Test: base_test_overload, two tests of platform_test_line_protocol.

--- a/src/base/http_server.c
+++ b/src/base/http_server.c
@@ -1,21 +1,21 @@
 #include "base/http_server.h"
 
+#include "base/acceptor.h"
 #include "base/listener.h"
 #include "base/stream.h"
 
 #include <errno.h>
 #include <string.h>
-#include <sys/socket.h>
-#include <unistd.h>
 
 #define REQUEST_MAX_BYTES 8192
+/* A client that does not read its responses is disconnected. */
+#define UNSENT_MAX_BYTES ((size_t)1 << 20)
 /* Load balancers probe once a second, metrics scrapers every few seconds. */
 #define IDLE_TIMEOUT_S 30.0
 
 struct http_server {
     struct ev_loop *loop;
-    int fd;
-    ev_io io;
+    struct acceptor *acceptor;
     http_handler_fn handler;
     void *ctx;
     GQueue clients; /* of struct http_client */
@@ -88,6 +88,10 @@
         respond(c, g_strv_length(words) > 1 ? words[1] : "");
         g_strfreev(words);
         g_free(head);
+        if (stream_unsent(c->stream) > UNSENT_MAX_BYTES) {
+            client_close(c);
+            return;
+        }
     }
 }
 
@@ -103,29 +107,20 @@
     .closed = on_closed,
 };
 
-/* Accepts all pending connections. */
 static void
-on_accept(struct ev_loop *loop, ev_io *w, int revents)
+on_accepted(void *ctx, int fd)
 {
-    struct http_server *h = w->data;
-
-    (void)revents;
-    for (;;) {
-        const int fd =
-            accept4(h->fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
-        if (fd < 0) {
-            return;
-        }
-        struct http_client *c = g_new0(struct http_client, 1);
-        c->http = h;
-        c->stream = stream_from_fd(loop, fd, &stream_callbacks, c);
-        c->link.data = c;
-        ev_timer_init(&c->idle_timer, on_idle_timeout, IDLE_TIMEOUT_S,
-                      IDLE_TIMEOUT_S);
-        c->idle_timer.data = c;
-        ev_timer_start(loop, &c->idle_timer);
-        g_queue_push_tail_link(&h->clients, &c->link);
-    }
+    struct http_server *h = ctx;
+    struct http_client *c = g_new0(struct http_client, 1);
+
+    c->http = h;
+    c->stream = stream_from_fd(h->loop, fd, &stream_callbacks, c);
+    c->link.data = c;
+    ev_timer_init(&c->idle_timer, on_idle_timeout, IDLE_TIMEOUT_S,
+                  IDLE_TIMEOUT_S);
+    c->idle_timer.data = c;
+    ev_timer_start(h->loop, &c->idle_timer);
+    g_queue_push_tail_link(&h->clients, &c->link);
 }
 
 /* Starts to listen on a numeric address. handler is called with ctx for each
@@ -144,13 +139,10 @@
     }
     struct http_server *h = g_new0(struct http_server, 1);
     h->loop = loop;
-    h->fd = fd;
     h->handler = handler;
     h->ctx = ctx;
     g_queue_init(&h->clients);
-    ev_io_init(&h->io, on_accept, fd, EV_READ);
-    h->io.data = h;
-    ev_io_start(loop, &h->io);
+    h->acceptor = acceptor_create(loop, fd, "http", on_accepted, h);
     return h;
 }
 
@@ -161,8 +153,7 @@
     if (h == NULL) {
         return;
     }
-    ev_io_stop(h->loop, &h->io);
-    close(h->fd);
+    acceptor_destroy(h->acceptor);
     struct http_client *c;
     while ((c = g_queue_peek_head(&h->clients)) != NULL) {
         client_close(c);
--- a/src/base/stream.c
+++ b/src/base/stream.c
@@ -24,8 +24,10 @@
     size_t in_consumed;
     GString *out_buffer;
     size_t out_sent;
+    size_t input_limit; /* reading pauses at this many bytes; 0 for none */
     bool connecting;
-    int error; /* errno of a failed send(), reported from the event loop */
+    bool ended; /* the peer has closed the connection, or it has failed */
+    int error;  /* errno of a failed send(), reported from the event loop */
     const struct stream_callbacks *callbacks;
     void *ctx;
 };
@@ -75,6 +77,7 @@
     }
     if (n <= 0) {
         ev_io_stop(s->loop, &s->read_watcher);
+        s->ended = true;
         s->callbacks->closed(s->ctx, n == 0 ? "end" : g_strerror(errno));
         return;
     }
@@ -83,6 +86,9 @@
         s->in_consumed = 0;
     }
     g_string_append_len(s->in_buffer, buffer, n);
+    if (s->input_limit > 0 && stream_input(s).n >= s->input_limit) {
+        ev_io_stop(s->loop, &s->read_watcher);
+    }
     s->callbacks->readable(s->ctx);
 }
 
@@ -96,6 +102,9 @@
     (void)revents;
     if (!s->connecting) {
         send_queued(s);
+        if (stream_unsent(s) == 0 && s->callbacks->flushed != NULL) {
+            s->callbacks->flushed(s->ctx);
+        }
         return;
     }
     int error = 0;
@@ -224,6 +233,10 @@
 stream_consume(struct stream *s, size_t n)
 {
     s->in_consumed += n;
+    if (s->input_limit > 0 && stream_input(s).n < s->input_limit &&
+        !s->ended && !s->connecting) {
+        ev_io_start(s->loop, &s->read_watcher);
+    }
     if (s->in_consumed == s->in_buffer->len) {
         g_string_truncate(s->in_buffer, 0);
         s->in_consumed = 0;
@@ -244,9 +257,26 @@
     }
 }
 
-/* Returns true if all written bytes have been passed to the kernel. */
+/* Returns how many written bytes have not been passed to the kernel yet. */
+size_t
+stream_unsent(const struct stream *s)
+{
+    return s->out_buffer->len - s->out_sent;
+}
+
+/* Returns true if bytes from the peer have arrived that were not read yet. */
 bool
-stream_flushed(const struct stream *s)
+stream_has_unread(const struct stream *s)
+{
+    char byte;
+
+    return recv(s->fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
+/* Pauses reading while so many received bytes have not been consumed, so that
+   the peer has to wait. */
+void
+stream_set_input_limit(struct stream *s, size_t bytes)
 {
-    return s->out_sent == s->out_buffer->len;
+    s->input_limit = bytes;
 }
--- a/tests/platform/test_line_protocol.c
+++ b/tests/platform/test_line_protocol.c
@@ -1,5 +1,7 @@
+#include "base/clock.h"
 #include "base/rng.h"
 #include "line_protocol.h"
+#include "relay/connection_share.h"
 #include "row_decode.h"
 
 #include <setjmp.h>
@@ -143,6 +145,35 @@
     assert_false(decode_member("i-1", NULL, &m, &error));
 }
 
+/* Guards against a row whose texts end a line where they are used: in STARTUP
+   to a member, in the stored list of members, or in a log. */
+static void
+test_member_texts_are_words(void **state)
+{
+    static const char good[] =
+        "{\"service\":\"db\",\"addr\":\"10.1.0.9:8080\",\"zone\":\"a\","
+        "\"slots\":2,\"state\":\"ready\",\"db_role\":\"replica\"}";
+    static const char *const ids[] = {"i-1 x", "i-1\r\nQUERY", "i-1\n", " ",
+                                      "i-\xc3\xa9"};
+    static const char *const bad[] = {
+        "{\"service\":\"db\\r\\nQUERY\",\"addr\":\"10.1.0.9:80\","
+        "\"zone\":\"a\",\"slots\":2,\"state\":\"ready\","
+        "\"db_role\":\"replica\"}",
+        "{\"service\":\"db\",\"addr\":\"10.1.0.9:80\",\"zone\":\"a b\","
+        "\"slots\":2,\"state\":\"ready\",\"db_role\":\"replica\"}"};
+    struct member_entry m;
+    const char *error;
+
+    (void)state;
+    assert_true(decode_member("i-1", good, &m, &error));
+    for (size_t i = 0; i < G_N_ELEMENTS(ids); i++) {
+        assert_false(decode_member(ids[i], good, &m, &error));
+    }
+    for (size_t i = 0; i < G_N_ELEMENTS(bad); i++) {
+        assert_false(decode_member("i-1", bad[i], &m, &error));
+    }
+}
+
 /* Guards against rejecting a whole configuration for one invalid entry, and
    against taking an unreadable configuration for an empty one. */
 static void
@@ -167,6 +198,40 @@
     assert_null(decode_catalog(NULL, &error));
 }
 
+/* Guards against overflows by figures that no configuration should have. */
+static void
+test_extreme_figures(void **state)
+{
+    static const char *const figures[] = {"-9223372036854775808", "-1",
+                                          "9223372036854775807"};
+    const char *error;
+
+    (void)state;
+    for (size_t i = 0; i < G_N_ELEMENTS(figures); i++) {
+        const char *x = figures[i];
+        char *text = g_strdup_printf(
+            "{\"version\":7,\"routes\":[{\"host\":\"b\",\"service\":\"db\","
+            "\"route_type\":\"primary\",\"max_staleness_ms\":%s,"
+            "\"timeout_ms\":%s,\"target_latency_ms\":%s,\"priority\":%s}],"
+            "\"services\":[{\"name\":\"db\",\"max_conns\":%s,"
+            "\"sync_replicas\":%s}],\"limits\":{\"tx_idle_ms\":%s}}",
+            x, x, x, x, x, x, x);
+        struct catalog *c = decode_catalog(text, &error);
+        assert_non_null(c);
+        const struct database_route *r = catalog_route(c, "b");
+        const struct service_limits *l =
+            g_hash_table_lookup(c->services, "db");
+        const struct connection_limits limits =
+            connection_limits(l->max_connections, 79, false);
+        assert_true(limits.working >= 1 && limits.total >= limits.working);
+        assert_true(r->statement_timeout_ms >= 0 && r->target_ms >= 0 &&
+                    r->max_staleness_ms >= 0 && c->transaction_idle_ms >= 0);
+        assert_true(clock_boottime_ms() + r->statement_timeout_ms > 0);
+        catalog_unref(c);
+        g_free(text);
+    }
+}
+
 /* Guards against out-of-bounds reads in the parsers; the sanitizers detect
    them. */
 static void
@@ -216,6 +281,8 @@
         cmocka_unit_test(test_failure_codes),
         cmocka_unit_test(test_member_entries),
         cmocka_unit_test(test_catalog),
+        cmocka_unit_test(test_member_texts_are_words),
+        cmocka_unit_test(test_extreme_figures),
         cmocka_unit_test(test_random_bytes),
     };
 
