relay: finish transactions at members that have left the directory

Cause: a member that has not reported to the directory for 6 s was removed with its connections, also while a transaction on one of them made progress; a replica was after 2.5 s when the transaction rested. The member may only be unable to reach the store. Change: a member stays while a connection is granted, whose session ends its work in time; after 6 s it gets no new work either way. Test: test_transaction_outlives_the_listing fails before. Also new, and passing before: test_remembered_leaving_member_gets_no_reads (a restart with a stored list that still names a server that left).

--- a/src/relay/dispatch.c
+++ b/src/relay/dispatch.c
@@ -92,7 +92,9 @@
                 const struct connection_request *w, bool lease, clock_ms now)
 {
     struct placement_member p = {
-        .usable = m->unreachable_since == 0,
+        .usable = m->unreachable_since == 0 &&
+                  (m->unlisted_at == 0 ||
+                   now - m->unlisted_at < UNLISTED_KEEP_MAX_MS),
         .primary = lease && strcmp(m->entry.id, s->primary) == 0 &&
                    now >= m->not_primary_until,
         .caught_up =
--- a/src/relay/service_internal.h
+++ b/src/relay/service_internal.h
@@ -10,6 +10,9 @@
 /* A directory entry that disappears during an outage of the store is back
    within 2 s; after this time an unlisted member is treated as removed. */
 #define UNLISTED_GRACE_MS 2500
+/* Until then an unlisted member gets work as the primary, and is kept while it
+   has requests without an answer. */
+#define UNLISTED_KEEP_MAX_MS 6000
 
 enum link_state {
     LINK_OPENING,
--- a/src/relay/upkeep.c
+++ b/src/relay/upkeep.c
@@ -11,9 +11,6 @@
    treated as unreachable until it answers again. Several times the longest
    usual wait for a slot. */
 #define SILENCE_TIMEOUT_MS 400
-/* Maximum time for which an unlisted member is kept while it is still the
-   primary or has requests without an answer. */
-#define UNLISTED_KEEP_MAX_MS 6000
 /* Time for requests in progress at a replaced primary to finish, if it is
    reachable. */
 #define OLD_PRIMARY_GRACE_MS 250
@@ -156,6 +153,12 @@
     if (m->unlisted_at == 0 || now - m->unlisted_at < UNLISTED_GRACE_MS) {
         return false;
     }
+    for (guint k = 0; k < m->links->len; k++) {
+        const struct pooled_link *l = m->links->pdata[k];
+        if (l->state == LINK_GRANTED) {
+            return false; /* sessions end their work in time */
+        }
+    }
     if (now - m->unlisted_at >= UNLISTED_KEEP_MAX_MS) {
         return true;
     }
--- a/tests/relay/test_session.c
+++ b/tests/relay/test_session.c
@@ -231,6 +231,75 @@
     fixture_teardown(&f);
 }
 
+/* Guards against giving up a transaction that makes progress, because its
+   member has not reported to the directory for seconds, and against new work
+   at that member. */
+static void
+test_transaction_outlives_the_listing(void **state)
+{
+    struct fixture f;
+
+    (void)state;
+    fixture_setup(&f, FRESHNESS_PRIMARY);
+    struct session *s = fixture_session(&f);
+    struct session *other = fixture_session(&f);
+    fixture_request(s, VERB_BEGIN, "BEGIN");
+    fixture_request(s, VERB_WRITE, "WRITE x v");
+    fixture_accept_all(&f);
+    struct member_link *l = fixture_last_used_link(&f);
+    fixture_answer(l, FAILURE_NONE, TRANSACTION_OPEN, 3, 7); /* BEGIN */
+    fixture_answer(l, FAILURE_NONE, TRANSACTION_OPEN, 3, 7);
+    service_set_members(f.service, NULL, 0, f.now);
+    for (int i = 0; i < 8; i++) {
+        fixture_advance_time(&f, 1000);
+        fixture_request(s, VERB_WRITE, "WRITE x v");
+        assert_false(l->closed);
+        fixture_answer(l, FAILURE_NONE, TRANSACTION_OPEN, 3, 7);
+        assert_int_equal(f.failure, FAILURE_NONE);
+    }
+    const int sent = l->sent_count;
+    fixture_request(other, VERB_WRITE, "WRITE x v");
+    fixture_advance_time(&f, 400);
+    assert_int_equal(f.failure, FAILURE_BUSY);
+    assert_int_equal(l->sent_count, sent);
+    fixture_request(s, VERB_COMMIT, "COMMIT");
+    fixture_answer(l, FAILURE_NONE, TRANSACTION_NONE, 3, 8);
+    assert_int_equal(f.failure, FAILURE_NONE);
+    fixture_advance_time(&f, 100);
+    assert_true(l->closed);
+    session_end(s);
+    session_end(other);
+    fixture_teardown(&f);
+}
+
+/* Guards against a server that left, with its entry still in the stored list,
+   getting reads again after a restart of the proxy. */
+static void
+test_remembered_leaving_member_gets_no_reads(void **state)
+{
+    struct fixture f;
+    struct member_entry left = {.port = 1, .slots = 2, .draining = true};
+
+    (void)state;
+    fixture_setup(&f, FRESHNESS_BOUNDED);
+    const struct token position = {.term = 3, .position = 5, .known = true};
+    service_add_primary_position(f.service, f.now, &position);
+    service_set_members(f.service, NULL, 0, f.now);
+    fixture_advance_time(&f, 6100);
+    g_strlcpy(left.id, "m2", sizeof(left.id));
+    g_strlcpy(left.service, "db", sizeof(left.service));
+    service_add_unlisted_member(f.service, &left, f.now, f.now);
+    service_add_primary_position(f.service, f.now, &position);
+    const int links = f.link_count;
+    struct session *s = fixture_session(&f);
+    fixture_request(s, VERB_READ, "READ x");
+    fixture_advance_time(&f, 400);
+    assert_int_equal(f.failure, FAILURE_BUSY);
+    assert_int_equal(f.link_count, links);
+    session_end(s);
+    fixture_teardown(&f);
+}
+
 /* Guards against refusing callers after a restart because the directory has
    lost the entries of running members. */
 static void
@@ -466,6 +535,8 @@
         cmocka_unit_test(test_lost_connection_keeps_member_reachable),
         cmocka_unit_test(test_silent_member_is_probed),
         cmocka_unit_test(test_remembered_members_serve),
+        cmocka_unit_test(test_transaction_outlives_the_listing),
+        cmocka_unit_test(test_remembered_leaving_member_gets_no_reads),
         cmocka_unit_test(test_unservable_work_is_refused_at_once),
         cmocka_unit_test(test_long_change_refuses_at_once),
         cmocka_unit_test(test_queue_time_is_not_time_without_primary),
