--- a/src/base/sview.c
+++ b/src/base/sview.c
@@ -25,3 +25,10 @@
     }
     return s;
 }
+
+/* Returns a copy that the caller frees with g_free(). */
+char *
+sview_dup(struct sview v)
+{
+    return v.n == 0 ? g_strdup("") : g_strndup(v.p, v.n);
+}
--- a/src/base/sview.h
+++ b/src/base/sview.h
@@ -33,5 +33,6 @@
 
 bool sview_has_prefix_nocase(struct sview s, struct sview prefix);
 struct sview sview_trim_statement(struct sview s);
+char *sview_dup(struct sview v);
 
 #endif
--- a/src/coordination/view.c
+++ b/src/coordination/view.c
@@ -69,7 +69,7 @@
 bool
 view_parse(struct sview text, struct view *out)
 {
-    char *copy = g_strndup(text.p, text.n);
+    char *copy = sview_dup(text);
     char **lines = g_strsplit(copy, "\n", 0);
     bool ok = text.n > 0;
 
--- a/src/directory/catalog_text.c
+++ b/src/directory/catalog_text.c
@@ -148,7 +148,7 @@
 struct catalog *
 catalog_parse(struct sview text)
 {
-    char *copy = g_strndup(text.p, text.n);
+    char *copy = sview_dup(text);
     char **lines = g_strsplit(copy, "\n", 0);
     struct catalog *c = lines[0] == NULL ? NULL : parse_header(lines[0]);
     bool ok = c != NULL;
--- a/src/directory/member_list.c
+++ b/src/directory/member_list.c
@@ -76,7 +76,7 @@
 member_list_parse(struct sview text)
 {
     GArray *list = g_array_new(FALSE, TRUE, sizeof(struct member_entry));
-    char *copy = g_strndup(text.p, text.n);
+    char *copy = sview_dup(text);
     char **lines = g_strsplit(copy, "\n", 0);
 
     for (int i = 0; lines[i] != NULL; i++) {
--- a/src/node/copy_xdr.c
+++ b/src/node/copy_xdr.c
@@ -21,11 +21,11 @@
 {
     register int32_t *buf;
 
-    if (!xdr_string(xdrs, &objp->catalog, ~0))
+    if (!xdr_string(xdrs, &objp->catalog, 65536))
         return FALSE;
-    if (!xdr_string(xdrs, &objp->members, ~0))
+    if (!xdr_string(xdrs, &objp->members, 65536))
         return FALSE;
-    if (!xdr_string(xdrs, &objp->proxies, ~0))
+    if (!xdr_string(xdrs, &objp->proxies, 65536))
         return FALSE;
     return TRUE;
 }
