node: keep the callers of a process that has just started

A process counted its time without a lease from the boot of the VM, so it disconnected all callers as soon as it learned the view, in the moment before its first lease. Change: that time is counted from the start of the process; readiness, for which a lease is needed, is as before. Test: test_callers_stay_after_a_start fails before.

--- a/src/node/node.c
+++ b/src/node/node.c
@@ -451,12 +451,13 @@
 }
 
 /* Returns how long this proxy has been unable to serve what other proxies can,
-   less the time in which such a state usually ends; 0 if it is able to. */
+   less the time in which such a state usually ends; 0 if it is able to. It had
+   a valid lease at lease_valid_at. */
 static int64_t
-impaired_ms(const struct node *n)
+impaired_ms(const struct node *n, clock_ms lease_valid_at)
 {
     const clock_ms now = clock_boottime_ms();
-    const int64_t lease = now - n->lease_valid_at - UNREADY_AFTER_MS;
+    const int64_t lease = now - lease_valid_at - UNREADY_AFTER_MS;
     const int64_t isolated = n->isolated_since == 0
                                  ? 0
                                  : now - n->isolated_since - ISOLATED_AFTER_MS;
@@ -469,16 +470,19 @@
 node_is_ready(const struct node *n)
 {
     return !n->leaving && n->catalog->version > 0 &&
-           agreement_view(n->agreement)->version > 0 && impaired_ms(n) == 0;
+           agreement_view(n->agreement)->version > 0 &&
+           impaired_ms(n, n->lease_valid_at) == 0;
 }
 
 /* Returns true if this proxy has not been ready for so long that the load
-   balancer sends its callers to other proxies by now. */
+   balancer sends its callers to other proxies by now. Without a lease yet,
+   that is counted from its start. */
 bool
 node_should_disconnect_callers(const struct node *n)
 {
     return agreement_view(n->agreement)->version > 0 &&
-           impaired_ms(n) >= BALANCER_NOTICE_MS;
+           impaired_ms(n, MAX(n->lease_valid_at, n->started_at)) >=
+               BALANCER_NOTICE_MS;
 }
 
 /* Called when the proxy shuts down: it orders no more promotions and tells its
--- a/tests/node/test_fetch.c
+++ b/tests/node/test_fetch.c
@@ -247,6 +247,26 @@
     end(&f);
 }
 
+/* Guards against disconnecting the callers of a process that has just started,
+   because it has never had a lease: it gets one as soon as it knows the view
+   (rmd-luzon-grown, incident inc-df2e). */
+static void
+test_callers_stay_after_a_start(void **state)
+{
+    struct fixture f;
+    struct view *v = g_new0(struct view, 1);
+
+    (void)state;
+    begin(&f, KEY);
+    publish(&f, 7);
+    v->version = 4;
+    g_strlcpy(v->holder, "c", sizeof(v->holder));
+    node_set_view(f.with_store, v, 0, false);
+    assert_false(node_should_disconnect_callers(f.with_store));
+    g_free(v);
+    end(&f);
+}
+
 int
 main(void)
 {
@@ -254,6 +274,7 @@
         cmocka_unit_test(test_configuration_from_peer),
         cmocka_unit_test(test_newer_configuration),
         cmocka_unit_test(test_wrong_key),
+        cmocka_unit_test(test_callers_stay_after_a_start),
     };
 
     return cmocka_run_group_tests(tests, NULL, NULL);
