--- a/src/caller/caller.h
+++ b/src/caller/caller.h
@@ -110,7 +110,6 @@
     int current;
     GArray *expected_replies; /* of struct expected_reply; may be NULL */
     guint expected_head;
-    bool state_verified;
     bool discarding;  /* drop the answer; the request will run elsewhere */
     bool forwarded;   /* part of the answer was sent to the caller */
     bool body_failed; /* the database returned an error */
--- a/src/caller/exchange.c
+++ b/src/caller/exchange.c
@@ -6,8 +6,6 @@
 #define LOG_MODULE "exchange"
 #include "base/log.h"
 
-#define EXCHANGE_MAX_INTERNAL_BYTES 65536
-
 /* Larger DataRow messages are relayed in pieces instead of being buffered
    whole. */
 #define EXCHANGE_MAX_BUFFERED_MESSAGE_BYTES 32768
@@ -61,7 +59,6 @@
 
     *e = (struct exchange){.expected_replies = expected_replies,
                            .tx_status = tx_status};
-    e->state_verified = true;
     upstream_conn_attach(u, &exchange_ops, c);
     const int64_t limit =
         in_transaction ? 0 : group_statement_limit(c->group, &c->request);
@@ -94,7 +91,6 @@
         frame_put_query(u->out,
                         c->token.known ? GROUP_SQL_STATE : GROUP_SQL_CONFIRM);
         exchange_add_section(e, SECTION_STATE_BEFORE);
-        e->state_verified = false;
     }
     if (b->refusal_sqlstate != NULL) {
         /* Call an undefined function to fail the open transaction, as the
@@ -144,7 +140,6 @@
     const bool current = token_is_satisfied(&c->token, s.term, s.position);
     const bool fresh = primary || s.staleness_ms <= bound;
     if (confirmed || (current && fresh)) {
-        e->state_verified = true;
         if (confirmed) {
             token_raise(&c->token, s.term, s.position);
             caller_count(c, COUNTER_READS_CONFIRMED);
--- a/src/coordination/agreement.c
+++ b/src/coordination/agreement.c
@@ -28,9 +28,8 @@
     clock_ms peer_sent_at; /* of its last message, on the peer's clock */
     /* Own clock: at this time or later, the peer knew no newer view. */
     clock_ms confirmed_at;
-    clock_ms applied_at; /* own send time that it echoed with applied */
-    uint64_t applied;    /* newest view version that it has applied */
-    uint64_t version;    /* newest view version that it knows */
+    uint64_t applied; /* newest view version that it has applied */
+    uint64_t version; /* newest view version that it knows */
     struct service_set unreachable;
     bool has_unreachable;   /* unreachable is not empty */
     uint64_t registry_hash; /* of the registered proxies known to the peer */
--- a/src/relay/connection_share.c
+++ b/src/relay/connection_share.c
@@ -69,9 +69,6 @@
     const int usable = MAX(max_connections - RESERVED_CONNECTIONS, 1);
     const int count = MAX(proxies, 1);
 
-#ifdef RELAY_BREAK_KEEP_CONNECTIONS
-    return (struct connection_limits){.working = 1, .total = 1};
-#endif
     if (usable < count) {
         return (struct connection_limits){
             .working = ON_DEMAND_WORKING,
--- a/src/relay/upkeep.c
+++ b/src/relay/upkeep.c
@@ -127,6 +127,9 @@
     m->idle_credit_ms =
         CLAMP(m->idle_credit_ms + elapsed_ms * (part - (double)m->links->len),
               -IDLE_DEBT_MAX_MS, IDLE_CREDIT_MAX_MS);
+#ifdef RELAY_BREAK_KEEP_CONNECTIONS
+    m->idle_credit_ms = IDLE_CREDIT_MAX_MS;
+#endif
 }
 
 static void
--- a/src/upstream/group.c
+++ b/src/upstream/group.c
@@ -466,13 +466,6 @@
     }
 }
 
-/* Refuses new requests; queued and running ones continue. */
-void
-group_set_draining(struct group *g)
-{
-    admission_set_draining(g->admission, true);
-}
-
 /* Asks the member to cancel the running statement of a connection. The pool
    closes the connection when it is returned, so that a late cancel cannot hit
    another client's statement. */
--- a/src/upstream/group.h
+++ b/src/upstream/group.h
@@ -104,7 +104,6 @@
 void group_set_max_staleness(struct group *g, int kind, int64_t bound_ms);
 int64_t group_max_staleness(const struct group *g, int kind);
 void group_set_leaving(struct group *g, int member, bool leaving);
-void group_set_draining(struct group *g);
 void group_cancel_statement(struct group *g, struct upstream_conn *c);
 
 #endif
--- a/tests/fuzz/fuzz_decoders.c
+++ b/tests/fuzz/fuzz_decoders.c
@@ -268,8 +268,11 @@
         return at;
     case 3: {
         const char *t = tokens[rng_below(r, G_N_ELEMENTS(tokens))];
-        const size_t size = MIN(strlen(t), INPUT_MAX_BYTES - at);
-        memcpy(p + at, t, size);
+        size_t size = 0;
+        while (t[size] != '\0' && at + size < INPUT_MAX_BYTES) {
+            p[at + size] = t[size];
+            size++;
+        }
         return MAX(n, at + size);
     }
     case 4: {
--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -33,6 +33,9 @@
 #define FAULT_MAX_MS 3500
 #define VIOLATIONS_MAX 20
 
+/* Connections that a member accepts, by default. */
+#define MAX_CONNECTIONS 16
+
 struct proxy_process {
     struct soak *soak;
     int index;
@@ -56,6 +59,7 @@
     struct standin_group *group;
     struct callers *callers;
     struct proxy_process proxies[SOAK_PROXIES];
+    guint max_connections; /* that a member accepts */
     struct fault_proxy *member_fault_proxies[SOAK_MEMBERS];
     clock_ms member_start_at[SOAK_MEMBERS];
     clock_ms member_fault_end_at[SOAK_MEMBERS];
@@ -151,10 +155,10 @@
             i > 0 ? "," : "", i, types[i][0], types[i][1], SOAK_SERVICE);
     }
     g_string_append_printf(o,
-                           "],\"services\":[{\"name\":\"%s\",\"max_conns\":16,"
+                           "],\"services\":[{\"name\":\"%s\",\"max_conns\":%u,"
                            "\"sync_replicas\":0}],\"limits\":{\"tx_idle_ms\":"
                            "3000}}",
-                           SOAK_SERVICE);
+                           SOAK_SERVICE, s->max_connections);
     standin_store_put(s->store, "op", "config", o->str);
     g_string_free(o, TRUE);
 }
@@ -423,7 +427,7 @@
 start_all(struct soak *s, uint64_t seed)
 {
     standin_group_on_role_change = write_directory;
-    s->group = standin_group_create(s, s->loop, &s->rng);
+    s->group = standin_group_create(s, s->loop, &s->rng, s->max_connections);
     s->store =
         standin_store_create(s, s->loop, soak_host(), STORE_PORT, on_promote);
     for (int i = 0; i < SOAK_MEMBERS; i++) {
@@ -497,14 +501,16 @@
     struct soak s = {0};
 
     if (argc < 4) {
-        fprintf(stderr, "usage: soak PROGRAM SEED SECONDS [LOG_FOLDER]\n");
+        fprintf(stderr, "usage: soak PROGRAM SEED SECONDS "
+                        "[MAX_CONNECTIONS [LOG_FOLDER]]\n");
         return 2;
     }
     const uint64_t seed = strtoull(argv[2], NULL, 10);
     const int64_t seconds = strtoll(argv[3], NULL, 10);
     choose_network();
     s.program = argv[1];
-    s.log_folder = argc > 4 ? argv[4] : NULL;
+    s.max_connections = argc > 4 ? (guint)atoi(argv[4]) : MAX_CONNECTIONS;
+    s.log_folder = argc > 5 ? argv[5] : NULL;
     s.loop = ev_default_loop(EVFLAG_AUTO);
     s.phase_end_at = clock_monotonic_ms() + seconds * 1000;
     signal(SIGPIPE, SIG_IGN);
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -60,8 +60,10 @@
    PostgreSQL protocol. A write sets an item to a number; the numbers of an
    item rise with each write. */
 struct standin_group;
-struct standin_group *
-standin_group_create(struct soak *s, struct ev_loop *loop, struct rng *rng);
+struct standin_group *standin_group_create(struct soak *s,
+                                           struct ev_loop *loop,
+                                           struct rng *rng,
+                                           guint max_connections);
 void standin_group_destroy(struct standin_group *g);
 uint16_t standin_group_port(int member);
 int standin_group_primary(const struct standin_group *g);
--- a/tests/soak/standin_group.c
+++ b/tests/soak/standin_group.c
@@ -10,7 +10,6 @@
 #include <unistd.h>
 
 #define FIRST_MEMBER_PORT 26100
-#define MAX_CONNECTIONS 16
 #define REPLICATION_DELAY_MS 8
 #define PROMOTION_DELAY_MS 100
 /* A replaced primary becomes a replica this long after the promotion. */
@@ -73,6 +72,7 @@
     uint64_t newest_term;
     GHashTable *discarded; /* set of "item:value"; "late:item:value" as well if
                               the write was committed by a replaced primary */
+    guint max_connections; /* of each member */
 };
 
 static void process_input(struct conn *c);
@@ -537,7 +537,7 @@
             strcmp(w[3], id) != 0) {
             g_string_append(c->reply, "ERROR WRONGNODE x\r\n");
         }
-        else if (c->member->conns.length > MAX_CONNECTIONS) {
+        else if (c->member->conns.length > c->member->group->max_connections) {
             g_string_append(c->reply, "ERROR CONNLIMIT x\r\n");
         }
         else {
@@ -620,13 +620,15 @@
 /* Starts all members; member 0 is the primary of term 1. Aborts the soak if a
    port is in use. */
 struct standin_group *
-standin_group_create(struct soak *s, struct ev_loop *loop, struct rng *rng)
+standin_group_create(struct soak *s, struct ev_loop *loop, struct rng *rng,
+                     guint max_connections)
 {
     struct standin_group *g = g_new0(struct standin_group, 1);
 
     g->soak = s;
     g->loop = loop;
     g->rng = rng;
+    g->max_connections = max_connections;
     g->promoting = -1;
     g->newest_term = 1;
     g->deferred_free = deferred_free_create(loop, conn_release);
