--- a/Makefile
+++ b/Makefile
@@ -32,15 +32,18 @@
 	@scripts/measure.sh $(BUILD) quick
 
 # Runs the soak test on the build with sanitizers, for SECONDS with each of
-# SEEDS seeds, beginning with SEED.
+# SEEDS seeds, beginning with SEED. Members accept MAX_CONNECTIONS connections;
+# with 4 of them, proxies open connections on demand.
 SEED ?= 1
 SEEDS ?= 50
 SECONDS ?= 15
+MAX_CONNECTIONS ?= 16
 soak: packages
 	@test -f $(BUILD)-check/build.ninja || meson setup $(BUILD)-check \
 	    --buildtype=debugoptimized -Db_sanitize=address,undefined
 	@ninja -C $(BUILD)-check
-	@scripts/soak.sh $(BUILD)-check $(SEED) $(SEEDS) $(SECONDS)
+	@scripts/soak.sh $(BUILD)-check $(SEED) $(SEEDS) $(SECONDS) \
+	    $(MAX_CONNECTIONS)
 
 capacity: all
 	@scripts/capacity.sh $(BUILD)
