--- a/review/standin/sim.py
+++ b/review/standin/sim.py
@@ -422,6 +422,7 @@
         if not await m.take_slot():
             await self.error("BUSY")
             return
+        m.group.begun.add(qid)
         try:
             await asyncio.sleep(m.group.work_ms(verb) / 1000)
             await m.up.wait()
@@ -504,6 +505,7 @@
         self.orders = []      # (time, holder, fence, member, status)
         self.promotions = []  # (time, member, term, log it took over)
         self.reads = {}
+        self.begun = set()  # statements that a member has begun to run
         for i, host in enumerate(hosts):
             self.members.append(Member(
                 self, "i-%08x" % random.getrandbits(32), host, port,
