--- a/review/standin/sim.py
+++ b/review/standin/sim.py
@@ -314,6 +314,7 @@
         self.wrote = []
         self.ids = []
         self.prepared = {}
+        self.values = {}  # of this connection, set by SET
 
     async def line(self):
         raw = await self.reader.readuntil(b"\r\n")
@@ -377,9 +378,11 @@
             return
         if verb == "RESET":
             self.prepared = {}
+            self.values = {}
             await self.send("COMPLETE -\r\n" + self.ready())
             return
         if verb == "SET":
+            self.values[words[1]] = " ".join(words[2:])
             await self.send("COMPLETE -\r\n" + self.ready())
             return
         if verb == "PREPARE":
@@ -423,6 +426,7 @@
             await self.error("BUSY")
             return
         m.group.begun.add(qid)
+        m.group.values_at_run[qid] = dict(self.values)
         try:
             await asyncio.sleep(m.group.work_ms(verb) / 1000)
             await m.up.wait()
@@ -506,6 +510,7 @@
         self.promotions = []  # (time, member, term, log it took over)
         self.reads = {}
         self.begun = set()  # statements that a member has begun to run
+        self.values_at_run = {}  # values of the connection, by statement
         for i, host in enumerate(hosts):
             self.members.append(Member(
                 self, "i-%08x" % random.getrandbits(32), host, port,
