--- a/review/standin/sim.py
+++ b/review/standin/sim.py
@@ -55,7 +55,8 @@
         self.version = 0
         self.history = []
         self.changed = asyncio.Event()
-        self.last_conditional = None  # (time, host of the writer)
+        self.silent = False   # an outage: calls get no answer
+        self.calls = []       # (time, target) of the last feed calls
 
     def put(self, table, key, value):
         self.version += 1
@@ -77,6 +78,17 @@
                 "value": value, "row_version": version}
 
     async def handle(self, method, target, headers, body):
+        """A call during an outage is never answered, nor is one whose answer
+        would come during it; its connection delivers nothing further."""
+        if "rows-feed" in target:
+            self.calls = self.calls[-200:] + [(now_ms(), target)]
+        if not self.silent:
+            answer = await self.answer(method, target, headers, body)
+            if not self.silent:
+                return answer
+        await asyncio.Event().wait()
+
+    async def answer(self, method, target, headers, body):
         url = urlsplit(target)
         q = {k: v[0] for k, v in
              parse_qs(url.query, keep_blank_values=True).items()}
@@ -227,6 +239,7 @@
         self.reaches_new_primary_since = None
         self.seq = 0
         self.listed = True
+        self.hidden = False   # not started yet: writes no entry
         self.leads_at = None
 
     def position(self):
@@ -366,6 +379,7 @@
 
     async def query(self, qid, text):
         m = self.m
+        arrived = now_ms()
         after = None
         sent_text = text
         if text.startswith("AFTER "):
@@ -444,7 +458,7 @@
                 return
             entry = None
             if verb == "READ":
-                m.group.on_read(m, qid, words[1])
+                m.group.reads[qid] = (arrived, m, m.position())
             elif writes and self.state == "T":
                 self.wrote.append((words[1], words[2]))
                 self.ids.append(qid)
@@ -508,7 +522,7 @@
         self.top_term = 1
         self.orders = []      # (time, holder, fence, member, status)
         self.promotions = []  # (time, member, term, log it took over)
-        self.reads = {}
+        self.reads = {}  # statement -> (arrival, member, position)
         self.begun = set()  # statements that a member has begun to run
         self.values_at_run = {}  # values of the connection, by statement
         for i, host in enumerate(hosts):
@@ -532,9 +546,6 @@
                     return v
         return "-"
 
-    def on_read(self, m, qid, item):
-        self.reads[qid] = (now_ms(), m, m.position())
-
     def commit(self, m, items, ids):
         number = m.position()[1] + 1
         e = Commit(m.term, number, list(items), list(ids), m)
@@ -622,14 +633,18 @@
             "seq": m.seq, "born": self.born}))
 
     async def heartbeat(self, interval_ms=1200):
-        """A silent member is removed after three intervals."""
+        """A silent member is removed after three intervals. An entry changes
+        only when more than its seq does."""
         silent = {}
         while True:
             for m in self.members:
+                if m.hidden:
+                    continue
                 if self.reachable(m):
                     silent[m.id] = 0
-                    m.listed = True
-                    self.write_entry(m)
+                    if not m.listed:
+                        m.listed = True
+                        self.write_entry(m)
                 else:
                     silent[m.id] = silent.get(m.id, 0) + 1
                     if silent[m.id] == 4 and m.listed:
@@ -677,7 +692,8 @@
         self.born = int(time.time() * 1000)
         for m in self.members:
             await m.listen()
-            self.write_entry(m)
+            if not m.hidden:
+                self.write_entry(m)
         loop = asyncio.get_running_loop()
         return [loop.create_task(self.replicate()),
                 loop.create_task(self.heartbeat())]
