--- a/review/standin/sim.py
+++ b/review/standin/sim.py
@@ -951,18 +951,19 @@
 
     async def run():
         nonlocal sim, code
-        sim = scenario.prepare(case)
         try:
+            sim = scenario.prepare(case)
             broken = await asyncio.wait_for(scenario.play(sim), 110)
             for line in broken[:20]:
                 sim.rec.say("VIOLATION " + line)
             sim.rec.say("%d violations" % len(broken))
             code = 1 if broken else 0
         except Exception as e:  # the case could not run
-            sim.rec.say("could not run: %r" % e)
+            (sim.rec.say if sim else print)("could not run: %r" % e)
             code = 2
         finally:
-            sim.end()
+            if sim is not None:
+                sim.end()
         sys.stdout.flush()
         os._exit(code)
 
