--- a/review/standin/sim.py
+++ b/review/standin/sim.py
@@ -709,6 +709,7 @@
         self.host = host
         self.zone = zone
         self.process = None
+        self.started = []
         self.log = open(os.path.join(sim.folder, name + ".log"), "ab")
 
     def start(self):
@@ -718,6 +719,7 @@
         self.process = subprocess.Popen(
             self.sim.command, cwd=ROOT, env=env, stdin=subprocess.DEVNULL,
             stdout=self.log, stderr=subprocess.STDOUT)
+        self.started.append(self.process)
         self.sim.rec.say("process %s started" % self.name)
 
     def signal(self, number):
@@ -726,10 +728,11 @@
         self.process.send_signal(number)
 
     def stop(self):
-        if self.process is not None and self.process.poll() is None:
-            self.process.send_signal(signal.SIGCONT)
-            self.process.kill()
-            self.process.wait()
+        for p in self.started:
+            if p.poll() is None:
+                p.send_signal(signal.SIGCONT)
+                p.kill()
+                p.wait()
 
 
 def render(template, fields):
