--- a/src/coordination/primary_change.c
+++ b/src/coordination/primary_change.c
@@ -129,71 +129,12 @@
               (long long)(now - m->queried_at));
 }
 
-/* Returns true if a has received more of the log than b. */
-static bool
-is_ahead(const struct member_report *a, const struct member_report *b)
-{
-    return a->received_term != b->received_term
-               ? a->received_term > b->received_term
-               : a->received_position > b->received_position;
-}
-
-/* Returns true if a member may be promoted. draining selects either the
-   draining members or the others. */
-bool
-primary_change_is_candidate(const struct member_state *m, bool draining,
-                            clock_ms now)
-{
-    return m->listed && m->draining == draining && now >= m->excluded_until;
-}
-
-/* Returns the member to promote: the one that has received the most of the
-   log. A draining member is chosen only if there is no other. NULL if no
-   candidate has answered. */
-struct member_state *
-primary_change_best_candidate(struct primary_change *c, const char *old,
-                              clock_ms now)
-{
-    struct member_state *best = NULL;
-
-    for (int draining = 0; draining < 2 && best == NULL; draining++) {
-        for (int i = 0; i < c->count; i++) {
-            struct member_state *m = &c->members[i];
-            if (strcmp(m->id, old) == 0 || !m->answered ||
-                !primary_change_is_candidate(m, draining != 0, now)) {
-                continue;
-            }
-            if (best == NULL || is_ahead(&m->report, &best->report)) {
-                best = m;
-            }
-        }
-    }
-    return best;
-}
-
-/* Returns the member that reports to be the primary in the highest term, or
-   NULL. */
-static struct member_state *
-current_primary(struct primary_change *c)
-{
-    struct member_state *best = NULL;
-
-    for (int i = 0; i < c->count; i++) {
-        struct member_state *m = &c->members[i];
-        if (m->answered && m->report.primary &&
-            (best == NULL || m->report.term > best->report.term)) {
-            best = m;
-        }
-    }
-    return best;
-}
-
 /* Enters the phase that follows the survey. */
 static void
 after_survey(struct primary_change *c, const struct view_entry *e,
              clock_ms now)
 {
-    struct member_state *current = current_primary(c);
+    struct member_state *current = successor_current_primary(c);
     const struct member_state *old = primary_change_find_member(c, e->primary);
     uint64_t term = 0;
 
@@ -249,8 +190,7 @@
 run_catch_up(struct promoter *p, struct primary_change *c,
              const struct view_entry *e, clock_ms now)
 {
-    const struct member_state *best =
-        primary_change_best_candidate(c, e->primary, now);
+    const struct member_state *best = successor_choose(c, e->primary, now);
 
     if (best != NULL &&
         (best->report.received_term > c->target_term ||
@@ -290,8 +230,7 @@
         }
         return;
     }
-    const struct member_state *best =
-        primary_change_best_candidate(c, e->primary, now);
+    const struct member_state *best = successor_choose(c, e->primary, now);
     if (best == NULL) {
         primary_change_enter_phase(c, PHASE_SURVEY, now);
         return;
--- a/src/coordination/promoter.c
+++ b/src/coordination/promoter.c
@@ -314,7 +314,7 @@
 {
     for (int i = 0; i < c->count; i++) {
         if (strcmp(c->members[i].id, primary) != 0 &&
-            primary_change_is_candidate(&c->members[i], false, now)) {
+            successor_is_candidate(&c->members[i], false, now)) {
             return true;
         }
     }
@@ -350,8 +350,7 @@
                   const struct view_entry *e, clock_ms since, clock_ms now)
 {
     const struct member_state *old = primary_change_find_member(c, e->primary);
-    const struct member_state *best =
-        primary_change_best_candidate(c, e->primary, now);
+    const struct member_state *best = successor_choose(c, e->primary, now);
 
     if (old == NULL || now - since >= CAUGHT_UP_TIMEOUT_MS) {
         return true;
--- a/src/coordination/promoter_internal.h
+++ b/src/coordination/promoter_internal.h
@@ -5,8 +5,9 @@
 
 #include <glib.h>
 
-/* Shared by promoter.c, which decides when a primary is replaced, and
-   primary_change.c, which carries out the change. */
+/* Shared by promoter.c, which decides when a primary is replaced,
+   primary_change.c, which carries out the change, and successor.c, which
+   chooses the member to promote. */
 
 /* Further members of a service are ignored. */
 #define SERVICE_MEMBERS_MAX 16
@@ -95,12 +96,14 @@
 void primary_change_query_members(struct promoter *p, struct primary_change *c,
                                   const char *primary, int64_t pause_ms,
                                   clock_ms now);
-bool primary_change_is_candidate(const struct member_state *m, bool draining,
-                                 clock_ms now);
-struct member_state *primary_change_best_candidate(struct primary_change *c,
-                                                   const char *old,
-                                                   clock_ms now);
 void primary_change_run(struct promoter *p, struct primary_change *c,
                         const struct view_entry *e, int index, clock_ms now);
 
+/* successor.c */
+bool successor_is_candidate(const struct member_state *m, bool draining,
+                            clock_ms now);
+struct member_state *successor_choose(struct primary_change *c,
+                                      const char *old, clock_ms now);
+struct member_state *successor_current_primary(struct primary_change *c);
+
 #endif
