coordination: record an order in the view before it is sent

What callers saw: after a change of primary had been handed over (SIGTERM of the holder), writes were acknowledged by the old primary for about a second after another member had been promoted, and were rolled back.

Cause: an order takes effect 0.3 to 1 s after it was sent, and only the process that sent it knew of it. The next holder found the old primary in its role and published it again. The same happened after a kill of the holder, while the store refused the holder alone, and in the same process when the answer to the order was lost and the confirmation timed out.

Change: the view names the member ("ordered") before the order is sent. While it is set, only that member is adopted; any other primary steps down, and the recorded member is ordered again unless another has received more. A member counts as promoted only in a term later than all known ones.

Five new tests and two adapted ones in test_promoter.c fail on the code before and pass now.

--- a/src/coordination/agreement.h
+++ b/src/coordination/agreement.h
@@ -30,7 +30,7 @@
    or a suspended VM takes only a few seconds. */
 #define AGREEMENT_SILENT_MS 15000
 #define AGREEMENT_SILENT_MAX 8
-/* A message has to fit in a datagram of 8 KB. A proxy that lacks more changes
+/* A message has to fit in a datagram of 10 KB. A proxy that lacks more changes
    than this reads the view from the store. */
 #define AGREEMENT_CHANGES_MAX 32
 #define AGREEMENT_POSITIONS_MAX 32
--- a/src/coordination/peer_message.x
+++ b/src/coordination/peer_message.x
@@ -11,6 +11,7 @@
 struct wire_entry {
     string service<63>;
     string primary<63>;
+    string ordered<63>;
     unsigned hyper epoch;
     unsigned hyper term;
     bool changing;
--- a/src/coordination/peer_message_xdr.c
+++ b/src/coordination/peer_message_xdr.c
@@ -31,6 +31,8 @@
 		 return FALSE;
 	 if (!xdr_string (xdrs, &objp->primary, 63))
 		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->ordered, 63))
+		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->epoch))
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->term))
--- a/src/coordination/peer_message_xdr.h
+++ b/src/coordination/peer_message_xdr.h
@@ -25,6 +25,7 @@
 struct wire_entry {
 	char *service;
 	char *primary;
+	char *ordered;
 	u_quad_t epoch;
 	u_quad_t term;
 	bool_t changing;
--- a/src/coordination/peer_socket.c
+++ b/src/coordination/peer_socket.c
@@ -11,11 +11,11 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-#define MESSAGE_MAX_BYTES 8192
+#define MESSAGE_MAX_BYTES 10240
 /* Part of the signed data, so that the signature of a message is never valid
    for an RPC. */
 #define SIGNATURE_PROGRAM 0x20673704
-#define SIGNATURE_VERSION 2
+#define SIGNATURE_VERSION 3
 /* HMAC-SHA256 truncated to half its length, as RFC 2104 allows. */
 #define SIGNATURE_BYTES 16
 
@@ -64,6 +64,7 @@
         struct view_entry *e = &m->changes[i];
         g_strlcpy(e->service, x->service, sizeof(e->service));
         g_strlcpy(e->primary, x->primary, sizeof(e->primary));
+        g_strlcpy(e->ordered, x->ordered, sizeof(e->ordered));
         e->epoch = x->epoch;
         e->term = x->term;
         e->changing = x->changing;
@@ -243,6 +244,7 @@
         changes[i] = (wire_entry){
             .service = (char *)m->changes[i].service,
             .primary = (char *)m->changes[i].primary,
+            .ordered = (char *)m->changes[i].ordered,
             .epoch = m->changes[i].epoch,
             .term = m->changes[i].term,
             .changing = m->changes[i].changing,
--- a/src/coordination/primary_change.c
+++ b/src/coordination/primary_change.c
@@ -129,68 +129,68 @@
               (long long)(now - m->queried_at));
 }
 
+/* Begins to demote a member that reports to be a primary. */
+static void
+begin_demotion(struct primary_change *c, const struct member_state *m,
+               clock_ms now)
+{
+    g_strlcpy(c->demoted, m->id, sizeof(c->demoted));
+    c->demote_sent = false;
+    primary_change_enter_phase(c, PHASE_DEMOTE, now);
+}
+
 /* Enters the phase that follows the survey. */
 static void
 after_survey(struct primary_change *c, const struct view_entry *e,
              clock_ms now)
 {
-    struct member_state *current = successor_current_primary(c);
-    const struct member_state *old = primary_change_find_member(c, e->primary);
-    uint64_t term = 0;
+    const struct member_state *current = successor_current_primary(c, e);
 
-    for (int i = 0; i < c->count; i++) {
-        if (c->members[i].answered) {
-            term = MAX(term, c->members[i].report.term);
-        }
+    c->base_term = successor_base_term(c, e);
+    if (current == NULL) {
+        primary_change_enter_phase(c, PHASE_ORDER, now);
+        return;
     }
-    c->next_term = term + 1;
-    if (current != NULL && current->listed && !current->draining &&
-        current->report.term == term) {
+    if (successor_may_adopt(current, e)) {
         /* It is the primary already: the order took effect or the alarm was
            false. */
         g_strlcpy(c->new_primary, current->id, sizeof(c->new_primary));
         primary_change_enter_phase(c, PHASE_PUBLISH, now);
         return;
     }
-    if (current != NULL && current == old) {
-        c->demote_sent = false;
-        primary_change_enter_phase(c, PHASE_DEMOTE, now);
-        return;
-    }
-    primary_change_enter_phase(c, PHASE_ORDER, now);
+    begin_demotion(c, current, now);
 }
 
-/* Asks the old primary to step down, so that the replicas can receive its
-   whole log. */
+/* Asks a primary to step down, so that the replicas can receive its whole
+   log. One that does not answer is not promoted before the next survey. */
 static void
-run_demote(struct promoter *p, struct primary_change *c,
-           const struct view_entry *e, clock_ms now)
+run_demote(struct promoter *p, struct primary_change *c, clock_ms now)
 {
-    struct member_state *old = primary_change_find_member(c, e->primary);
+    struct member_state *m = primary_change_find_member(c, c->demoted);
 
-    if (old == NULL || now - c->phase_since >= SURVEY_TIMEOUT_MS) {
+    if (m == NULL || now - c->phase_since >= SURVEY_TIMEOUT_MS) {
         primary_change_enter_phase(c, PHASE_ORDER, now);
         return;
     }
     if (!c->demote_sent) {
-        old->answered = false;
-        primary_change_query_member(p, c, old, c->next_term, now);
+        m->answered = false;
+        primary_change_query_member(p, c, m, m->report.term + 1, now);
         c->demote_sent = true;
         return;
     }
-    if (old->answered) {
-        c->target_term = old->report.received_term;
-        c->target_position = old->report.received_position;
+    if (m->answered) {
+        c->target_term = m->report.received_term;
+        c->target_position = m->report.received_position;
         primary_change_enter_phase(c, PHASE_CATCH_UP, now);
     }
 }
 
-/* Waits for a replica that has received the old primary's whole log. */
+/* Waits for a candidate that has received the demoted primary's whole log. */
 static void
 run_catch_up(struct promoter *p, struct primary_change *c,
              const struct view_entry *e, clock_ms now)
 {
-    const struct member_state *best = successor_choose(c, e->primary, now);
+    const struct member_state *best = successor_choose(c, e, now);
 
     if (best != NULL &&
         (best->report.received_term > c->target_term ||
@@ -210,8 +210,21 @@
     primary_change_query_members(p, c, e->primary, QUERY_INTERVAL_MS, now);
 }
 
-/* Orders the promotion. Requires a valid lease and that no earlier holder can
-   still order one. */
+/* Asks the member that was ordered whether it leads now. */
+static void
+query_ordered(struct promoter *p, struct primary_change *c,
+              const struct view_entry *e, clock_ms now)
+{
+    struct member_state *m = primary_change_find_member(c, e->ordered);
+
+    if (m != NULL && !m->query_pending &&
+        now - m->queried_at >= QUERY_INTERVAL_MS) {
+        primary_change_query_member(p, c, m, 0, now);
+    }
+}
+
+/* Orders the promotion. Requires a valid lease, that no earlier holder can
+   still order one, and that the view in force names the member as ordered. */
 static void
 run_order(struct promoter *p, struct primary_change *c,
           const struct view_entry *e, clock_ms now)
@@ -219,6 +232,8 @@
     const struct view *v = agreement_view(p->agreement);
 
     if (c->order_pending || now - c->order_sent_at < ORDER_RETRY_MS) {
+        /* The answer may be lost although the order was accepted. */
+        query_ordered(p, c, e, now);
         return;
     }
     /* An earlier holder may still order a promotion; the survey shows what it
@@ -230,15 +245,23 @@
         }
         return;
     }
-    const struct member_state *best = successor_choose(c, e->primary, now);
+    const struct member_state *best = successor_choose(c, e, now);
     if (best == NULL) {
         primary_change_enter_phase(c, PHASE_SURVEY, now);
         return;
     }
+    if (best->report.primary) {
+        begin_demotion(c, best, now);
+        return;
+    }
     if (!agreement_lease_is_valid(p->agreement, now)) {
         return;
     }
     g_strlcpy(c->new_primary, best->id, sizeof(c->new_primary));
+    if (strcmp(e->ordered, best->id) != 0) {
+        c->record_pending = true;
+        return;
+    }
     c->order_pending = true;
     c->order_sent_at = now;
     event_log(EVENT_STATE, "promotion_ordered",
@@ -281,21 +304,14 @@
 
 /* Waits until the new primary reports its role. */
 static void
-run_confirm(struct promoter *p, struct primary_change *c, clock_ms now)
+run_confirm(struct promoter *p, struct primary_change *c,
+            const struct view_entry *e, clock_ms now)
 {
-    struct member_state *m = primary_change_find_member(c, c->new_primary);
-
-    if (m == NULL || now - c->phase_since >= CONFIRM_TIMEOUT_MS) {
+    if (now - c->phase_since >= CONFIRM_TIMEOUT_MS) {
         primary_change_enter_phase(c, PHASE_SURVEY, now);
         return;
     }
-    if (m->answered && m->report.primary) {
-        primary_change_enter_phase(c, PHASE_PUBLISH, now);
-        return;
-    }
-    if (!m->query_pending && now - m->queried_at >= QUERY_INTERVAL_MS) {
-        primary_change_query_member(p, c, m, 0, now);
-    }
+    query_ordered(p, c, e, now);
 }
 
 /* Writes the new primary into the view. */
@@ -311,6 +327,7 @@
     e->epoch = next.version + 1;
     e->changing = false;
     e->term = m != NULL ? m->report.term : 0;
+    e->ordered[0] = '\0';
     g_strlcpy(e->primary, c->new_primary, sizeof(e->primary));
     if (promoter_write_view(p, &next, now)) {
         event_log(EVENT_STATE, "change_publishing",
@@ -326,6 +343,12 @@
 primary_change_run(struct promoter *p, struct primary_change *c,
                    const struct view_entry *e, int index, clock_ms now)
 {
+    c->record_pending = false;
+    if (c->phase > PHASE_SURVEY && c->phase < PHASE_PUBLISH &&
+        successor_order_took_effect(c, e)) {
+        g_strlcpy(c->new_primary, e->ordered, sizeof(c->new_primary));
+        primary_change_enter_phase(c, PHASE_PUBLISH, now);
+    }
     switch (c->phase) {
     case PHASE_NONE:
         c->version = e->epoch;
@@ -354,7 +377,7 @@
         }
         break;
     case PHASE_DEMOTE:
-        run_demote(p, c, e, now);
+        run_demote(p, c, now);
         break;
     case PHASE_CATCH_UP:
         run_catch_up(p, c, e, now);
@@ -363,7 +386,7 @@
         run_order(p, c, e, now);
         break;
     case PHASE_CONFIRM:
-        run_confirm(p, c, now);
+        run_confirm(p, c, e, now);
         break;
     case PHASE_PUBLISH:
         run_publish(p, c, index, now);
--- a/src/coordination/promoter.c
+++ b/src/coordination/promoter.c
@@ -256,14 +256,39 @@
     }
 }
 
+/* Records in the view, in a single write, which members are about to be
+   ordered. The orders follow once the write has succeeded. */
+static void
+write_pending_orders(struct promoter *p, clock_ms now)
+{
+    struct view next = *agreement_view(p->agreement);
+    GHashTableIter i;
+    void *value;
+
+    g_hash_table_iter_init(&i, p->primary_changes);
+    while (g_hash_table_iter_next(&i, NULL, &value)) {
+        const struct primary_change *c = value;
+        if (c->record_pending) {
+            struct view_entry *e = &next.entries[c->index];
+            e->epoch = next.version + 1;
+            g_strlcpy(e->ordered, c->new_primary, sizeof(e->ordered));
+        }
+    }
+    if (promoter_write_view(p, &next, now)) {
+        event_log(EVENT_STATE, "orders_recorded", "version=%llu",
+                  (unsigned long long)next.version);
+    }
+}
+
 /* Called after promoter_tick() has run for all services: adds the new ones to
-   the view, and records whether a change is in progress here. */
+   the view, records orders in it, and whether a change is in progress here. */
 void
 promoter_end_round(struct promoter *p, clock_ms now)
 {
     GHashTableIter i;
     void *value;
     bool add_pending = false;
+    bool record_pending = false;
 
     p->busy = false;
     g_hash_table_iter_init(&i, p->primary_changes);
@@ -271,6 +296,10 @@
         const struct primary_change *c = value;
         p->busy = p->busy || c->phase != PHASE_NONE;
         add_pending = add_pending || c->add_pending;
+        record_pending = record_pending || c->record_pending;
+    }
+    if (record_pending) {
+        write_pending_orders(p, now);
     }
     if (add_pending) {
         write_new_services(p, now);
@@ -350,7 +379,7 @@
                   const struct view_entry *e, clock_ms since, clock_ms now)
 {
     const struct member_state *old = primary_change_find_member(c, e->primary);
-    const struct member_state *best = successor_choose(c, e->primary, now);
+    const struct member_state *best = successor_choose(c, e, now);
 
     if (old == NULL || now - since >= CAUGHT_UP_TIMEOUT_MS) {
         return true;
@@ -429,6 +458,7 @@
         return;
     }
     c->phase = PHASE_NONE;
+    c->record_pending = false;
     if (e->changing) {
         const bool alive =
             agreement_can_change_view(p->agreement, v->holder, now);
--- a/src/coordination/promoter_internal.h
+++ b/src/coordination/promoter_internal.h
@@ -17,11 +17,11 @@
     PHASE_EXPIRE_VIEWS, /* wait until no proxy relies on an older view, and so
                            none uses the old primary */
     PHASE_SURVEY,       /* ask all members for their state */
-    PHASE_DEMOTE,       /* ask the old primary to step down, if it answers */
-    PHASE_CATCH_UP, /* wait for a replica with the old primary's whole log */
-    PHASE_ORDER,    /* order the promotion */
-    PHASE_CONFIRM,  /* wait until the new primary reports its role */
-    PHASE_PUBLISH,  /* write the new primary into the view */
+    PHASE_DEMOTE,       /* ask a member that is still a primary to step down */
+    PHASE_CATCH_UP,     /* wait for a replica with the demoted primary's log */
+    PHASE_ORDER,        /* order the promotion */
+    PHASE_CONFIRM,      /* wait until the new primary reports its role */
+    PHASE_PUBLISH,      /* write the new primary into the view */
 };
 
 /* What is known of a member, and the query to it that is in progress. */
@@ -42,8 +42,9 @@
    held, and its progress once it has begun. Times are 0 if unset. */
 struct primary_change {
     char service[VIEW_NAME_BYTES];
-    int index;        /* in the view, if the service is there */
-    bool add_pending; /* add the service to the view with new_primary */
+    int index;           /* in the view, if the service is there */
+    bool add_pending;    /* add the service to the view with new_primary */
+    bool record_pending; /* write to the view that new_primary is ordered */
     enum phase phase;
     clock_ms phase_since;   /* when the phase began */
     uint64_t version;       /* view version at which the change began */
@@ -54,9 +55,10 @@
     clock_ms order_sent_at;
     uint64_t target_term; /* end of the demoted primary's log */
     uint64_t target_position;
+    char demoted[MEMBER_ID_BYTES]; /* the member asked to step down */
     bool demote_sent;
     bool primary_unreachable; /* most proxies cannot reach the old primary */
-    uint64_t next_term;       /* in which the old primary becomes a replica */
+    uint64_t base_term; /* a promotion of this change leads to a later one */
     clock_ms unreachable_since;
     clock_ms unlisted_since;
     clock_ms not_primary_since;
@@ -103,7 +105,15 @@
 bool successor_is_candidate(const struct member_state *m, bool draining,
                             clock_ms now);
 struct member_state *successor_choose(struct primary_change *c,
-                                      const char *old, clock_ms now);
-struct member_state *successor_current_primary(struct primary_change *c);
+                                      const struct view_entry *e,
+                                      clock_ms now);
+struct member_state *successor_current_primary(struct primary_change *c,
+                                               const struct view_entry *e);
+bool successor_may_adopt(const struct member_state *m,
+                         const struct view_entry *e);
+uint64_t successor_base_term(const struct primary_change *c,
+                             const struct view_entry *e);
+bool successor_order_took_effect(struct primary_change *c,
+                                 const struct view_entry *e);
 
 #endif
--- a/src/coordination/successor.c
+++ b/src/coordination/successor.c
@@ -20,11 +20,10 @@
     return m->listed && m->draining == draining && now >= m->excluded_until;
 }
 
-/* Returns the member to promote: the one that has received the most of the
-   log. A draining member is chosen only if there is no other. NULL if no
-   candidate has answered. */
-struct member_state *
-successor_choose(struct primary_change *c, const char *old, clock_ms now)
+/* Returns the candidate that has received the most of the log. A draining
+   member is chosen only if there is no other. NULL if none has answered. */
+static struct member_state *
+most_advanced(struct primary_change *c, const char *old, clock_ms now)
 {
     struct member_state *best = NULL;
 
@@ -43,19 +42,92 @@
     return best;
 }
 
-/* Returns the member that reports to be the primary in the highest term, or
-   NULL. */
+/* Returns the member to promote, or NULL if no candidate has answered. The
+   member that was ordered before is preferred, so that an order which is
+   carried out late changes nothing. The old primary is promoted again only if
+   there is no other candidate, it has stepped down, and an order prevents that
+   it simply continues. */
+struct member_state *
+successor_choose(struct primary_change *c, const struct view_entry *e,
+                 clock_ms now)
+{
+    struct member_state *best = most_advanced(c, e->primary, now);
+    struct member_state *ordered = primary_change_find_member(c, e->ordered);
+    struct member_state *old = primary_change_find_member(c, e->primary);
+
+    if (best != NULL && ordered != NULL && ordered->answered &&
+        successor_is_candidate(ordered, best->draining, now) &&
+        !is_ahead(&best->report, &ordered->report)) {
+        return ordered;
+    }
+    if (best == NULL && e->ordered[0] != '\0' && old != NULL &&
+        old->answered && old->listed && !old->report.primary) {
+        return old;
+    }
+    return best;
+}
+
+/* Returns the member that reports to be the primary in the newest term, or
+   NULL. A primary of an earlier term has been replaced: it may lack commits
+   that a newer one has acknowledged. */
 struct member_state *
-successor_current_primary(struct primary_change *c)
+successor_current_primary(struct primary_change *c, const struct view_entry *e)
 {
     struct member_state *best = NULL;
+    uint64_t newest = 0;
 
+    (void)e;
     for (int i = 0; i < c->count; i++) {
         struct member_state *m = &c->members[i];
-        if (m->answered && m->report.primary &&
+        if (!m->answered) {
+            continue;
+        }
+        newest = MAX(newest, m->report.term);
+        if (m->report.primary &&
             (best == NULL || m->report.term > best->report.term)) {
             best = m;
         }
     }
-    return best;
+    return best != NULL && best->report.term == newest ? best : NULL;
+}
+
+/* Returns true if a primary may be published without a promotion. Once an
+   order may have been given, only the member that it named may lead:
+   otherwise the order could take effect later, while callers use another
+   primary. */
+bool
+successor_may_adopt(const struct member_state *m, const struct view_entry *e)
+{
+    return m->listed && !m->draining &&
+           (e->ordered[0] == '\0' || strcmp(e->ordered, m->id) == 0);
+}
+
+/* Returns the newest term in which a member is known to have led. The terms of
+   replicas do not count, since stepping down raises them. */
+uint64_t
+successor_base_term(const struct primary_change *c, const struct view_entry *e)
+{
+    uint64_t term = e->term;
+
+    for (int i = 0; i < c->count; i++) {
+        const struct member_state *m = &c->members[i];
+        if (m->answered) {
+            term = MAX(term, m->report.received_term);
+        }
+        if (m->answered && m->report.primary) {
+            term = MAX(term, m->report.term);
+        }
+    }
+    return term;
+}
+
+/* Returns true if the member that was ordered last leads in a new term. */
+bool
+successor_order_took_effect(struct primary_change *c,
+                            const struct view_entry *e)
+{
+    const struct member_state *m = primary_change_find_member(c, e->ordered);
+
+    return m != NULL && m->answered && m->report.primary &&
+           m->report.term > c->base_term;
 }
--- a/src/coordination/view.c
+++ b/src/coordination/view.c
@@ -6,7 +6,7 @@
 
 /* Returns the text form, which the caller frees with g_free(): a line "view
    VERSION FENCE HOLDER", then one line "lead SERVICE EPOCH TERM CHANGING
-   PRIMARY" per service. "-" stands for an empty holder or primary. */
+   PRIMARY ORDERED" per service. "-" stands for an empty holder or member. */
 char *
 view_format(const struct view *v)
 {
@@ -17,10 +17,12 @@
                     v->holder[0] != '\0' ? v->holder : "-");
     for (int i = 0; i < v->count; i++) {
         const struct view_entry *e = &v->entries[i];
-        g_string_append_printf(
-            s, "lead %s %" G_GUINT64_FORMAT " %" G_GUINT64_FORMAT " %d %s\n",
-            e->service, e->epoch, e->term, e->changing,
-            e->primary[0] != '\0' ? e->primary : "-");
+        g_string_append_printf(s,
+                               "lead %s %" G_GUINT64_FORMAT
+                               " %" G_GUINT64_FORMAT " %d %s %s\n",
+                               e->service, e->epoch, e->term, e->changing,
+                               e->primary[0] != '\0' ? e->primary : "-",
+                               e->ordered[0] != '\0' ? e->ordered : "-");
     }
     return g_string_free(s, FALSE);
 }
@@ -41,7 +43,8 @@
     return g_ascii_string_to_unsigned(word, 10, 0, G_MAXUINT64, out, NULL);
 }
 
-/* Parses one line of the text form. */
+/* Parses one line of the text form. ORDERED is missing in rows that an earlier
+   version wrote. */
 static bool
 parse_line(const char *line, struct view *v)
 {
@@ -53,12 +56,13 @@
         ok = read_number(w[1], &v->version) && read_number(w[2], &v->fence) &&
              copy_word(w[3], v->holder, sizeof(v->holder));
     }
-    else if (n == 6 && strcmp(w[0], "lead") == 0 &&
+    else if ((n == 6 || n == 7) && strcmp(w[0], "lead") == 0 &&
              v->count < VIEW_SERVICES_MAX) {
         struct view_entry *e = &v->entries[v->count++];
         ok = copy_word(w[1], e->service, sizeof(e->service)) &&
              read_number(w[2], &e->epoch) && read_number(w[3], &e->term) &&
-             copy_word(w[5], e->primary, sizeof(e->primary));
+             copy_word(w[5], e->primary, sizeof(e->primary)) &&
+             (n == 6 || copy_word(w[6], e->ordered, sizeof(e->ordered)));
         e->changing = strcmp(w[4], "1") == 0;
     }
     g_strfreev(w);
--- a/src/coordination/view.h
+++ b/src/coordination/view.h
@@ -13,13 +13,17 @@
 
 /* The primary of one service. epoch is the version of the view in which the
    other fields last changed. While changing is set, no proxy uses any primary
-   of the service. */
+   of the service. ordered is written before the promotion is ordered and stays
+   until the change is over, so that every later holder knows that the order
+   may still take effect. */
 struct view_entry {
     char service[VIEW_NAME_BYTES];
     char primary[MEMBER_ID_BYTES];
     uint64_t epoch;
     uint64_t term; /* of the primary's log; 0 if unknown */
     bool changing;
+    char ordered[MEMBER_ID_BYTES]; /* named by the last order of this change;
+                                      empty if none was given */
 };
 
 /* The state that all proxies agree on: the primary of each service, and which
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -132,6 +132,7 @@
 node_view_written(struct node *n, bool done)
 {
     promoter_view_written(n->promoter, done);
+    node_tick_promoter(n, clock_boottime_ms());
 }
 
 static void
--- a/src/relay/service.c
+++ b/src/relay/service.c
@@ -181,6 +181,10 @@
     if (epoch == s->epoch) {
         return;
     }
+    if (primary_changing && s->primary_changing) {
+        s->epoch = epoch; /* a step of the change in progress */
+        return;
+    }
     event_log(EVENT_STATE, "lead",
               "service=%s epoch=%llu primary=%s "
               "changing=%d before=%s",
--- a/tests/coordination/test_promoter.c
+++ b/tests/coordination/test_promoter.c
@@ -149,6 +149,17 @@
     promoter_view_written(f->promoter, true);
 }
 
+/* Adopts the view that names the member about to be ordered. No order may have
+   been sent before. */
+static void
+accept_order_record(struct fixture *f, const char *member, int orders_before)
+{
+    assert_int_equal(f->orders, orders_before);
+    assert_string_equal(f->written.entries[0].ordered, member);
+    assert_true(f->written.entries[0].changing);
+    accept_write(f);
+}
+
 /* Answers a query as a member. */
 static void
 report(struct fixture *f, const char *id, bool primary, uint64_t term,
@@ -216,16 +227,20 @@
     report(&f, "m3", false, 7, 31);
     /* The survey does not wait for the lost primary's answer. */
     run_for(&f, 150, true, 6);
+    assert_int_equal(f.writes, 2);
+    accept_order_record(&f, "m3", 0);
+    run_for(&f, 50, true, 7);
     assert_int_equal(f.orders, 1);
     assert_string_equal(f.ordered, "m3");
     assert_int_equal(f.fence, 4);
     promoter_order_answered(f.promoter, "db", ORDER_DONE, f.now);
-    run_for(&f, 100, true, 6);
-    assert_int_equal(f.writes, 1);
-    report(&f, "m3", true, 8, 31);
-    run_for(&f, 100, true, 6);
+    run_for(&f, 100, true, 7);
     assert_int_equal(f.writes, 2);
+    report(&f, "m3", true, 8, 31);
+    run_for(&f, 100, true, 7);
+    assert_int_equal(f.writes, 3);
     assert_string_equal(f.written.entries[0].primary, "m3");
+    assert_string_equal(f.written.entries[0].ordered, "");
     assert_false(f.written.entries[0].changing);
     assert_int_equal(f.written.entries[0].term, 8);
     teardown(&f);
@@ -264,6 +279,8 @@
     assert_int_equal(f.orders, 0);
     report(&f, "m2", false, 7, 42);
     run_for(&f, 50, false, 6);
+    accept_order_record(&f, "m2", 0);
+    run_for(&f, 50, false, 7);
     assert_int_equal(f.orders, 1);
     assert_string_equal(f.ordered, "m2");
     teardown(&f);
@@ -329,6 +346,173 @@
     teardown(&f);
 }
 
+/* Sets up a change that b has taken over from another holder, or from its own
+   process before a restart, after the promotion of m2 may have been ordered.
+   All proxies have applied the view. */
+static void
+setup_after_order(struct fixture *f)
+{
+    struct view v;
+
+    setup(f, "b", true);
+    v = *agreement_view(f->agreement);
+    v.version = 6;
+    v.entries[0].epoch = 6;
+    v.entries[0].term = 7;
+    g_strlcpy(v.entries[0].ordered, "m2", sizeof(v.entries[0].ordered));
+    agreement_adopt_view(f->agreement, &v);
+    agreement_set_applied(f->agreement, 6);
+    run_for(f, 75, false, 6);
+    assert_true(f->queries >= 3);
+}
+
+/* Guards against publishing the old primary after a hand-over, while an order
+   of the earlier holder has yet to take effect: its writes were acknowledged
+   although another member was promoted. */
+static void
+test_old_primary_is_not_adopted_after_an_order(void **state)
+{
+    struct fixture f;
+
+    (void)state;
+    setup_after_order(&f);
+    report(&f, "m1", true, 7, 40);
+    report(&f, "m2", false, 7, 40);
+    report(&f, "m3", false, 7, 40);
+    run_for(&f, 50, false, 6);
+    assert_int_equal(f.writes, 0);
+    assert_int_equal(f.demotes, 1);
+    const struct member_report down = {
+        .term = 8, .received_term = 7, .received_position = 42};
+    promoter_member_answered(f.promoter, "db", "m1", &down, f.now);
+    run_for(&f, 50, false, 6);
+    report(&f, "m2", false, 7, 42);
+    report(&f, "m3", false, 7, 42);
+    run_for(&f, 50, false, 6);
+    /* The same member is ordered again, so it needs no new record. */
+    assert_int_equal(f.writes, 0);
+    assert_int_equal(f.orders, 1);
+    assert_string_equal(f.ordered, "m2");
+    /* The effect of the earlier order is published at once. */
+    report(&f, "m2", true, 8, 42);
+    run_for(&f, 50, false, 6);
+    assert_int_equal(f.writes, 1);
+    assert_string_equal(f.written.entries[0].primary, "m2");
+    assert_int_equal(f.written.entries[0].term, 8);
+    teardown(&f);
+}
+
+/* Guards against adopting a primary that an earlier order made, while a later
+   order for another member has yet to take effect. */
+static void
+test_only_the_last_order_is_adopted(void **state)
+{
+    struct fixture f;
+
+    (void)state;
+    setup_after_order(&f);
+    report(&f, "m1", false, 7, 40);
+    report(&f, "m2", false, 8, 40);
+    report(&f, "m3", true, 8, 40);
+    run_for(&f, 50, false, 6);
+    assert_int_equal(f.writes, 0);
+    assert_int_equal(f.demotes, 1);
+    report(&f, "m2", true, 9, 40);
+    report(&f, "m3", false, 9, 40);
+    run_for(&f, 50, false, 6);
+    assert_int_equal(f.writes, 1);
+    assert_string_equal(f.written.entries[0].primary, "m2");
+    assert_int_equal(f.written.entries[0].term, 9);
+    teardown(&f);
+}
+
+/* Guards against publishing the old primary after the answer to an order was
+   lost, without any hand-over. */
+static void
+test_lost_order_answer_excludes_the_old_primary(void **state)
+{
+    struct fixture f;
+
+    (void)state;
+    setup(&f, "b", true);
+    run_for(&f, 75, true, 5);
+    report(&f, "m2", false, 7, 40);
+    report(&f, "m3", false, 7, 40);
+    run_for(&f, 350, true, 5);
+    accept_order_record(&f, "m2", 0);
+    run_for(&f, 50, true, 6);
+    assert_int_equal(f.orders, 1);
+    promoter_order_answered(f.promoter, "db", ORDER_FAILED, f.now);
+    run_for(&f, 200, true, 6);
+    assert_int_equal(f.orders, 2);
+    promoter_order_answered(f.promoter, "db", ORDER_DONE, f.now);
+    /* The order does not take effect in time, and m1 answers again. */
+    run_for(&f, 1600, false, 6);
+    report(&f, "m1", true, 7, 40);
+    report(&f, "m2", false, 7, 40);
+    report(&f, "m3", false, 7, 40);
+    run_for(&f, 100, false, 6);
+    assert_int_equal(f.writes, 1);
+    assert_int_equal(f.demotes, 1);
+    teardown(&f);
+}
+
+/* Guards against a change that never ends when the old primary is the only
+   member left after an order: it steps down and is promoted, since an order
+   makes it follow every earlier one. */
+static void
+test_old_primary_is_promoted_again(void **state)
+{
+    struct fixture f;
+
+    (void)state;
+    setup_after_order(&f);
+    members[1].listed = false;
+    members[2].listed = false;
+    report(&f, "m1", true, 7, 40);
+    run_for(&f, 350, false, 6);
+    assert_int_equal(f.demotes, 1);
+    assert_int_equal(f.writes, 0);
+    const struct member_report down = {
+        .term = 8, .received_term = 7, .received_position = 40};
+    promoter_member_answered(f.promoter, "db", "m1", &down, f.now);
+    for (int i = 0; i < 40 && f.writes == 0; i++) {
+        promoter_member_answered(f.promoter, "db", "m1", &down, f.now);
+        run_for(&f, 50, false, 6);
+    }
+    accept_order_record(&f, "m1", 0);
+    run_for(&f, 50, false, 7);
+    assert_int_equal(f.orders, 1);
+    assert_string_equal(f.ordered, "m1");
+    report(&f, "m1", true, 8, 40);
+    run_for(&f, 50, false, 7);
+    assert_int_equal(f.writes, 2);
+    assert_string_equal(f.written.entries[0].primary, "m1");
+    assert_int_equal(f.written.entries[0].term, 8);
+    teardown(&f);
+}
+
+/* Guards against an order whose record the store did not take: a later holder
+   would not know of it. */
+static void
+test_no_order_without_its_record(void **state)
+{
+    struct fixture f;
+
+    (void)state;
+    setup(&f, "b", true);
+    run_for(&f, 75, true, 5);
+    report(&f, "m2", false, 7, 40);
+    report(&f, "m3", false, 7, 40);
+    run_for(&f, 350, true, 5);
+    assert_int_equal(f.writes, 1);
+    promoter_view_written(f.promoter, false);
+    run_for(&f, 600, true, 5);
+    assert_true(f.writes >= 2);
+    assert_int_equal(f.orders, 0);
+    teardown(&f);
+}
+
 /* Guards against a change that is delayed because its holder cannot reach the
    store: the holder reports this, and another proxy takes over at once. A
    promotion ordered by the first holder is published without a second order,
@@ -443,6 +627,11 @@
         cmocka_unit_test(test_false_alarms),
         cmocka_unit_test(test_unlisted_primary_that_answers),
         cmocka_unit_test(test_blocked_holder_hands_over),
+        cmocka_unit_test(test_old_primary_is_not_adopted_after_an_order),
+        cmocka_unit_test(test_only_the_last_order_is_adopted),
+        cmocka_unit_test(test_lost_order_answer_excludes_the_old_primary),
+        cmocka_unit_test(test_old_primary_is_promoted_again),
+        cmocka_unit_test(test_no_order_without_its_record),
         cmocka_unit_test(test_new_services_are_written_together),
         cmocka_unit_test(test_holder_without_store_is_skipped),
     };
