coordination: the term of the view counts as known in a survey

What callers saw: reads of primary routes that missed acknowledged commits, and acknowledged writes that were rolled back, after the primary of a new term had gone dark while its predecessor could be reached again.

Cause: the survey compared only the terms of the members that answered. If none of them knew the newest term, a replaced primary was adopted, and the term in the view fell.

Change: the view's term counts too. A primary of an earlier term is not adopted; it may be promoted, after it has stepped down.

--- a/src/coordination/successor.c
+++ b/src/coordination/successor.c
@@ -69,14 +69,14 @@
 
 /* Returns the member that reports to be the primary in the newest term, or
    NULL. A primary of an earlier term has been replaced: it may lack commits
-   that a newer one has acknowledged. */
+   that a newer one has acknowledged. The view may be the only one to know the
+   newest term, if nobody who received it answers. */
 struct member_state *
 successor_current_primary(struct primary_change *c, const struct view_entry *e)
 {
     struct member_state *best = NULL;
-    uint64_t newest = 0;
+    uint64_t newest = e->term;
 
-    (void)e;
     for (int i = 0; i < c->count; i++) {
         struct member_state *m = &c->members[i];
         if (!m->answered) {
--- a/tests/coordination/test_promoter.c
+++ b/tests/coordination/test_promoter.c
@@ -492,6 +492,80 @@
     teardown(&f);
 }
 
+/* Sets up the replacement of m2, which leads in term 8 and does not answer;
+   its predecessor m1 can be reached again and still leads in term 7. */
+static void
+setup_deposed_primary(struct fixture *f)
+{
+    struct view v;
+
+    setup(f, "b", true);
+    v = *agreement_view(f->agreement);
+    v.version = 6;
+    v.entries[0].epoch = 6;
+    v.entries[0].term = 8;
+    g_strlcpy(v.entries[0].primary, "m2", sizeof(v.entries[0].primary));
+    agreement_adopt_view(f->agreement, &v);
+    agreement_set_applied(f->agreement, 6);
+    run_for(f, 75, true, 6);
+    report(f, "m1", true, 7, 50);
+    report(f, "m3", false, 7, 30);
+}
+
+/* Guards against publishing a primary of an earlier term than the view
+   records, when nobody who knows the newer term answers: its log lacks what
+   was acknowledged since. */
+static void
+test_deposed_primary_is_not_published(void **state)
+{
+    struct fixture f;
+
+    (void)state;
+    setup_deposed_primary(&f);
+    run_for(&f, 350, true, 6);
+    assert_int_equal(f.writes, 0);
+    /* It has received the most and is promoted, but has to step down first. */
+    assert_int_equal(f.orders, 0);
+    assert_int_equal(f.demotes, 1);
+    const struct member_report down = {
+        .term = 8, .received_term = 7, .received_position = 51};
+    promoter_member_answered(f.promoter, "db", "m1", &down, f.now);
+    run_for(&f, 50, true, 6);
+    promoter_member_answered(f.promoter, "db", "m1", &down, f.now);
+    run_for(&f, 50, true, 6);
+    accept_order_record(&f, "m1", 0);
+    run_for(&f, 50, true, 7);
+    assert_int_equal(f.orders, 1);
+    promoter_order_answered(f.promoter, "db", ORDER_DONE, f.now);
+    /* Its role in an old term does not show that the order took effect. */
+    report(&f, "m1", true, 8, 51);
+    run_for(&f, 100, true, 7);
+    assert_int_equal(f.writes, 1);
+    report(&f, "m1", true, 9, 51);
+    run_for(&f, 50, true, 7);
+    assert_int_equal(f.writes, 2);
+    assert_string_equal(f.written.entries[0].primary, "m1");
+    assert_int_equal(f.written.entries[0].term, 9);
+    teardown(&f);
+}
+
+/* Guards against replacing the published primary by its predecessor when both
+   answer: the published one is adopted. */
+static void
+test_newest_of_two_primaries_is_published(void **state)
+{
+    struct fixture f;
+
+    (void)state;
+    setup_deposed_primary(&f);
+    report(&f, "m2", true, 8, 60);
+    run_for(&f, 100, true, 6);
+    assert_int_equal(f.writes, 1);
+    assert_string_equal(f.written.entries[0].primary, "m2");
+    assert_int_equal(f.written.entries[0].term, 8);
+    teardown(&f);
+}
+
 /* Guards against an order whose record the store did not take: a later holder
    would not know of it. */
 static void
@@ -632,6 +706,8 @@
         cmocka_unit_test(test_lost_order_answer_excludes_the_old_primary),
         cmocka_unit_test(test_old_primary_is_promoted_again),
         cmocka_unit_test(test_no_order_without_its_record),
+        cmocka_unit_test(test_deposed_primary_is_not_published),
+        cmocka_unit_test(test_newest_of_two_primaries_is_published),
         cmocka_unit_test(test_new_services_are_written_together),
         cmocka_unit_test(test_holder_without_store_is_skipped),
     };
