coordination: pass the state of a service as a structure to promoter_tick()

The choice of a new primary needs sync_replicas and the term of the newest commit that this proxy has seen; both are passed on and not used yet. No change of behaviour; coordination_test_promoter: 15 passed.

--- a/src/coordination/promoter.c
+++ b/src/coordination/promoter.c
@@ -427,18 +427,19 @@
     return false;
 }
 
-/* Checks one service. members is the list from the directory; unreachable
-   means that this proxy cannot reach the primary. Called every few tens of
-   milliseconds for each configured service, then promoter_end_round(). */
+/* Checks one service. Called every few tens of milliseconds for each
+   configured service, then promoter_end_round(). */
 void
 promoter_tick(struct promoter *p, const char *service,
-              const struct service_member *members, size_t n, bool unreachable,
-              clock_ms now)
+              const struct service_state *state, clock_ms now)
 {
     const struct view *v = agreement_view(p->agreement);
     struct primary_change *c = promoter_get_primary_change(p, service);
 
-    update_members(c, members, n);
+    update_members(c, state->members, state->member_count);
+    c->sync_replicas = state->sync_replicas;
+    c->newest_commit_term =
+        MAX(c->newest_commit_term, state->newest_commit_term);
     if (!find_in_view(v, c)) {
         mark_new_service(p, c, now);
         return;
@@ -470,7 +471,8 @@
         }
         return;
     }
-    const char *why = replacement_reason(p, c, e, index, unreachable, now);
+    const char *why =
+        replacement_reason(p, c, e, index, state->primary_unreachable, now);
     const clock_ms since =
         c->draining_since != 0 ? c->draining_since : c->unlisted_since;
     if (why != NULL && has_successor(c, e->primary, now)) {
--- a/src/coordination/promoter.h
+++ b/src/coordination/promoter.h
@@ -40,12 +40,22 @@
     bool says_primary;
 };
 
+/* What this proxy knows of a service. */
+struct service_state {
+    const struct service_member *members;
+    size_t member_count;
+    /* Replicas that have received a commit before it is acknowledged. */
+    int sync_replicas;
+    /* Term of the newest commit that this proxy has seen; 0 if unknown. */
+    uint64_t newest_commit_term;
+    bool primary_unreachable; /* from this proxy */
+};
+
 struct promoter *promoter_create(const char *name, struct agreement *a,
                                  const struct promoter_actions *actions);
 void promoter_destroy(struct promoter *p);
 void promoter_tick(struct promoter *p, const char *service,
-                   const struct service_member *members, size_t n,
-                   bool unreachable, clock_ms now);
+                   const struct service_state *state, clock_ms now);
 void promoter_end_round(struct promoter *p, clock_ms now);
 void promoter_view_written(struct promoter *p, bool done);
 void promoter_member_answered(struct promoter *p, const char *service,
--- a/src/coordination/promoter_internal.h
+++ b/src/coordination/promoter_internal.h
@@ -68,6 +68,8 @@
     uint64_t changing_fence; /* of the holder that carries out the change */
     struct member_state members[SERVICE_MEMBERS_MAX];
     int count;
+    int sync_replicas;
+    uint64_t newest_commit_term; /* known here; 0 if unknown */
 };
 
 struct promoter {
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -213,8 +213,21 @@
                 .says_primary = m->entry.says_primary,
             };
         }
-        promoter_tick(n->promoter, name, list, count,
-                      service_primary_unreachable(service, now), now);
+        const struct service_limits *limits =
+            g_hash_table_lookup(n->catalog->services, name);
+        clock_ms at;
+        struct token newest;
+        const struct service_state state = {
+            .members = list,
+            .member_count = count,
+            .sync_replicas = limits != NULL ? limits->sync_replicas : 0,
+            .newest_commit_term =
+                service_newest_primary_position(service, &at, &newest)
+                    ? newest.term
+                    : 0,
+            .primary_unreachable = service_primary_unreachable(service, now),
+        };
+        promoter_tick(n->promoter, name, &state, now);
     }
     promoter_end_round(n->promoter, now);
 }
--- a/tests/coordination/test_promoter.c
+++ b/tests/coordination/test_promoter.c
@@ -35,6 +35,9 @@
     {.id = "m3", .listed = true},
 };
 
+static int sync_replicas;
+static uint64_t newest_commit_term; /* known to the promoter's proxy */
+
 static void
 write_view(void *ctx, const struct view *next)
 {
@@ -86,6 +89,8 @@
     agreement_adopt_view(f->agreement, &v);
     agreement_set_applied(f->agreement, 5);
     f->promoter = promoter_create("b", f->agreement, &actions);
+    sync_replicas = 0;
+    newest_commit_term = 0;
     for (int i = 0; i < 3; i++) {
         members[i].listed = true;
         members[i].draining = false;
@@ -125,6 +130,21 @@
     agreement_receive(f->agreement, &m, f->now);
 }
 
+/* Ticks one service, whose members are the three of this file. */
+static void
+tick(struct promoter *p, const char *service, bool unreachable, clock_ms now)
+{
+    const struct service_state state = {
+        .members = members,
+        .member_count = 3,
+        .sync_replicas = sync_replicas,
+        .newest_commit_term = newest_commit_term,
+        .primary_unreachable = unreachable,
+    };
+
+    promoter_tick(p, service, &state, now);
+}
+
 /* Lets time pass while messages from both peers arrive. */
 static void
 run_for(struct fixture *f, int64_t ms, bool unreachable, uint64_t applied)
@@ -135,7 +155,7 @@
         f->now += 25;
         receive_from(f, "a", unreachable, applied);
         receive_from(f, "c", unreachable, applied);
-        promoter_tick(f->promoter, "db", members, 3, unreachable, f->now);
+        tick(f->promoter, "db", unreachable, f->now);
         promoter_end_round(f->promoter, f->now);
     }
 }
@@ -212,7 +232,7 @@
     for (int i = 0; i < 100 && f.writes == 0; i++) {
         f.now += 25;
         receive_from(&f, "c", 1, 5);
-        promoter_tick(f.promoter, "db", members, 3, true, f.now);
+        tick(f.promoter, "db", true, f.now);
     }
     assert_int_equal(f.writes, 1);
     assert_true(f.written.entries[0].changing);
@@ -299,7 +319,7 @@
         f.now += 25;
         receive_from(&f, "a", 0, 5);
         receive_from(&f, "c", 1, 5);
-        promoter_tick(f.promoter, "db", members, 3, false, f.now);
+        tick(f.promoter, "db", false, f.now);
     }
     assert_int_equal(f.writes, 0);
     run_for(&f, 500, true, 5);
@@ -619,7 +639,7 @@
         g_strlcpy(m.from, "a", sizeof(m.from));
         agreement_receive(f.agreement, &m, f.now);
         receive_from(&f, "c", 0, 5);
-        promoter_tick(f.promoter, "db", members, 3, false, f.now);
+        tick(f.promoter, "db", false, f.now);
     }
     assert_int_equal(f.writes, 1);
     assert_int_equal(f.written.fence, 4);
@@ -681,9 +701,9 @@
     setup(&f, "b", false);
     f.now += 25;
     receive_from(&f, "a", false, 5);
-    promoter_tick(f.promoter, "db", members, 3, false, f.now);
-    promoter_tick(f.promoter, "db2", members, 3, false, f.now);
-    promoter_tick(f.promoter, "db3", members, 3, false, f.now);
+    tick(f.promoter, "db", false, f.now);
+    tick(f.promoter, "db2", false, f.now);
+    tick(f.promoter, "db3", false, f.now);
     promoter_end_round(f.promoter, f.now);
     assert_int_equal(f.writes, 1);
     assert_int_equal(f.written.count, 3);
