coordination: promote a replica that has every synchronous commit

Cause: sync_replicas was not used. A replica that was not draining came first, however far behind; the survey ended without replicas that had not answered, and left out those whose entries had lapsed.

Change: with sync_replicas the most advanced replica is promoted, draining and unlisted ones included, and the promotion waits up to 8 s for replicas that may be the only ones to have confirmed a commit. A lost primary whose replicas are all draining is replaced.

Four of the five new tests fail on the code before; all 20 tests of test_promoter.c pass now.

--- a/src/coordination/primary_change.c
+++ b/src/coordination/primary_change.c
@@ -13,7 +13,11 @@
 #define QUERY_INTERVAL_MS 40     /* between queries while waiting */
 #define CONFIRM_TIMEOUT_MS 1500  /* for a promotion to take effect */
 #define ORDER_RETRY_MS 100
-#define EXCLUSION_MS 1000 /* a member that did not run is not chosen again */
+/* With sync_replicas, a promotion waits this long for replicas that may have
+   confirmed commits; members stay silent or crashed for up to 7 s. */
+#define SYNCHRONOUS_LOG_WAIT_MS 8000
+#define AWAIT_QUERY_MS 150 /* between queries in that time */
+#define EXCLUSION_MS 1000  /* a member that did not run is not chosen again */
 
 /* Returns the member with an id, or NULL. */
 struct member_state *
@@ -31,9 +35,9 @@
 primary_change_enter_phase(struct primary_change *c, enum phase phase,
                            clock_ms now)
 {
-    static const char *const names[] = {"none",    "fence",    "survey",
-                                        "demote",  "catch_up", "order",
-                                        "confirm", "publish"};
+    static const char *const names[] = {"none",   "fence",    "survey",
+                                        "demote", "catch_up", "await_log",
+                                        "order",  "confirm",  "publish"};
 
     event_log(EVENT_STATE, "change_phase",
               "service=%s phase=%s before=%s took_ms=%lld", c->service,
@@ -61,11 +65,13 @@
 }
 
 /* Returns true if a member's state is needed: it is listed, or it is the
-   primary and may still answer. */
+   primary and may still answer. With sync_replicas, a member whose entry has
+   lapsed may be the only one with the last commits. */
 static bool
-is_relevant(const struct member_state *m, const char *primary)
+is_relevant(const struct primary_change *c, const struct member_state *m,
+            const char *primary)
 {
-    return m->listed || strcmp(m->id, primary) == 0;
+    return m->listed || strcmp(m->id, primary) == 0 || c->sync_replicas > 0;
 }
 
 /* Returns true if all needed members have answered. The old primary is not
@@ -78,7 +84,7 @@
         if (c->primary_unreachable && strcmp(m->id, primary) == 0) {
             continue;
         }
-        if (is_relevant(m, primary) && !m->answered) {
+        if (is_relevant(c, m, primary) && !m->answered) {
             return false;
         }
     }
@@ -94,7 +100,7 @@
 {
     for (int i = 0; i < c->count; i++) {
         struct member_state *m = &c->members[i];
-        if (is_relevant(m, primary) && !m->query_pending &&
+        if (is_relevant(c, m, primary) && !m->query_pending &&
             now - m->queried_at >= pause_ms) {
             primary_change_query_member(p, c, m, 0, now);
         }
@@ -129,12 +135,14 @@
               (long long)(now - m->queried_at));
 }
 
-/* Begins to demote a member that reports to be a primary. */
+/* Begins to demote a member that reports to be a primary; current says whether
+   it leads in the newest term. */
 static void
 begin_demotion(struct primary_change *c, const struct member_state *m,
-               clock_ms now)
+               bool current, clock_ms now)
 {
     g_strlcpy(c->demoted, m->id, sizeof(c->demoted));
+    c->demoted_current = current;
     c->demote_sent = false;
     primary_change_enter_phase(c, PHASE_DEMOTE, now);
 }
@@ -158,7 +166,7 @@
         primary_change_enter_phase(c, PHASE_PUBLISH, now);
         return;
     }
-    begin_demotion(c, current, now);
+    begin_demotion(c, current, true, now);
 }
 
 /* Asks a primary to step down, so that the replicas can receive its whole
@@ -178,11 +186,17 @@
         c->demote_sent = true;
         return;
     }
-    if (m->answered) {
-        c->target_term = m->report.received_term;
-        c->target_position = m->report.received_position;
+    if (!m->answered) {
+        return;
+    }
+    if (c->demoted_current) {
+        c->target = m->report;
+        c->has_target = true;
         primary_change_enter_phase(c, PHASE_CATCH_UP, now);
     }
+    else {
+        primary_change_enter_phase(c, PHASE_ORDER, now);
+    }
 }
 
 /* Waits for a candidate that has received the demoted primary's whole log. */
@@ -190,20 +204,17 @@
 run_catch_up(struct promoter *p, struct primary_change *c,
              const struct view_entry *e, clock_ms now)
 {
-    const struct member_state *best = successor_choose(c, e, now);
+    const struct member_state *best = successor_preferred(c, e->primary, now);
 
-    if (best != NULL &&
-        (best->report.received_term > c->target_term ||
-         (best->report.received_term == c->target_term &&
-          best->report.received_position >= c->target_position))) {
+    if (best != NULL && !successor_is_ahead(&c->target, &best->report)) {
         primary_change_enter_phase(c, PHASE_ORDER, now);
         return;
     }
     if (now - c->phase_since >= CATCH_UP_TIMEOUT_MS) {
         event_log(EVENT_STATE, "catch_up_given_up",
                   "service=%s wanted=%llu.%llu", c->service,
-                  (unsigned long long)c->target_term,
-                  (unsigned long long)c->target_position);
+                  (unsigned long long)c->target.received_term,
+                  (unsigned long long)c->target.received_position);
         primary_change_enter_phase(c, PHASE_ORDER, now);
         return;
     }
@@ -223,6 +234,42 @@
     }
 }
 
+/* Returns true if the promotion has to wait for members that have not answered
+   yet. */
+static bool
+must_await_log(const struct primary_change *c, const struct view_entry *e,
+               const struct member_state *best, clock_ms now)
+{
+    return successor_is_premature(c, best, e->primary) &&
+           (c->awaited_since == 0 ||
+            now - c->awaited_since < SYNCHRONOUS_LOG_WAIT_MS);
+}
+
+/* Waits for members that may have more of the log than those that have
+   answered. */
+static void
+run_await_log(struct promoter *p, struct primary_change *c,
+              const struct view_entry *e, clock_ms now)
+{
+    const struct member_state *best = successor_choose(c, e, now);
+
+    c->awaited_since = c->awaited_since == 0 ? now : c->awaited_since;
+    if (successor_current_primary(c, e) != NULL) {
+        primary_change_enter_phase(c, PHASE_SURVEY, now);
+        return;
+    }
+    if (best != NULL && !must_await_log(c, e, best, now)) {
+        if (successor_is_premature(c, best, e->primary)) {
+            event_log(EVENT_STATE, "log_not_found",
+                      "service=%s member=%s waited_ms=%lld", c->service,
+                      best->id, (long long)(now - c->awaited_since));
+        }
+        primary_change_enter_phase(c, PHASE_ORDER, now);
+        return;
+    }
+    primary_change_query_members(p, c, e->primary, AWAIT_QUERY_MS, now);
+}
+
 /* Orders the promotion. Requires a valid lease, that no earlier holder can
    still order one, and that the view in force names the member as ordered. */
 static void
@@ -250,8 +297,12 @@
         primary_change_enter_phase(c, PHASE_SURVEY, now);
         return;
     }
+    if (must_await_log(c, e, best, now)) {
+        primary_change_enter_phase(c, PHASE_AWAIT_LOG, now);
+        return;
+    }
     if (best->report.primary) {
-        begin_demotion(c, best, now);
+        begin_demotion(c, best, false, now);
         return;
     }
     if (!agreement_lease_is_valid(p->agreement, now)) {
@@ -355,6 +406,8 @@
         c->claim_version = agreement_view(p->agreement)->version;
         c->started_at = now;
         c->phase_since = now;
+        c->awaited_since = 0;
+        c->has_target = false;
         c->order_pending = false;
         primary_change_enter_phase(c, PHASE_EXPIRE_VIEWS, now);
         break;
@@ -382,6 +435,9 @@
     case PHASE_CATCH_UP:
         run_catch_up(p, c, e, now);
         break;
+    case PHASE_AWAIT_LOG:
+        run_await_log(p, c, e, now);
+        break;
     case PHASE_ORDER:
         run_order(p, c, e, now);
         break;
--- a/src/coordination/promoter.c
+++ b/src/coordination/promoter.c
@@ -336,14 +336,17 @@
     return has_lasted(c->draining_since, 0, delay, now) ? "draining" : NULL;
 }
 
-/* Returns true if a member other than the primary could be promoted. */
+/* Returns true if a member other than the primary could be promoted. One that
+   is draining is good enough only for a primary that does not serve. */
 static bool
 has_successor(const struct primary_change *c, const char *primary,
-              clock_ms now)
+              bool draining_too, clock_ms now)
 {
     for (int i = 0; i < c->count; i++) {
-        if (strcmp(c->members[i].id, primary) != 0 &&
-            successor_is_candidate(&c->members[i], false, now)) {
+        const struct member_state *m = &c->members[i];
+        if (strcmp(m->id, primary) != 0 &&
+            (successor_is_candidate(m, false, now) ||
+             (draining_too && successor_is_candidate(m, true, now)))) {
             return true;
         }
     }
@@ -379,7 +382,7 @@
                   const struct view_entry *e, clock_ms since, clock_ms now)
 {
     const struct member_state *old = primary_change_find_member(c, e->primary);
-    const struct member_state *best = successor_choose(c, e, now);
+    const struct member_state *best = successor_preferred(c, e->primary, now);
 
     if (old == NULL || now - since >= CAUGHT_UP_TIMEOUT_MS) {
         return true;
@@ -475,7 +478,8 @@
         replacement_reason(p, c, e, index, state->primary_unreachable, now);
     const clock_ms since =
         c->draining_since != 0 ? c->draining_since : c->unlisted_since;
-    if (why != NULL && has_successor(c, e->primary, now)) {
+    if (why != NULL &&
+        has_successor(c, e->primary, c->unreachable_since != 0, now)) {
         if (c->unreachable_since != 0 || since == 0 ||
             replica_caught_up(p, c, e, since, now)) {
             c->primary_unreachable = c->unreachable_since != 0;
--- a/src/coordination/promoter_internal.h
+++ b/src/coordination/promoter_internal.h
@@ -19,6 +19,7 @@
     PHASE_SURVEY,       /* ask all members for their state */
     PHASE_DEMOTE,       /* ask a member that is still a primary to step down */
     PHASE_CATCH_UP,     /* wait for a replica with the demoted primary's log */
+    PHASE_AWAIT_LOG,    /* wait for a replica that may have more of the log */
     PHASE_ORDER,        /* order the promotion */
     PHASE_CONFIRM,      /* wait until the new primary reports its role */
     PHASE_PUBLISH,      /* write the new primary into the view */
@@ -53,10 +54,13 @@
     char new_primary[MEMBER_ID_BYTES];
     bool order_pending;
     clock_ms order_sent_at;
-    uint64_t target_term; /* end of the demoted primary's log */
-    uint64_t target_position;
+    /* The demoted primary's log. No commit was acknowledged beyond it. */
+    struct member_report target;
+    bool has_target;
     char demoted[MEMBER_ID_BYTES]; /* the member asked to step down */
+    bool demoted_current;          /* it led in the newest term */
     bool demote_sent;
+    clock_ms awaited_since;   /* when PHASE_AWAIT_LOG was entered first */
     bool primary_unreachable; /* most proxies cannot reach the old primary */
     uint64_t base_term; /* a promotion of this change leads to a later one */
     clock_ms unreachable_since;
@@ -104,13 +108,20 @@
                         const struct view_entry *e, int index, clock_ms now);
 
 /* successor.c */
+bool successor_is_ahead(const struct member_report *a,
+                        const struct member_report *b);
 bool successor_is_candidate(const struct member_state *m, bool draining,
                             clock_ms now);
+struct member_state *successor_preferred(struct primary_change *c,
+                                         const char *old, clock_ms now);
 struct member_state *successor_choose(struct primary_change *c,
                                       const struct view_entry *e,
                                       clock_ms now);
 struct member_state *successor_current_primary(struct primary_change *c,
                                                const struct view_entry *e);
+bool successor_is_premature(const struct primary_change *c,
+                            const struct member_state *candidate,
+                            const char *old);
 bool successor_may_adopt(const struct member_state *m,
                          const struct view_entry *e);
 uint64_t successor_base_term(const struct primary_change *c,
--- a/src/coordination/successor.c
+++ b/src/coordination/successor.c
@@ -3,8 +3,9 @@
 #include <string.h>
 
 /* Returns true if a has received more of the log than b. */
-static bool
-is_ahead(const struct member_report *a, const struct member_report *b)
+bool
+successor_is_ahead(const struct member_report *a,
+                   const struct member_report *b)
 {
     return a->received_term != b->received_term
                ? a->received_term > b->received_term
@@ -22,8 +23,8 @@
 
 /* Returns the candidate that has received the most of the log. A draining
    member is chosen only if there is no other. NULL if none has answered. */
-static struct member_state *
-most_advanced(struct primary_change *c, const char *old, clock_ms now)
+struct member_state *
+successor_preferred(struct primary_change *c, const char *old, clock_ms now)
 {
     struct member_state *best = NULL;
 
@@ -34,7 +35,8 @@
                 !successor_is_candidate(m, draining != 0, now)) {
                 continue;
             }
-            if (best == NULL || is_ahead(&m->report, &best->report)) {
+            if (best == NULL ||
+                successor_is_ahead(&m->report, &best->report)) {
                 best = m;
             }
         }
@@ -42,7 +44,65 @@
     return best;
 }
 
-/* Returns the member to promote, or NULL if no candidate has answered. The
+/* Returns the replica that has received the most of the log, whether or not it
+   is draining or listed. NULL if none has answered. */
+static struct member_state *
+most_advanced(struct primary_change *c, const char *old, clock_ms now)
+{
+    struct member_state *best = NULL;
+
+    for (int i = 0; i < c->count; i++) {
+        struct member_state *m = &c->members[i];
+        if (strcmp(m->id, old) != 0 && m->answered &&
+            now >= m->excluded_until &&
+            (best == NULL || successor_is_ahead(&m->report, &best->report))) {
+            best = m;
+        }
+    }
+    return best;
+}
+
+/* Returns true if a member has received every commit that was acknowledged
+   with sync_replicas: it has the whole log of the primary that stepped down,
+   or no replica that may have confirmed a commit is ahead of it. Fewer
+   replicas than sync_replicas may be missing, since each commit is on so
+   many. */
+static bool
+has_synchronous_commits(const struct primary_change *c,
+                        const struct member_state *candidate, const char *old)
+{
+    int missing = 0;
+
+    if (c->has_target && !successor_is_ahead(&c->target, &candidate->report)) {
+        return true;
+    }
+    for (int i = 0; i < c->count; i++) {
+        const struct member_state *m = &c->members[i];
+        if (strcmp(m->id, old) == 0) {
+            continue;
+        }
+        /* The log of a member that has left goes to its successor. */
+        missing += !m->answered && !(m->draining && !m->listed);
+        if (m->answered &&
+            successor_is_ahead(&m->report, &candidate->report)) {
+            return false;
+        }
+    }
+    return missing < c->sync_replicas;
+}
+
+/* Returns true if promoting a member may lose commits that another member, not
+   heard from yet, would keep. */
+bool
+successor_is_premature(const struct primary_change *c,
+                       const struct member_state *candidate, const char *old)
+{
+    return c->sync_replicas > 0 && !has_synchronous_commits(c, candidate, old);
+}
+
+/* Returns the member to promote, or NULL if no candidate has answered. With
+   sync_replicas, a replica that is draining or no longer listed is chosen if
+   it is ahead of all others: it may be the only one with the last commits. The
    member that was ordered before is preferred, so that an order which is
    carried out late changes nothing. The old primary is promoted again only if
    there is no other candidate, it has stepped down, and an order prevents that
@@ -51,13 +111,18 @@
 successor_choose(struct primary_change *c, const struct view_entry *e,
                  clock_ms now)
 {
-    struct member_state *best = most_advanced(c, e->primary, now);
+    struct member_state *best = successor_preferred(c, e->primary, now);
+    struct member_state *ahead = most_advanced(c, e->primary, now);
     struct member_state *ordered = primary_change_find_member(c, e->ordered);
     struct member_state *old = primary_change_find_member(c, e->primary);
 
+    if (c->sync_replicas > 0 && ahead != NULL &&
+        (best == NULL || successor_is_ahead(&ahead->report, &best->report))) {
+        best = ahead;
+    }
     if (best != NULL && ordered != NULL && ordered->answered &&
         successor_is_candidate(ordered, best->draining, now) &&
-        !is_ahead(&best->report, &ordered->report)) {
+        !successor_is_ahead(&best->report, &ordered->report)) {
         return ordered;
     }
     if (best == NULL && e->ordered[0] != '\0' && old != NULL &&
--- a/tests/coordination/test_promoter.c
+++ b/tests/coordination/test_promoter.c
@@ -586,6 +586,143 @@
     teardown(&f);
 }
 
+/* Sets up a lost primary with sync_replicas 1; m3 has answered with a log that
+   ends at 30. */
+static void
+setup_synchronous(struct fixture *f)
+{
+    setup(f, "b", true);
+    sync_replicas = 1;
+    run_for(f, 75, true, 5);
+    report(f, "m3", false, 7, 30);
+}
+
+/* Guards against promoting a replica without commits that a draining replica
+   alone has confirmed (sync_replicas). */
+static void
+test_draining_replica_keeps_synchronous_commits(void **state)
+{
+    struct fixture f;
+
+    (void)state;
+    setup_synchronous(&f);
+    members[1].draining = true;
+    report(&f, "m2", false, 7, 40);
+    run_for(&f, 350, true, 5);
+    accept_order_record(&f, "m2", 0);
+    run_for(&f, 50, true, 6);
+    assert_string_equal(f.ordered, "m2");
+    teardown(&f);
+    /* Without sync_replicas, it is not worth a second change. */
+    setup_synchronous(&f);
+    sync_replicas = 0;
+    members[1].draining = true;
+    report(&f, "m2", false, 7, 40);
+    run_for(&f, 350, true, 5);
+    accept_order_record(&f, "m3", 0);
+    teardown(&f);
+}
+
+/* Guards against the same loss when the entry of the replica has lapsed. */
+static void
+test_unlisted_replica_keeps_synchronous_commits(void **state)
+{
+    struct fixture f;
+
+    (void)state;
+    setup_synchronous(&f);
+    members[1].listed = false;
+    report(&f, "m2", false, 7, 40);
+    run_for(&f, 350, true, 5);
+    accept_order_record(&f, "m2", 0);
+    teardown(&f);
+}
+
+/* Guards against a promotion before a replica has answered that may be the
+   only one with the last commits, since it is busy or silent; and against a
+   change that never ends because it is lost. */
+static void
+test_missing_replica_is_awaited(void **state)
+{
+    struct fixture f;
+
+    (void)state;
+    setup_synchronous(&f);
+    run_for(&f, 3000, true, 5);
+    assert_int_equal(f.writes, 0);
+    report(&f, "m2", false, 7, 31);
+    run_for(&f, 50, true, 5);
+    accept_order_record(&f, "m2", 0);
+    teardown(&f);
+
+    setup_synchronous(&f);
+    run_for(&f, 8000, true, 5);
+    assert_int_equal(f.writes, 0);
+    run_for(&f, 600, true, 5);
+    accept_order_record(&f, "m3", 0);
+    teardown(&f);
+    /* The old primary answers meanwhile: nothing is lost. */
+    setup_synchronous(&f);
+    run_for(&f, 3000, true, 5);
+    report(&f, "m1", true, 7, 32);
+    run_for(&f, 50, true, 5);
+    report(&f, "m1", true, 7, 32);
+    run_for(&f, 350, true, 5);
+    assert_int_equal(f.writes, 1);
+    assert_string_equal(f.written.entries[0].primary, "m1");
+    teardown(&f);
+    /* A member that has left does not count as missing. */
+    setup_synchronous(&f);
+    members[1].draining = true;
+    members[1].listed = false;
+    run_for(&f, 350, true, 5);
+    accept_order_record(&f, "m3", 0);
+    teardown(&f);
+}
+
+/* Guards against waiting for a missing replica although another one has the
+   whole log of the primary, which has stepped down. */
+static void
+test_whole_log_needs_no_other_replica(void **state)
+{
+    struct fixture f;
+
+    (void)state;
+    setup(&f, "b", true);
+    sync_replicas = 1;
+    members[0].draining = true;
+    run_for(&f, 75, false, 5);
+    report(&f, "m1", true, 7, 40);
+    report(&f, "m3", false, 7, 38);
+    run_for(&f, 350, false, 5);
+    assert_int_equal(f.demotes, 1);
+    const struct member_report down = {
+        .term = 8, .received_term = 7, .received_position = 41};
+    promoter_member_answered(f.promoter, "db", "m1", &down, f.now);
+    run_for(&f, 50, false, 5);
+    report(&f, "m3", false, 7, 41);
+    run_for(&f, 50, false, 5);
+    accept_order_record(&f, "m3", 0);
+    teardown(&f);
+}
+
+/* Guards against a group that stays without a primary because all its replicas
+   are draining. */
+static void
+test_draining_replicas_replace_a_lost_primary(void **state)
+{
+    struct fixture f;
+
+    (void)state;
+    setup(&f, "b", false);
+    members[1].draining = true;
+    members[2].draining = true;
+    run_for(&f, 500, true, 5);
+    assert_int_equal(f.writes, 1);
+    assert_true(f.written.entries[0].changing);
+    teardown(&f);
+}
+
 /* Guards against an order whose record the store did not take: a later holder
    would not know of it. */
 static void
@@ -727,6 +864,11 @@
         cmocka_unit_test(test_old_primary_is_promoted_again),
         cmocka_unit_test(test_no_order_without_its_record),
         cmocka_unit_test(test_deposed_primary_is_not_published),
+        cmocka_unit_test(test_draining_replica_keeps_synchronous_commits),
+        cmocka_unit_test(test_unlisted_replica_keeps_synchronous_commits),
+        cmocka_unit_test(test_missing_replica_is_awaited),
+        cmocka_unit_test(test_whole_log_needs_no_other_replica),
+        cmocka_unit_test(test_draining_replicas_replace_a_lost_primary),
         cmocka_unit_test(test_newest_of_two_primaries_is_published),
         cmocka_unit_test(test_new_services_are_written_together),
         cmocka_unit_test(test_holder_without_store_is_skipped),
