coordination: ignore late answers to queries of an earlier phase

A state that the old primary had reported before it was asked to step down ended the wait for that, and the replica to promote was compared with a log that was too short. In a survey, a replica's state from before the old primary was out of use counted.

--- a/src/coordination/primary_change.c
+++ b/src/coordination/primary_change.c
@@ -45,10 +45,12 @@
               (long long)(now - c->phase_since));
     c->phase = phase;
     c->phase_since = now;
-    if (phase == PHASE_SURVEY || phase == PHASE_CATCH_UP) {
+    if (phase == PHASE_SURVEY || phase == PHASE_DEMOTE ||
+        phase == PHASE_CATCH_UP) {
+        c->round++;
         for (int i = 0; i < c->count; i++) {
             c->members[i].query_pending = false;
-            c->members[i].answered = false;
+            c->members[i].answered &= phase == PHASE_DEMOTE;
         }
     }
 }
@@ -61,7 +63,7 @@
 {
     m->query_pending = true;
     m->queried_at = now;
-    p->actions.query(p->actions.ctx, c->service, m->id, demote_term);
+    p->actions.query(p->actions.ctx, c->service, m->id, demote_term, c->round);
 }
 
 /* Returns true if a member's state is needed: it is listed, or it is the
@@ -107,16 +109,18 @@
     }
 }
 
-/* Records a member's answer; report is NULL if there was none. */
+/* Records a member's answer; report is NULL if there was none. An answer to a
+   query of an earlier round may tell a state from before the old primary was
+   out of use. */
 void
 promoter_member_answered(struct promoter *p, const char *service,
-                         const char *member,
+                         const char *member, uint64_t round,
                          const struct member_report *report, clock_ms now)
 {
     struct primary_change *c = promoter_get_primary_change(p, service);
     struct member_state *m = primary_change_find_member(c, member);
 
-    if (m == NULL) {
+    if (m == NULL || round != c->round) {
         return;
     }
     m->query_pending = false;
--- a/src/coordination/promoter.h
+++ b/src/coordination/promoter.h
@@ -23,9 +23,9 @@
     /* Answered by promoter_view_written(). */
     void (*write_view)(void *ctx, const struct view *next);
     /* Asks a member for its state, or to step down if demote_term is not 0.
-       Answered by promoter_member_answered(). */
+       Answered by promoter_member_answered() with the same round. */
     void (*query)(void *ctx, const char *service, const char *member,
-                  uint64_t demote_term);
+                  uint64_t demote_term, uint64_t round);
     /* Orders a promotion. Answered by promoter_order_answered(). */
     void (*order)(void *ctx, const char *service, const char *member,
                   uint64_t fence);
@@ -59,7 +59,7 @@
 void promoter_end_round(struct promoter *p, clock_ms now);
 void promoter_view_written(struct promoter *p, bool done);
 void promoter_member_answered(struct promoter *p, const char *service,
-                              const char *member,
+                              const char *member, uint64_t round,
                               const struct member_report *report,
                               clock_ms now);
 void promoter_order_answered(struct promoter *p, const char *service,
--- a/src/coordination/promoter_internal.h
+++ b/src/coordination/promoter_internal.h
@@ -48,6 +48,8 @@
     bool record_pending; /* write to the view that new_primary is ordered */
     enum phase phase;
     clock_ms phase_since;   /* when the phase began */
+    uint64_t round; /* of queries; answers to those of an earlier one are
+                       ignored */
     uint64_t version;       /* view version at which the change began */
     uint64_t claim_version; /* view version when this proxy took it over */
     clock_ms started_at;
--- a/src/node/member_query.c
+++ b/src/node/member_query.c
@@ -12,6 +12,7 @@
     struct member_link *link;
     struct member_entry member;
     uint64_t demote_term;
+    uint64_t round;
     ev_timer timer;
     member_query_fn done;
     void *ctx;
@@ -25,7 +26,7 @@
     if (q->link != NULL) {
         q->codec->close(q->link);
     }
-    q->done(q->ctx, q->member.service, q->member.id, report);
+    q->done(q->ctx, q->member.service, q->member.id, q->round, report);
     g_free(q);
 }
 
@@ -83,11 +84,11 @@
 
 /* Asks a member for its state on a new connection or, if demote_term is not 0,
    asks it to step down if it is the primary in a lower term. done is called
-   once from the event loop. */
+   once from the event loop, with the round. */
 void
 member_query_start(struct ev_loop *loop, const struct member_codec *codec,
                    const struct member_entry *m, uint64_t demote_term,
-                   member_query_fn done, void *ctx)
+                   uint64_t round, member_query_fn done, void *ctx)
 {
     struct member_query *q = g_new0(struct member_query, 1);
 
@@ -95,6 +96,7 @@
     q->codec = codec;
     q->member = *m;
     q->demote_term = demote_term;
+    q->round = round;
     q->done = done;
     q->ctx = ctx;
     q->link = codec->open(codec->ctx, m, &query_events, q);
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -152,13 +152,13 @@
 }
 
 static void
-on_report(void *ctx, const char *service, const char *member,
+on_report(void *ctx, const char *service, const char *member, uint64_t round,
           const struct member_report *report)
 {
     struct node *n = ctx;
     const clock_ms now = clock_boottime_ms();
 
-    promoter_member_answered(n->promoter, service, member, report, now);
+    promoter_member_answered(n->promoter, service, member, round, report, now);
     node_tick_promoter(n, now);
 }
 
@@ -166,7 +166,7 @@
    not answering. */
 static void
 on_query(void *ctx, const char *service, const char *member,
-         uint64_t demote_term)
+         uint64_t demote_term, uint64_t round)
 {
     struct node *n = ctx;
 
@@ -175,11 +175,11 @@
             &g_array_index(n->members, struct known_member, k);
         if (strcmp(m->entry.id, member) == 0) {
             member_query_start(n->loop, n->platform.codec, &m->entry,
-                               demote_term, on_report, n);
+                               demote_term, round, on_report, n);
             return;
         }
     }
-    promoter_member_answered(n->promoter, service, member, NULL,
+    promoter_member_answered(n->promoter, service, member, round, NULL,
                              clock_boottime_ms());
 }
 
--- a/tests/coordination/test_promoter.c
+++ b/tests/coordination/test_promoter.c
@@ -21,6 +21,7 @@
     uint64_t fence;
     int queries;
     int demotes;
+    uint64_t round; /* of the last query */
 };
 
 static const struct agreement_peer peers[] = {
@@ -48,7 +49,8 @@
 }
 
 static void
-query(void *ctx, const char *service, const char *member, uint64_t demote_term)
+query(void *ctx, const char *service, const char *member, uint64_t demote_term,
+      uint64_t round)
 {
     struct fixture *f = ctx;
 
@@ -56,6 +58,7 @@
     (void)member;
     f->queries++;
     f->demotes += demote_term > 0;
+    f->round = round;
 }
 
 static void
@@ -190,7 +193,7 @@
                                     .received_term = term,
                                     .received_position = received_position};
 
-    promoter_member_answered(f->promoter, "db", id, &r, f->now);
+    promoter_member_answered(f->promoter, "db", id, f->round, &r, f->now);
 }
 
 /* Guards against proxies that take over a slow change from each other forever:
@@ -291,7 +294,7 @@
     /* It has stepped down to term 8; its log still ends in term 7. */
     const struct member_report down = {
         .term = 8, .received_term = 7, .received_position = 42};
-    promoter_member_answered(f.promoter, "db", "m1", &down, f.now);
+    promoter_member_answered(f.promoter, "db", "m1", f.round, &down, f.now);
     run_for(&f, 50, false, 6);
     report(&f, "m2", false, 7, 41);
     report(&f, "m3", false, 7, 41);
@@ -404,7 +407,7 @@
     assert_int_equal(f.demotes, 1);
     const struct member_report down = {
         .term = 8, .received_term = 7, .received_position = 42};
-    promoter_member_answered(f.promoter, "db", "m1", &down, f.now);
+    promoter_member_answered(f.promoter, "db", "m1", f.round, &down, f.now);
     run_for(&f, 50, false, 6);
     report(&f, "m2", false, 7, 42);
     report(&f, "m3", false, 7, 42);
@@ -495,9 +498,10 @@
     assert_int_equal(f.writes, 0);
     const struct member_report down = {
         .term = 8, .received_term = 7, .received_position = 40};
-    promoter_member_answered(f.promoter, "db", "m1", &down, f.now);
+    promoter_member_answered(f.promoter, "db", "m1", f.round, &down, f.now);
     for (int i = 0; i < 40 && f.writes == 0; i++) {
-        promoter_member_answered(f.promoter, "db", "m1", &down, f.now);
+        promoter_member_answered(f.promoter, "db", "m1", f.round, &down,
+                                 f.now);
         run_for(&f, 50, false, 6);
     }
     accept_order_record(&f, "m1", 0);
@@ -549,9 +553,9 @@
     assert_int_equal(f.demotes, 1);
     const struct member_report down = {
         .term = 8, .received_term = 7, .received_position = 51};
-    promoter_member_answered(f.promoter, "db", "m1", &down, f.now);
+    promoter_member_answered(f.promoter, "db", "m1", f.round, &down, f.now);
     run_for(&f, 50, true, 6);
-    promoter_member_answered(f.promoter, "db", "m1", &down, f.now);
+    promoter_member_answered(f.promoter, "db", "m1", f.round, &down, f.now);
     run_for(&f, 50, true, 6);
     accept_order_record(&f, "m1", 0);
     run_for(&f, 50, true, 7);
@@ -698,7 +702,7 @@
     assert_int_equal(f.demotes, 1);
     const struct member_report down = {
         .term = 8, .received_term = 7, .received_position = 41};
-    promoter_member_answered(f.promoter, "db", "m1", &down, f.now);
+    promoter_member_answered(f.promoter, "db", "m1", f.round, &down, f.now);
     run_for(&f, 50, false, 5);
     report(&f, "m3", false, 7, 41);
     run_for(&f, 50, false, 5);
@@ -723,6 +727,43 @@
     teardown(&f);
 }
 
+/* Guards against taking a late answer of the survey for that of the old
+   primary that was asked to step down: it would end the wait for its log too
+   early. */
+static void
+test_late_answers_are_ignored(void **state)
+{
+    struct fixture f;
+
+    (void)state;
+    setup(&f, "b", true);
+    members[0].draining = true;
+    run_for(&f, 75, false, 5);
+    report(&f, "m1", true, 7, 40);
+    report(&f, "m2", false, 7, 40);
+    report(&f, "m3", false, 7, 40);
+    const uint64_t survey = f.round;
+    run_for(&f, 50, false, 5);
+    assert_int_equal(f.demotes, 1);
+    const struct member_report late = {.primary = true,
+                                       .term = 7,
+                                       .received_term = 7,
+                                       .received_position = 40};
+    promoter_member_answered(f.promoter, "db", "m1", survey, &late, f.now);
+    run_for(&f, 50, false, 5);
+    const struct member_report down = {
+        .term = 8, .received_term = 7, .received_position = 45};
+    promoter_member_answered(f.promoter, "db", "m1", f.round, &down, f.now);
+    run_for(&f, 50, false, 5);
+    report(&f, "m2", false, 7, 44);
+    run_for(&f, 50, false, 5);
+    assert_int_equal(f.writes, 0);
+    report(&f, "m2", false, 7, 45);
+    run_for(&f, 50, false, 5);
+    accept_order_record(&f, "m2", 0);
+    teardown(&f);
+}
+
 /* Guards against an order whose record the store did not take: a later holder
    would not know of it. */
 static void
@@ -863,6 +904,7 @@
         cmocka_unit_test(test_lost_order_answer_excludes_the_old_primary),
         cmocka_unit_test(test_old_primary_is_promoted_again),
         cmocka_unit_test(test_no_order_without_its_record),
+        cmocka_unit_test(test_late_answers_are_ignored),
         cmocka_unit_test(test_deposed_primary_is_not_published),
         cmocka_unit_test(test_draining_replica_keeps_synchronous_commits),
         cmocka_unit_test(test_unlisted_replica_keeps_synchronous_commits),
