coordination: wait for the newest term before a promotion discards it

A primary goes dark half a second after its promotion; the members that answer have received nothing from it. One of them was promoted at once, and all commits of the newest term were rolled back (61 acknowledged writes), although their primary was back a second later.

Change: without sync_replicas, a promotion waits up to 3 s if the best candidate has nothing of the term of the newest commit that is known. The holder may have served none of its callers, so replies to it carry the positions of services whose primary it replaces. After the wait a new survey shows whether the old primary answers.

--- a/src/coordination/primary_change.c
+++ b/src/coordination/primary_change.c
@@ -13,11 +13,9 @@
 #define QUERY_INTERVAL_MS 40     /* between queries while waiting */
 #define CONFIRM_TIMEOUT_MS 1500  /* for a promotion to take effect */
 #define ORDER_RETRY_MS 100
-/* With sync_replicas, a promotion waits this long for replicas that may have
-   confirmed commits; members stay silent or crashed for up to 7 s. */
-#define SYNCHRONOUS_LOG_WAIT_MS 8000
-#define AWAIT_QUERY_MS 150 /* between queries in that time */
-#define EXCLUSION_MS 1000  /* a member that did not run is not chosen again */
+/* Interval of queries to members that may have more of the log. */
+#define AWAIT_QUERY_MS 150
+#define EXCLUSION_MS 1000 /* a member that did not run is not chosen again */
 
 /* Returns the member with an id, or NULL. */
 struct member_state *
@@ -244,13 +242,15 @@
 must_await_log(const struct primary_change *c, const struct view_entry *e,
                const struct member_state *best, clock_ms now)
 {
-    return successor_is_premature(c, best, e->primary) &&
-           (c->awaited_since == 0 ||
-            now - c->awaited_since < SYNCHRONOUS_LOG_WAIT_MS);
+    const int64_t wait_ms = successor_wait_ms(c, e, best);
+
+    return wait_ms > 0 &&
+           (c->awaited_since == 0 || now - c->awaited_since < wait_ms);
 }
 
 /* Waits for members that may have more of the log than those that have
-   answered. */
+   answered. Once one is found, a new survey shows whether the old primary
+   answers too. */
 static void
 run_await_log(struct promoter *p, struct primary_change *c,
               const struct view_entry *e, clock_ms now)
@@ -258,16 +258,15 @@
     const struct member_state *best = successor_choose(c, e, now);
 
     c->awaited_since = c->awaited_since == 0 ? now : c->awaited_since;
-    if (successor_current_primary(c, e) != NULL) {
+    if (successor_current_primary(c, e) != NULL ||
+        (best != NULL && successor_wait_ms(c, e, best) == 0)) {
         primary_change_enter_phase(c, PHASE_SURVEY, now);
         return;
     }
     if (best != NULL && !must_await_log(c, e, best, now)) {
-        if (successor_is_premature(c, best, e->primary)) {
-            event_log(EVENT_STATE, "log_not_found",
-                      "service=%s member=%s waited_ms=%lld", c->service,
-                      best->id, (long long)(now - c->awaited_since));
-        }
+        event_log(EVENT_STATE, "log_not_found",
+                  "service=%s member=%s waited_ms=%lld", c->service, best->id,
+                  (long long)(now - c->awaited_since));
         primary_change_enter_phase(c, PHASE_ORDER, now);
         return;
     }
--- a/src/coordination/promoter_internal.h
+++ b/src/coordination/promoter_internal.h
@@ -47,10 +47,10 @@
     bool add_pending;    /* add the service to the view with new_primary */
     bool record_pending; /* write to the view that new_primary is ordered */
     enum phase phase;
-    clock_ms phase_since;   /* when the phase began */
-    uint64_t round; /* of queries; answers to those of an earlier one are
-                       ignored */
-    uint64_t version;       /* view version at which the change began */
+    clock_ms phase_since; /* when the phase began */
+    uint64_t round;       /* of queries; answers to those of an earlier one are
+                             ignored */
+    uint64_t version;     /* view version at which the change began */
     uint64_t claim_version; /* view version when this proxy took it over */
     clock_ms started_at;
     char new_primary[MEMBER_ID_BYTES];
@@ -121,9 +121,9 @@
                                       clock_ms now);
 struct member_state *successor_current_primary(struct primary_change *c,
                                                const struct view_entry *e);
-bool successor_is_premature(const struct primary_change *c,
-                            const struct member_state *candidate,
-                            const char *old);
+int64_t successor_wait_ms(const struct primary_change *c,
+                          const struct view_entry *e,
+                          const struct member_state *candidate);
 bool successor_may_adopt(const struct member_state *m,
                          const struct view_entry *e);
 uint64_t successor_base_term(const struct primary_change *c,
--- a/src/coordination/successor.c
+++ b/src/coordination/successor.c
@@ -2,6 +2,14 @@
 
 #include <string.h>
 
+/* With sync_replicas, a promotion waits this long for replicas that may have
+   confirmed commits; members stay silent or crashed for up to 7 s. */
+#define SYNCHRONOUS_LOG_WAIT_MS 8000
+/* Without, it waits this long if it would discard all commits of the newest
+   term. A change, with 0.6 s until it begins and 0.3 s for the promotion, then
+   takes 4 s at most. */
+#define NEWEST_TERM_WAIT_MS 3000
+
 /* Returns true if a has received more of the log than b. */
 bool
 successor_is_ahead(const struct member_report *a,
@@ -91,13 +99,22 @@
     return missing < c->sync_replicas;
 }
 
-/* Returns true if promoting a member may lose commits that another member, not
-   heard from yet, would keep. */
-bool
-successor_is_premature(const struct primary_change *c,
-                       const struct member_state *candidate, const char *old)
+/* Returns how long the promotion of a member should wait for others, which may
+   keep commits that it lacks; 0 if it need not wait. Once an order may have
+   been given, only commits that sync_replicas protects are worth it. */
+int64_t
+successor_wait_ms(const struct primary_change *c, const struct view_entry *e,
+                  const struct member_state *candidate)
 {
-    return c->sync_replicas > 0 && !has_synchronous_commits(c, candidate, old);
+    if (c->sync_replicas > 0) {
+        return has_synchronous_commits(c, candidate, e->primary)
+                   ? 0
+                   : SYNCHRONOUS_LOG_WAIT_MS;
+    }
+    return e->ordered[0] == '\0' &&
+                   candidate->report.received_term < c->newest_commit_term
+               ? NEWEST_TERM_WAIT_MS
+               : 0;
 }
 
 /* Returns the member to promote, or NULL if no candidate has answered. With
--- a/src/node/peer_messages.c
+++ b/src/node/peer_messages.c
@@ -22,29 +22,35 @@
 }
 
 /* Adds the log positions of the primaries that a peer cannot reach, so that it
-   can continue to serve reads from replicas. If not all fit, the next message
-   starts with the ones left out. */
+   can continue to serve reads from replicas. The holder also gets those of the
+   services whose primary it replaces: it may have served none of their
+   callers, and has to know of the newest commits. If not all fit, the next
+   message starts with the ones left out. */
 static void
 add_positions(struct node *n, const char *to, clock_ms now,
               struct agreement_message *message)
 {
     const struct view *v = agreement_view(n->agreement);
-    const struct service_set *wanted =
+    const struct service_set *unreachable =
         agreement_peer_unreachable(n->agreement, to);
+    const bool holder = strcmp(v->holder, to) == 0;
 
-    if (wanted == NULL) {
+    if (unreachable == NULL && !holder) {
         return;
     }
     for (int k = 0;
          k < v->count && message->position_count < AGREEMENT_POSITIONS_MAX;
          k++) {
         const int i = (n->next_position_index + k) % v->count;
-        const struct service *s =
-            g_hash_table_lookup(n->services, v->entries[i].service);
         clock_ms at;
         struct token position;
-        if (service_set_has(wanted, i) && s != NULL &&
-            service_newest_primary_position(s, &at, &position)) {
+        const bool wanted =
+            (unreachable != NULL && service_set_has(unreachable, i)) ||
+            (holder && v->entries[i].changing);
+        const struct service *s =
+            wanted ? g_hash_table_lookup(n->services, v->entries[i].service)
+                   : NULL;
+        if (s != NULL && service_newest_primary_position(s, &at, &position)) {
             message->positions[message->position_count++] =
                 (struct agreement_position){
                     .index = i,
--- a/tests/coordination/test_promoter.c
+++ b/tests/coordination/test_promoter.c
@@ -656,6 +656,11 @@
     assert_int_equal(f.writes, 0);
     report(&f, "m2", false, 7, 31);
     run_for(&f, 50, true, 5);
+    /* A new survey has begun. */
+    assert_int_equal(f.writes, 0);
+    report(&f, "m2", false, 7, 31);
+    report(&f, "m3", false, 7, 30);
+    run_for(&f, 350, true, 5);
     accept_order_record(&f, "m2", 0);
     teardown(&f);
 
@@ -764,6 +769,37 @@
     teardown(&f);
 }
 
+/* Guards against discarding all commits of the newest term although the
+   primary that has them returns within seconds. */
+static void
+test_newest_term_is_awaited(void **state)
+{
+    struct fixture f;
+
+    (void)state;
+    setup_deposed_primary(&f);
+    newest_commit_term = 8;
+    run_for(&f, 2500, true, 6);
+    assert_int_equal(f.writes, 0);
+    assert_int_equal(f.demotes, 0);
+    report(&f, "m2", true, 8, 60);
+    run_for(&f, 50, true, 6);
+    report(&f, "m2", true, 8, 60);
+    run_for(&f, 350, true, 6);
+    assert_int_equal(f.writes, 1);
+    assert_string_equal(f.written.entries[0].primary, "m2");
+    assert_int_equal(f.written.entries[0].term, 8);
+    teardown(&f);
+    /* If it does not return, one of the others is promoted. */
+    setup_deposed_primary(&f);
+    newest_commit_term = 8;
+    run_for(&f, 3000, true, 6);
+    assert_int_equal(f.demotes, 0);
+    run_for(&f, 400, true, 6);
+    assert_int_equal(f.demotes, 1);
+    teardown(&f);
+}
+
 /* Guards against an order whose record the store did not take: a later holder
    would not know of it. */
 static void
@@ -905,6 +941,7 @@
         cmocka_unit_test(test_old_primary_is_promoted_again),
         cmocka_unit_test(test_no_order_without_its_record),
         cmocka_unit_test(test_late_answers_are_ignored),
+        cmocka_unit_test(test_newest_term_is_awaited),
         cmocka_unit_test(test_deposed_primary_is_not_published),
         cmocka_unit_test(test_draining_replica_keeps_synchronous_commits),
         cmocka_unit_test(test_unlisted_replica_keeps_synchronous_commits),
--- a/tests/node/test_fetch.c
+++ b/tests/node/test_fetch.c
@@ -1,4 +1,4 @@
-#include "node/node.h"
+#include "node/node_internal.h"
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
@@ -267,6 +267,99 @@
     end(&f);
 }
 
+/* Returns the service "s1" of a node. */
+static struct service *
+service_of(const struct node *n)
+{
+    return g_hash_table_lookup(n->services, "s1");
+}
+
+/* Returns the term of the newest position that the first node knows, or 0. */
+static uint64_t
+known_term(const struct fixture *f)
+{
+    clock_ms at;
+    struct token newest;
+
+    return service_newest_primary_position(service_of(f->with_store), &at,
+                                           &newest)
+               ? newest.term
+               : 0;
+}
+
+/* Ends the run once the first node knows a position. */
+static void
+on_poll_term(struct ev_loop *loop, ev_timer *w, int revents)
+{
+    (void)revents;
+    if (known_term(w->data) != 0) {
+        ev_break(loop, EVBREAK_ALL);
+    }
+}
+
+/* Runs until the first node knows a position, at most limit_s seconds. */
+static void
+run_until_position(struct fixture *f, double limit_s)
+{
+    ev_timer poll;
+
+    ev_timer_init(&poll, on_poll_term, 0.01, 0.01);
+    poll.data = f;
+    ev_timer_start(f->loop, &poll);
+    ev_timer_init(&f->watchdog, on_watchdog, limit_s, 0.0);
+    f->watchdog.data = f;
+    ev_timer_start(f->loop, &f->watchdog);
+    ev_run(f->loop, 0);
+    ev_timer_stop(f->loop, &poll);
+    ev_timer_stop(f->loop, &f->watchdog);
+}
+
+/* Guards against a holder that replaces a primary without knowing of commits
+   that only other proxies have seen: it would promote a member that lacks all
+   of them. */
+static void
+test_holder_learns_newest_commits(void **state)
+{
+    struct view *v = g_new0(struct view, 1);
+    struct catalog *c = catalog(7);
+    struct service_limits *limits = g_new0(struct service_limits, 1);
+    const struct token position = {.term = 8, .position = 60, .known = true};
+    struct fixture f;
+
+    (void)state;
+    begin(&f, KEY);
+    publish(&f, 6);
+    limits->service = g_strdup("s1");
+    limits->max_connections = 16;
+    catalog_add_service(c, limits);
+    node_set_catalog(f.with_store, c);
+    node_set_catalog(f.without_store, c);
+    node_set_peers(f.without_store,
+                   (const struct node_peer *)(void *)f.with_store->peers->data,
+                   f.with_store->peers->len);
+    v->version = 1;
+    v->fence = 1;
+    v->count = 1;
+    g_strlcpy(v->holder, "a", sizeof(v->holder));
+    g_strlcpy(v->entries[0].service, "s1", sizeof(v->entries[0].service));
+    v->entries[0].epoch = 1;
+    node_set_view(f.with_store, v, 0, false);
+    node_set_view(f.without_store, v, 0, false);
+    service_add_primary_position(service_of(f.without_store),
+                                 clock_boottime_ms(), &position);
+    run_until_position(&f, 1.0);
+    assert_int_equal(known_term(&f), 0);
+    v->version = 2;
+    v->entries[0].epoch = 2;
+    v->entries[0].changing = true;
+    node_set_view(f.with_store, v, 0, false);
+    run_until_position(&f, WATCHDOG_S);
+    assert_int_equal(known_term(&f), 8);
+    catalog_unref(c);
+    g_free(v);
+    end(&f);
+}
+
 int
 main(void)
 {
@@ -275,6 +368,7 @@
         cmocka_unit_test(test_newer_configuration),
         cmocka_unit_test(test_wrong_key),
         cmocka_unit_test(test_callers_stay_after_a_start),
+        cmocka_unit_test(test_holder_learns_newest_commits),
     };
 
     return cmocka_run_group_tests(tests, NULL, NULL);
