--- a/src/coordination/promoter.c
+++ b/src/coordination/promoter.c
@@ -324,6 +324,9 @@
     track_since(&c->unlisted_since, !listed, now);
     track_since(&c->not_primary_since, listed && !m->says_primary, now);
     track_since(&c->draining_since, listed && m->draining, now);
+    if (delay != CLOCK_NEVER && successor_is_superseded(c, e)) {
+        return "superseded";
+    }
     if (has_lasted(c->unreachable_since, UNREACHABLE_MS, delay, now)) {
         return "unreachable";
     }
--- a/src/coordination/promoter_internal.h
+++ b/src/coordination/promoter_internal.h
@@ -128,6 +128,8 @@
                          const struct view_entry *e);
 uint64_t successor_base_term(const struct primary_change *c,
                              const struct view_entry *e);
+bool successor_is_superseded(const struct primary_change *c,
+                             const struct view_entry *e);
 bool successor_order_took_effect(struct primary_change *c,
                                  const struct view_entry *e);
 
--- a/src/coordination/successor.c
+++ b/src/coordination/successor.c
@@ -213,3 +213,19 @@
     return m != NULL && m->answered && m->report.primary &&
            m->report.term > c->base_term;
 }
+
+/* Returns true if a member has reported that it leads in a later term than the
+   published primary: an order took effect after the change was over. */
+bool
+successor_is_superseded(const struct primary_change *c,
+                        const struct view_entry *e)
+{
+    for (int i = 0; i < c->count; i++) {
+        const struct member_state *m = &c->members[i];
+        if (m->listed && m->says_primary && m->answered && m->report.primary &&
+            m->report.term > e->term && strcmp(m->id, e->primary) != 0) {
+            return e->term > 0;
+        }
+    }
+    return false;
+}
--- a/tests/coordination/test_promoter.c
+++ b/tests/coordination/test_promoter.c
@@ -800,6 +800,43 @@
     teardown(&f);
 }
 
+/* Guards against a published primary that goes on serving after an order has
+   taken effect which the platform had delayed beyond the end of the change. */
+static void
+test_late_promotion_is_adopted(void **state)
+{
+    struct fixture f;
+    struct view v;
+
+    (void)state;
+    setup(&f, "b", false);
+    v = *agreement_view(f.agreement);
+    v.version = 6;
+    v.entries[0].epoch = 6;
+    v.entries[0].term = 8;
+    agreement_adopt_view(f.agreement, &v);
+    agreement_set_applied(f.agreement, 6);
+    run_for(&f, 200, false, 6);
+    assert_int_equal(f.writes, 0);
+    members[2].says_primary = true;
+    run_for(&f, 25, false, 6);
+    assert_int_equal(f.demotes, 1);
+    report(&f, "m3", true, 9, 40);
+    run_for(&f, 25, false, 6);
+    assert_int_equal(f.writes, 1);
+    assert_true(f.written.entries[0].changing);
+    accept_write(&f);
+    run_for(&f, 75, false, 7);
+    report(&f, "m1", true, 8, 45);
+    report(&f, "m2", false, 9, 40);
+    report(&f, "m3", true, 9, 40);
+    run_for(&f, 50, false, 7);
+    assert_int_equal(f.writes, 2);
+    assert_string_equal(f.written.entries[0].primary, "m3");
+    assert_int_equal(f.written.entries[0].term, 9);
+    teardown(&f);
+}
+
 /* Guards against an order whose record the store did not take: a later holder
    would not know of it. */
 static void
@@ -941,6 +978,7 @@
         cmocka_unit_test(test_old_primary_is_promoted_again),
         cmocka_unit_test(test_no_order_without_its_record),
         cmocka_unit_test(test_late_answers_are_ignored),
+        cmocka_unit_test(test_late_promotion_is_adopted),
         cmocka_unit_test(test_newest_term_is_awaited),
         cmocka_unit_test(test_deposed_primary_is_not_published),
         cmocka_unit_test(test_draining_replica_keeps_synchronous_commits),
