platform: notice lost feed answers in time

What callers saw: after a silent outage of the store of a second, reads went to a draining member beyond drain_ms, and changed routes were refused with 404.

Cause: a feed request whose answer is lost is given up after the time for which the store may hold it, 15 s, and 1.2 s more. The feed of the proxies' table, 4 s, notices only outages that its own request falls into. All proxies ask at the same moments and lose the same answers.

--- a/src/node/copy_fetcher.c
+++ b/src/node/copy_fetcher.c
@@ -33,7 +33,8 @@
     clock_ms requested_at;
     char newer_host[MEMBER_HOST_BYTES]; /* peer with a newer configuration */
     uint64_t newer_version;
-    clock_ms newer_since; /* 0 if none is known */
+    clock_ms newer_since;       /* 0 if none is known */
+    uint64_t refreshed_version; /* for which the store was asked again */
 };
 
 /* Remembers a peer as a source. */
@@ -237,7 +238,9 @@
     g_free(f);
 }
 
-/* Requests a copy if something is missing. Called on each tick. */
+/* Requests a copy if something is missing. If that is a newer configuration,
+   the store is asked again as well: the response to the feed request may be
+   lost, and a copy has a limited size. Called on each tick. */
 void
 copy_fetcher_tick(struct copy_fetcher *f, clock_ms now)
 {
@@ -259,6 +262,10 @@
     else if (f->newer_since != 0 && now - f->newer_since >= NEWER_WAIT_MS) {
         f->requested_at = now;
         copy_exchange_request(f->copies, f->newer_host, f->port);
+        if (f->refreshed_version < f->newer_version) {
+            f->refreshed_version = f->newer_version;
+            n->platform.refresh_directory(n->platform.ctx);
+        }
     }
 }
 
--- a/src/node/members.c
+++ b/src/node/members.c
@@ -11,6 +11,12 @@
 /* A longer list does not fit in a row of 64 KB after base64 encoding and is
    not stored. */
 #define STORED_LIST_MAX_BYTES 49000
+/* A list of more members may be too long; lines rarely exceed 120 bytes. */
+#define STORED_MEMBERS_MAX 400
+/* A member that another proxy has stored, or stored as draining, is usually
+   delivered to this proxy within this time. Short enough that a member can
+   still be left within 7 s of its report. */
+#define STORED_LIST_LAG_MS 1000
 
 static int
 compare_services(const void *a, const void *b)
@@ -135,8 +141,12 @@
 {
     const clock_ms now = clock_boottime_ms();
 
-    g_free(n->stored_list);
-    n->stored_list = g_strdup(text);
+    if (g_strcmp0(n->stored_list, text) != 0) {
+        g_free(n->stored_list);
+        n->stored_list = g_strdup(text);
+        n->stored_list_at = now;
+        n->stored_list_checked = false;
+    }
     if (n->stored_list_read) {
         return;
     }
@@ -162,6 +172,70 @@
     node_update_members(n);
 }
 
+/* Returns the known member of that id, or NULL. */
+static const struct known_member *
+find_member(const struct node *n, const char *id)
+{
+    for (guint k = 0; k < n->members->len; k++) {
+        const struct known_member *m =
+            &g_array_index(n->members, struct known_member, k);
+        if (strcmp(m->entry.id, id) == 0) {
+            return m;
+        }
+    }
+    return NULL;
+}
+
+/* Returns true if the stored list shows a member that is new, has restarted or
+   is draining, and this proxy does not know that. */
+static bool
+lacks_stored_change(const struct node *n)
+{
+    GArray *list = member_list_parse(sview_from(n->stored_list));
+    bool lacks = false;
+
+    for (guint i = 0; i < list->len && !lacks; i++) {
+        const struct member_entry *stored =
+            &g_array_index(list, struct member_entry, i);
+        const struct known_member *m = find_member(n, stored->id);
+        lacks = m == NULL || stored->started_at > m->entry.started_at ||
+                (stored->draining && !m->entry.draining &&
+                 stored->started_at == m->entry.started_at);
+    }
+    g_array_free(list, TRUE);
+    return lacks;
+}
+
+/* Requests the directory again if the stored list shows a change that has not
+   been delivered: the response to the feed request may be lost. */
+void
+node_check_stored_list(struct node *n, clock_ms now)
+{
+    if (n->stored_list == NULL || n->stored_list_checked ||
+        !n->members_from_store ||
+        now - n->stored_list_at < STORED_LIST_LAG_MS) {
+        return;
+    }
+    n->stored_list_checked = true;
+    if (lacks_stored_change(n)) {
+        event_log(EVENT_STATE, "members_behind", "members=%u",
+                  n->members->len);
+        n->platform.refresh_directory(n->platform.ctx);
+    }
+}
+
+/* Returns true if this proxy has to notice changes of the directory without
+   the help of others: it is a witness or the holder, whose messages and member
+   list show changes to all proxies, or there is no such list. */
+bool
+node_watches_directory(const struct node *n)
+{
+    return n->peers->len == 0 || n->stored_list == NULL ||
+           n->members->len > STORED_MEMBERS_MAX ||
+           agreement_is_witness(n->agreement, n->name) ||
+           strcmp(agreement_view(n->agreement)->holder, n->name) == 0;
+}
+
 /* Writes the member list to the store if it differs from the stored one. */
 static void
 store_members(struct node *n, clock_ms now)
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -309,6 +309,7 @@
     relay_tick(n->relay, now);
     node_tick_promoter(n, now);
     copy_fetcher_tick(n->copy_fetcher, now);
+    node_check_stored_list(n, now);
     if (n->starting && now - n->started_at >= STARTUP_MS) {
         node_update_shares(n);
     }
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -29,6 +29,9 @@
     /* Stores the member list for processes that start while entries are
        missing from the directory. */
     void (*write_members)(void *ctx, const char *text);
+    /* Requests the configuration and the member list again: a change seems to
+       be missing. Answered by node_set_catalog() and node_set_members(). */
+    void (*refresh_directory)(void *ctx);
     const struct member_codec *codec;
     void *ctx;
 };
@@ -57,6 +60,7 @@
 struct relay *node_relay(struct node *n);
 struct catalog *node_catalog(struct node *n);
 bool node_is_ready(const struct node *n);
+bool node_watches_directory(const struct node *n);
 bool node_should_disconnect_callers(const struct node *n);
 void node_set_leaving(struct node *n);
 void node_write_metrics(const struct node *n, GString *out);
--- a/src/node/node_internal.h
+++ b/src/node/node_internal.h
@@ -56,8 +56,10 @@
     clock_ms isolated_since;
     clock_ms log_flushed_at;
     clock_ms list_checked_at;
-    char *stored_list;  /* the member list that the store holds */
-    bool list_too_long; /* for a row of the store; logged once */
+    char *stored_list;        /* the member list that the store holds */
+    clock_ms stored_list_at;  /* when it was received */
+    bool stored_list_checked; /* for changes that this proxy lacks */
+    bool list_too_long;       /* for a row of the store; logged once */
     bool stored_list_read;
     bool catalog_from_store; /* the store has delivered the configuration */
     bool members_from_store; /* the store has delivered the member list */
@@ -88,6 +90,7 @@
 void node_update_members(struct node *n);
 struct member_range node_members_of(const struct node *n, const char *service);
 void node_maintain_lists(struct node *n, clock_ms now);
+void node_check_stored_list(struct node *n, clock_ms now);
 void node_apply_members(struct node *n, const struct member_entry *entries,
                         size_t count);
 
--- a/tests/node/test_fetch.c
+++ b/tests/node/test_fetch.c
@@ -62,6 +62,15 @@
     (void)text;
 }
 
+static int refreshes; /* of the directory, by any node */
+
+static void
+count_refresh(void *ctx)
+{
+    (void)ctx;
+    refreshes++;
+}
+
 /* Returns a TCP port that is free. */
 static uint16_t
 free_port(void)
@@ -85,6 +94,7 @@
         .order = ignore_order,
         .write_members = ignore_text,
         .unregister_proxy = ignore_text,
+        .refresh_directory = count_refresh,
     };
     const struct node_config config = {
         .loop = f->loop,
@@ -183,6 +193,7 @@
 begin(struct fixture *f, const char *key)
 {
     memset(f, 0, sizeof(*f));
+    refreshes = 0;
     f->loop = ev_loop_new(EVFLAG_AUTO);
     f->peer_port = free_port();
     f->with_store = start(f, "a", "127.0.0.1", KEY);
@@ -229,6 +240,95 @@
     node_set_peers(f.without_store, NULL, 0);
     publish(&f, 9);
     assert_true(run_until(&f, 9, WATCHDOG_S));
+    /* The answer of the store's feed may be lost, and a copy too large. */
+    assert_int_equal(refreshes, 1);
+    end(&f);
+}
+
+/* Ends the run once a node has requested the directory again. */
+static void
+on_poll_refresh(struct ev_loop *loop, ev_timer *w, int revents)
+{
+    (void)w;
+    (void)revents;
+    if (refreshes > 0) {
+        ev_break(loop, EVBREAK_ALL);
+    }
+}
+
+/* Runs until a node has requested the directory again, at most limit_s
+   seconds. */
+static void
+run_until_refresh(struct fixture *f, double limit_s)
+{
+    ev_timer poll;
+
+    ev_timer_init(&poll, on_poll_refresh, 0.01, 0.01);
+    ev_timer_start(f->loop, &poll);
+    ev_timer_init(&f->watchdog, on_watchdog, limit_s, 0.0);
+    f->watchdog.data = f;
+    ev_timer_start(f->loop, &f->watchdog);
+    ev_run(f->loop, 0);
+    ev_timer_stop(f->loop, &poll);
+    ev_timer_stop(f->loop, &f->watchdog);
+}
+
+/* Guards against a proxy that goes on using a draining member, or does not
+   know a new one, because the answer to its feed request was lost: the member
+   list that another proxy has stored shows the change. */
+static void
+test_missed_change_of_members(void **state)
+{
+    const struct member_entry ready = {.id = "m1",
+                                       .service = "s1",
+                                       .host = "127.0.0.9",
+                                       .failure_domain = "z",
+                                       .port = 1,
+                                       .slots = 2,
+                                       .started_at = 5};
+    struct member_entry later[] = {ready, ready};
+    struct fixture f;
+    struct node *n;
+
+    (void)state;
+    begin(&f, KEY);
+    publish(&f, 7);
+    n = f.with_store;
+    node_set_members(n, &ready, 1);
+    /* Equal lists, and one that lacks a member, show nothing. */
+    node_set_stored_members(n, "m1 s1 127.0.0.9 1 z 2 replica ready 5\n");
+    run_until_refresh(&f, 2.0);
+    node_set_stored_members(n, "");
+    run_until_refresh(&f, 2.0);
+    assert_int_equal(refreshes, 0);
+    node_set_stored_members(n, "m1 s1 127.0.0.9 1 z 2 replica draining 5\n");
+    run_until_refresh(&f, WATCHDOG_S);
+    assert_int_equal(refreshes, 1);
+    later[0].draining = true;
+    node_set_members(n, later, 1);
+    run_until_refresh(&f, 0.1);
+    assert_int_equal(refreshes, 1);
+    refreshes = 0;
+    node_set_stored_members(n, "m1 s1 127.0.0.9 1 z 2 replica draining 5\n"
+                               "m2 s1 127.0.0.9 2 z 2 replica ready 6\n");
+    run_until_refresh(&f, WATCHDOG_S);
+    assert_int_equal(refreshes, 1);
+    end(&f);
+}
+
+/* Guards against a fleet in which no proxy notices a lost answer of the store
+   in time: a proxy of a small fleet watches the directory. */
+static void
+test_witness_watches_directory(void **state)
+{
+    struct fixture f;
+
+    (void)state;
+    begin(&f, KEY);
+    assert_true(node_watches_directory(f.with_store));
+    publish(&f, 7);
+    node_set_stored_members(f.with_store, "");
+    assert_true(node_watches_directory(f.with_store));
     end(&f);
 }
 
@@ -369,6 +469,8 @@
         cmocka_unit_test(test_wrong_key),
         cmocka_unit_test(test_callers_stay_after_a_start),
         cmocka_unit_test(test_holder_learns_newest_commits),
+        cmocka_unit_test(test_missed_change_of_members),
+        cmocka_unit_test(test_witness_watches_directory),
     };
 
     return cmocka_run_group_tests(tests, NULL, NULL);
--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -70,6 +70,7 @@
     int violations;
     int config_version;
     long faults;
+    int outages; /* of the store for all proxies */
 };
 
 static int network = 1;
@@ -336,7 +337,13 @@
 {
     switch (rng_below(&s->rng, 4)) {
     case 0:
-        standin_store_set_down(s->store, true);
+        /* Not drawn, so that earlier seeds play the same faults. */
+        if (s->outages++ % 2 == 0) {
+            standin_store_set_down(s->store, true);
+        }
+        else {
+            standin_store_set_silent(s->store, true);
+        }
         s->store_restore_at = random_fault_end(s);
         break;
     case 1:
@@ -384,6 +391,7 @@
     if (s->store_restore_at != 0 && now >= s->store_restore_at) {
         s->store_restore_at = 0;
         standin_store_set_down(s->store, false);
+        standin_store_set_silent(s->store, false);
         standin_store_lose_answers(s->store, false);
     }
 }
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -52,6 +52,7 @@
 void standin_store_put(struct standin_store *st, const char *table,
                        const char *key, const char *value);
 void standin_store_set_down(struct standin_store *st, bool down);
+void standin_store_set_silent(struct standin_store *st, bool silent);
 void standin_store_lose_answers(struct standin_store *st, bool lose_answers);
 void standin_store_discard_history(struct standin_store *st);
 
--- a/tests/soak/standin_store.c
+++ b/tests/soak/standin_store.c
@@ -10,6 +10,10 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+/* A request whose answer is lost is given up 1.2 s after this time, and a
+   change must be in force 7 s after an outage. */
+#define FEED_WAIT_MAX_MS 5500
+
 struct row {
     char *table;
     char *key;
@@ -22,6 +26,7 @@
 struct client {
     struct standin_store *store;
     struct stream *stream;
+    bool muted; /* a response was lost: nothing further is delivered */
     bool waiting;
     char table[64];
     uint64_t after;
@@ -39,6 +44,7 @@
     uint64_t version;
     uint64_t history_from; /* a feed from an older version gets 410 */
     bool down;
+    bool silent;
     bool lose_answers;
     struct deferred_free *deferred_free;
     GQueue clients;
@@ -179,6 +185,12 @@
         json_decref(rows);
         return;
     }
+    if (st->silent) {
+        c->muted = true;
+        c->waiting = false;
+        json_decref(rows);
+        return;
+    }
     respond(c, 200, json_pack("{so}", "rows", rows));
 }
 
@@ -191,6 +203,10 @@
     char *wait = query_parameter(path, "wait_ms");
 
     g_strlcpy(c->table, table, sizeof(c->table));
+    if (strtoll(wait, NULL, 10) > FEED_WAIT_MAX_MS) {
+        soak_violation(c->store->soak, "feed of %s may be held for %s ms",
+                       table, wait);
+    }
     c->after = strtoull(after, NULL, 10);
     c->feed_deadline = clock_monotonic_ms() + strtoll(wait, NULL, 10);
     c->waiting = true;
@@ -269,6 +285,11 @@
 {
     json_t *body = json_loads(text, 0, NULL);
 
+    c->muted = c->muted || c->store->silent;
+    if (c->muted) {
+        json_decref(body);
+        return;
+    }
     if (c->store->down) {
         respond(c, 503, json_object());
     }
@@ -448,6 +469,14 @@
     st->down = down;
 }
 
+/* While silent, neither new requests nor feed requests that become due get an
+   answer, and their connections deliver nothing further. */
+void
+standin_store_set_silent(struct standin_store *st, bool silent)
+{
+    st->silent = silent;
+}
+
 /* When set, transactions are executed but not answered. */
 void
 standin_store_lose_answers(struct standin_store *st, bool lose_answers)
