--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -33,6 +33,9 @@
 #define FAULT_MAX_MS 3500
 #define VIOLATIONS_MAX 20
 
+/* Depth of the arrays in an odd entry of the directory. */
+#define ODD_NESTING_LEVELS 40000
+
 /* Connections that a member accepts, by default. */
 #define MAX_CONNECTIONS 16
 
@@ -70,7 +73,8 @@
     int violations;
     int config_version;
     long faults;
-    int outages; /* of the store for all proxies */
+    int outages;       /* of the store for all proxies */
+    guint odd_entries; /* written so far */
 };
 
 static int network = 1;
@@ -118,10 +122,42 @@
     fflush(stdout);
 }
 
+/* Leaves an entry among those of the members that another writer got wrong, a
+   different one each time. */
+static void
+write_odd_entry(struct soak *s)
+{
+    static const char *const fields[] = {
+        "\"slots\":2,\"addr\":\"127.0.0.9:65536\"",
+        "\"slots\":2,\"addr\":\"127.0.0.9:0\"",
+        "\"slots\":2,\"addr\":\"nowhere:80\"",
+        "\"slots\":99999999999999999999999,\"addr\":\"127.0.0.9:80\"",
+        "\"slots\":2,\"cold_left_ms\":1e999,\"addr\":\"127.0.0.9:80\"",
+        "\"slots\":2,\"addr\":",
+    };
+    const guint n = s->odd_entries++ % (G_N_ELEMENTS(fields) + 1);
+    char *value = g_malloc0(ODD_NESTING_LEVELS + 1);
+
+    if (n == G_N_ELEMENTS(fields)) {
+        memset(value, '[', ODD_NESTING_LEVELS);
+    }
+    else {
+        g_free(value);
+        value = g_strdup_printf(
+            "{\"service\":\"%s\",\"zone\":\"z0\",\"state\":\"ready\","
+            "\"db_role\":\"primary\",%s}",
+            SOAK_SERVICE, fields[n]);
+    }
+    standin_store_put(s->store, "servers", "odd", value);
+    g_free(value);
+}
+
 /* Writes the members' entries to the servers table. */
 static void
 write_directory(struct soak *s)
 {
+    write_odd_entry(s);
+
     for (int i = 0; i < SOAK_MEMBERS; i++) {
         char key[8];
         g_snprintf(key, sizeof(key), "m%d", i);
