soak: late orders, synchronous commits, silent stores

Orders took 100 ms in the soak, so no run ended or cut off their holder before they took effect, and commits were never synchronous.

--- a/tests/soak/callers.c
+++ b/tests/soak/callers.c
@@ -50,6 +50,7 @@
     struct caller *list;
     int count;
     bool stopping;
+    bool synchronous; /* no acknowledged write may be discarded */
     long writes_done;
     long writes_not_run;
     long writes_unknown;
@@ -154,8 +155,9 @@
 {
     c->all->reads++;
     if (value < c->acked_before_read &&
-        !standin_group_has_discarded(c->all->group, c->item,
-                                     c->acked_before_read)) {
+        (c->all->synchronous ||
+         !standin_group_has_discarded(c->all->group, c->item,
+                                      c->acked_before_read))) {
         soak_violation(c->all->soak,
                        "%s on %s: read %lu after write %lu was acknowledged",
                        c->name, c->database, (unsigned long)value,
@@ -382,6 +384,12 @@
     return all;
 }
 
+void
+callers_expect_synchronous(struct callers *all)
+{
+    all->synchronous = true;
+}
+
 /* Makes the callers start no further operation or connection. */
 void
 callers_stop(struct callers *all)
@@ -407,7 +415,8 @@
                                c->name, n, count);
             }
             if (outcome == OUTCOME_DONE && count == 0 &&
-                !standin_group_has_discarded(all->group, c->item, n)) {
+                (all->synchronous ||
+                 !standin_group_has_discarded(all->group, c->item, n))) {
                 soak_violation(all->soak, "%s: acknowledged write %u is lost",
                                c->name, n);
             }
--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -14,7 +14,13 @@
    database group, injects faults for SECONDS, removes them and waits for
    recovery, and then checks what callers and members saw.
 
-     soak PROGRAM SEED SECONDS [LOG_FOLDER]
+     soak [--late-orders] [--sync-replicas] PROGRAM SEED SECONDS
+          [MAX_CONNECTIONS [LOG_FOLDER]]
+
+   With --late-orders, promotions take up to 1.2 s, and the process that orders
+   one is often stopped, killed, suspended or cut off from the store before it
+   takes effect. With --sync-replicas, commits are synchronous, members report
+   that they are draining, and no acknowledged write may be lost.
 
    Exit status 0: no guarantee was broken. 1: at least one was. 2: wrong usage
    or no temporary folder. */
@@ -30,6 +36,13 @@
 #define CALLERS 24
 #define FAULT_STEP_S 0.25
 #define SETTLE_S 6
+/* Of the replica that is behind with --sync-replicas. */
+#define LAG_MS 1200
+#define PROMOTION_MIN_MS 100
+#define PROMOTION_MAX_MS 1200
+/* With --late-orders, the faults of members end this long after an order, so
+   that the old primary answers again. */
+#define RETURN_AFTER_ORDER_MS 250
 #define FAULT_MAX_MS 3500
 #define VIOLATIONS_MAX 20
 
@@ -70,6 +83,11 @@
     bool settling;
     clock_ms phase_end_at;
     ev_timer step_timer;
+    struct rng order_rng; /* of the options' faults */
+    gboolean late_orders;
+    gboolean synchronous;
+    int draining;             /* member that reports to be draining, or -1 */
+    clock_ms primary_stop_at; /* 0: not scheduled */
     int violations;
     int config_version;
     long faults;
@@ -163,9 +181,10 @@
         g_snprintf(key, sizeof(key), "m%d", i);
         char *value = g_strdup_printf(
             "{\"service\":\"%s\",\"addr\":\"%s:%d\",\"zone\":\"z%d\","
-            "\"version\":\"1\",\"slots\":2,\"state\":\"ready\","
+            "\"version\":\"1\",\"slots\":2,\"state\":\"%s\","
             "\"cold_left_ms\":0,\"db_role\":\"%s\",\"seq\":1}",
             SOAK_SERVICE, soak_host(), MEMBER_FAULT_PROXY_PORT + i, i,
+            s->draining == i ? "draining" : "ready",
             standin_group_role(s->group, i));
         standin_store_put(s->store, "servers", key, value);
         g_free(value);
@@ -193,20 +212,13 @@
     }
     g_string_append_printf(o,
                            "],\"services\":[{\"name\":\"%s\",\"max_conns\":%u,"
-                           "\"sync_replicas\":0}],\"limits\":{\"tx_idle_ms\":"
+                           "\"sync_replicas\":%d}],\"limits\":{\"tx_idle_ms\":"
                            "3000}}",
-                           SOAK_SERVICE, s->max_connections);
+                           SOAK_SERVICE, s->max_connections, s->synchronous);
     standin_store_put(s->store, "op", "config", o->str);
     g_string_free(o, TRUE);
 }
 
-/* Takes a promotion order; answers 200, or 409 when the member is down. */
-static int
-on_promote(struct soak *s, const char *id, uint64_t fence)
-{
-    return standin_group_promote(s->group, atoi(id + 1), fence) ? 200 : 409;
-}
-
 /* Starts the process; its output is appended to its log file. */
 static void
 start_proxy(struct proxy_process *p)
@@ -291,11 +303,72 @@
 }
 
 /* Returns a random end time for a fault that begins now. */
+static clock_ms
+random_fault_end_of(struct rng *r)
+{
+    return clock_monotonic_ms() + 200 + (clock_ms)rng_below(r, FAULT_MAX_MS);
+}
+
 static clock_ms
 random_fault_end(struct soak *s)
 {
-    return clock_monotonic_ms() + 200 +
-           (clock_ms)rng_below(&s->rng, FAULT_MAX_MS);
+    return random_fault_end_of(&s->rng);
+}
+
+/* Disturbs the process that has just ordered a promotion. Returns true if the
+   answer to the order is lost as well. */
+static bool
+disturb_holder(struct soak *s, struct proxy_process *p)
+{
+    const clock_ms now = clock_monotonic_ms();
+
+    for (int i = 0; i < SOAK_MEMBERS; i++) {
+        if (s->member_start_at[i] != 0) {
+            s->member_start_at[i] = now + RETURN_AFTER_ORDER_MS;
+        }
+        if (s->member_fault_end_at[i] != 0) {
+            s->member_fault_end_at[i] = now + RETURN_AFTER_ORDER_MS;
+        }
+    }
+    if (p->pid != 0) {
+        switch (rng_below(&s->order_rng, 6)) {
+        case 0:
+            kill(p->pid, SIGTERM);
+            break;
+        case 1:
+            kill(p->pid, SIGKILL);
+            break;
+        case 2:
+            kill(p->pid, SIGSTOP);
+            p->sigcont_at =
+                now + 1000 + (clock_ms)rng_below(&s->order_rng, FAULT_MAX_MS);
+            break;
+        case 3:
+            fault_proxy_set_fault(
+                p->store_fault_proxy,
+                (enum fault)(FAULT_SILENT + rng_below(&s->order_rng, 3)));
+            p->store_fault_end_at =
+                now + 1000 + (clock_ms)rng_below(&s->order_rng, FAULT_MAX_MS);
+            break;
+        default:
+            break;
+        }
+    }
+    return rng_below(&s->order_rng, 5) == 0;
+}
+
+/* Takes a promotion order; answers 200, or 409 when the member is down. */
+static int
+on_promote(struct soak *s, const char *holder, const char *id, uint64_t fence)
+{
+    const int proxy = atoi(holder + 1);
+    const bool accepted = standin_group_promote(s->group, atoi(id + 1), fence);
+
+    if (s->late_orders && !s->settling && proxy >= 0 && proxy < SOAK_PROXIES &&
+        disturb_holder(s, &s->proxies[proxy])) {
+        return 0;
+    }
+    return accepted ? 200 : 409;
 }
 
 /* Injects a fault into one proxy process or its connection to the store. */
@@ -394,6 +467,32 @@
     }
 }
 
+/* Makes one replica the only one with the newest commits, often a draining
+   one, and stops the primary some time later. */
+static void
+inject_synchronous_fault(struct soak *s)
+{
+    const clock_ms now = clock_monotonic_ms();
+    const int primary = standin_group_primary(s->group);
+
+    if (s->primary_stop_at != 0 && now >= s->primary_stop_at) {
+        s->primary_stop_at = 0;
+        standin_group_set_down(s->group, primary, true);
+        s->member_start_at[primary] = random_fault_end_of(&s->order_rng);
+    }
+    else if (s->primary_stop_at == 0 && rng_below(&s->order_rng, 12) == 0) {
+        const int ahead =
+            (primary + 1 + (int)rng_below(&s->order_rng, SOAK_MEMBERS - 1)) %
+            SOAK_MEMBERS;
+        const int behind = SOAK_MEMBERS - primary - ahead;
+        s->draining = rng_below(&s->order_rng, 3) == 0 ? -1 : ahead;
+        standin_group_set_lag(s->group, behind, LAG_MS);
+        s->member_fault_end_at[behind] = random_fault_end_of(&s->order_rng);
+        s->primary_stop_at = now + LAG_MS / 2;
+        write_directory(s);
+    }
+}
+
 /* Ends the faults that are due, or all of them. */
 static void
 end_faults(struct soak *s, bool all)
@@ -449,9 +548,14 @@
     }
     if (clock_monotonic_ms() >= s->phase_end_at) {
         s->settling = true;
+        s->draining = -1;
+        write_directory(s);
         s->phase_end_at = clock_monotonic_ms() + (clock_ms)SETTLE_S * 1000;
         return;
     }
+    if (s->synchronous) {
+        inject_synchronous_fault(s);
+    }
     const uint64_t draw = rng_below(&s->rng, 20);
     s->faults += draw < 9;
     if (draw < 3) {
@@ -472,6 +576,14 @@
 {
     standin_group_on_role_change = write_directory;
     s->group = standin_group_create(s, s->loop, &s->rng, s->max_connections);
+    standin_group_set_mode(
+        s->group,
+        s->late_orders
+            ? PROMOTION_MIN_MS +
+                  (int64_t)rng_below(&s->order_rng,
+                                     PROMOTION_MAX_MS - PROMOTION_MIN_MS)
+            : PROMOTION_MIN_MS,
+        s->synchronous);
     s->store =
         standin_store_create(s, s->loop, soak_host(), STORE_PORT, on_promote);
     for (int i = 0; i < SOAK_MEMBERS; i++) {
@@ -495,6 +607,9 @@
         start_proxy(p);
     }
     s->callers = callers_create(s, s->loop, s->group, seed + 1, CALLERS);
+    if (s->synchronous) {
+        callers_expect_synchronous(s->callers);
+    }
 }
 
 /* Kills the processes that this run started and frees everything. */
@@ -542,11 +657,26 @@
 int
 main(int argc, char **argv)
 {
-    struct soak s = {0};
-
-    if (argc < 4) {
-        fprintf(stderr, "usage: soak PROGRAM SEED SECONDS "
-                        "[MAX_CONNECTIONS [LOG_FOLDER]]\n");
+    static struct soak s = {.draining = -1};
+    const GOptionEntry options[] = {
+        {"late-orders", 0, 0, G_OPTION_ARG_NONE, &s.late_orders,
+         "Disturb the process that orders a promotion", NULL},
+        {"sync-replicas", 0, 0, G_OPTION_ARG_NONE, &s.synchronous,
+         "Make commits synchronous", NULL},
+        {0},
+    };
+    GOptionContext *context = g_option_context_new(
+        "PROGRAM SEED SECONDS [MAX_CONNECTIONS [LOG_FOLDER]]");
+    GError *error = NULL;
+
+    g_option_context_add_main_entries(context, options, NULL);
+    const bool parsed = g_option_context_parse(context, &argc, &argv, &error);
+    g_option_context_free(context);
+    if (!parsed || argc < 4) {
+        fprintf(stderr, "soak: %s\n",
+                parsed ? "PROGRAM, SEED and SECONDS are required"
+                       : error->message);
+        g_clear_error(&error);
         return 2;
     }
     const uint64_t seed = strtoull(argv[2], NULL, 10);
@@ -559,6 +689,7 @@
     s.phase_end_at = clock_monotonic_ms() + seconds * 1000;
     signal(SIGPIPE, SIG_IGN);
     rng_seed(&s.rng, seed);
+    rng_seed(&s.order_rng, seed + 2);
     g_strlcpy(s.folder, "/tmp/galenastep-soak.XXXXXX", sizeof(s.folder));
     if (mkdtemp(s.folder) == NULL) {
         perror("mkdtemp");
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -41,13 +41,18 @@
 void fault_proxy_silence_connections(struct fault_proxy *p);
 void fault_proxy_close_connections(struct fault_proxy *p);
 
-/* Stand-in for the HTTP store and the API that takes promotion orders.
-   on_promotion returns the HTTP status of the answer. A value of NULL deletes
-   the row. */
+/* Takes a promotion order. Returns the HTTP status of the answer, or 0 if the
+   answer is lost. */
+typedef int (*standin_promotion_fn)(struct soak *s, const char *holder,
+                                    const char *id, uint64_t fence);
+
+/* Stand-in for the HTTP store and the API that takes promotion orders. A value
+   of NULL deletes the row. */
 struct standin_store;
-struct standin_store *standin_store_create(
-    struct soak *s, struct ev_loop *loop, const char *host, uint16_t port,
-    int (*on_promotion)(struct soak *s, const char *id, uint64_t fence));
+struct standin_store *standin_store_create(struct soak *s,
+                                           struct ev_loop *loop,
+                                           const char *host, uint16_t port,
+                                           standin_promotion_fn on_promotion);
 void standin_store_destroy(struct standin_store *st);
 void standin_store_put(struct standin_store *st, const char *table,
                        const char *key, const char *value);
@@ -70,6 +75,8 @@
 int standin_group_primary(const struct standin_group *g);
 bool standin_group_promote(struct standin_group *g, int member,
                            uint64_t fence);
+void standin_group_set_mode(struct standin_group *g,
+                            int64_t promotion_delay_ms, bool synchronous);
 void standin_group_set_down(struct standin_group *g, int member, bool down);
 void standin_group_set_lag(struct standin_group *g, int member,
                            int64_t lag_ms);
@@ -91,6 +98,8 @@
 struct callers *callers_create(struct soak *s, struct ev_loop *loop,
                                struct standin_group *g, uint64_t seed,
                                int count);
+/* No acknowledged write may be lost: commits are synchronous. */
+void callers_expect_synchronous(struct callers *all);
 void callers_destroy(struct callers *all);
 void callers_stop(struct callers *all);
 void callers_check(struct callers *all);
--- a/tests/soak/standin_group.c
+++ b/tests/soak/standin_group.c
@@ -27,6 +27,12 @@
     clock_ms committed_at;
 };
 
+/* An order that has been accepted and has yet to take effect. */
+struct promotion {
+    int member;
+    clock_ms at;
+};
+
 struct member {
     struct standin_group *group;
     int index;
@@ -55,6 +61,9 @@
     char transaction_owner[16]; /* the caller whose transaction is open */
     char who_setting[16];       /* value of the session setting "who" */
     GArray *writes;             /* of struct entry; applied at COMMIT */
+    guint committed_length; /* of the log with the commit to be answered; 0 if
+                               there is none */
+    uint64_t committed_term;
     GList link;
 };
 
@@ -65,8 +74,9 @@
     struct member members[SOAK_MEMBERS];
     struct deferred_free *deferred_free;
     ev_timer tick;
-    int promoting; /* member whose promotion is pending, or -1 */
-    clock_ms promote_at;
+    GQueue promotions; /* struct promotion; they take effect in this order */
+    int64_t promotion_delay_ms;
+    bool synchronous; /* a replica receives a commit before it is answered */
     clock_ms promoted_at;
     uint64_t fence; /* highest fencing token received */
     uint64_t newest_term;
@@ -174,15 +184,17 @@
     g_array_set_size(m->log, n);
 }
 
-/* Completes the pending promotion: the member becomes the primary of a new
-   term, and entries that are missing from its log are discarded. */
+/* Completes the oldest promotion: the member becomes the primary of a new
+   term, and entries that are missing from its log are discarded. Nothing
+   changes for the present primary. */
 static void
 complete_promotion(struct standin_group *g)
 {
-    struct member *m = &g->members[g->promoting];
+    struct promotion *p = g_queue_pop_head(&g->promotions);
+    struct member *m = &g->members[p->member];
 
-    g->promoting = -1;
-    if (m->down) {
+    g_free(p);
+    if (m->down || (m->primary && m->term == g->newest_term)) {
         return;
     }
     g->newest_term++;
@@ -242,7 +254,7 @@
     }
 }
 
-/* Completes a due promotion and replicates. */
+/* Completes due promotions and replicates. */
 static void
 on_tick(struct ev_loop *loop, ev_timer *w, int revents)
 {
@@ -251,14 +263,15 @@
 
     (void)loop;
     (void)revents;
-    if (g->promoting >= 0 && now >= g->promote_at) {
+    const struct promotion *p;
+    while ((p = g_queue_peek_head(&g->promotions)) != NULL && now >= p->at) {
         complete_promotion(g);
     }
     replicate(g, now);
 }
 
-/* Takes a promotion order, which takes effect PROMOTION_DELAY_MS later;
-   returns false if the member is down. The fencing tokens of successive orders
+/* Takes a promotion order, which takes effect later; returns false if the
+   member is down. The fencing tokens of successive orders
    must not decrease. */
 bool
 standin_group_promote(struct standin_group *g, int member, uint64_t fence)
@@ -272,13 +285,23 @@
     if (g->members[member].down) {
         return false;
     }
-    if (!g->members[member].primary || g->promoting >= 0) {
-        g->promoting = member;
-        g->promote_at = clock_monotonic_ms() + PROMOTION_DELAY_MS;
-    }
+    struct promotion *p = g_new0(struct promotion, 1);
+    p->member = member;
+    p->at = clock_monotonic_ms() + g->promotion_delay_ms;
+    g_queue_push_tail(&g->promotions, p);
     return true;
 }
 
+/* Sets how long a promotion takes, and whether a commit is answered only once
+   a replica has received it. */
+void
+standin_group_set_mode(struct standin_group *g, int64_t promotion_delay_ms,
+                       bool synchronous)
+{
+    g->promotion_delay_ms = promotion_delay_ms;
+    g->synchronous = synchronous;
+}
+
 /* Closes a connection; it is freed later from the loop. */
 static void
 conn_close(struct conn *c)
@@ -330,6 +353,23 @@
     c->transaction_failed = c->in_transaction;
 }
 
+/* Returns true if a replica has received the commit that a connection has yet
+   to answer. */
+static bool
+replica_has_commit(const struct conn *c)
+{
+    const struct standin_group *g = c->member->group;
+
+    for (int i = 0; i < SOAK_MEMBERS; i++) {
+        const struct member *m = &g->members[i];
+        if (m != c->member && m->log->len >= c->committed_length &&
+            entry(m, c->committed_length - 1)->term == c->committed_term) {
+            return true;
+        }
+    }
+    return false;
+}
+
 static uint64_t
 newest_value(const struct member *m, const char *item)
 {
@@ -402,6 +442,8 @@
     if (strcmp(w[0], "COMMIT") == 0) {
         commit(m, (const struct entry *)(void *)c->writes->data,
                c->writes->len);
+        c->committed_length = c->writes->len > 0 ? m->log->len : 0;
+        c->committed_term = m->term;
         c->in_transaction = false;
         g_string_append(c->reply, "COMPLETE sig\r\n");
         return;
@@ -413,6 +455,8 @@
     }
     else {
         commit(m, &e, 1);
+        c->committed_length = m->log->len;
+        c->committed_term = m->term;
     }
     g_string_append(c->reply, "COMPLETE sig\r\n");
 }
@@ -510,8 +554,14 @@
     struct conn *c = w->data;
     struct member *m = c->member;
 
-    (void)loop;
     (void)revents;
+    if (m->group->synchronous && c->committed_length > 0 &&
+        !replica_has_commit(c)) {
+        ev_timer_set(w, TICK_MS / 1000.0, 0.0);
+        ev_timer_start(loop, w);
+        return;
+    }
+    c->committed_length = 0;
     if ((int)rng_below(m->group->rng, 100) < m->lose_answers_percent) {
         if (rng_below(m->group->rng, 2) == 0) {
             conn_close(c);
@@ -629,7 +679,7 @@
     g->loop = loop;
     g->rng = rng;
     g->max_connections = max_connections;
-    g->promoting = -1;
+    g->promotion_delay_ms = PROMOTION_DELAY_MS;
     g->newest_term = 1;
     g->deferred_free = deferred_free_create(loop, conn_release);
     g->discarded =
@@ -678,6 +728,7 @@
     }
     deferred_free_destroy(g->deferred_free);
     g_hash_table_destroy(g->discarded);
+    g_queue_clear_full(&g->promotions, g_free);
     g_free(g);
 }
 
--- a/tests/soak/standin_store.c
+++ b/tests/soak/standin_store.c
@@ -48,7 +48,7 @@
     bool lose_answers;
     struct deferred_free *deferred_free;
     GQueue clients;
-    int (*promote)(struct soak *s, const char *id, uint64_t fence);
+    standin_promotion_fn promote;
 };
 
 /* Returns a row, even if it is deleted; NULL if it never existed. */
@@ -272,12 +272,24 @@
 {
     const char *fence = strstr(head, "X-Fence-Token: ");
     const char *id = string_field(body, "id");
+    const char *holder = strstr(head, "X-Duty-Holder: ");
     const uint64_t f =
         fence == NULL ? 0
                       : strtoull(fence + strlen("X-Fence-Token: "), NULL, 10);
 
-    respond(c, id == NULL ? 400 : c->store->promote(c->store->soak, id, f),
-            json_object());
+    if (id == NULL || holder == NULL) {
+        respond(c, 400, json_object());
+        return;
+    }
+    holder += strlen("X-Duty-Holder: ");
+    char *name = g_strndup(holder, strcspn(holder, "\r"));
+    const int status = c->store->promote(c->store->soak, name, id, f);
+    g_free(name);
+    if (status == 0) {
+        c->muted = true;
+        return;
+    }
+    respond(c, status, json_object());
 }
 
 static void
@@ -401,13 +413,10 @@
     g_free(r);
 }
 
-/* Starts listening; aborts the soak if the port is in use. on_promotion
-   answers a promotion order with an HTTP status. */
+/* Starts listening; aborts the soak if the port is in use. */
 struct standin_store *
 standin_store_create(struct soak *s, struct ev_loop *loop, const char *host,
-                     uint16_t port,
-                     int (*on_promotion)(struct soak *s, const char *id,
-                                         uint64_t fence))
+                     uint16_t port, standin_promotion_fn on_promotion)
 {
     struct standin_store *st = g_new0(struct standin_store, 1);
 
