relay: end open transactions in time before a planned stop

Cause: at the end of the shutdown the event loop ended with requests in progress, and nothing ended transactions before.

Before the end every request is answered: not run, or a timeout if a member has it. relay_tick() no longer keeps a pointer into its queue while an answer may end any session.

--- a/src/node/node.c
+++ b/src/node/node.c
@@ -501,10 +501,16 @@
 }
 
 /* Called when the proxy shuts down: it orders no more promotions and tells its
-   peers. */
+   peers. In so many milliseconds, transactions are ended and all requests
+   answered; see relay_begin_shutdown(). */
 void
-node_set_leaving(struct node *n)
+node_begin_shutdown(struct node *n, int64_t end_transactions_ms,
+                    int64_t answer_all_ms)
 {
+    const clock_ms now = clock_boottime_ms();
+
     n->leaving = true;
+    relay_begin_shutdown(n->relay, now + end_transactions_ms,
+                         now + answer_all_ms);
     node_send_messages(n, true, clock_boottime_ms());
 }
--- a/src/relay/exchange.c
+++ b/src/relay/exchange.c
@@ -426,7 +426,8 @@
 {
     if (s->step == STEP_IDLE) {
         if (s->pooled != NULL &&
-            now - s->idle_since > s->catalog->transaction_idle_ms) {
+            (now - s->idle_since > s->catalog->transaction_idle_ms ||
+             session_must_end_transaction(s, now))) {
             session_release_link(s);
             s->begun = false;
             s->aborted_by_proxy = true;
@@ -434,12 +435,23 @@
         }
         return;
     }
+    const clock_ms answer_all_at = s->relay->answer_all_at;
+    const bool shutting_down = answer_all_at != 0 && now >= answer_all_at;
     if (s->step == STEP_QUEUED) {
+        if (shutting_down) {
+            service_withdraw(s->service, &s->connection_request);
+            s->step = STEP_IDLE;
+            session_answer_failure(s,
+                                   s->transaction == TRANSACTION_OPEN
+                                       ? FAILURE_ABORTED
+                                       : FAILURE_BUSY,
+                                   "shutting down");
+        }
         return;
     }
     const bool single_read = !s->writes && s->transaction == TRANSACTION_NONE;
     if (single_read && now - s->sent_at >= READ_RETRY_AFTER_MS &&
-        now < s->deadline && s->attempts < ATTEMPTS_MAX &&
+        now < s->deadline && !shutting_down && s->attempts < ATTEMPTS_MAX &&
         s->step == STEP_STATEMENT) {
         g_strlcpy(s->connection_request.avoid_member, pooled_member(s->pooled),
                   sizeof(s->connection_request.avoid_member));
@@ -448,7 +460,7 @@
         retry(s, FAILURE_TIMEOUT, "no answer yet");
         return;
     }
-    if (now >= s->deadline) {
+    if (now >= s->deadline || shutting_down) {
         const bool sent = s->step == STEP_STATEMENT;
         s->silent_ms = pooled_silent_ms(s->pooled, now);
         g_strlcpy(s->member, pooled_member(s->pooled), sizeof(s->member));
@@ -456,6 +468,7 @@
         s->step = STEP_IDLE;
         s->begun = false;
         session_answer_failure(s, sent ? FAILURE_TIMEOUT : FAILURE_ABORTED,
-                               "statement timeout");
+                               now >= s->deadline ? "statement timeout"
+                                                  : "shutting down");
     }
 }
--- a/src/relay/relay.c
+++ b/src/relay/relay.c
@@ -47,15 +47,38 @@
     s->in_active_list = is_active;
 }
 
-/* Checks the timeouts of all active sessions. Called periodically. */
+/* Checks the timeouts of all active sessions. Called periodically. An answer
+   may end any session, so no pointer into the queue is kept meanwhile. */
 void
 relay_tick(struct relay *r, clock_ms now)
 {
-    GList *next = r->active.head;
-
-    while (next != NULL) {
-        struct session *s = next->data;
-        next = next->next;
-        exchange_check_timeouts(s, now);
+    for (guint i = r->active.length; i > 0 && r->active.length > 0; i--) {
+        GList *first = g_queue_pop_head_link(&r->active);
+        g_queue_push_tail_link(&r->active, first);
+        exchange_check_timeouts(first->data, now);
     }
 }
+
+/* Prepares for the end of the process. From end_transactions_at on, a
+   statement of an open transaction is executed only if its timeout passes
+   before answer_all_at; otherwise the transaction is rolled back. At
+   answer_all_at every request that is still in progress is answered with its
+   outcome as far as it is known. */
+void
+relay_begin_shutdown(struct relay *r, clock_ms end_transactions_at,
+                     clock_ms answer_all_at)
+{
+    r->end_transactions_at = end_transactions_at;
+    r->answer_all_at = answer_all_at;
+}
+
+/* Returns true if the shutdown leaves no time for the next statement of an
+   open transaction. */
+bool
+session_must_end_transaction(const struct session *s, clock_ms now)
+{
+    const struct relay *r = s->relay;
+
+    return r->end_transactions_at != 0 && now >= r->end_transactions_at &&
+           now + s->route->statement_timeout_ms > r->answer_all_at;
+}
--- a/src/relay/session.c
+++ b/src/relay/session.c
@@ -232,6 +232,11 @@
         session_answer_failure(s, FAILURE_NO_DATABASE, s->database);
         return;
     }
+    if (s->transaction == TRANSACTION_OPEN &&
+        session_must_end_transaction(s, s->arrived_at)) {
+        session_answer_failure(s, FAILURE_ABORTED, "shutting down");
+        return;
+    }
     s->writes = s->request.verb == VERB_WRITE;
     if (s->request.verb == VERB_EXECUTE) {
         const struct prepared_statement *stmt =
--- a/src/relay/session_internal.h
+++ b/src/relay/session_internal.h
@@ -65,12 +65,17 @@
 struct relay {
     struct relay_config config;
     GQueue active; /* sessions with a request or an open transaction */
+    /* Set at a shutdown; 0 before. Transactions end from end_transactions_at
+       on, and every request is answered at answer_all_at. */
+    clock_ms end_transactions_at;
+    clock_ms answer_all_at;
     struct relay_counters counters;
 };
 
 /* relay.c */
 clock_ms session_now(const struct session *s);
 void session_update_active(struct session *s);
+bool session_must_end_transaction(const struct session *s, clock_ms now);
 
 /* session.c */
 void session_answer(struct session *s, struct answer *a);
--- a/tests/relay/test_session.c
+++ b/tests/relay/test_session.c
@@ -522,6 +522,107 @@
     fixture_teardown(&f);
 }
 
+/* Opens a transaction with one write, which the primary has answered. */
+static struct member_link *
+open_transaction(struct fixture *f, struct session *s)
+{
+    fixture_request(s, VERB_BEGIN, "BEGIN");
+    fixture_request(s, VERB_WRITE, "WRITE x v");
+    fixture_accept_all(f);
+    struct member_link *l = fixture_last_used_link(f);
+    fixture_answer(l, FAILURE_NONE, TRANSACTION_OPEN, 3, 7);
+    fixture_answer(l, FAILURE_NONE, TRANSACTION_OPEN, 3, 7);
+    assert_int_equal(f->answers, 2);
+    return l;
+}
+
+/* Guards against a shutdown that passes statements of open transactions on
+   although it will not wait for their answers. */
+static void
+test_shutdown_ends_transactions(void **state)
+{
+    struct fixture f;
+
+    (void)state;
+    fixture_setup(&f, FRESHNESS_PRIMARY);
+    const int64_t timeout =
+        catalog_route(f.catalog, "boats")->statement_timeout_ms;
+    struct session *s = fixture_session(&f);
+    struct member_link *l = open_transaction(&f, s);
+    relay_begin_shutdown(f.relay, f.now + 1000, f.now + 1000 + timeout / 2);
+    /* Before that, there is always time for a statement. */
+    fixture_advance_time(&f, 900);
+    fixture_request(s, VERB_WRITE, "WRITE y v");
+    assert_int_equal(l->sent_count, 3);
+    fixture_answer(l, FAILURE_NONE, TRANSACTION_OPEN, 3, 7);
+    assert_int_equal(f.answers, 3);
+    fixture_advance_time(&f, 150);
+    fixture_request(s, VERB_COMMIT, "COMMIT");
+    assert_int_equal(f.answers, 4);
+    assert_int_equal(f.failure, FAILURE_ABORTED);
+    assert_int_equal(f.state, TRANSACTION_NONE);
+    /* The member is told to roll back, and got no COMMIT. */
+    for (int i = 0; i < l->sent_count; i++) {
+        assert_int_not_equal(l->sent[i].verb, VERB_COMMIT);
+    }
+    session_end(s);
+    fixture_teardown(&f);
+}
+
+/* Guards against the same for a statement that has enough time: it is
+   executed, and so is the COMMIT. */
+static void
+test_shutdown_leaves_time_for_short_statements(void **state)
+{
+    struct fixture f;
+
+    (void)state;
+    fixture_setup(&f, FRESHNESS_PRIMARY);
+    const int64_t timeout =
+        catalog_route(f.catalog, "boats")->statement_timeout_ms;
+    struct session *s = fixture_session(&f);
+    struct member_link *l = open_transaction(&f, s);
+    relay_begin_shutdown(f.relay, f.now + 100, f.now + 300 + timeout);
+    fixture_advance_time(&f, 200);
+    fixture_request(s, VERB_COMMIT, "COMMIT");
+    fixture_answer(l, FAILURE_NONE, TRANSACTION_NONE, 3, 8);
+    assert_int_equal(f.answers, 3);
+    assert_int_equal(f.failure, FAILURE_NONE);
+    session_end(s);
+    fixture_teardown(&f);
+}
+
+/* Guards against connections that end without an answer: a request that a
+   member has not answered by the end of the shutdown gets its true outcome,
+   and one that was not sent is refused. */
+static void
+test_shutdown_answers_every_request(void **state)
+{
+    struct fixture f;
+
+    (void)state;
+    fixture_setup(&f, FRESHNESS_PRIMARY);
+    struct session *sent = fixture_session(&f);
+    fixture_request(sent, VERB_WRITE, "WRITE x v");
+    fixture_accept_all(&f);
+    relay_begin_shutdown(f.relay, f.now + 100, f.now + 200);
+    fixture_advance_time(&f, 150);
+    assert_int_equal(f.answers, 0);
+    fixture_advance_time(&f, 100);
+    assert_int_equal(f.answers, 1);
+    assert_int_equal(f.failure, FAILURE_TIMEOUT);
+    f.refuse_connections = true;
+    f.lease = false;
+    struct session *queued = fixture_session(&f);
+    fixture_request(queued, VERB_WRITE, "WRITE x v");
+    fixture_advance_time(&f, 50);
+    assert_int_equal(f.answers, 2);
+    assert_true(failure_means_not_run(f.failure));
+    session_end(sent);
+    session_end(queued);
+    fixture_teardown(&f);
+}
+
 int
 main(void)
 {
@@ -543,6 +644,9 @@
         cmocka_unit_test(test_lost_answers_allow_another_connection),
         cmocka_unit_test(test_position_of_another_proxy),
         cmocka_unit_test(test_lagging_replica_is_not_asked_at_once),
+        cmocka_unit_test(test_shutdown_ends_transactions),
+        cmocka_unit_test(test_shutdown_leaves_time_for_short_statements),
+        cmocka_unit_test(test_shutdown_answers_every_request),
     };
 
     return cmocka_run_group_tests(tests, NULL, NULL);
