relay: compare session settings by value

Cause: sessions and connections were compared by a hash of NAME=VALUE texts, so two different sets could be equal.

Change: the settings in effect on the connection are compared with those of the session. test_settings_are_compared_by_value fails before and passes now.

--- a/src/relay/exchange.c
+++ b/src/relay/exchange.c
@@ -255,6 +255,29 @@
     pooled_send(s->pooled, &r, NULL);
 }
 
+/* Returns true if the settings in effect on the connection are those of the
+   session. Their hashes only save the comparison of unequal ones. */
+static bool
+has_session_settings(const struct session *s)
+{
+    GHashTable *current = pooled_settings(s->pooled);
+    GHashTableIter i;
+    void *name;
+    void *value;
+
+    if (pooled_settings_hash(s->pooled) != s->settings_hash ||
+        g_hash_table_size(current) != g_hash_table_size(s->settings)) {
+        return false;
+    }
+    g_hash_table_iter_init(&i, s->settings);
+    while (g_hash_table_iter_next(&i, &name, &value)) {
+        if (g_strcmp0(g_hash_table_lookup(current, name), value) != 0) {
+            return false;
+        }
+    }
+    return true;
+}
+
 /* Makes the connection's settings equal to those of the session. A connection
    with additional settings is reset first. */
 static void
@@ -363,7 +386,7 @@
     }
     if (s->step != STEP_SETUP && s->step != STEP_BEGIN) {
         s->setup_answers_left = 0;
-        if (pooled_settings_hash(s->pooled) != s->settings_hash) {
+        if (!has_session_settings(s)) {
             send_settings(s);
         }
         if (s->request.verb == VERB_EXECUTE) {
--- a/tests/relay/test_session.c
+++ b/tests/relay/test_session.c
@@ -522,6 +522,77 @@
     fixture_teardown(&f);
 }
 
+/* Sends SET with a name and a value, and then a read. Returns the connection
+   on which the read was sent, after its answers. */
+static struct member_link *
+read_with_setting(struct fixture *f, struct session *s, const char *name,
+                  const char *value)
+{
+    const struct request set = {.verb = VERB_SET,
+                                .id = SVIEW("q1"),
+                                .text = SVIEW("SET"),
+                                .name = sview_from(name),
+                                .rest = sview_from(value)};
+    const int answers = f->answers;
+
+    session_request(s, &set);
+    fixture_request(s, VERB_READ, "READ x");
+    fixture_accept_all(f);
+    struct member_link *l = fixture_last_used_link(f);
+    for (int i = 0; i < 8 && f->answers < answers + 2; i++) {
+        fixture_answer(l, FAILURE_NONE, TRANSACTION_NONE, 3, 7);
+    }
+    assert_int_equal(f->answers, answers + 2);
+    return l;
+}
+
+static int
+count_sent(const struct member_link *l, enum verb verb)
+{
+    int n = 0;
+
+    for (int i = 0; i < l->sent_count; i++) {
+        n += l->sent[i].verb == verb;
+    }
+    return n;
+}
+
+/* Guards against a statement that runs with the settings of another session:
+   sets of settings that look alike when written as NAME=VALUE are different.
+ */
+static void
+test_settings_are_compared_by_value(void **state)
+{
+    static const char *const pairs[][4] = {
+        {"region", "zone=north", "region=zone", "north"},
+        {"a", "=b", "a=", "b"},
+        {"a", "", "a=", ""},
+        {"a", "b c", "a=b c", ""},
+        {"a", "\"b\"", "a=\"b", "\""},
+    };
+
+    (void)state;
+    for (size_t i = 0; i < G_N_ELEMENTS(pairs); i++) {
+        struct fixture f;
+        fixture_setup(&f, FRESHNESS_PRIMARY);
+        struct session *a = fixture_session(&f);
+        struct session *b = fixture_session(&f);
+        struct member_link *l =
+            read_with_setting(&f, a, pairs[i][0], pairs[i][1]);
+        assert_int_equal(count_sent(l, VERB_SET), 1);
+        /* Equal settings need no second SET. */
+        assert_ptr_equal(read_with_setting(&f, a, pairs[i][0], pairs[i][1]),
+                         l);
+        assert_int_equal(count_sent(l, VERB_SET), 1);
+        assert_ptr_equal(read_with_setting(&f, b, pairs[i][2], pairs[i][3]),
+                         l);
+        assert_int_equal(count_sent(l, VERB_SET), 2);
+        session_end(a);
+        session_end(b);
+        fixture_teardown(&f);
+    }
+}
+
 /* Opens a transaction with one write, which the primary has answered. */
 static struct member_link *
 open_transaction(struct fixture *f, struct session *s)
@@ -644,6 +715,7 @@
         cmocka_unit_test(test_lost_answers_allow_another_connection),
         cmocka_unit_test(test_position_of_another_proxy),
         cmocka_unit_test(test_lagging_replica_is_not_asked_at_once),
+        cmocka_unit_test(test_settings_are_compared_by_value),
         cmocka_unit_test(test_shutdown_ends_transactions),
         cmocka_unit_test(test_shutdown_leaves_time_for_short_statements),
         cmocka_unit_test(test_shutdown_answers_every_request),
