--- a/src/node/settings.c
+++ b/src/node/settings.c
@@ -3,6 +3,8 @@
 #include <glib.h>
 #include <string.h>
 
+#define GRACE_MAX_MS 3600000
+
 /* Parses "IP:PORT". Returns false if it is malformed. */
 bool
 endpoint_parse(const char *text, struct endpoint *out)
@@ -73,6 +75,35 @@
     return true;
 }
 
+/* Reads the grace period, which is given as either grace_ms, a whole number,
+   or grace_s, which may have a fraction. */
+static bool
+read_grace(GKeyFile *f, uint64_t *ms, char **error)
+{
+    char text[32];
+    char *end;
+
+    if (!g_key_file_has_key(f, "limits", "grace_s", NULL)) {
+        return read_number(f, "limits", "grace_ms", GRACE_MAX_MS, ms, error);
+    }
+    if (g_key_file_has_key(f, "limits", "grace_ms", NULL)) {
+        *error = g_strdup("[limits] grace_s: grace_ms is set as well");
+        return false;
+    }
+    if (!read_text(f, "limits", "grace_s", text, sizeof(text), error)) {
+        return false;
+    }
+    const double s = g_ascii_strtod(text, &end);
+    if (*end != '\0' || !(s >= 0.001 && s <= GRACE_MAX_MS / 1000.0)) {
+        *error = g_strdup_printf("[limits] grace_s: '%s' is not a number of "
+                                 "seconds up to %d",
+                                 text, GRACE_MAX_MS / 1000);
+        return false;
+    }
+    *ms = (uint64_t)(s * 1000.0 + 0.5);
+    return true;
+}
+
 /* Reads the settings file. On failure returns false and sets error to a text
    that names the group and the key; the caller frees it. */
 bool
@@ -103,7 +134,7 @@
         read_text(f, "peers", "key", out->key, sizeof(out->key), error) &&
         read_endpoint(f, "store", "address", &out->store, error) &&
         read_endpoint(f, "orders", "address", &out->orders, error) &&
-        read_number(f, "limits", "grace_ms", 3600000, &grace, error);
+        read_grace(f, &grace, error);
     out->peer_port = (uint16_t)peer;
     out->metrics_port = (uint16_t)metrics;
     out->grace_ms = (int64_t)grace;
--- a/tests/node/test_settings.c
+++ b/tests/node/test_settings.c
@@ -51,6 +51,42 @@
     assert_int_equal(s.grace_ms, 6000);
 }
 
+/* Guards against a grace period with a fraction, which the platform may set,
+   that keeps the process from starting. */
+static void
+test_grace_in_seconds(void **state)
+{
+    static const struct {
+        const char *line;
+        int64_t ms; /* 0 if it is refused */
+    } cases[] = {
+        {"grace_s = 6", 6000},    {"grace_s = 2.5", 2500},
+        {"grace_s = 0.75", 750},  {"grace_s = 6.0", 6000},
+        {"grace_s = 0", 0},       {"grace_s = -1", 0},
+        {"grace_s = 1e9", 0},     {"grace_s = nan", 0},
+        {"grace_s = 6s", 0},      {"grace_s =", 0},
+        {"grace_ms = 2.5000", 0}, {"grace_s = 6\ngrace_ms = 6000", 0},
+    };
+
+    (void)state;
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        struct node_settings s;
+        char **parts = g_strsplit(good, "grace_ms = 6000", 2);
+        char *text = g_strconcat(parts[0], cases[i].line, parts[1], NULL);
+        char *error = load(text, &s);
+        assert_int_equal(error == NULL, cases[i].ms != 0);
+        if (error == NULL) {
+            assert_int_equal(s.grace_ms, cases[i].ms);
+        }
+        else {
+            assert_non_null(strstr(error, "grace_"));
+        }
+        g_free(error);
+        g_free(text);
+        g_strfreev(parts);
+    }
+}
+
 /* Guards against accepting a file with a missing or invalid key, and against
    an error message that does not name the key. */
 static void
@@ -90,6 +126,7 @@
 {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(test_good_settings),
+        cmocka_unit_test(test_grace_in_seconds),
         cmocka_unit_test(test_bad_settings),
     };
 
