coordination: model of the change of primary, and what it found

The model plays the real promoter and agreement with members whose orders take effect late, lost answers, kills, stops, freezes, stores that answer nobody or one proxy less, and synchronous commits.

Members ordered earlier in the change are barred until all orders have settled; the view holds their set. 2. Nothing is ordered while an order has no answer.

Messages between proxies have one more field.

--- a/src/coordination/peer_message.x
+++ b/src/coordination/peer_message.x
@@ -12,6 +12,7 @@
     string service<63>;
     string primary<63>;
     string ordered<63>;
+    unsigned hyper ordered_set;
     unsigned hyper epoch;
     unsigned hyper term;
     bool changing;
--- a/src/coordination/peer_message_xdr.c
+++ b/src/coordination/peer_message_xdr.c
@@ -33,6 +33,8 @@
 		 return FALSE;
 	 if (!xdr_string (xdrs, &objp->ordered, 63))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->ordered_set))
+		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->epoch))
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->term))
--- a/src/coordination/peer_message_xdr.h
+++ b/src/coordination/peer_message_xdr.h
@@ -26,6 +26,7 @@
 	char *service;
 	char *primary;
 	char *ordered;
+	u_quad_t ordered_set;
 	u_quad_t epoch;
 	u_quad_t term;
 	bool_t changing;
--- a/src/coordination/peer_socket.c
+++ b/src/coordination/peer_socket.c
@@ -65,6 +65,7 @@
         g_strlcpy(e->service, x->service, sizeof(e->service));
         g_strlcpy(e->primary, x->primary, sizeof(e->primary));
         g_strlcpy(e->ordered, x->ordered, sizeof(e->ordered));
+        e->ordered_set = x->ordered_set;
         e->epoch = x->epoch;
         e->term = x->term;
         e->changing = x->changing;
@@ -245,6 +246,7 @@
             .service = (char *)m->changes[i].service,
             .primary = (char *)m->changes[i].primary,
             .ordered = (char *)m->changes[i].ordered,
+            .ordered_set = m->changes[i].ordered_set,
             .epoch = m->changes[i].epoch,
             .term = m->changes[i].term,
             .changing = m->changes[i].changing,
--- a/src/coordination/primary_change.c
+++ b/src/coordination/primary_change.c
@@ -317,6 +317,7 @@
         return;
     }
     c->order_pending = true;
+    c->order_version = c->version;
     c->order_sent_at = now;
     event_log(EVENT_STATE, "promotion_ordered",
               "service=%s member=%s received=%llu.%llu fence=%llu "
@@ -340,7 +341,7 @@
               "service=%s member=%s result=%d took_ms=%lld", service,
               c->new_primary, result, (long long)(now - c->order_sent_at));
     c->order_pending = false;
-    if (c->phase != PHASE_ORDER) {
+    if (c->phase != PHASE_ORDER || c->order_version != c->version) {
         return;
     }
     struct member_state *m = primary_change_find_member(c, c->new_primary);
@@ -382,6 +383,7 @@
     e->changing = false;
     e->term = m != NULL ? m->report.term : 0;
     e->ordered[0] = '\0';
+    e->ordered_set = 0;
     g_strlcpy(e->primary, c->new_primary, sizeof(e->primary));
     if (promoter_write_view(p, &next, now)) {
         event_log(EVENT_STATE, "change_publishing",
@@ -411,7 +413,6 @@
         c->phase_since = now;
         c->awaited_since = 0;
         c->has_target = false;
-        c->order_pending = false;
         primary_change_enter_phase(c, PHASE_EXPIRE_VIEWS, now);
         break;
     case PHASE_EXPIRE_VIEWS:
--- a/src/coordination/promoter.c
+++ b/src/coordination/promoter.c
@@ -272,6 +272,9 @@
             struct view_entry *e = &next.entries[c->index];
             e->epoch = next.version + 1;
             g_strlcpy(e->ordered, c->new_primary, sizeof(e->ordered));
+            e->ordered_set =
+                (successor_orders_settled(c, now) ? 0 : e->ordered_set) |
+                view_member_bit(c->new_primary);
         }
     }
     if (promoter_write_view(p, &next, now)) {
--- a/src/coordination/promoter_internal.h
+++ b/src/coordination/promoter_internal.h
@@ -54,7 +54,10 @@
     uint64_t claim_version; /* view version when this proxy took it over */
     clock_ms started_at;
     char new_primary[MEMBER_ID_BYTES];
+    /* An order without an answer, perhaps of an earlier change: the platform
+       may receive it after a later one, so there is none meanwhile. */
     bool order_pending;
+    uint64_t order_version; /* version of the change that it belongs to */
     clock_ms order_sent_at;
     /* The demoted primary's log. No commit was acknowledged beyond it. */
     struct member_report target;
@@ -124,6 +127,7 @@
 int64_t successor_wait_ms(const struct primary_change *c,
                           const struct view_entry *e,
                           const struct member_state *candidate);
+bool successor_orders_settled(const struct primary_change *c, clock_ms now);
 bool successor_may_adopt(const struct member_state *m,
                          const struct view_entry *e);
 uint64_t successor_base_term(const struct primary_change *c,
--- a/src/coordination/successor.c
+++ b/src/coordination/successor.c
@@ -9,6 +9,8 @@
    term. A change, with 0.6 s until it begins and 0.3 s for the promotion, then
    takes 4 s at most. */
 #define NEWEST_TERM_WAIT_MS 3000
+/* Well above the time that a promotion takes, which is a second at most. */
+#define ORDERS_SETTLED_MS 5000
 
 /* Returns true if a has received more of the log than b. */
 bool
@@ -81,6 +83,9 @@
 {
     int missing = 0;
 
+#ifdef SUCCESSOR_BREAK_SYNCHRONOUS
+    return true;
+#endif
     if (c->has_target && !successor_is_ahead(&c->target, &candidate->report)) {
         return true;
     }
@@ -117,13 +122,33 @@
                : 0;
 }
 
+/* Returns true if every order of this change has taken effect by now, or never
+   will. */
+bool
+successor_orders_settled(const struct primary_change *c, clock_ms now)
+{
+    return now - MAX(c->started_at, c->order_sent_at) >= ORDERS_SETTLED_MS;
+}
+
+/* Returns true if a member must not be ordered now: it was ordered before, and
+   another one after it. If it leads already when the new order arrives, that
+   has no effect, and the order in between takes effect afterwards. */
+static bool
+is_barred(const struct primary_change *c, const struct view_entry *e,
+          const char *member, clock_ms now)
+{
+    return e->ordered[0] != '\0' && strcmp(e->ordered, member) != 0 &&
+           (e->ordered_set & view_member_bit(member)) != 0 &&
+           !successor_orders_settled(c, now);
+}
+
 /* Returns the member to promote, or NULL if no candidate has answered. With
    sync_replicas, a replica that is draining or no longer listed is chosen if
    it is ahead of all others: it may be the only one with the last commits. The
-   member that was ordered before is preferred, so that an order which is
-   carried out late changes nothing. The old primary is promoted again only if
-   there is no other candidate, it has stepped down, and an order prevents that
-   it simply continues. */
+   member that was ordered last is preferred, so that an order which is carried
+   out late changes nothing. The old primary is promoted again only if there is
+   no other candidate, it has stepped down, and an order prevents that it
+   simply continues. */
 struct member_state *
 successor_choose(struct primary_change *c, const struct view_entry *e,
                  clock_ms now)
@@ -138,12 +163,17 @@
         best = ahead;
     }
     if (best != NULL && ordered != NULL && ordered->answered &&
-        successor_is_candidate(ordered, best->draining, now) &&
-        !successor_is_ahead(&best->report, &ordered->report)) {
+        ordered->listed && now >= ordered->excluded_until &&
+        (is_barred(c, e, best->id, now) ||
+         !successor_is_ahead(&best->report, &ordered->report))) {
         return ordered;
     }
+    if (best != NULL && is_barred(c, e, best->id, now)) {
+        best = NULL;
+    }
     if (best == NULL && e->ordered[0] != '\0' && old != NULL &&
-        old->answered && old->listed && !old->report.primary) {
+        old->answered && old->listed && !old->report.primary &&
+        !is_barred(c, e, old->id, now)) {
         return old;
     }
     return best;
@@ -159,6 +189,9 @@
     struct member_state *best = NULL;
     uint64_t newest = e->term;
 
+#ifdef SUCCESSOR_BREAK_TERM
+    newest = 0;
+#endif
     for (int i = 0; i < c->count; i++) {
         struct member_state *m = &c->members[i];
         if (!m->answered) {
@@ -180,6 +213,9 @@
 bool
 successor_may_adopt(const struct member_state *m, const struct view_entry *e)
 {
+#ifdef SUCCESSOR_BREAK_ORDERED
+    return m->listed && !m->draining;
+#endif
     return m->listed && !m->draining &&
            (e->ordered[0] == '\0' || strcmp(e->ordered, m->id) == 0);
 }
--- a/src/coordination/view.c
+++ b/src/coordination/view.c
@@ -3,10 +3,12 @@
 #include <glib.h>
 #include <stdio.h>
 #include <string.h>
+#include <xxhash.h>
 
 /* Returns the text form, which the caller frees with g_free(): a line "view
    VERSION FENCE HOLDER", then one line "lead SERVICE EPOCH TERM CHANGING
-   PRIMARY ORDERED" per service. "-" stands for an empty holder or member. */
+   PRIMARY ORDERED ORDERED_SET" per service. "-" stands for an empty holder or
+   member. */
 char *
 view_format(const struct view *v)
 {
@@ -17,12 +19,13 @@
                     v->holder[0] != '\0' ? v->holder : "-");
     for (int i = 0; i < v->count; i++) {
         const struct view_entry *e = &v->entries[i];
-        g_string_append_printf(s,
-                               "lead %s %" G_GUINT64_FORMAT
-                               " %" G_GUINT64_FORMAT " %d %s %s\n",
-                               e->service, e->epoch, e->term, e->changing,
-                               e->primary[0] != '\0' ? e->primary : "-",
-                               e->ordered[0] != '\0' ? e->ordered : "-");
+        g_string_append_printf(
+            s,
+            "lead %s %" G_GUINT64_FORMAT " %" G_GUINT64_FORMAT
+            " %d %s %s %" G_GUINT64_FORMAT "\n",
+            e->service, e->epoch, e->term, e->changing,
+            e->primary[0] != '\0' ? e->primary : "-",
+            e->ordered[0] != '\0' ? e->ordered : "-", e->ordered_set);
     }
     return g_string_free(s, FALSE);
 }
@@ -43,12 +46,12 @@
     return g_ascii_string_to_unsigned(word, 10, 0, G_MAXUINT64, out, NULL);
 }
 
-/* Parses one line of the text form. ORDERED is missing in rows that an earlier
-   version wrote. */
+/* Parses one line of the text form. ORDERED and ORDERED_SET are missing in
+   rows that an earlier version wrote. */
 static bool
 parse_line(const char *line, struct view *v)
 {
-    char **w = g_strsplit(line, " ", 8);
+    char **w = g_strsplit(line, " ", 9);
     const guint n = g_strv_length(w);
     bool ok = false;
 
@@ -56,13 +59,14 @@
         ok = read_number(w[1], &v->version) && read_number(w[2], &v->fence) &&
              copy_word(w[3], v->holder, sizeof(v->holder));
     }
-    else if ((n == 6 || n == 7) && strcmp(w[0], "lead") == 0 &&
+    else if ((n == 6 || n == 8) && strcmp(w[0], "lead") == 0 &&
              v->count < VIEW_SERVICES_MAX) {
         struct view_entry *e = &v->entries[v->count++];
         ok = copy_word(w[1], e->service, sizeof(e->service)) &&
              read_number(w[2], &e->epoch) && read_number(w[3], &e->term) &&
              copy_word(w[5], e->primary, sizeof(e->primary)) &&
-             (n == 6 || copy_word(w[6], e->ordered, sizeof(e->ordered)));
+             (n == 6 || (copy_word(w[6], e->ordered, sizeof(e->ordered)) &&
+                         read_number(w[7], &e->ordered_set)));
         e->changing = strcmp(w[4], "1") == 0;
     }
     g_strfreev(w);
@@ -86,6 +90,13 @@
     return ok && out->version > 0;
 }
 
+/* Returns a set with one element, a member. Two members may share it. */
+uint64_t
+view_member_bit(const char *member)
+{
+    return 1ULL << (XXH64(member, strlen(member), 0) % 64);
+}
+
 /* Returns the entry of a service, or NULL. */
 struct view_entry *
 view_find(struct view *v, const char *service)
--- a/src/coordination/view.h
+++ b/src/coordination/view.h
@@ -24,6 +24,8 @@
     bool changing;
     char ordered[MEMBER_ID_BYTES]; /* named by the last order of this change;
                                       empty if none was given */
+    uint64_t ordered_set; /* view_member_bit() of all members that this change
+                             may have ordered */
 };
 
 /* The state that all proxies agree on: the primary of each service, and which
@@ -44,5 +46,6 @@
 int view_changes(const struct view *v, uint64_t since, struct view_entry *out,
                  int max);
 bool view_apply(struct view *v, const struct view_entry *changes, int n);
+uint64_t view_member_bit(const char *member);
 
 #endif
--- /dev/null
+++ b/tests/coordination/model_primary_change.c
@@ -0,0 +1,829 @@
+#include "base/rng.h"
+#include "coordination/promoter.h"
+
+#include <glib.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* Randomised simulation of changes of primary: three proxies with the real
+   agreement and promoter, a store that holds the view, the platform that takes
+   orders, and one service of three members. It has no network; time passes in
+   steps of STEP_MS.
+
+     model_primary_change FIRST_SEED COUNT
+
+   Exit status 1 if a rule was broken:
+
+   ONE   a proxy uses a member after a member of a later term was promoted
+   LOST  with synchronous commits, a promoted member lacks an acknowledged one
+   TERM  the term of a published primary goes down
+   DEAD  after the last fault, no primary serves within RECOVERY_MS */
+
+#define STEP_MS 5
+#define FAULTS_MS 20000
+/* Longest wait for another holder, plus the longest wait for replicas. */
+#define RECOVERY_MS 24000
+#define PROXIES 3
+#define MEMBERS 3
+#define LOG_MAX 4000
+#define EVENTS_MAX 512
+#define TICK_MS 25
+#define MESSAGE_MS 400
+#define CONFIRM_MS 300
+#define UNREACHABLE_MS 400
+#define SERVICE "db"
+
+static const char *const proxy_names[PROXIES] = {"a", "b", "c"};
+static const char *const member_names[MEMBERS] = {"m0", "m1", "m2"};
+
+/* An entry of a log; equal ids mean the same entry. */
+struct entry {
+    uint64_t term;
+    uint32_t id;
+    clock_ms at;
+};
+
+struct member {
+    bool primary;
+    uint64_t term;
+    struct entry log[LOG_MAX];
+    int length;
+    clock_ms down_until; /* answers nobody */
+    clock_ms cut_until;  /* answers no proxy, but replicates */
+    clock_ms deaf_until; /* receives nothing */
+    int64_t lag_ms;
+    bool draining;
+    clock_ms sees_newer_since; /* as a replaced primary; 0 if not */
+};
+
+enum event_kind {
+    EVENT_MESSAGE,
+    EVENT_QUERY,  /* arrives at the member */
+    EVENT_REPORT, /* arrives at the proxy */
+    EVENT_ORDER,  /* arrives at the platform */
+    EVENT_ORDERED,
+    EVENT_PROMOTION,
+    EVENT_WRITE, /* of the view, arrives at the store */
+    EVENT_WRITTEN,
+    EVENT_READ, /* of the view, has been answered */
+};
+
+struct event {
+    enum event_kind kind;
+    clock_ms at;
+    int proxy;
+    uint64_t incarnation;
+    int member;
+    uint64_t number; /* demote_term or fence */
+    uint64_t round;
+    bool ok;
+    bool lost; /* its answer */
+    enum order_result result;
+    struct member_report report;
+    struct agreement_message *message;
+    struct view *view;
+    clock_ms asked_at;
+};
+
+struct proxy {
+    struct agreement *agreement;
+    struct promoter *promoter;
+    uint64_t incarnation;
+    clock_ms start_at; /* 0 while it runs */
+    clock_ms frozen_until;
+    clock_ms stop_at; /* leaving until then; 0 if not */
+    clock_ms store_fault_until;
+    clock_ms tick_at;
+    clock_ms message_at;
+    clock_ms asked_at;
+    uint64_t sent_version;
+};
+
+static struct {
+    struct rng rng;
+    uint64_t seed;
+    clock_ms now;
+    struct proxy proxies[PROXIES];
+    struct member members[MEMBERS];
+    struct event events[EVENTS_MAX];
+    int event_count;
+    struct view stored;
+    uint64_t newest_term;
+    uint64_t published_term;
+    uint64_t newest_commit_term;
+    int64_t promotion_ms;
+    int sync_replicas;
+    uint32_t next_id;
+    uint32_t acked[LOG_MAX]; /* ids of acknowledged entries */
+    int acked_count;
+    const char *broken;
+} w;
+
+static void
+fail(const char *rule)
+{
+    if (w.broken == NULL) {
+        printf("seed %llu: %s at %lld ms\n", (unsigned long long)w.seed, rule,
+               (long long)w.now);
+        w.broken = rule;
+    }
+}
+
+static bool
+chance(unsigned percent)
+{
+    return rng_below(&w.rng, 100) < percent;
+}
+
+static clock_ms
+delay(unsigned min, unsigned max)
+{
+    return w.now + min + (clock_ms)rng_below(&w.rng, max - min + 1);
+}
+
+static void
+schedule(struct event e)
+{
+    if (w.event_count == EVENTS_MAX) {
+        fprintf(stderr, "too many events\n");
+        exit(2);
+    }
+    w.events[w.event_count++] = e;
+}
+
+static bool
+is_up(const struct member *m)
+{
+    return w.now >= m->down_until;
+}
+
+static bool
+answers(const struct member *m)
+{
+    return is_up(m) && w.now >= m->cut_until;
+}
+
+static bool
+runs(const struct proxy *p)
+{
+    return p->start_at == 0 && w.now >= p->frozen_until;
+}
+
+static int
+index_of(const char *const *names, int n, const char *name)
+{
+    for (int i = 0; i < n; i++) {
+        if (strcmp(names[i], name) == 0) {
+            return i;
+        }
+    }
+    return -1;
+}
+
+/* Actions of the promoters. */
+
+static void
+on_write_view(void *ctx, const struct view *next)
+{
+    struct proxy *p = ctx;
+    const bool lost = chance(5) || w.now < p->store_fault_until;
+
+    schedule(
+        (struct event){.kind = EVENT_WRITE,
+                       .at = delay(5, 15),
+                       .proxy = (int)(p - w.proxies),
+                       .incarnation = p->incarnation,
+                       .ok = !(w.now < p->store_fault_until && chance(80)),
+                       .lost = lost,
+                       .view = g_memdup2(next, sizeof(*next)),
+                       .asked_at = w.now});
+}
+
+static void
+on_query(void *ctx, const char *service, const char *member,
+         uint64_t demote_term, uint64_t round)
+{
+    struct proxy *p = ctx;
+
+    (void)service;
+    schedule((struct event){.kind = EVENT_QUERY,
+                            .at = delay(1, 15),
+                            .proxy = (int)(p - w.proxies),
+                            .incarnation = p->incarnation,
+                            .member = index_of(member_names, MEMBERS, member),
+                            .number = demote_term,
+                            .round = round});
+}
+
+static void
+on_order(void *ctx, const char *service, const char *member, uint64_t fence)
+{
+    struct proxy *p = ctx;
+
+    (void)service;
+    schedule((struct event){.kind = EVENT_ORDER,
+                            .at = delay(1, chance(10) ? 400 : 10),
+                            .proxy = (int)(p - w.proxies),
+                            .incarnation = p->incarnation,
+                            .member = index_of(member_names, MEMBERS, member),
+                            .number = fence,
+                            .lost = chance(20)});
+}
+
+static void
+start_proxy(struct proxy *p)
+{
+    struct agreement_peer peers[PROXIES];
+    const struct promoter_actions actions = {.write_view = on_write_view,
+                                             .query = on_query,
+                                             .order = on_order,
+                                             .ctx = p};
+    const int i = (int)(p - w.proxies);
+
+    for (int k = 0; k < PROXIES; k++) {
+        peers[k] = (struct agreement_peer){.name = proxy_names[k],
+                                           .failure_domain = proxy_names[k]};
+    }
+    if (p->agreement != NULL) {
+        promoter_destroy(p->promoter);
+        agreement_destroy(p->agreement);
+    }
+    const clock_ms store_fault_until = p->store_fault_until;
+    const uint64_t incarnation = p->incarnation + 1;
+    *p = (struct proxy){.incarnation = incarnation,
+                        .store_fault_until = store_fault_until};
+    p->agreement = agreement_create(proxy_names[i], p->incarnation);
+    agreement_set_peers(p->agreement, peers, PROXIES, w.now);
+    agreement_set_known_to_peers(p->agreement);
+    p->promoter = promoter_create(proxy_names[i], p->agreement, &actions);
+    p->tick_at = w.now + (clock_ms)rng_below(&w.rng, TICK_MS);
+}
+
+/* Sends messages to the other proxies. */
+static void
+send_messages(struct proxy *p)
+{
+    const int i = (int)(p - w.proxies);
+
+    p->message_at = w.now + MESSAGE_MS;
+    p->sent_version = agreement_view(p->agreement)->version;
+    for (int k = 0; k < PROXIES; k++) {
+        struct agreement_message *m;
+        struct service_set unreachable = {0};
+        if (k == i || chance(3)) {
+            continue;
+        }
+        const struct view *v = agreement_view(p->agreement);
+        const int primary = v->count > 0 ? index_of(member_names, MEMBERS,
+                                                    v->entries[0].primary)
+                                         : -1;
+        if (primary >= 0 && !v->entries[0].changing &&
+            !answers(&w.members[primary])) {
+            service_set_add(&unreachable, 0);
+        }
+        m = g_new0(struct agreement_message, 1);
+        agreement_compose_message(p->agreement, proxy_names[k], &unreachable,
+                                  p->stop_at != 0 ||
+                                      promoter_is_blocked(p->promoter, w.now),
+                                  w.now, m);
+        m->store_lost = w.now < p->store_fault_until;
+        schedule((struct event){.kind = EVENT_MESSAGE,
+                                .at = delay(1, 4),
+                                .proxy = k,
+                                .message = m});
+    }
+}
+
+/* Adopts a view; the model's statements take no time, so it is applied at
+   once. */
+static void
+adopt(struct proxy *p, const struct view *v)
+{
+    if (agreement_adopt_view(p->agreement, v)) {
+        agreement_set_applied(p->agreement, v->version);
+        send_messages(p);
+    }
+}
+
+static bool
+log_has(const struct member *m, uint32_t id)
+{
+    for (int i = m->length - 1; i >= 0; i--) {
+        if (m->log[i].id == id) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static void
+promote(struct member *m)
+{
+    if (!is_up(m) || (m->primary && m->term == w.newest_term)) {
+        return;
+    }
+    m->term = ++w.newest_term;
+    m->primary = true;
+    m->sees_newer_since = 0;
+    for (int i = 0; w.sync_replicas > 0 && i < w.acked_count; i++) {
+        if (!log_has(m, w.acked[i])) {
+            fail("LOST");
+        }
+    }
+}
+
+static void
+store_write(const struct event *e)
+{
+    const bool done = e->ok && e->view->version == w.stored.version + 1;
+
+    if (done) {
+        const struct view_entry *entry = &e->view->entries[0];
+        if (e->view->count > 0 && !entry->changing) {
+            if (entry->term < w.published_term) {
+                fail("TERM");
+            }
+            w.published_term = MAX(w.published_term, entry->term);
+        }
+        w.stored = *e->view;
+    }
+    struct event answer = *e;
+    answer.kind = EVENT_WRITTEN;
+    answer.at = e->lost ? w.now + 400 : delay(2, 5);
+    answer.ok = done && !e->lost;
+    answer.view = g_memdup2(e->view, sizeof(*e->view));
+    schedule(answer);
+}
+
+static void
+member_query(const struct event *e)
+{
+    struct member *m = &w.members[e->member];
+    struct event answer = *e;
+    const int last = m->length - 1;
+
+    answer.kind = EVENT_REPORT;
+    answer.ok = answers(m) && !chance(5);
+    answer.at = answer.ok ? delay(1, 15) : w.now + 280;
+    if (answer.ok) {
+        if (e->number > 0 && m->primary && m->term < e->number) {
+            m->primary = false;
+            m->term = e->number;
+        }
+        answer.report = (struct member_report){
+            .primary = m->primary,
+            .term = m->term,
+            .received_term = last >= 0 ? m->log[last].term : 1,
+            .received_position = (uint64_t)m->length,
+        };
+    }
+    schedule(answer);
+}
+
+static void
+platform_order(const struct event *e)
+{
+    struct event answer = *e;
+    const bool refused = chance(5);
+    const bool up = is_up(&w.members[e->member]);
+
+    answer.kind = EVENT_ORDERED;
+    answer.result = refused ? ORDER_FAILED
+                    : up    ? ORDER_DONE
+                            : ORDER_NOT_RUNNING;
+    answer.at = e->lost ? w.now + 1500 : delay(1, 5);
+    if (e->lost) {
+        answer.result = ORDER_FAILED;
+    }
+    schedule(answer);
+    if (up && !refused) {
+        schedule((struct event){.kind = EVENT_PROMOTION,
+                                .at = w.now + w.promotion_ms,
+                                .member = e->member});
+    }
+}
+
+/* Handles an event that is due. Returns false if its proxy is suspended; it is
+   then delivered later. */
+static bool
+handle(struct event *e)
+{
+    struct proxy *p = &w.proxies[e->proxy];
+    const bool to_proxy = e->kind == EVENT_MESSAGE ||
+                          e->kind == EVENT_REPORT ||
+                          e->kind == EVENT_ORDERED ||
+                          e->kind == EVENT_WRITTEN || e->kind == EVENT_READ;
+
+    if (to_proxy && p->start_at == 0 && w.now < p->frozen_until) {
+        return false;
+    }
+    if (to_proxy && (p->start_at != 0 || (e->kind != EVENT_MESSAGE &&
+                                          e->incarnation != p->incarnation))) {
+        return true;
+    }
+    switch (e->kind) {
+    case EVENT_MESSAGE:
+        if (agreement_receive(p->agreement, e->message, w.now)) {
+            agreement_set_applied(p->agreement,
+                                  agreement_view(p->agreement)->version);
+            send_messages(p);
+        }
+        break;
+    case EVENT_QUERY:
+        member_query(e);
+        break;
+    case EVENT_REPORT:
+        promoter_member_answered(p->promoter, SERVICE, member_names[e->member],
+                                 e->round, e->ok ? &e->report : NULL, w.now);
+        break;
+    case EVENT_ORDER:
+        platform_order(e);
+        break;
+    case EVENT_ORDERED:
+        promoter_order_answered(p->promoter, SERVICE, e->result, w.now);
+        break;
+    case EVENT_PROMOTION:
+        promote(&w.members[e->member]);
+        break;
+    case EVENT_WRITE:
+        store_write(e);
+        break;
+    case EVENT_WRITTEN:
+        if (e->ok) {
+            adopt(p, e->view);
+        }
+        else if (w.now >= p->store_fault_until) {
+            adopt(p, &w.stored);
+        }
+        promoter_view_written(p->promoter, e->ok);
+        break;
+    case EVENT_READ:
+        adopt(p, e->view);
+        agreement_confirm_by_store(p->agreement, e->view->version, e->asked_at,
+                                   true);
+        break;
+    }
+    return true;
+}
+
+static void
+event_free(struct event *e)
+{
+    g_free(e->message);
+    g_free(e->view);
+}
+
+static void
+run_events(void)
+{
+    for (int i = 0; i < w.event_count;) {
+        if (w.events[i].at > w.now) {
+            i++;
+            continue;
+        }
+        struct event e = w.events[i];
+        memmove(&w.events[i], &w.events[i + 1],
+                (size_t)(w.event_count - i - 1) * sizeof(e));
+        w.event_count--;
+        if (handle(&e)) {
+            event_free(&e);
+        }
+        else {
+            e.at = w.proxies[e.proxy].frozen_until;
+            schedule(e);
+        }
+    }
+}
+
+/* Returns the primary of the newest term, or NULL. */
+static struct member *
+newest_primary(void)
+{
+    for (int i = 0; i < MEMBERS; i++) {
+        if (w.members[i].primary && w.members[i].term == w.newest_term) {
+            return &w.members[i];
+        }
+    }
+    return NULL;
+}
+
+static void
+replicate(void)
+{
+    struct member *p = newest_primary();
+
+    for (int i = 0; i < MEMBERS; i++) {
+        struct member *m = &w.members[i];
+        if (p == NULL || m == p || !is_up(m) || !is_up(p)) {
+            m->sees_newer_since = 0;
+            continue;
+        }
+        if (m->primary) {
+            if (m->sees_newer_since == 0) {
+                m->sees_newer_since = w.now;
+            }
+            if (w.now - m->sees_newer_since < 1000) {
+                continue;
+            }
+            m->primary = false;
+        }
+        if (w.now < m->deaf_until) {
+            continue;
+        }
+        int same = 0;
+        while (same < m->length && same < p->length &&
+               m->log[same].id == p->log[same].id) {
+            same++;
+        }
+        m->length = same;
+        m->term = MAX(m->term, p->term);
+        while (m->length < p->length &&
+               p->log[m->length].at + 8 + m->lag_ms <= w.now) {
+            m->log[m->length] = p->log[m->length];
+            m->length++;
+        }
+    }
+}
+
+/* A proxy writes through the primary that it follows. Statements take no time;
+   with synchronous commits the replica with the shortest delay receives the
+   entry at once. */
+static void
+use_primary(struct proxy *p)
+{
+    const struct view *v = agreement_view(p->agreement);
+
+    if (v->count == 0 || v->entries[0].changing ||
+        !agreement_lease_is_valid(p->agreement, w.now)) {
+        return;
+    }
+    const int i = index_of(member_names, MEMBERS, v->entries[0].primary);
+    struct member *m = &w.members[i];
+    if (i < 0 || !answers(m) || !m->primary || m->length == LOG_MAX ||
+        w.acked_count == LOG_MAX) {
+        return;
+    }
+    if (m->term < w.newest_term) {
+        fail("ONE");
+    }
+    const struct entry e = {.term = m->term, .id = ++w.next_id, .at = w.now};
+    struct member *receiver = NULL;
+    for (int k = 0; k < MEMBERS; k++) {
+        struct member *r = &w.members[k];
+        if (r != m && is_up(r) && w.now >= r->deaf_until && !r->primary &&
+            r->length == m->length &&
+            (m->length == 0 ||
+             r->log[m->length - 1].id == m->log[m->length - 1].id)) {
+            receiver = r;
+        }
+    }
+    m->log[m->length++] = e;
+    w.newest_commit_term = MAX(w.newest_commit_term, e.term);
+    if (w.sync_replicas == 0) {
+        return;
+    }
+    if (receiver != NULL) {
+        receiver->log[receiver->length++] = e;
+        w.acked[w.acked_count++] = e.id;
+    }
+}
+
+static void
+tick_proxy(struct proxy *p)
+{
+    struct service_member list[MEMBERS];
+    const struct view *v = agreement_view(p->agreement);
+    const int primary =
+        v->count > 0 ? index_of(member_names, MEMBERS, v->entries[0].primary)
+                     : -1;
+
+    p->tick_at = w.now + TICK_MS;
+    if (w.now >= p->store_fault_until &&
+        w.now - agreement_confirmed_at(p->agreement) >= CONFIRM_MS &&
+        w.now - p->asked_at >= CONFIRM_MS) {
+        p->asked_at = w.now;
+        schedule((struct event){
+            .kind = EVENT_READ,
+            .at = delay(4, 12),
+            .proxy = (int)(p - w.proxies),
+            .incarnation = p->incarnation,
+            .view = g_memdup2(&w.stored, sizeof(w.stored)),
+            .asked_at = w.now,
+        });
+    }
+    promoter_set_store_lost(p->promoter, w.now < p->store_fault_until);
+    if (w.now >= p->message_at ||
+        p->sent_version != agreement_view(p->agreement)->version) {
+        send_messages(p);
+    }
+    if (p->stop_at != 0) {
+        return;
+    }
+    for (int i = 0; i < MEMBERS; i++) {
+        list[i] = (struct service_member){
+            .id = member_names[i],
+            .listed = true,
+            .draining = w.members[i].draining,
+            .says_primary = w.members[i].primary,
+        };
+    }
+    const struct service_state state = {
+        .members = list,
+        .member_count = MEMBERS,
+        .sync_replicas = w.sync_replicas,
+        .newest_commit_term = w.newest_commit_term,
+        .primary_unreachable = primary >= 0 && !answers(&w.members[primary]),
+    };
+    promoter_tick(p->promoter, SERVICE, &state, w.now);
+    promoter_end_round(p->promoter, w.now);
+}
+
+static void
+run_proxy(struct proxy *p)
+{
+    if (p->start_at != 0 && w.now >= p->start_at) {
+        start_proxy(p);
+    }
+    if (p->stop_at != 0 && w.now >= p->stop_at) {
+        p->start_at = w.now + 300;
+        p->stop_at = 0;
+    }
+    if (!runs(p)) {
+        return;
+    }
+    if (w.now >= p->tick_at) {
+        tick_proxy(p);
+    }
+    if (chance(10)) {
+        use_primary(p);
+    }
+}
+
+/* Disturbs a member or a proxy; often the holder or the primary. */
+static void
+inject_fault(void)
+{
+    const struct member *newest = newest_primary();
+    int i = (int)rng_below(&w.rng, MEMBERS);
+    int k = index_of(proxy_names, PROXIES, w.stored.holder);
+
+    if (newest != NULL && chance(60)) {
+        i = (int)(newest - w.members);
+    }
+    if (k < 0 || chance(40)) {
+        k = (int)rng_below(&w.rng, PROXIES);
+    }
+    struct member *m = &w.members[i];
+    struct proxy *p = &w.proxies[k];
+    const clock_ms end = delay(200, 3500);
+    switch (rng_below(&w.rng, 9)) {
+    case 0:
+        m->down_until = end;
+        break;
+    case 1:
+        m->cut_until = end;
+        break;
+    case 2:
+        m->deaf_until = end;
+        break;
+    case 3:
+        m->lag_ms = (int64_t)rng_below(&w.rng, 1500);
+        break;
+    case 4:
+        m->draining = !m->draining;
+        break;
+    case 5:
+        if (p->start_at == 0) {
+            p->start_at = w.now + 300; /* killed */
+        }
+        break;
+    case 6:
+        p->frozen_until = end;
+        break;
+    case 7:
+        p->store_fault_until = end;
+        break;
+    default:
+        if (p->start_at == 0 && p->stop_at == 0) {
+            p->stop_at = w.now + 2500; /* stopped in order */
+            send_messages(p);
+        }
+    }
+}
+
+static void
+end_faults(void)
+{
+    for (int i = 0; i < MEMBERS; i++) {
+        struct member *m = &w.members[i];
+        m->down_until = MIN(m->down_until, w.now);
+        m->cut_until = MIN(m->cut_until, w.now);
+        m->deaf_until = MIN(m->deaf_until, w.now);
+        m->lag_ms = 0;
+        m->draining = false;
+    }
+    for (int k = 0; k < PROXIES; k++) {
+        struct proxy *p = &w.proxies[k];
+        p->frozen_until = MIN(p->frozen_until, w.now);
+        p->store_fault_until = MIN(p->store_fault_until, w.now);
+    }
+}
+
+/* Returns true if all proxies follow the primary of the newest term. */
+static bool
+is_settled(void)
+{
+    for (int k = 0; k < PROXIES; k++) {
+        const struct proxy *p = &w.proxies[k];
+        const struct view *v = agreement_view(p->agreement);
+        const int i = v->count > 0 ? index_of(member_names, MEMBERS,
+                                              v->entries[0].primary)
+                                   : -1;
+        if (!runs(p) || i < 0 || v->entries[0].changing ||
+            !w.members[i].primary || w.members[i].term != w.newest_term ||
+            !agreement_lease_is_valid(p->agreement, w.now)) {
+            return false;
+        }
+    }
+    return true;
+}
+
+static void
+run_seed(uint64_t seed)
+{
+    for (int k = 0; k < PROXIES; k++) {
+        if (w.proxies[k].agreement != NULL) {
+            promoter_destroy(w.proxies[k].promoter);
+            agreement_destroy(w.proxies[k].agreement);
+        }
+    }
+    for (int i = 0; i < w.event_count; i++) {
+        event_free(&w.events[i]);
+    }
+    memset(&w, 0, sizeof(w));
+    w.seed = seed;
+    rng_seed(&w.rng, seed);
+    w.now = 100000;
+    w.newest_term = 1;
+    w.promotion_ms = 100 + (int64_t)rng_below(&w.rng, 1100);
+    w.sync_replicas = chance(50);
+    for (int i = 0; i < MEMBERS; i++) {
+        w.members[i].term = 1;
+        w.members[i].primary = i == 0;
+    }
+    w.stored.version = 1;
+    for (int k = 0; k < PROXIES; k++) {
+        start_proxy(&w.proxies[k]);
+    }
+    const clock_ms begin = w.now;
+    const unsigned pause = 100 + (unsigned)rng_below(&w.rng, 2000);
+    clock_ms fault_at = w.now + 2000;
+    clock_ms settled_by = 0;
+    while (w.broken == NULL) {
+        w.now += STEP_MS;
+        const bool faults = w.now - begin < FAULTS_MS;
+        if (faults && w.now >= fault_at) {
+            inject_fault();
+            fault_at = delay(10, pause);
+        }
+        run_events();
+        replicate();
+        for (int k = 0; k < PROXIES; k++) {
+            run_proxy(&w.proxies[k]);
+        }
+        if (faults) {
+            continue;
+        }
+        if (settled_by == 0) {
+            end_faults();
+            settled_by = w.now + RECOVERY_MS;
+        }
+        if (is_settled()) {
+            return;
+        }
+        if (w.now >= settled_by) {
+            fail("DEAD");
+        }
+    }
+}
+
+int
+main(int argc, char **argv)
+{
+    if (argc != 3) {
+        fprintf(stderr, "usage: model_primary_change FIRST_SEED COUNT\n");
+        return 2;
+    }
+    const uint64_t first = strtoull(argv[1], NULL, 10);
+    const uint64_t count = strtoull(argv[2], NULL, 10);
+    uint64_t failed = 0;
+
+    for (uint64_t i = 0; i < count; i++) {
+        run_seed(first + i);
+        failed += w.broken != NULL;
+    }
+    printf("seeds=%llu failed=%llu\n", (unsigned long long)count,
+           (unsigned long long)failed);
+    return failed > 0;
+}
--- a/tests/coordination/test_peer_socket.c
+++ b/tests/coordination/test_peer_socket.c
@@ -148,6 +148,7 @@
         memset(m.changes[i].service, 's', VIEW_NAME_BYTES - 1);
         memset(m.changes[i].primary, 'p', MEMBER_ID_BYTES - 1);
         memset(m.changes[i].ordered, 'o', MEMBER_ID_BYTES - 1);
+        m.changes[i].ordered_set = 3;
         m.changes[i].epoch = 71;
     }
     m.position_count = AGREEMENT_POSITIONS_MAX;
