--- a/src/coordination/successor.c
+++ b/src/coordination/successor.c
@@ -81,11 +81,14 @@
 has_synchronous_commits(const struct primary_change *c,
                         const struct member_state *candidate, const char *old)
 {
-    int missing = 0;
-
 #ifdef SUCCESSOR_BREAK_SYNCHRONOUS
+    (void)c;
+    (void)candidate;
+    (void)old;
     return true;
-#endif
+#else
+    int missing = 0;
+
     if (c->has_target && !successor_is_ahead(&c->target, &candidate->report)) {
         return true;
     }
@@ -102,6 +105,7 @@
         }
     }
     return missing < c->sync_replicas;
+#endif
 }
 
 /* Returns how long the promotion of a member should wait for others, which may
@@ -187,11 +191,14 @@
 successor_current_primary(struct primary_change *c, const struct view_entry *e)
 {
     struct member_state *best = NULL;
-    uint64_t newest = e->term;
-
 #ifdef SUCCESSOR_BREAK_TERM
-    newest = 0;
+    uint64_t newest = 0;
+
+    (void)e;
+#else
+    uint64_t newest = e->term;
 #endif
+
     for (int i = 0; i < c->count; i++) {
         struct member_state *m = &c->members[i];
         if (!m->answered) {
@@ -214,10 +221,12 @@
 successor_may_adopt(const struct member_state *m, const struct view_entry *e)
 {
 #ifdef SUCCESSOR_BREAK_ORDERED
+    (void)e;
     return m->listed && !m->draining;
-#endif
+#else
     return m->listed && !m->draining &&
            (e->ordered[0] == '\0' || strcmp(e->ordered, m->id) == 0);
+#endif
 }
 
 /* Returns the newest term in which a member is known to have led. The terms of
