frontend: let callers read their last answers before they are disconnected

Callers saw: a reset in place of an answer or an error, when the process stopped or closed their connection while they had sent more, or had yet to read the answer. Cause: the frontend closed sockets that had unread input, which resets the connection, and discarded what a slow caller had not read. During a drain only the buffer was looked at, not the socket. Evidence: tests/platform/test_frontend.c on the frontend as found: 4 of 6 tests fail (unread request not answered, a large answer cut off at the end of the process, ECONNRESET in place of an error, no word to a caller that waits for the configuration). The two for requests of one packet and for callers that keep their side open held.

--- a/src/base/stream.c
+++ b/src/base/stream.c
@@ -26,8 +26,9 @@
     size_t out_sent;
     size_t input_limit; /* reading pauses at this many bytes; 0 for none */
     bool connecting;
-    bool ended; /* the peer has closed the connection, or it has failed */
-    int error;  /* errno of a failed send(), reported from the event loop */
+    bool finishing; /* closed in this direction once all data is sent */
+    bool ended;     /* the peer has closed the connection, or it has failed */
+    int error; /* errno of a failed send(), reported from the event loop */
     const struct stream_callbacks *callbacks;
     void *ctx;
 };
@@ -57,6 +58,9 @@
     g_string_truncate(s->out_buffer, 0);
     s->out_sent = 0;
     ev_io_stop(s->loop, &s->write_watcher);
+    if (s->finishing) {
+        shutdown(s->fd, SHUT_WR);
+    }
 }
 
 static void
@@ -81,6 +85,9 @@
         s->callbacks->closed(s->ctx, n == 0 ? "end" : g_strerror(errno));
         return;
     }
+    if (s->finishing) {
+        return;
+    }
     if (s->in_consumed == s->in_buffer->len) {
         g_string_truncate(s->in_buffer, 0);
         s->in_consumed = 0;
@@ -219,6 +226,25 @@
     g_free(s);
 }
 
+/* Sends what is queued and then ends the connection in this direction. Input
+   is discarded from now on: closing a socket with unread input resets the
+   connection, and the peer could lose data that was sent before. Calls
+   closed() once the peer has closed its side; the owner may call
+   stream_close() at any time. Must not be called while connecting, or after
+   closed(). */
+void
+stream_finish(struct stream *s)
+{
+    s->finishing = true;
+    s->input_limit = 0;
+    g_string_truncate(s->in_buffer, 0);
+    s->in_consumed = 0;
+    ev_io_start(s->loop, &s->read_watcher);
+    if (s->error == 0 && !ev_is_active(&s->write_watcher)) {
+        send_queued(s);
+    }
+}
+
 /* Returns the received bytes that have not been consumed. The view is valid
    until the next stream_consume() or return to the event loop. */
 struct sview
--- /dev/null
+++ b/tests/platform/test_frontend.c
@@ -0,0 +1,390 @@
+#include "frontend.h"
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <netinet/in.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+
+#include <cmocka.h>
+
+/* Tests of the callers' connections while the process stops. The functions of
+   the node and of sessions that the frontend calls are replaced by simple
+   ones, so that a test decides when a request is answered. */
+
+#define LOOP_STEP_S 0.01
+/* Limit for each wait, far above what it takes. */
+#define WAIT_MAX_STEPS 500
+/* More than the socket buffers of both sides hold. */
+#define LARGE_ROW_BYTES ((size_t)900000)
+#define LARGE_ROWS 16
+
+struct session {
+    const struct session_events *events;
+    void *ctx;
+    bool pending;
+    int requests;
+};
+
+static struct catalog *catalog;
+static struct session *newest; /* the session that was opened last */
+
+struct catalog *
+node_catalog(struct node *n)
+{
+    (void)n;
+    return catalog;
+}
+
+struct relay *
+node_relay(struct node *n)
+{
+    (void)n;
+    return NULL;
+}
+
+struct session *
+session_create(struct relay *r, const char *database,
+               const struct session_events *events, void *ctx)
+{
+    (void)r;
+    (void)database;
+    newest = g_new0(struct session, 1);
+    newest->events = events;
+    newest->ctx = ctx;
+    return newest;
+}
+
+void
+session_end(struct session *s)
+{
+    newest = newest == s ? NULL : newest;
+    g_free(s);
+}
+
+bool
+session_is_idle(const struct session *s)
+{
+    return !s->pending;
+}
+
+void
+session_request(struct session *s, const struct request *r)
+{
+    (void)r;
+    s->pending = true;
+    s->requests++;
+}
+
+/* Answers the request in progress with so many rows of the same text. */
+static void
+answer(struct session *s, struct sview row, size_t rows)
+{
+    struct sview *list = g_new(struct sview, rows + 1);
+
+    for (size_t i = 0; i < rows; i++) {
+        list[i] = row;
+    }
+    const struct answer a = {.rows = list, .n_rows = rows};
+    s->pending = false;
+    s->events->answered(s->ctx, &a);
+    g_free(list);
+}
+
+struct fixture {
+    struct ev_loop *loop;
+    struct frontend *frontend;
+    struct endpoint address;
+    int fd; /* of the caller */
+};
+
+static void
+on_step_end(struct ev_loop *loop, ev_timer *w, int revents)
+{
+    (void)w;
+    (void)revents;
+    ev_break(loop, EVBREAK_ONE);
+}
+
+/* Runs the loop for LOOP_STEP_S. */
+static void
+run_loop(struct fixture *f)
+{
+    ev_timer t;
+
+    ev_timer_init(&t, on_step_end, LOOP_STEP_S, 0.0);
+    ev_timer_start(f->loop, &t);
+    ev_run(f->loop, 0);
+    ev_timer_stop(f->loop, &t);
+}
+
+static void
+send_text(struct fixture *f, const char *text)
+{
+    const ssize_t n = (ssize_t)strlen(text);
+
+    assert_int_equal(send(f->fd, text, (size_t)n, MSG_NOSIGNAL), n);
+}
+
+/* Reads until the proxy has ended the connection, or for WAIT_MAX_STEPS.
+   Returns the text read, to be freed; a reset fails the test. */
+static GString *
+read_to_end(struct fixture *f)
+{
+    GString *s = g_string_new(NULL);
+    char buffer[65536];
+
+    for (int i = 0; i < WAIT_MAX_STEPS;) {
+        const ssize_t n = recv(f->fd, buffer, sizeof(buffer), MSG_DONTWAIT);
+        if (n == 0) {
+            return s;
+        }
+        if (n > 0) {
+            g_string_append_len(s, buffer, n);
+            continue;
+        }
+        assert_int_equal(errno, EAGAIN);
+        run_loop(f);
+        i++;
+    }
+    fail_msg("the connection is still open");
+    return s;
+}
+
+/* Connects a caller, which has received the answer to STARTUP. */
+static void
+setup(struct fixture *f)
+{
+    struct sockaddr_in a = {.sin_family = AF_INET,
+                            .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
+    struct database_route *r = g_new0(struct database_route, 1);
+    socklen_t n = sizeof(a);
+    char buffer[64];
+    char *error = NULL;
+
+    memset(f, 0, sizeof(*f));
+    const int probe = socket(AF_INET, SOCK_STREAM, 0);
+    assert_int_equal(bind(probe, (struct sockaddr *)&a, sizeof(a)), 0);
+    assert_int_equal(getsockname(probe, (struct sockaddr *)&a, &n), 0);
+    close(probe);
+    g_strlcpy(f->address.host, "127.0.0.1", sizeof(f->address.host));
+    f->address.port = ntohs(a.sin_port);
+    catalog = catalog_create(1);
+    r->database = g_strdup("boats");
+    r->service = g_strdup("svc");
+    catalog_add_route(catalog, r);
+    f->loop = ev_loop_new(EVFLAG_AUTO);
+    f->frontend = frontend_create(f->loop, &f->address, NULL, &error);
+    assert_non_null(f->frontend);
+    f->fd = socket(AF_INET, SOCK_STREAM, 0);
+    assert_int_equal(connect(f->fd, (struct sockaddr *)&a, sizeof(a)), 0);
+    send_text(f, "STARTUP boats me\r\n");
+    ssize_t got;
+    do {
+        run_loop(f);
+        got = recv(f->fd, buffer, sizeof(buffer), MSG_DONTWAIT);
+    } while (got < 0);
+    assert_int_equal(got, strlen("READY I -\r\n"));
+}
+
+static void
+teardown(struct fixture *f)
+{
+    frontend_destroy(f->frontend);
+    close(f->fd);
+    ev_loop_destroy(f->loop);
+    catalog_unref(catalog);
+}
+
+/* Waits until the session has received so many requests. */
+static void
+await_requests(struct fixture *f, int count)
+{
+    for (int i = 0; i < WAIT_MAX_STEPS && newest->requests < count; i++) {
+        run_loop(f);
+    }
+    assert_int_equal(newest->requests, count);
+}
+
+static int
+count_text(const GString *s, const char *text)
+{
+    int n = 0;
+
+    for (const char *p = s->str; (p = strstr(p, text)) != NULL; p++) {
+        n++;
+    }
+    return n;
+}
+
+/* Guards against a proxy that disconnects a caller after an answer although
+   the next request has arrived and was not read yet: the unread request resets
+   the connection and is not answered. */
+static void
+test_unread_request_is_answered(void **state)
+{
+    struct fixture f;
+
+    (void)state;
+    setup(&f);
+    send_text(&f, "QUERY q1 READ a\r\n");
+    await_requests(&f, 1);
+    frontend_drain(f.frontend);
+    send_text(&f, "QUERY q2 READ b\r\n");
+    answer(newest, SVIEW("x"), 1);
+    assert_int_equal(frontend_caller_count(f.frontend), 1);
+    await_requests(&f, 2);
+    answer(newest, SVIEW("y"), 1);
+    GString *s = read_to_end(&f);
+    assert_int_equal(count_text(s, "COMPLETE "), 2);
+    g_string_free(s, TRUE);
+    teardown(&f);
+}
+
+/* Guards against the same with several requests in one packet. */
+static void
+test_requests_of_one_packet_are_answered(void **state)
+{
+    struct fixture f;
+
+    (void)state;
+    setup(&f);
+    send_text(&f, "QUERY q1 READ a\r\nQUERY q2 READ b\r\nQUERY q3 READ c\r\n");
+    await_requests(&f, 1);
+    frontend_drain(f.frontend);
+    for (int i = 1; i <= 3; i++) {
+        await_requests(&f, i);
+        answer(newest, SVIEW("x"), 1);
+    }
+    GString *s = read_to_end(&f);
+    assert_int_equal(count_text(s, "COMPLETE "), 3);
+    g_string_free(s, TRUE);
+    teardown(&f);
+}
+
+/* Guards against a process that ends while a caller has yet to read an answer:
+   the part that did not fit into the socket was discarded. */
+static void
+test_slow_caller_gets_its_answer(void **state)
+{
+    struct fixture f;
+    char *row = g_strnfill(LARGE_ROW_BYTES, 'x');
+
+    (void)state;
+    setup(&f);
+    send_text(&f, "QUERY q1 READ a\r\n");
+    await_requests(&f, 1);
+    answer(newest, sview_from(row), LARGE_ROWS);
+    frontend_drain(f.frontend);
+    frontend_close_all(f.frontend);
+    assert_int_equal(frontend_caller_count(f.frontend), 1);
+    GString *s = read_to_end(&f);
+    assert_int_equal(count_text(s, "COMPLETE "), 1);
+    assert_int_equal(count_text(s, "READY "), 1);
+    assert_true(s->len > LARGE_ROW_BYTES * LARGE_ROWS);
+    g_string_free(s, TRUE);
+    g_free(row);
+    teardown(&f);
+}
+
+/* Guards against an error that the caller can't read, because the rest of its
+   input was not read when the connection was closed. */
+static void
+test_error_reaches_the_caller(void **state)
+{
+    struct fixture f;
+    char *text = g_strnfill(LARGE_ROW_BYTES, 'x');
+
+    (void)state;
+    setup(&f);
+    /* The line is over the limit, and more of it follows than is read at
+       once. */
+    for (int i = 0; i < 3; i++) {
+        for (size_t sent = 0; sent < LARGE_ROW_BYTES;) {
+            const ssize_t n = send(f.fd, text + sent, LARGE_ROW_BYTES - sent,
+                                   MSG_DONTWAIT | MSG_NOSIGNAL);
+            if (n > 0) {
+                sent += (size_t)n;
+                continue;
+            }
+            assert_int_equal(errno, EAGAIN);
+            run_loop(&f);
+        }
+    }
+    GString *s = read_to_end(&f);
+    assert_int_equal(count_text(s, "ERROR "), 1);
+    g_string_free(s, TRUE);
+    g_free(text);
+    teardown(&f);
+}
+
+/* Guards against a stop that waits for callers which keep their side open. */
+static void
+test_open_caller_does_not_delay_the_stop(void **state)
+{
+    struct fixture f;
+
+    (void)state;
+    setup(&f);
+    frontend_drain(f.frontend);
+    GString *s = read_to_end(&f);
+    assert_int_equal(s->len, 0);
+    g_string_free(s, TRUE);
+    for (int i = 0;
+         i < WAIT_MAX_STEPS && frontend_caller_count(f.frontend) > 0; i++) {
+        run_loop(&f);
+    }
+    assert_int_equal(frontend_caller_count(f.frontend), 0);
+    teardown(&f);
+}
+
+/* Guards against a caller that is disconnected without an answer because it
+   still waits for the configuration. */
+static void
+test_waiting_caller_is_refused(void **state)
+{
+    struct fixture f;
+
+    (void)state;
+    setup(&f);
+    send_text(&f, "TERMINATE\r\n");
+    catalog_unref(catalog);
+    catalog = catalog_create(0);
+    GString *s = read_to_end(&f);
+    g_string_free(s, TRUE);
+    close(f.fd);
+    struct sockaddr_in a = {.sin_family = AF_INET,
+                            .sin_addr.s_addr = htonl(INADDR_LOOPBACK),
+                            .sin_port = htons(f.address.port)};
+    f.fd = socket(AF_INET, SOCK_STREAM, 0);
+    assert_int_equal(connect(f.fd, (struct sockaddr *)&a, sizeof(a)), 0);
+    send_text(&f, "STARTUP boats me\r\n");
+    run_loop(&f);
+    run_loop(&f);
+    frontend_drain(f.frontend);
+    frontend_close_all(f.frontend);
+    s = read_to_end(&f);
+    assert_int_equal(count_text(s, "ERROR BUSY "), 1);
+    g_string_free(s, TRUE);
+    teardown(&f);
+}
+
+int
+main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(test_unread_request_is_answered),
+        cmocka_unit_test(test_requests_of_one_packet_are_answered),
+        cmocka_unit_test(test_slow_caller_gets_its_answer),
+        cmocka_unit_test(test_error_reaches_the_caller),
+        cmocka_unit_test(test_open_caller_does_not_delay_the_stop),
+        cmocka_unit_test(test_waiting_caller_is_refused),
+    };
+
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
