node: derive the steps of a planned stop from the grace period

Callers saw: with a grace period of 1 s, statements of open transactions cut off 290 ms after SIGTERM while a member ran them, although open transactions have the first half of it. Cause: answering the last requests and leaving the loop were set at fixed distances (850 and 700 ms) from the end. SIGHUP during a stop moved the end only, and requests of the last 150 ms were still sent to members. What is in progress is answered right before callers are closed, and nothing is sent to members from then on. The schedule is fixed at SIGTERM; a grace period under 0.5 s is refused at start.

--- a/src/node/node.c
+++ b/src/node/node.c
@@ -501,16 +501,22 @@
 }
 
 /* Called when the proxy shuts down: it orders no more promotions and tells its
-   peers. In so many milliseconds, transactions are ended and all requests
-   answered; see relay_begin_shutdown(). */
+   peers. Transactions are ended and requests answered at the times of the
+   schedule; see relay_begin_shutdown(). */
 void
-node_begin_shutdown(struct node *n, int64_t end_transactions_ms,
-                    int64_t answer_all_ms)
+node_begin_shutdown(struct node *n, const struct shutdown_schedule *s)
 {
     const clock_ms now = clock_boottime_ms();
 
     n->leaving = true;
-    relay_begin_shutdown(n->relay, now + end_transactions_ms,
-                         now + answer_all_ms);
-    node_send_messages(n, true, clock_boottime_ms());
+    relay_begin_shutdown(n->relay, now + s->end_transactions_ms,
+                         now + s->answer_all_ms);
+    node_send_messages(n, true, now);
+}
+
+/* Answers every request that is still in progress; see relay_answer_all(). */
+void
+node_answer_all(struct node *n)
+{
+    relay_answer_all(n->relay, clock_boottime_ms());
 }
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -4,6 +4,7 @@
 #include "base/traffic.h"
 #include "coordination/promoter.h"
 #include "directory/catalog.h"
+#include "node/shutdown.h"
 #include "relay/session.h"
 
 #include <ev.h>
@@ -62,8 +63,8 @@
 bool node_is_ready(const struct node *n);
 bool node_watches_directory(const struct node *n);
 bool node_should_disconnect_callers(const struct node *n);
-void node_begin_shutdown(struct node *n, int64_t end_transactions_ms,
-                         int64_t answer_all_ms);
+void node_begin_shutdown(struct node *n, const struct shutdown_schedule *s);
+void node_answer_all(struct node *n);
 void node_write_metrics(const struct node *n, GString *out);
 
 void node_set_catalog(struct node *n, struct catalog *c);
--- a/src/node/settings.c
+++ b/src/node/settings.c
@@ -1,5 +1,7 @@
 #include "node/settings.h"
 
+#include "node/shutdown.h"
+
 #include <glib.h>
 #include <string.h>
 
@@ -56,20 +58,20 @@
     return true;
 }
 
-/* Reads a number from 1 to max. */
+/* Reads a number from min to max. */
 static bool
-read_number(GKeyFile *f, const char *group, const char *key, uint64_t max,
-            uint64_t *out, char **error)
+read_number(GKeyFile *f, const char *group, const char *key, uint64_t min,
+            uint64_t max, uint64_t *out, char **error)
 {
     char text[32];
 
     if (!read_text(f, group, key, text, sizeof(text), error)) {
         return false;
     }
-    if (!g_ascii_string_to_unsigned(text, 10, 1, max, out, NULL)) {
-        *error = g_strdup_printf("[%s] %s: '%s' is not a number from 1 to "
-                                 "%" G_GUINT64_FORMAT,
-                                 group, key, text, max);
+    if (!g_ascii_string_to_unsigned(text, 10, min, max, out, NULL)) {
+        *error = g_strdup_printf("[%s] %s: '%s' is not a number from "
+                                 "%" G_GUINT64_FORMAT " to %" G_GUINT64_FORMAT,
+                                 group, key, text, min, max);
         return false;
     }
     return true;
@@ -84,7 +86,8 @@
     char *end;
 
     if (!g_key_file_has_key(f, "limits", "grace_s", NULL)) {
-        return read_number(f, "limits", "grace_ms", GRACE_MAX_MS, ms, error);
+        return read_number(f, "limits", "grace_ms", SHUTDOWN_GRACE_MIN_MS,
+                           GRACE_MAX_MS, ms, error);
     }
     if (g_key_file_has_key(f, "limits", "grace_ms", NULL)) {
         *error = g_strdup("[limits] grace_s: grace_ms is set as well");
@@ -94,10 +97,12 @@
         return false;
     }
     const double s = g_ascii_strtod(text, &end);
-    if (*end != '\0' || !(s >= 0.001 && s <= GRACE_MAX_MS / 1000.0)) {
+    if (*end != '\0' ||
+        !(s >= SHUTDOWN_GRACE_MIN_MS / 1000.0 && s <= GRACE_MAX_MS / 1000.0)) {
         *error = g_strdup_printf("[limits] grace_s: '%s' is not a number of "
-                                 "seconds up to %d",
-                                 text, GRACE_MAX_MS / 1000);
+                                 "seconds from %g to %d",
+                                 text, SHUTDOWN_GRACE_MIN_MS / 1000.0,
+                                 GRACE_MAX_MS / 1000);
         return false;
     }
     *ms = (uint64_t)(s * 1000.0 + 0.5);
@@ -129,8 +134,8 @@
         read_text(f, "proxy", "host", out->host, sizeof(out->host), error) &&
         read_endpoint(f, "proxy", "listen", &out->listen, error) &&
         read_endpoint(f, "proxy", "ready_listen", &out->ready_listen, error) &&
-        read_number(f, "proxy", "peer_port", 65535, &peer, error) &&
-        read_number(f, "proxy", "metrics_port", 65535, &metrics, error) &&
+        read_number(f, "proxy", "peer_port", 1, 65535, &peer, error) &&
+        read_number(f, "proxy", "metrics_port", 1, 65535, &metrics, error) &&
         read_text(f, "peers", "key", out->key, sizeof(out->key), error) &&
         read_endpoint(f, "store", "address", &out->store, error) &&
         read_endpoint(f, "orders", "address", &out->orders, error) &&
--- a/src/relay/exchange.c
+++ b/src/relay/exchange.c
@@ -18,7 +18,10 @@
 static bool
 may_retry(const struct session *s)
 {
-    return s->attempts < ATTEMPTS_MAX && session_now(s) < s->deadline;
+    const clock_ms now = session_now(s);
+
+    return s->attempts < ATTEMPTS_MAX && now < s->deadline &&
+           !session_is_answering_all(s, now);
 }
 
 /* Queues the request until a connection is granted. */
@@ -458,8 +461,7 @@
         }
         return;
     }
-    const clock_ms answer_all_at = s->relay->answer_all_at;
-    const bool shutting_down = answer_all_at != 0 && now >= answer_all_at;
+    const bool shutting_down = session_is_answering_all(s, now);
     if (s->step == STEP_QUEUED) {
         if (shutting_down) {
             service_withdraw(s->service, &s->connection_request);
--- a/src/relay/relay.c
+++ b/src/relay/relay.c
@@ -72,6 +72,25 @@
     r->answer_all_at = answer_all_at;
 }
 
+/* Ends all transactions, answers every request that is still in progress, and
+   from now on every new one at once. Called after relay_begin_shutdown(), when
+   the sessions are about to be disconnected. */
+void
+relay_answer_all(struct relay *r, clock_ms now)
+{
+    r->end_transactions_at = MIN(r->end_transactions_at, now);
+    r->answer_all_at = MIN(r->answer_all_at, now);
+    relay_tick(r, now);
+}
+
+/* Returns true if nothing is sent to members any more, because there is no
+   time to wait for an answer. */
+bool
+session_is_answering_all(const struct session *s, clock_ms now)
+{
+    return s->relay->answer_all_at != 0 && now >= s->relay->answer_all_at;
+}
+
 /* Returns true if the shutdown leaves no time for the next statement of an
    open transaction. */
 bool
--- a/src/relay/session.c
+++ b/src/relay/session.c
@@ -237,6 +237,10 @@
         session_answer_failure(s, FAILURE_ABORTED, "shutting down");
         return;
     }
+    if (session_is_answering_all(s, s->arrived_at)) {
+        session_answer_failure(s, FAILURE_BUSY, "shutting down");
+        return;
+    }
     s->writes = s->request.verb == VERB_WRITE;
     if (s->request.verb == VERB_EXECUTE) {
         const struct prepared_statement *stmt =
--- a/src/relay/session.h
+++ b/src/relay/session.h
@@ -43,6 +43,7 @@
 void relay_tick(struct relay *r, clock_ms now);
 void relay_begin_shutdown(struct relay *r, clock_ms end_transactions_at,
                           clock_ms answer_all_at);
+void relay_answer_all(struct relay *r, clock_ms now);
 const struct relay_counters *relay_counters(const struct relay *r);
 
 struct session *session_create(struct relay *r, const char *database,
--- a/src/relay/session_internal.h
+++ b/src/relay/session_internal.h
@@ -75,6 +75,7 @@
 /* relay.c */
 clock_ms session_now(const struct session *s);
 void session_update_active(struct session *s);
+bool session_is_answering_all(const struct session *s, clock_ms now);
 bool session_must_end_transaction(const struct session *s, clock_ms now);
 
 /* session.c */
--- a/tests/node/test_settings.c
+++ b/tests/node/test_settings.c
@@ -62,6 +62,8 @@
     } cases[] = {
         {"grace_s = 6", 6000},    {"grace_s = 2.5", 2500},
         {"grace_s = 0.75", 750},  {"grace_s = 6.0", 6000},
+        {"grace_s = 0.5", 500},   {"grace_s = 0.499", 0},
+        {"grace_ms = 500", 500},  {"grace_ms = 499", 0},
         {"grace_s = 0", 0},       {"grace_s = -1", 0},
         {"grace_s = 1e9", 0},     {"grace_s = nan", 0},
         {"grace_s = 6s", 0},      {"grace_s =", 0},
--- a/tests/relay/test_session.c
+++ b/tests/relay/test_session.c
@@ -694,6 +694,40 @@
     fixture_teardown(&f);
 }
 
+/* Guards against requests that are sent to a member when the process no longer
+   waits for answers: one that arrives then, and one whose connection to a
+   member is lost. */
+static void
+test_shutdown_sends_nothing_at_the_end(void **state)
+{
+    struct fixture f;
+
+    (void)state;
+    fixture_setup(&f, FRESHNESS_PRIMARY);
+    struct session *s = fixture_session(&f);
+    struct session *idle = fixture_session(&f);
+    open_transaction(&f, idle);
+    int sent = 0;
+    relay_begin_shutdown(f.relay, f.now + 1000, f.now + 2000);
+    relay_answer_all(f.relay, f.now);
+    for (int i = 0; i < f.link_count; i++) {
+        sent += f.links[i]->sent_count;
+    }
+    fixture_request(s, VERB_READ, "READ x");
+    assert_int_equal(f.answers, 3);
+    assert_int_equal(f.failure, FAILURE_BUSY);
+    fixture_request(idle, VERB_COMMIT, "COMMIT");
+    assert_int_equal(f.answers, 4);
+    assert_int_equal(f.failure, FAILURE_ABORTED);
+    for (int i = 0; i < f.link_count; i++) {
+        sent -= f.links[i]->sent_count;
+    }
+    assert_int_equal(sent, 0);
+    session_end(s);
+    session_end(idle);
+    fixture_teardown(&f);
+}
+
 int
 main(void)
 {
@@ -719,6 +753,7 @@
         cmocka_unit_test(test_shutdown_ends_transactions),
         cmocka_unit_test(test_shutdown_leaves_time_for_short_statements),
         cmocka_unit_test(test_shutdown_answers_every_request),
+        cmocka_unit_test(test_shutdown_sends_nothing_at_the_end),
     };
 
     return cmocka_run_group_tests(tests, NULL, NULL);
