daemon: answer every request at the drain limit and at a second signal

Callers saw: "server closed the connection unexpectedly" for a running statement and for a transaction at rest, when galenastepd reached its drain limit or got a second signal. Cause: on_drain_limit() and the second signal left the event loop with everything in progress. Besides, connections with unread input were closed right after the last answer, which resets them, and callers whose last request the proxy had answered itself kept the drain waiting until the limit. Change: shortly before the limit, cancel statements whose outcome the member can then tell (not a COMMIT or a single write), then answer and disconnect everybody. Callers are closed once they have closed their side, or after 200 ms. A second signal does the same without cancelling, a third one ends the process.

--- a/src/caller/caller.c
+++ b/src/caller/caller.c
@@ -75,6 +75,13 @@
         g_string_erase(c->out, 0, (gssize)c->out_sent);
         c->out_sent = 0;
     }
+    if (queued == 0 && c->state == CALLER_CLOSING && c->lingering_since == 0) {
+        /* Closing the socket while input is unread would reset the connection,
+           and the caller could lose the last answer. */
+        shutdown(c->fd, SHUT_WR);
+        c->lingering_since = clock_monotonic_ms();
+        g_queue_push_tail_link(&c->front->lingering, &c->lingering_link);
+    }
     if (c->has_connection && c->request.conn != NULL) {
         const size_t limit = (size_t)c->front->settings->caller_buffer_bytes;
         if (queued > limit) {
@@ -94,24 +101,17 @@
     (void)loop;
     (void)revents;
     caller_flush(c);
-    if (c->state == CALLER_CLOSING && c->out->len == 0) {
-        caller_close(c);
-    }
 }
 
 /* Stops handling requests and closes the connection once all queued output has
-   been written. */
+   been written and the caller has closed its side, or has not done so in time.
+   Further input is discarded. */
 void
 caller_close_after_flush(struct caller *c)
 {
     c->state = CALLER_CLOSING;
+    ev_io_start(c->front->loop, &c->read_watcher);
     caller_flush(c);
-    if (c->out->len == 0) {
-        /* Close from the event loop, since the callers of this function still
-           use c. */
-        ev_io_stop(c->front->loop, &c->read_watcher);
-        ev_feed_event(c->front->loop, &c->write_watcher, EV_WRITE);
-    }
 }
 
 /* Handles start-up packets and complete requests from the input until one has
@@ -175,7 +175,8 @@
         caller_process_input(c);
         return;
     }
-    if (c->in->len - c->in_consumed >= input_limit(c)) {
+    if (c->state != CALLER_CLOSING &&
+        c->in->len - c->in_consumed >= input_limit(c)) {
         /* Leave further pipelined requests in the socket buffer. */
         ev_io_stop(loop, &c->read_watcher);
         return;
@@ -188,16 +189,16 @@
         caller_close(c);
         return;
     }
-    if (c->in_consumed > 0 && c->state == CALLER_READY) {
-        g_string_erase(c->in, 0, (gssize)c->in_consumed);
-        c->in_consumed = 0;
-    }
-    g_string_append_len(c->in, read_buffer, n);
     if (c->state == CALLER_CLOSING) {
         g_string_truncate(c->in, 0);
         c->in_consumed = 0;
         return;
     }
+    if (c->in_consumed > 0 && c->state == CALLER_READY) {
+        g_string_erase(c->in, 0, (gssize)c->in_consumed);
+        c->in_consumed = 0;
+    }
+    g_string_append_len(c->in, read_buffer, n);
     caller_process_input(c);
 }
 
@@ -214,6 +215,7 @@
     c->in = g_string_new(NULL);
     c->out = g_string_new(NULL);
     c->running_link.data = c;
+    c->lingering_link.data = c;
     g_strlcpy(c->remote_address, remote_address, sizeof(c->remote_address));
     ev_io_init(&c->read_watcher, on_readable, fd, EV_READ);
     ev_io_init(&c->write_watcher, on_writable, fd, EV_WRITE);
@@ -234,7 +236,9 @@
     request_abandon(c);
     ev_io_stop(f->loop, &c->read_watcher);
     ev_io_stop(f->loop, &c->write_watcher);
-    ev_clear_pending(f->loop, &c->write_watcher);
+    if (c->lingering_since != 0) {
+        g_queue_unlink(&f->lingering, &c->lingering_link);
+    }
     close(c->fd);
     g_hash_table_remove(f->callers, GUINT_TO_POINTER(c->pid));
     g_string_free(c->in, TRUE);
--- a/src/caller/caller.h
+++ b/src/caller/caller.h
@@ -22,11 +22,13 @@
     struct rng rng;
     GHashTable *callers; /* process id -> struct caller */
     GQueue running;      /* callers with a running exchange */
+    GQueue lingering;    /* callers that have been sent everything */
     int listen_fd;
     ev_io accept_watcher;
     ev_timer deadline_timer;
     uint32_t next_pid;
     bool draining;
+    bool ending; /* requests are not retried any more */
     void (*drained)(void *ctx);
     void *drained_ctx;
     void (*forward_cancel)(void *ctx, uint32_t pid, uint32_t secret);
@@ -39,7 +41,8 @@
     CALLER_BACKOFF, /* waiting for the delay before a retry */
     CALLER_QUEUED,  /* waiting for a connection */
     CALLER_RUNNING, /* running an exchange */
-    CALLER_CLOSING, /* closed once the output is written */
+    CALLER_CLOSING, /* closed once the output is written and the caller has
+                       closed its side */
 };
 
 /* The messages of one request of a caller: a Query message, or
@@ -162,6 +165,8 @@
     ev_timer backoff;
     bool in_running_list;
     GList running_link;
+    clock_ms lingering_since; /* 0 unless in front.lingering */
+    GList lingering_link;
     char remote_address[64]; /* "HOST:PORT", for log lines */
 };
 
@@ -192,6 +197,7 @@
 void request_retry(struct caller *c, enum counter why);
 void request_retry_after_backoff(struct caller *c, enum counter why);
 void request_end(struct caller *c);
+void request_close_if_draining(struct caller *c);
 void request_fail(struct caller *c, const char *sqlstate, const char *message,
                   const char *outcome);
 
--- a/src/caller/exchange.c
+++ b/src/caller/exchange.c
@@ -519,13 +519,19 @@
     }
     if (!running || in_transaction) {
         const bool commit = running && b->ends_transaction;
+        const bool ending = c->front->ending;
         caller_count(c, commit ? COUNTER_UNKNOWN_OUTCOME
                                : COUNTER_TRANSACTION_LOST);
-        frame_put_error(c->out, "FATAL", commit ? "08007" : "08006",
-                        commit ? "connection to the database was lost while "
-                                 "the transaction was being committed"
-                               : "connection to the database was lost; the "
-                                 "transaction was rolled back",
+        frame_put_error(c->out, "FATAL",
+                        commit   ? "08007"
+                        : ending ? "57P01"
+                                 : "08006",
+                        commit   ? "connection to the database was lost while "
+                                   "the transaction was being committed"
+                        : ending ? "the proxy is shutting down; the "
+                                   "transaction was rolled back"
+                                 : "connection to the database was lost; the "
+                                   "transaction was rolled back",
                         u->remote_address,
                         commit ? "outcome=unknown" : "outcome=failed");
         caller_close_after_flush(c);
--- a/src/caller/front.c
+++ b/src/caller/front.c
@@ -16,6 +16,9 @@
 
 #define FRONT_ACCEPTS_PER_EVENT 64
 #define FRONT_DEADLINE_CHECK_S 0.05
+/* How long a caller that has been sent everything may take to close its
+   side. */
+#define FRONT_LINGER_MS 200
 
 /* Formats an address as host:port. */
 static void
@@ -95,7 +98,21 @@
     }
 }
 
-/* Checks the running exchanges for members that have stopped answering. */
+/* Closes callers that have been sent everything and have not closed their side
+   in time. */
+static void
+close_lingering(struct front *f, clock_ms now)
+{
+    struct caller *c;
+
+    while ((c = g_queue_peek_head(&f->lingering)) != NULL &&
+           now - c->lingering_since >= FRONT_LINGER_MS) {
+        caller_close(c);
+    }
+}
+
+/* Checks the running exchanges for members that have stopped answering, and
+   closes callers that linger. */
 static void
 on_deadline_timer(struct ev_loop *loop, ev_timer *w, int revents)
 {
@@ -111,6 +128,7 @@
         next = l->next;
         exchange_check_deadline(l->data, now);
     }
+    close_lingering(f, now);
 }
 
 /* Opens the listening socket and starts accepting callers. groups is indexed
@@ -139,6 +157,7 @@
        arrive at any of them. */
     f->next_pid = (uint32_t)s->id << 16;
     g_queue_init(&f->running);
+    g_queue_init(&f->lingering);
     for (int i = 0; i < s->database_count; i++) {
         retry_budget_init(&f->budgets[i]);
     }
@@ -229,6 +248,89 @@
     g_list_free(list);
 }
 
+/* Returns true if a running statement may be cancelled at the end of a
+   shutdown. A cancelled COMMIT or single write could be acknowledged before
+   the replicas have it, so the member is left to finish these. */
+static bool
+may_cancel(const struct caller *c)
+{
+    const char status = c->exchange.tx_status;
+
+    return c->state == CALLER_RUNNING && c->request.conn != NULL &&
+           !c->message_batch.ends_transaction &&
+           (status == 'T' || status == 'E' ||
+            c->message_batch.class == STATEMENT_READ);
+}
+
+/* Asks the members to cancel the statements that run for callers, so that
+   their outcome is known before front_end(). */
+void
+front_cancel_statements(struct front *f)
+{
+    for (const GList *l = f->running.head; l != NULL; l = l->next) {
+        struct caller *c = l->data;
+        if (may_cancel(c)) {
+            caller_count(c, COUNTER_CANCELS);
+            group_cancel_statement(c->group, c->request.conn);
+        }
+    }
+}
+
+/* Ends one caller at the end of a shutdown. A request that was not sent to a
+   member has not run, one that was sent has an unknown outcome, and an open
+   transaction is rolled back. */
+static void
+end_caller(struct caller *c)
+{
+    if (c->state == CALLER_QUEUED || c->state == CALLER_BACKOFF) {
+        request_abandon(c);
+        caller_count(c, COUNTER_REFUSED_DRAINING);
+        request_fail(c, "57P03", "the proxy is shutting down",
+                     c->message_batch.sent ? "outcome=unknown"
+                                           : "outcome=not_run");
+    }
+    else if (c->state == CALLER_RUNNING) {
+        upstream_conn_abort(c->request.conn, "the proxy is shutting down");
+    }
+    else if (c->state == CALLER_READY && c->has_connection) {
+        caller_count(c, COUNTER_TRANSACTION_LOST);
+        request_abandon(c);
+        frame_put_error(c->out, "FATAL", "57P01",
+                        "the proxy is shutting down; the transaction was "
+                        "rolled back",
+                        NULL, "outcome=failed");
+        caller_close_after_flush(c);
+    }
+    else if (c->state != CALLER_CLOSING) {
+        frame_put_error(c->out, "FATAL", "57P01", "the proxy is shutting down",
+                        NULL, "outcome=not_run");
+        caller_close_after_flush(c);
+    }
+}
+
+/* Ends a shutdown that has reached its limit: answers every request with its
+   outcome as far as it is known, and disconnects all callers. Follows
+   front_drain(). Waiting requests are refused first, since connections that
+   become free would be granted to them. */
+void
+front_end(struct front *f)
+{
+    GList *list = g_hash_table_get_values(f->callers);
+
+    f->ending = true;
+    for (int waiting = 1; waiting >= 0; waiting--) {
+        for (GList *l = list; l != NULL; l = l->next) {
+            struct caller *c = l->data;
+            const bool waits =
+                c->state == CALLER_QUEUED || c->state == CALLER_BACKOFF;
+            if (waits == (waiting != 0)) {
+                end_caller(c);
+            }
+        }
+    }
+    g_list_free(list);
+}
+
 /* Returns the number of caller connections. */
 guint
 front_caller_count(const struct front *f)
--- a/src/caller/front.h
+++ b/src/caller/front.h
@@ -18,6 +18,8 @@
                            struct group **groups, char **error);
 void front_destroy(struct front *f);
 void front_drain(struct front *f, void (*drained)(void *ctx), void *ctx);
+void front_cancel_statements(struct front *f);
+void front_end(struct front *f);
 guint front_caller_count(const struct front *f);
 const struct counters *front_counters(const struct front *f);
 void front_set_cancel_forwarder(struct front *f,
--- a/src/caller/request.c
+++ b/src/caller/request.c
@@ -44,6 +44,20 @@
     return status;
 }
 
+/* Disconnects a caller that is between transactions while the proxy shuts
+   down. Requests that it has sent ahead are not run. */
+void
+request_close_if_draining(struct caller *c)
+{
+    if (!c->front->draining || c->has_connection ||
+        c->state == CALLER_CLOSING) {
+        return;
+    }
+    frame_put_error(c->out, "FATAL", "57P01", "the proxy is shutting down",
+                    NULL, "outcome=not_run");
+    caller_close_after_flush(c);
+}
+
 /* Ends a request that the proxy has answered without a member. */
 static void
 finish_local(struct caller *c)
@@ -55,6 +69,7 @@
         frame_put_ready(c->out, ready_status(c));
     }
     finish_message_batch(c);
+    request_close_if_draining(c);
 }
 
 /* Ends the current request with an ErrorResponse of the proxy. outcome becomes
@@ -227,10 +242,7 @@
     request_fail(c, reasons[reason].sqlstate, reasons[reason].message,
                  c->message_batch.sent ? "outcome=unknown"
                                        : "outcome=not_run");
-    if (c->front->draining) {
-        frame_put_error(c->out, "FATAL", "57P01", "the proxy is shutting down",
-                        NULL, "outcome=not_run");
-        caller_close_after_flush(c);
+    if (c->state == CALLER_CLOSING) {
         return;
     }
     /* A refusal may arrive outside of the caller's input handling. */
@@ -338,8 +350,15 @@
 void
 request_retry(struct caller *c, enum counter why)
 {
-    caller_count(c, why);
     remove_from_running(c);
+    if (c->front->ending) {
+        caller_count(c, COUNTER_REFUSED_DRAINING);
+        request_fail(c, "57P03", "the proxy is shutting down",
+                     c->message_batch.sent ? "outcome=unknown"
+                                           : "outcome=not_run");
+        return;
+    }
+    caller_count(c, why);
     submit_request(c);
 }
 
@@ -366,7 +385,8 @@
     clock_ms at;
 
     remove_from_running(c);
-    if (!retry_budget_take(&c->front->budgets[c->database]) ||
+    if (c->front->ending ||
+        !retry_budget_take(&c->front->budgets[c->database]) ||
         !retry_backoff_next(&backoff, &c->front->rng, now,
                             c->request.admission.deadline_at, ++c->attempts,
                             &at)) {
@@ -376,8 +396,10 @@
                      "connection to the database was lost, and no retry is "
                      "left",
                      "outcome=unknown");
-        caller_flush(c);
-        ev_feed_event(c->front->loop, &c->read_watcher, EV_CUSTOM);
+        if (c->state != CALLER_CLOSING) {
+            caller_flush(c);
+            ev_feed_event(c->front->loop, &c->read_watcher, EV_CUSTOM);
+        }
         return;
     }
     caller_count(c, why);
@@ -516,9 +538,5 @@
     startup_report_token(c);
     frame_put_ready(c->out, ready_status(c));
     finish_message_batch(c);
-    if (c->front->draining && !c->has_connection) {
-        frame_put_error(c->out, "FATAL", "57P01", "the proxy is shutting down",
-                        NULL, "outcome=not_run");
-        caller_close_after_flush(c);
-    }
+    request_close_if_draining(c);
 }
--- a/src/daemon/daemon.c
+++ b/src/daemon/daemon.c
@@ -44,6 +44,7 @@
     ev_timer drain_notice_timer;
     clock_ms drain_started_at;
     bool draining;
+    bool ending; /* all callers are being disconnected */
     enum daemon_exit exit_code;
 };
 
@@ -51,6 +52,13 @@
    heartbeats, by which the peers learn of the drain, and for a health check by
    the load balancer. */
 #define DAEMON_DRAIN_NOTICE_MS 1500
+/* The end of the drain limit: statements that still run are cancelled, so that
+   members can tell their outcome, and after half of this time all callers are
+   disconnected. At most a quarter of the limit. */
+#define DAEMON_END_MS 500
+#define DAEMON_END_PART 4
+/* For callers to receive their last answers, however short the limit is. */
+#define DAEMON_CLOSE_MIN_MS 200
 
 /* Ends the event loop once no caller is left and the notice time has
    passed. */
@@ -82,7 +90,7 @@
         d->drain_started_at + DAEMON_DRAIN_NOTICE_MS - clock_monotonic_ms();
 
     LOG_NOTICE("drain", NULL, "every caller has disconnected");
-    if (d->peers == NULL && d->health == NULL) {
+    if (d->ending || (d->peers == NULL && d->health == NULL)) {
         finish_drain(d);
         return;
     }
@@ -92,17 +100,80 @@
     ev_timer_start(d->loop, &d->drain_notice_timer);
 }
 
+/* Ends the process although callers have not received their last answers. */
+static void
+on_close_limit(struct ev_loop *loop, ev_timer *w, int revents)
+{
+    const struct daemon *d = w->data;
+
+    (void)revents;
+    LOG_WARNING("drain", NULL, "%u callers have not read their last answers",
+                front_caller_count(d->front));
+    ev_break(loop, EVBREAK_ALL);
+}
+
+/* Calls a function in so many milliseconds, in place of what the timer was set
+   to before. */
+static void
+set_drain_limit_timer(struct daemon *d, int64_t ms,
+                      void (*expired)(struct ev_loop *loop, ev_timer *w,
+                                      int revents))
+{
+    ev_timer_stop(d->loop, &d->drain_limit_timer);
+    ev_set_cb(&d->drain_limit_timer, expired);
+    ev_timer_set(&d->drain_limit_timer, (double)ms / 1000.0, 0.0);
+    ev_timer_start(d->loop, &d->drain_limit_timer);
+}
+
+/* Returns how long before the drain limit the statements that still run are
+   cancelled. */
+static int64_t
+end_ms(const struct daemon *d)
+{
+    return MIN(DAEMON_END_MS, d->settings->drain_limit_ms / DAEMON_END_PART);
+}
+
+/* Answers all requests and disconnects all callers. The process ends once they
+   are gone. */
+static void
+end_callers(struct daemon *d)
+{
+    d->ending = true;
+    d->exit_code = DAEMON_EXIT_FORCED;
+    if (front_caller_count(d->front) == 0) {
+        finish_drain(d);
+        return;
+    }
+    set_drain_limit_timer(d, MAX(end_ms(d) / 2, DAEMON_CLOSE_MIN_MS),
+                          on_close_limit);
+    front_end(d->front);
+}
+
+static void
+on_cancel_end(struct ev_loop *loop, ev_timer *w, int revents)
+{
+    (void)loop;
+    (void)revents;
+    end_callers(w->data);
+}
+
+/* Called shortly before the drain limit. */
 static void
 on_drain_limit(struct ev_loop *loop, ev_timer *w, int revents)
 {
     struct daemon *d = w->data;
 
+    (void)loop;
     (void)revents;
+    if (front_caller_count(d->front) == 0) {
+        finish_drain(d);
+        return;
+    }
     LOG_WARNING("drain", NULL,
                 "%u callers are still connected at the drain limit",
                 front_caller_count(d->front));
-    d->exit_code = DAEMON_EXIT_FORCED;
-    ev_break(loop, EVBREAK_ALL);
+    front_cancel_statements(d->front);
+    set_drain_limit_timer(d, end_ms(d) / 2, on_cancel_end);
 }
 
 /* Begins a graceful shutdown; does nothing if one is in progress. */
@@ -122,26 +193,32 @@
     if (d->peers != NULL) {
         peers_leave(d->peers);
     }
-    ev_timer_set(&d->drain_limit_timer,
-                 (double)d->settings->drain_limit_ms / 1000.0, 0.0);
-    ev_timer_start(d->loop, &d->drain_limit_timer);
+    set_drain_limit_timer(d, d->settings->drain_limit_ms - end_ms(d),
+                          on_drain_limit);
     front_drain(d->front, on_drained, d);
 }
 
-/* The first signal begins a graceful shutdown, a second one ends the process
-   at once. */
+/* The first signal begins a graceful shutdown. A second one disconnects all
+   callers at once, and the process ends when they have their answers; a third
+   one does not wait for that. */
 static void
 on_signal(struct ev_loop *loop, ev_signal *w, int revents)
 {
     struct daemon *d = w->data;
 
     (void)revents;
-    if (d->draining) {
-        LOG_WARNING("drain", NULL, "second signal received, stopping at once");
-        d->exit_code = DAEMON_EXIT_FORCED;
+    if (d->ending) {
+        LOG_WARNING("drain", NULL,
+                    "another signal received, stopping at once");
         ev_break(loop, EVBREAK_ALL);
         return;
     }
+    if (d->draining) {
+        LOG_WARNING("drain", NULL,
+                    "second signal received, disconnecting all callers");
+        end_callers(d);
+        return;
+    }
     begin_drain(d);
 }
 
--- a/tests/caller/front_fixture.c
+++ b/tests/caller/front_fixture.c
@@ -1,6 +1,9 @@
 #include "caller/front_fixture.h"
 
+#include "fakes/conn.h"
+
 #include <arpa/inet.h>
+#include <errno.h>
 #include <netinet/in.h>
 #include <stdio.h>
 #include <sys/socket.h>
@@ -106,6 +109,15 @@
     ev_loop_destroy(s->loop);
 }
 
+/* Makes the connections that are open to member 0 answer nothing more. */
+void
+front_fixture_silence_primary(struct fixture *s)
+{
+    for (GList *l = s->db->members[0].conns.head; l != NULL; l = l->next) {
+        conn_set_silent(l->data);
+    }
+}
+
 /* Records one message from the proxy. */
 static void
 client_handle_message(struct client *c, const struct frame *f)
@@ -121,6 +133,7 @@
         snprintf(c->sqlstate, sizeof(c->sqlstate), "%.*s", (int)state.n,
                  state.p);
         snprintf(c->hint, sizeof(c->hint), "%.*s", (int)hint.n, hint.p);
+        g_string_append_printf(c->errors, "%s %s;", c->sqlstate, c->hint);
     }
     if (f->type == 'D') {
         const struct sview v = frame_first_column(f->body);
@@ -152,6 +165,9 @@
     if (n == 0) {
         c->closed = true;
     }
+    if (n < 0) {
+        assert_int_equal(errno, EAGAIN);
+    }
     if (n > 0) {
         g_string_append_len(c->in, buffer, n);
     }
@@ -181,6 +197,7 @@
                      (ssize_t)out->len);
     g_string_free(out, TRUE);
     g_string_truncate(c->types, 0);
+    g_string_truncate(c->errors, 0);
     c->sqlstate[0] = '\0';
     c->hint[0] = '\0';
     c->column[0] = '\0';
@@ -202,7 +219,8 @@
     *c = (struct client){.fixture = s,
                          .fd = socket(AF_INET, SOCK_STREAM, 0),
                          .in = g_string_new(NULL),
-                         .types = g_string_new(NULL)};
+                         .types = g_string_new(NULL),
+                         .errors = g_string_new(NULL)};
     assert_int_equal(connect(c->fd, (const struct sockaddr *)&a, sizeof(a)),
                      0);
     frame_put_u32(out, 0);
@@ -229,6 +247,7 @@
     close(c->fd);
     g_string_free(c->in, TRUE);
     g_string_free(c->types, TRUE);
+    g_string_free(c->errors, TRUE);
 }
 
 /* Sends a Query without waiting for its answer. */
--- a/tests/caller/front_fixture.h
+++ b/tests/caller/front_fixture.h
@@ -33,6 +33,7 @@
     GString *types;   /* message types since the last client_send() */
     char sqlstate[8]; /* of the last ErrorResponse */
     char hint[64];    /* of the last ErrorResponse */
+    GString *errors; /* "SQLSTATE HINT;" of all since the last client_send() */
     char column[256]; /* first column of the last DataRow */
     char token[128];  /* last reported galenastep.token */
     char version[16]; /* reported server_version */
@@ -45,6 +46,7 @@
 
 void front_fixture_start(struct fixture *s);
 void front_fixture_stop(struct fixture *s);
+void front_fixture_silence_primary(struct fixture *s);
 void client_poll(struct client *c);
 void client_wait(struct client *c, unsigned ready);
 void client_send(struct client *c, GString *out);
--- a/tests/caller/test_front.c
+++ b/tests/caller/test_front.c
@@ -3,6 +3,7 @@
 #include "caller/caller.h"
 
 #include <string.h>
+#include <sys/socket.h>
 
 /* Guards against a prepared statement that is missing on the connection of the
    caller's next transaction. The proxy has one connection to each member, and
@@ -488,6 +489,170 @@
     front_fixture_stop(&s);
 }
 
+/* Runs the event loop until the proxy has closed the connections of all
+   callers. */
+static void
+await_drained(struct fixture *s)
+{
+    while (!s->drained) {
+        ev_run(s->loop, EVRUN_ONCE);
+    }
+}
+
+/* Sends a Query and runs the event loop for long enough that the statement
+   runs at a member. */
+static void
+start_statement(struct fixture *s, struct client *c, const char *sql)
+{
+    client_start(c, sql);
+    for (int i = 0; i < 50; i++) {
+        ev_run(s->loop, EVRUN_NOWAIT);
+        g_usleep(1000);
+    }
+    assert_int_equal(admission_queued(group_admission(s->groups[0]), 0), 0);
+}
+
+/* Guards against requests and transactions that are cut off without an answer
+   when a graceful shutdown reaches its limit. */
+static void
+test_end_answers_every_request(void **state)
+{
+    (void)state;
+    struct fixture s;
+    struct client resting;
+    struct client cancelled;
+    struct client running;
+    struct client queued;
+    front_fixture_start(&s);
+    group_set_surplus(s.groups[0], 0, 2, 0);
+    client_open(&resting, &s, "filing", NULL);
+    client_open(&cancelled, &s, "filing", NULL);
+    client_open(&running, &s, "filing", NULL);
+    client_open(&queued, &s, "filing", NULL);
+
+    client_query(&resting, "BEGIN");
+    client_query(&resting, "UPDATE entries SET value = '1' WHERE id = 'd'");
+    client_query(&cancelled, "BEGIN");
+    start_statement(&s, &cancelled, "SELECT fake_sleep(5000)");
+    start_statement(&s, &running, "SELECT fake_sleep(5000)");
+    client_start(&queued, "UPDATE entries SET value = '2' WHERE id = 'e'");
+    while (admission_queued(group_admission(s.groups[0]), 0) == 0) {
+        ev_run(s.loop, EVRUN_ONCE);
+    }
+    front_drain(s.front, on_drained, &s);
+    front_cancel_statements(s.front);
+    client_wait(&cancelled, 3);
+    assert_string_equal(cancelled.errors->str, "57014 outcome=failed;");
+    assert_int_equal(cancelled.status, 'E');
+    assert_string_equal(running.errors->str, "");
+    front_end(s.front);
+    client_wait(&resting, UINT_MAX);
+    client_wait(&cancelled, UINT_MAX);
+    client_wait(&running, UINT_MAX);
+    client_wait(&queued, UINT_MAX);
+    assert_string_equal(resting.errors->str, "57P01 outcome=failed;");
+    assert_string_equal(cancelled.errors->str,
+                        "57014 outcome=failed;57P01 outcome=failed;");
+    assert_string_equal(running.errors->str,
+                        "08007 outcome=unknown;57P01 outcome=not_run;");
+    assert_string_equal(queued.errors->str,
+                        "57P03 outcome=not_run;57P01 outcome=not_run;");
+    await_drained(&s);
+    client_close(&resting);
+    client_close(&cancelled);
+    client_close(&running);
+    client_close(&queued);
+    front_fixture_stop(&s);
+}
+
+/* Guards against a COMMIT that is cut off without an answer, or reported as
+   rolled back although it may take effect. */
+static void
+test_end_tells_that_a_commit_is_unknown(void **state)
+{
+    (void)state;
+    struct fixture s;
+    struct client a;
+    front_fixture_start(&s);
+    client_open(&a, &s, "filing", NULL);
+
+    client_query(&a, "BEGIN");
+    client_query(&a, "UPDATE entries SET value = '1' WHERE id = 'd'");
+    front_fixture_silence_primary(&s);
+    start_statement(&s, &a, "COMMIT");
+    front_drain(s.front, on_drained, &s);
+    front_cancel_statements(s.front);
+    front_end(s.front);
+    client_wait(&a, UINT_MAX);
+    assert_string_equal(a.errors->str, "08007 outcome=unknown;");
+    await_drained(&s);
+    client_close(&a);
+    front_fixture_stop(&s);
+}
+
+/* Guards against a drain that closes a connection with unread input after the
+   last answer: that resets the connection, and the caller may lose the
+   answer. */
+static void
+test_drain_keeps_the_last_answer(void **state)
+{
+    (void)state;
+    struct fixture s;
+    struct client a;
+    GString *ahead = g_string_new(NULL);
+    front_fixture_start(&s);
+    client_open(&a, &s, "filing", NULL);
+
+    start_statement(&s, &a, "SELECT fake_sleep(200)");
+    front_drain(s.front, on_drained, &s);
+    /* More than the proxy reads ahead. */
+    while (ahead->len < 300000) {
+        frame_put_query(ahead, "SELECT value FROM entries WHERE id = 'd'");
+    }
+    for (size_t sent = 0; sent < ahead->len;) {
+        const ssize_t n = send(a.fd, ahead->str + sent, ahead->len - sent,
+                               MSG_DONTWAIT | MSG_NOSIGNAL);
+        sent += n > 0 ? (size_t)n : 0;
+        ev_run(s.loop, EVRUN_NOWAIT);
+    }
+    g_string_free(ahead, TRUE);
+    client_wait(&a, UINT_MAX);
+    assert_string_equal(a.types->str, "TDCSZE");
+    assert_string_equal(a.errors->str, "57P01 outcome=not_run;");
+    await_drained(&s);
+    client_close(&a);
+    front_fixture_stop(&s);
+}
+
+/* Guards against a drain that waits for a caller whose last request the proxy
+   has answered itself. */
+static void
+test_drain_ends_after_local_answers(void **state)
+{
+    (void)state;
+    struct fixture s;
+    struct client a;
+    GString *out = g_string_new(NULL);
+    front_fixture_start(&s);
+    client_open(&a, &s, "filing", NULL);
+
+    /* Half of the request arrives before the drain. */
+    frame_put_query(out, "SHOW galenastep.kind");
+    assert_int_equal(send(a.fd, out->str, 8, MSG_NOSIGNAL), 8);
+    for (int i = 0; i < 20; i++) {
+        ev_run(s.loop, EVRUN_NOWAIT);
+        g_usleep(1000);
+    }
+    front_drain(s.front, on_drained, &s);
+    g_string_erase(out, 0, 8);
+    client_send(&a, out);
+    client_wait(&a, UINT_MAX);
+    assert_string_equal(a.column, "filing");
+    await_drained(&s);
+    client_close(&a);
+    front_fixture_stop(&s);
+}
+
 int
 main(void)
 {
@@ -506,6 +671,10 @@
         cmocka_unit_test(test_floor_work_has_no_lease_limit),
         cmocka_unit_test(test_drain_lets_transactions_end),
         cmocka_unit_test(test_drain_refuses_waiting_batches),
+        cmocka_unit_test(test_end_answers_every_request),
+        cmocka_unit_test(test_end_tells_that_a_commit_is_unknown),
+        cmocka_unit_test(test_drain_keeps_the_last_answer),
+        cmocka_unit_test(test_drain_ends_after_local_answers),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
--- a/tests/test_two_proxies.sh
+++ b/tests/test_two_proxies.sh
@@ -9,6 +9,8 @@
 # CASE idle guards against a proxy without callers that exits before its peers
 # have learned that it is draining, so that they consider it dead: they must
 # list it as leaving.
+# CASE limit guards against requests that are cut off without an answer when
+# callers remain at the drain limit.
 # CASE batch guards against a drain that waits for batch statements that cannot
 # start, because a leaving proxy gets no loans: the exit code must be 0.
 # CASE leaving guards against a primary that still gets statements when its VM
@@ -20,6 +22,8 @@
 ctl=$2
 fake_server=$3
 test_case=$4
+# Two callers of one proxy need two connections at once.
+[ "$test_case" = limit ] && floor=2 || floor=1
 dir=$(mktemp -d)
 pids=""
 
@@ -60,6 +64,7 @@
 [database boats]
 members=127.0.0.1:$((base_port + 8)),127.0.0.1:$((base_port + 9)),127.0.0.1:$((base_port + 10))
 connections=16
+floor=$floor
 END
 }
 
@@ -193,4 +198,37 @@
     echo "exit=$exit_code"
     [ $exit_code -eq 0 ]
     ;;
+limit)
+    # One caller waits for a long statement, one rests in a transaction.
+    psql -X -h 127.0.0.1 -p $((base_port + 1)) -U demo -d boats \
+        -v VERBOSITY=verbose -c 'SELECT fake_sleep(20000)' \
+        >"$dir/running.log" 2>&1 &
+    pids="$pids $!"
+    callers=$!
+    mkfifo "$dir/resting"
+    psql -X -h 127.0.0.1 -p $((base_port + 1)) -U demo -d boats \
+        -v VERBOSITY=verbose <"$dir/resting" >"$dir/resting.log" 2>&1 &
+    pids="$pids $!"
+    callers="$callers $!"
+    exec 3>"$dir/resting"
+    printf 'BEGIN;\nUPDATE entries SET value = 1 WHERE id = 9;\n' >&3
+    until grep -q UPDATE "$dir/resting.log" && "$ctl" -k "$dir/key" \
+        -c "127.0.0.1:$((base_port + 5))" --csv counters |
+        grep -q '^boats,[^,]*,statements,4'; do
+        sleep 0.1
+    done
+    kill -TERM "$proxy_1_pid"
+    wait "$proxy_1_pid" || exit_code=$?
+    echo 'COMMIT;' >&3
+    exec 3>&-
+    for pid in $callers; do
+        wait "$pid" || true
+    done
+    cat "$dir/running.log" "$dir/resting.log" "$dir/1.log"
+    echo "exit=$exit_code"
+    grep -q 'ERROR:  08007' "$dir/running.log" &&
+        grep -q 'outcome=unknown' "$dir/running.log" &&
+        grep -q 'FATAL:  57P01' "$dir/resting.log" &&
+        grep -q 'outcome=failed' "$dir/resting.log" && [ $exit_code -eq 3 ]
+    ;;
 esac
