--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -80,12 +80,15 @@
 void standin_group_set_down(struct standin_group *g, int member, bool down);
 void standin_group_set_lag(struct standin_group *g, int member,
                            int64_t lag_ms);
+void standin_group_set_execution(struct standin_group *g, int64_t max_ms);
 void standin_group_lose_answers(struct standin_group *g, int member,
                                 int percent);
 const char *standin_group_role(const struct standin_group *g, int member);
 /* Returns how many entries of the current primary's log hold this write. */
 int standin_group_count_write(const struct standin_group *g, const char *item,
                               uint64_t number);
+/* Returns true if a member has begun to execute the statement with this ID. */
+bool standin_group_has_begun(const struct standin_group *g, const char *id);
 bool standin_group_has_discarded(const struct standin_group *g,
                                  const char *item, uint64_t number);
 /* Called when the role of a member has changed, so that the directory's
--- a/tests/soak/standin_group.c
+++ b/tests/soak/standin_group.c
@@ -14,7 +14,8 @@
 #define PROMOTION_DELAY_MS 100
 /* A replaced primary becomes a replica this long after the promotion. */
 #define DEMOTION_DELAY_MS 1000
-#define EXECUTION_MAX_US 4000
+/* By default, and of all but reads, writes and commits. */
+#define EXECUTION_MAX_MS 4
 #define TICK_MS 5
 
 void (*standin_group_on_role_change)(struct soak *s);
@@ -53,6 +54,7 @@
     ev_timer execution_timer;
     GString *reply; /* answer to the statement that is being executed */
     bool busy;
+    bool executes; /* a read, write or commit, rather than a short request */
     bool started;
     bool closed;
     bool in_transaction;
@@ -76,7 +78,9 @@
     ev_timer tick;
     GQueue promotions; /* struct promotion; they take effect in this order */
     int64_t promotion_delay_ms;
-    bool synchronous; /* a replica receives a commit before it is answered */
+    int64_t execution_max_ms;
+    GHashTable *begun; /* set of the IDs of statements */
+    bool synchronous;  /* a replica receives a commit before it is answered */
     clock_ms promoted_at;
     uint64_t fence; /* highest fencing token received */
     uint64_t newest_term;
@@ -292,6 +296,19 @@
     return true;
 }
 
+bool
+standin_group_has_begun(const struct standin_group *g, const char *id)
+{
+    return g_hash_table_contains(g->begun, id);
+}
+
+/* Sets the longest time that a read, write or commit takes. */
+void
+standin_group_set_execution(struct standin_group *g, int64_t max_ms)
+{
+    g->execution_max_ms = max_ms;
+}
+
 /* Sets how long a promotion takes, and whether a commit is answered only once
    a replica has received it. */
 void
@@ -430,6 +447,8 @@
     struct member *m = c->member;
 
     check_session_state(c, id);
+    c->executes = true;
+    g_hash_table_add(m->group->begun, g_strdup(id));
     if (strcmp(w[0], "READ") == 0) {
         g_string_append_printf(c->reply, "DATAROW %lu\r\nCOMPLETE sig\r\n",
                                (unsigned long)newest_value(m, w[1]));
@@ -616,11 +635,15 @@
         char *text = g_strndup(in.p, (gsize)(end - in.p));
         stream_consume(c->stream, (size_t)(end - in.p) + 2);
         c->busy = true;
+        c->executes = false;
         handle_line(c, text);
         g_free(text);
+        const int64_t max_ms = c->executes ? c->member->group->execution_max_ms
+                                           : EXECUTION_MAX_MS;
         ev_timer_set(
             &c->execution_timer,
-            (double)rng_below(c->member->group->rng, EXECUTION_MAX_US) / 1e6,
+            (double)rng_below(c->member->group->rng, (uint64_t)max_ms * 1000) /
+                1e6,
             0.0);
         ev_timer_start(c->member->group->loop, &c->execution_timer);
     }
@@ -680,6 +703,8 @@
     g->rng = rng;
     g->max_connections = max_connections;
     g->promotion_delay_ms = PROMOTION_DELAY_MS;
+    g->execution_max_ms = EXECUTION_MAX_MS;
+    g->begun = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     g->newest_term = 1;
     g->deferred_free = deferred_free_create(loop, conn_release);
     g->discarded =
@@ -728,6 +753,7 @@
     }
     deferred_free_destroy(g->deferred_free);
     g_hash_table_destroy(g->discarded);
+    g_hash_table_destroy(g->begun);
     g_queue_clear_full(&g->promotions, g_free);
     g_free(g);
 }
