coordination: forget the reasons to replace a primary once a change has begun

Callers saw: after a planned switch several more changes of primary within 0.3 s, each of which refuses or delays writes. Cause: the times since when a primary has been unreachable, unlisted, draining or reporting to be a replica were kept during a change and then applied to the next primary. The directory shows the role of a new primary a little later, so a predecessor that had said "replica" for a while made the new one be replaced at once (why=says_replica). Change: promoter_tick() clears them while a change is in progress.

--- a/src/coordination/promoter.c
+++ b/src/coordination/promoter.c
@@ -436,6 +436,17 @@
     return false;
 }
 
+/* Forgets since when reasons to replace the primary have held: they do not
+   apply to the next one. */
+static void
+forget_reasons(struct primary_change *c)
+{
+    c->unreachable_since = 0;
+    c->unlisted_since = 0;
+    c->not_primary_since = 0;
+    c->draining_since = 0;
+}
+
 /* Checks one service. Called every few tens of milliseconds for each
    configured service, then promoter_end_round(). */
 void
@@ -462,6 +473,9 @@
         c->changing_since = 0;
     }
     track_since(&c->changing_since, e->changing, now);
+    if (e->changing) {
+        forget_reasons(c);
+    }
     if (e->changing && holder) {
         p->busy = true;
         primary_change_run(p, c, e, index, now);
--- a/tests/coordination/test_promoter.c
+++ b/tests/coordination/test_promoter.c
@@ -309,6 +309,40 @@
     teardown(&f);
 }
 
+/* Guards against replacing a new primary at once because its predecessor had
+   reported to be a replica: the directory shows the role of the new one a
+   little later. */
+static void
+test_reasons_do_not_apply_to_the_next_primary(void **state)
+{
+    struct fixture f;
+    struct view v;
+
+    (void)state;
+    setup(&f, "b", false);
+    members[0].says_primary = false;
+    run_for(&f, 1000, false, 5);
+    assert_int_equal(f.writes, 0);
+    v = *agreement_view(f.agreement);
+    v.version = 6;
+    g_strlcpy(v.holder, "a", sizeof(v.holder));
+    v.entries[0].epoch = 6;
+    v.entries[0].changing = true;
+    agreement_adopt_view(f.agreement, &v);
+    run_for(&f, 500, false, 6);
+    v.version = 7;
+    g_strlcpy(v.holder, "b", sizeof(v.holder));
+    v.entries[0].epoch = 7;
+    v.entries[0].changing = false;
+    g_strlcpy(v.entries[0].primary, "m2", sizeof(v.entries[0].primary));
+    agreement_adopt_view(f.agreement, &v);
+    run_for(&f, 1000, false, 7);
+    assert_int_equal(f.writes, 0);
+    run_for(&f, 500, false, 7);
+    assert_int_equal(f.writes, 1);
+    teardown(&f);
+}
+
 /* Guards against replacing a primary that only a few proxies cannot reach, or
    that answers the survey. */
 static void
@@ -969,6 +1003,7 @@
         cmocka_unit_test(test_new_holder_gets_full_timeout),
         cmocka_unit_test(test_lost_primary_is_replaced),
         cmocka_unit_test(test_planned_switch_waits_for_the_log),
+        cmocka_unit_test(test_reasons_do_not_apply_to_the_next_primary),
         cmocka_unit_test(test_false_alarms),
         cmocka_unit_test(test_unlisted_primary_that_answers),
         cmocka_unit_test(test_blocked_holder_hands_over),
