coordination: earlier primaries step down before the current one does

Callers saw: with sync_replicas, acknowledged writes missing after a planned switch, then stale reads on primary routes. Cause: the primary was asked to step down while a replaced one still led. Its replicas, which held the commits, then followed the earlier primary and discarded them. Change: the survey's earlier primaries are demoted first; a planned switch waits, for at most the 4.5 s that it waits for a replica to catch up, while another member reports to be a primary.

--- a/src/coordination/peer_message_xdr.c
+++ b/src/coordination/peer_message_xdr.c
@@ -7,105 +7,111 @@
 #include "peer_message_xdr.h"
 
 bool_t
-xdr_wire_position (XDR *xdrs, wire_position *objp)
+xdr_wire_position(XDR *xdrs, wire_position *objp)
 {
-	register int32_t *buf;
+    register int32_t *buf;
 
-	 if (!xdr_u_int (xdrs, &objp->index))
-		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->term))
-		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->log_position))
-		 return FALSE;
-	 if (!xdr_quad_t (xdrs, &objp->age_ms))
-		 return FALSE;
-	return TRUE;
+    if (!xdr_u_int(xdrs, &objp->index))
+        return FALSE;
+    if (!xdr_u_quad_t(xdrs, &objp->term))
+        return FALSE;
+    if (!xdr_u_quad_t(xdrs, &objp->log_position))
+        return FALSE;
+    if (!xdr_quad_t(xdrs, &objp->age_ms))
+        return FALSE;
+    return TRUE;
 }
 
 bool_t
-xdr_wire_entry (XDR *xdrs, wire_entry *objp)
+xdr_wire_entry(XDR *xdrs, wire_entry *objp)
 {
-	register int32_t *buf;
+    register int32_t *buf;
 
-	 if (!xdr_string (xdrs, &objp->service, 63))
-		 return FALSE;
-	 if (!xdr_string (xdrs, &objp->primary, 63))
-		 return FALSE;
-	 if (!xdr_string (xdrs, &objp->ordered, 63))
-		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->ordered_set))
-		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->epoch))
-		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->term))
-		 return FALSE;
-	 if (!xdr_bool (xdrs, &objp->changing))
-		 return FALSE;
-	return TRUE;
+    if (!xdr_string(xdrs, &objp->service, 63))
+        return FALSE;
+    if (!xdr_string(xdrs, &objp->primary, 63))
+        return FALSE;
+    if (!xdr_string(xdrs, &objp->ordered, 63))
+        return FALSE;
+    if (!xdr_u_quad_t(xdrs, &objp->ordered_set))
+        return FALSE;
+    if (!xdr_u_quad_t(xdrs, &objp->epoch))
+        return FALSE;
+    if (!xdr_u_quad_t(xdrs, &objp->term))
+        return FALSE;
+    if (!xdr_bool(xdrs, &objp->changing))
+        return FALSE;
+    return TRUE;
 }
 
 bool_t
-xdr_wire_details (XDR *xdrs, wire_details *objp)
+xdr_wire_details(XDR *xdrs, wire_details *objp)
 {
-	register int32_t *buf;
+    register int32_t *buf;
 
-	 if (!xdr_array (xdrs, (char **)&objp->unreachable.unreachable_val, (u_int *) &objp->unreachable.unreachable_len, 16,
-		sizeof (u_quad_t), (xdrproc_t) xdr_u_quad_t))
-		 return FALSE;
-	 if (!xdr_array (xdrs, (char **)&objp->silent.silent_val, (u_int *) &objp->silent.silent_len, 8,
-		sizeof (u_quad_t), (xdrproc_t) xdr_u_quad_t))
-		 return FALSE;
-	 if (!xdr_array (xdrs, (char **)&objp->positions.positions_val, (u_int *) &objp->positions.positions_len, 32,
-		sizeof (wire_position), (xdrproc_t) xdr_wire_position))
-		 return FALSE;
-	return TRUE;
+    if (!xdr_array(xdrs, (char **)&objp->unreachable.unreachable_val,
+                   (u_int *)&objp->unreachable.unreachable_len, 16,
+                   sizeof(u_quad_t), (xdrproc_t)xdr_u_quad_t))
+        return FALSE;
+    if (!xdr_array(xdrs, (char **)&objp->silent.silent_val,
+                   (u_int *)&objp->silent.silent_len, 8, sizeof(u_quad_t),
+                   (xdrproc_t)xdr_u_quad_t))
+        return FALSE;
+    if (!xdr_array(xdrs, (char **)&objp->positions.positions_val,
+                   (u_int *)&objp->positions.positions_len, 32,
+                   sizeof(wire_position), (xdrproc_t)xdr_wire_position))
+        return FALSE;
+    return TRUE;
 }
 
 bool_t
-xdr_wire_changes (XDR *xdrs, wire_changes *objp)
+xdr_wire_changes(XDR *xdrs, wire_changes *objp)
 {
-	register int32_t *buf;
+    register int32_t *buf;
 
-	 if (!xdr_u_quad_t (xdrs, &objp->base_version))
-		 return FALSE;
-	 if (!xdr_string (xdrs, &objp->holder, 63))
-		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->fence))
-		 return FALSE;
-	 if (!xdr_array (xdrs, (char **)&objp->entries.entries_val, (u_int *) &objp->entries.entries_len, 32,
-		sizeof (wire_entry), (xdrproc_t) xdr_wire_entry))
-		 return FALSE;
-	return TRUE;
+    if (!xdr_u_quad_t(xdrs, &objp->base_version))
+        return FALSE;
+    if (!xdr_string(xdrs, &objp->holder, 63))
+        return FALSE;
+    if (!xdr_u_quad_t(xdrs, &objp->fence))
+        return FALSE;
+    if (!xdr_array(xdrs, (char **)&objp->entries.entries_val,
+                   (u_int *)&objp->entries.entries_len, 32, sizeof(wire_entry),
+                   (xdrproc_t)xdr_wire_entry))
+        return FALSE;
+    return TRUE;
 }
 
 bool_t
-xdr_wire_message (XDR *xdrs, wire_message *objp)
+xdr_wire_message(XDR *xdrs, wire_message *objp)
 {
-	register int32_t *buf;
+    register int32_t *buf;
 
-	 if (!xdr_string (xdrs, &objp->from, 63))
-		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->incarnation))
-		 return FALSE;
-	 if (!xdr_quad_t (xdrs, &objp->sent_at))
-		 return FALSE;
-	 if (!xdr_quad_t (xdrs, &objp->echo))
-		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->echo_incarnation))
-		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->applied))
-		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->view_version))
-		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->catalog_version))
-		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->registry_hash))
-		 return FALSE;
-	 if (!xdr_u_int (xdrs, &objp->flags))
-		 return FALSE;
-	 if (!xdr_pointer (xdrs, (char **)&objp->details, sizeof (wire_details), (xdrproc_t) xdr_wire_details))
-		 return FALSE;
-	 if (!xdr_pointer (xdrs, (char **)&objp->changes, sizeof (wire_changes), (xdrproc_t) xdr_wire_changes))
-		 return FALSE;
-	return TRUE;
+    if (!xdr_string(xdrs, &objp->from, 63))
+        return FALSE;
+    if (!xdr_u_quad_t(xdrs, &objp->incarnation))
+        return FALSE;
+    if (!xdr_quad_t(xdrs, &objp->sent_at))
+        return FALSE;
+    if (!xdr_quad_t(xdrs, &objp->echo))
+        return FALSE;
+    if (!xdr_u_quad_t(xdrs, &objp->echo_incarnation))
+        return FALSE;
+    if (!xdr_u_quad_t(xdrs, &objp->applied))
+        return FALSE;
+    if (!xdr_u_quad_t(xdrs, &objp->view_version))
+        return FALSE;
+    if (!xdr_u_quad_t(xdrs, &objp->catalog_version))
+        return FALSE;
+    if (!xdr_u_quad_t(xdrs, &objp->registry_hash))
+        return FALSE;
+    if (!xdr_u_int(xdrs, &objp->flags))
+        return FALSE;
+    if (!xdr_pointer(xdrs, (char **)&objp->details, sizeof(wire_details),
+                     (xdrproc_t)xdr_wire_details))
+        return FALSE;
+    if (!xdr_pointer(xdrs, (char **)&objp->changes, sizeof(wire_changes),
+                     (xdrproc_t)xdr_wire_changes))
+        return FALSE;
+    return TRUE;
 }
--- a/src/coordination/primary_change.c
+++ b/src/coordination/primary_change.c
@@ -16,6 +16,9 @@
 /* Interval of queries to members that may have more of the log. */
 #define AWAIT_QUERY_MS 150
 #define EXCLUSION_MS 1000 /* a member that did not run is not chosen again */
+/* A replaced primary that does not step down is passed over after this time.
+   It steps down by itself a second after it has reached the new primary. */
+#define STALE_DEMOTE_MAX_MS 2000
 
 /* Returns the member with an id, or NULL. */
 struct member_state *
@@ -137,18 +140,43 @@
               (long long)(now - m->queried_at));
 }
 
-/* Begins to demote a member that reports to be a primary; current says whether
-   it leads in the newest term. */
+/* Begins to demote a member that reports to be a primary. next is the phase
+   that follows once it has stepped down: PHASE_CATCH_UP for the primary of the
+   newest term. */
 static void
 begin_demotion(struct primary_change *c, const struct member_state *m,
-               bool current, clock_ms now)
+               enum phase next, clock_ms now)
 {
     g_strlcpy(c->demoted, m->id, sizeof(c->demoted));
-    c->demoted_current = current;
+    c->after_demote = next;
     c->demote_sent = false;
     primary_change_enter_phase(c, PHASE_DEMOTE, now);
 }
 
+/* Returns a member that reports to be a primary of an earlier term than
+   current, or NULL. Such a member is asked to step down before current is:
+   once that does not lead any more, replicas may follow the earlier one and
+   discard what they have received since. */
+static const struct member_state *
+find_stale_primary(const struct primary_change *c,
+                   const struct member_state *current, clock_ms now)
+{
+#ifdef PRIMARY_CHANGE_BREAK_STALE
+    return NULL;
+#endif
+    if (now - c->started_at >= STALE_DEMOTE_MAX_MS) {
+        return NULL;
+    }
+    for (int i = 0; i < c->count; i++) {
+        const struct member_state *m = &c->members[i];
+        if (m->answered && m->report.primary &&
+            m->report.term < current->report.term) {
+            return m;
+        }
+    }
+    return NULL;
+}
+
 /* Enters the phase that follows the survey. */
 static void
 after_survey(struct primary_change *c, const struct view_entry *e,
@@ -168,7 +196,12 @@
         primary_change_enter_phase(c, PHASE_PUBLISH, now);
         return;
     }
-    begin_demotion(c, current, true, now);
+    const struct member_state *stale = find_stale_primary(c, current, now);
+    if (stale != NULL) {
+        begin_demotion(c, stale, PHASE_SURVEY, now);
+        return;
+    }
+    begin_demotion(c, current, PHASE_CATCH_UP, now);
 }
 
 /* Asks a primary to step down, so that the replicas can receive its whole
@@ -179,7 +212,10 @@
     struct member_state *m = primary_change_find_member(c, c->demoted);
 
     if (m == NULL || now - c->phase_since >= SURVEY_TIMEOUT_MS) {
-        primary_change_enter_phase(c, PHASE_ORDER, now);
+        primary_change_enter_phase(
+            c,
+            c->after_demote == PHASE_CATCH_UP ? PHASE_ORDER : c->after_demote,
+            now);
         return;
     }
     if (!c->demote_sent) {
@@ -191,14 +227,11 @@
     if (!m->answered) {
         return;
     }
-    if (c->demoted_current) {
+    if (c->after_demote == PHASE_CATCH_UP) {
         c->target = m->report;
         c->has_target = true;
-        primary_change_enter_phase(c, PHASE_CATCH_UP, now);
-    }
-    else {
-        primary_change_enter_phase(c, PHASE_ORDER, now);
     }
+    primary_change_enter_phase(c, c->after_demote, now);
 }
 
 /* Waits for a candidate that has received the demoted primary's whole log. */
@@ -305,7 +338,7 @@
         return;
     }
     if (best->report.primary) {
-        begin_demotion(c, best, false, now);
+        begin_demotion(c, best, PHASE_ORDER, now);
         return;
     }
     if (!agreement_lease_is_valid(p->agreement, now)) {
--- a/src/coordination/promoter.c
+++ b/src/coordination/promoter.c
@@ -28,8 +28,9 @@
 /* A write usually takes 12 ms; one that takes this long counts as failing. */
 #define WRITE_SLOW_MS 600
 /* A primary that answers, but is draining or unlisted, is replaced once a
-   replica is at most CAUGHT_UP_ENTRIES behind, or after CAUGHT_UP_TIMEOUT_MS:
-   a member must not be used for more than 7 s after it is gone. */
+   replica is at most CAUGHT_UP_ENTRIES behind and no other member reports to
+   be a primary, or after CAUGHT_UP_TIMEOUT_MS: a member must not be used for
+   more than 7 s after it is gone. */
 #define CAUGHT_UP_TIMEOUT_MS 4500
 #define CAUGHT_UP_ENTRIES 20
 #define CAUGHT_UP_QUERY_MS 150
@@ -380,26 +381,18 @@
     }
 }
 
-/* Returns true if a switch can begin without losing commits: the primary is
-   gone or a replica is at most CAUGHT_UP_ENTRIES behind it. Otherwise asks the
-   members for their state. Stops waiting after CAUGHT_UP_TIMEOUT_MS. */
+/* Returns true if another listed member reports to be a primary: it has been
+   replaced and has not stepped down yet. */
 static bool
-replica_caught_up(struct promoter *p, struct primary_change *c,
-                  const struct view_entry *e, clock_ms since, clock_ms now)
+has_stale_primary(const struct primary_change *c, const struct view_entry *e)
 {
-    const struct member_state *old = primary_change_find_member(c, e->primary);
-    const struct member_state *best = successor_preferred(c, e->primary, now);
-
-    if (old == NULL || now - since >= CAUGHT_UP_TIMEOUT_MS) {
-        return true;
-    }
-    if (old->answered && best != NULL &&
-        best->report.received_position + CAUGHT_UP_ENTRIES >=
-            old->report.received_position &&
-        best->report.received_term == old->report.received_term) {
-        return true;
+    for (int i = 0; i < c->count; i++) {
+        const struct member_state *m = &c->members[i];
+        if (m->listed && m->says_primary && strcmp(m->id, e->primary) != 0 &&
+            e->term > 0) {
+            return true;
+        }
     }
-    primary_change_query_members(p, c, e->primary, CAUGHT_UP_QUERY_MS, now);
     return false;
 }
 
@@ -419,6 +412,35 @@
     }
 }
 
+/* Returns true if a switch can begin without losing commits: the primary is
+   gone, or a replica is at most CAUGHT_UP_ENTRIES behind it and there is no
+   replaced primary that the replicas could follow once it has stepped down.
+   Otherwise asks the members for their state. Stops waiting after
+   CAUGHT_UP_TIMEOUT_MS. */
+static bool
+replica_caught_up(struct promoter *p, struct primary_change *c,
+                  const struct view_entry *e, clock_ms since, clock_ms now)
+{
+    const struct member_state *old = primary_change_find_member(c, e->primary);
+    const struct member_state *best = successor_preferred(c, e->primary, now);
+
+    if (old == NULL || now - since >= CAUGHT_UP_TIMEOUT_MS) {
+        return true;
+    }
+    if (has_stale_primary(c, e)) {
+        demote_stale_primaries(p, c, e, now);
+        return false;
+    }
+    if (old->answered && best != NULL &&
+        best->report.received_position + CAUGHT_UP_ENTRIES >=
+            old->report.received_position &&
+        best->report.received_term == old->report.received_term) {
+        return true;
+    }
+    primary_change_query_members(p, c, e->primary, CAUGHT_UP_QUERY_MS, now);
+    return false;
+}
+
 /* Sets c->index to the service's index in the view; returns false if it is not
    there. The last index is tried first, since services keep theirs. */
 static bool
--- a/src/coordination/promoter_internal.h
+++ b/src/coordination/promoter_internal.h
@@ -63,7 +63,7 @@
     struct member_report target;
     bool has_target;
     char demoted[MEMBER_ID_BYTES]; /* the member asked to step down */
-    bool demoted_current;          /* it led in the newest term */
+    enum phase after_demote;       /* the phase that follows */
     bool demote_sent;
     clock_ms awaited_since;   /* when PHASE_AWAIT_LOG was entered first */
     bool primary_unreachable; /* most proxies cannot reach the old primary */
--- a/tests/coordination/test_promoter.c
+++ b/tests/coordination/test_promoter.c
@@ -21,7 +21,8 @@
     uint64_t fence;
     int queries;
     int demotes;
-    uint64_t round; /* of the last query */
+    char demoted[MEMBER_ID_BYTES]; /* the member that was asked last */
+    uint64_t round;                /* of the last query */
 };
 
 static const struct agreement_peer peers[] = {
@@ -55,10 +56,12 @@
     struct fixture *f = ctx;
 
     (void)service;
-    (void)member;
     f->queries++;
-    f->demotes += demote_term > 0;
     f->round = round;
+    if (demote_term > 0) {
+        f->demotes++;
+        g_strlcpy(f->demoted, member, sizeof(f->demoted));
+    }
 }
 
 static void
@@ -309,6 +312,100 @@
     teardown(&f);
 }
 
+/* Guards against a planned switch in which the primary steps down while an
+   earlier one still leads: replicas would follow that one and discard commits
+   that were acknowledged in the newest term. */
+static void
+test_earlier_primary_steps_down_first(void **state)
+{
+    struct fixture f;
+
+    (void)state;
+    setup(&f, "b", false);
+    members[0].draining = true;
+    run_for(&f, 50, false, 5);
+    report(&f, "m1", true, 7, 40);
+    report(&f, "m3", false, 7, 40);
+    run_for(&f, 50, false, 5);
+    assert_int_equal(f.writes, 1);
+    accept_write(&f);
+    run_for(&f, 75, false, 6);
+    report(&f, "m1", true, 7, 40);
+    report(&f, "m2", true, 6, 38);
+    report(&f, "m3", false, 7, 40);
+    run_for(&f, 50, false, 6);
+    assert_int_equal(f.demotes, 1);
+    assert_string_equal(f.demoted, "m2");
+    report(&f, "m2", false, 7, 38);
+    run_for(&f, 50, false, 6);
+    assert_int_equal(f.demotes, 1);
+    report(&f, "m1", true, 7, 40);
+    report(&f, "m2", false, 7, 38);
+    report(&f, "m3", false, 7, 40);
+    run_for(&f, 50, false, 6);
+    assert_int_equal(f.demotes, 2);
+    assert_string_equal(f.demoted, "m1");
+    teardown(&f);
+}
+
+/* Guards against the same when the earlier primary does not answer: the switch
+   begins once it does not report to be a primary any more, or is not waited
+   for any longer. */
+static void
+test_switch_waits_for_an_earlier_primary(void **state)
+{
+    for (int steps_down = 0; steps_down < 2; steps_down++) {
+        struct fixture f;
+        struct view v;
+
+        (void)state;
+        setup(&f, "b", false);
+        v = *agreement_view(f.agreement);
+        v.version = 6;
+        v.entries[0].term = 7;
+        agreement_adopt_view(f.agreement, &v);
+        agreement_set_applied(f.agreement, 6);
+        members[0].draining = true;
+        members[1].says_primary = true;
+        for (int i = 0; i < 40; i++) {
+            run_for(&f, 100, false, 6);
+            report(&f, "m1", true, 7, 40);
+            report(&f, "m3", false, 7, 40);
+            assert_int_equal(f.writes, 0);
+        }
+        assert_true(f.demotes > 0);
+        assert_string_equal(f.demoted, "m2");
+        members[1].says_primary = steps_down == 0;
+        run_for(&f, steps_down == 0 ? 600 : 100, false, 6);
+        assert_int_equal(f.writes, 1);
+        teardown(&f);
+    }
+}
+
+/* Guards against waiting for an earlier primary that does not step down. */
+static void
+test_stubborn_earlier_primary_is_passed_over(void **state)
+{
+    struct fixture f;
+
+    (void)state;
+    setup(&f, "b", false);
+    members[0].draining = true;
+    run_for(&f, 50, false, 5);
+    report(&f, "m1", true, 7, 40);
+    report(&f, "m3", false, 7, 40);
+    run_for(&f, 50, false, 5);
+    accept_write(&f);
+    for (int i = 0; i < 200 && strcmp(f.demoted, "m1") != 0; i++) {
+        run_for(&f, 25, false, 6);
+        report(&f, "m1", true, 7, 40);
+        report(&f, "m2", true, 6, 38);
+        report(&f, "m3", false, 7, 40);
+    }
+    assert_string_equal(f.demoted, "m1");
+    teardown(&f);
+}
+
 /* Guards against replacing a new primary at once because its predecessor had
    reported to be a replica: the directory shows the role of the new one a
    little later. */
@@ -1003,6 +1100,9 @@
         cmocka_unit_test(test_new_holder_gets_full_timeout),
         cmocka_unit_test(test_lost_primary_is_replaced),
         cmocka_unit_test(test_planned_switch_waits_for_the_log),
+        cmocka_unit_test(test_earlier_primary_steps_down_first),
+        cmocka_unit_test(test_switch_waits_for_an_earlier_primary),
+        cmocka_unit_test(test_stubborn_earlier_primary_is_passed_over),
         cmocka_unit_test(test_reasons_do_not_apply_to_the_next_primary),
         cmocka_unit_test(test_false_alarms),
         cmocka_unit_test(test_unlisted_primary_that_answers),
