base: a SIGHUP during the start does not end the process

Operators saw: a process ended by SIGHUP when it came within some milliseconds of its start; galenastepd at any time. Cause: the default action applied until the handler was installed, and galenastepd installed none. Change: block SIGHUP first in main() until the handler is installed; galenastepd logs it and goes on. Before main(), while the program is loaded, the default action still applies.

--- a/src/daemon/daemon.c
+++ b/src/daemon/daemon.c
@@ -1,5 +1,6 @@
 #include "daemon/daemon.h"
 
+#include "base/held_signal.h"
 #include "caller/front.h"
 #include "daemon/apply_ticket.h"
 #include "daemon/health.h"
@@ -40,6 +41,7 @@
     struct rpc_server *server;
     ev_signal sigterm;
     ev_signal sigint;
+    ev_signal sighup;
     ev_timer drain_limit_timer;
     ev_timer drain_notice_timer;
     clock_ms drain_started_at;
@@ -222,6 +224,17 @@
     begin_drain(d);
 }
 
+/* The default action would end the process and cut off its callers. */
+static void
+on_sighup(struct ev_loop *loop, ev_signal *w, int revents)
+{
+    (void)loop;
+    (void)w;
+    (void)revents;
+    LOG_WARNING("reload", NULL,
+                "SIGHUP is ignored: settings are read at the start only");
+}
+
 static void
 install_signal_handlers(struct daemon *d)
 {
@@ -234,6 +247,9 @@
     d->sigint.data = d;
     ev_signal_start(d->loop, &d->sigterm);
     ev_signal_start(d->loop, &d->sigint);
+    ev_signal_init(&d->sighup, on_sighup, SIGHUP);
+    ev_signal_start(d->loop, &d->sighup);
+    held_signal_set(SIGHUP, false);
 }
 
 /* Up to this many proxies watch every database at the short probe interval, so
--- a/src/galenastepd.c
+++ b/src/galenastepd.c
@@ -1,8 +1,10 @@
+#include "base/held_signal.h"
 #include "base/log.h"
 #include "daemon/daemon.h"
 #include "settings/settings.h"
 
 #include <glib.h>
+#include <signal.h>
 #include <stdio.h>
 
 int
@@ -27,6 +29,7 @@
     GOptionContext *options =
         g_option_context_new("- database proxy with session consistency");
 
+    held_signal_set(SIGHUP, true);
     log_set_program("galenastepd");
     g_option_context_add_main_entries(options, entries, NULL);
     if (!g_option_context_parse(options, &argc, &argv, &option_error)) {
