coordination: synchronous commits of members that left, and of a whole old primary

Callers saw (in the model): with sync_replicas, acknowledged commits missing after a change; and changes that waited 8 s for a replica although the old primary had everything. Causes: a draining replica that had left the list did not count as missing, although the member that takes over its log is listed only later (PROTOCOL.md: "Its log is transferred to a new member at its address"). An old primary that had stepped down in a change of another holder was chosen last, and its log not taken into account. Change: an unlisted member is passed over only once another listed one has its address. With sync_replicas, an old primary that has stepped down, answers, and has its whole log proves that a candidate has all commits, and is promoted again if the others may lack some. Model: a commit is acknowledged once a replica has received it by replication and if its proxy still has its lease; members leave the list, and leave while draining and return. Tests: test_log_of_a_member_that_left_is_awaited and test_whole_old_primary_is_promoted_again fail on the code before. One case of test_missing_replica_is_awaited asked that a member which has left is never awaited; that is what the model shows to lose commits. It now asks so once its successor is listed, and the new test asks the opposite before.

--- a/src/coordination/peer_message_xdr.h
+++ b/src/coordination/peer_message_xdr.h
@@ -8,28 +8,26 @@
 
 #include <rpc/rpc.h>
 
-
 #ifdef __cplusplus
 extern "C" {
 #endif
 
-
 struct wire_position {
-	u_int index;
-	u_quad_t term;
-	u_quad_t log_position;
-	quad_t age_ms;
+    u_int index;
+    u_quad_t term;
+    u_quad_t log_position;
+    quad_t age_ms;
 };
 typedef struct wire_position wire_position;
 
 struct wire_entry {
-	char *service;
-	char *primary;
-	char *ordered;
-	u_quad_t ordered_set;
-	u_quad_t epoch;
-	u_quad_t term;
-	bool_t changing;
+    char *service;
+    char *primary;
+    char *ordered;
+    u_quad_t ordered_set;
+    u_quad_t epoch;
+    u_quad_t term;
+    bool_t changing;
 };
 typedef struct wire_entry wire_entry;
 #define WIRE_LEAVING 1
@@ -37,63 +35,63 @@
 #define WIRE_REPLY 4
 
 struct wire_details {
-	struct {
-		u_int unreachable_len;
-		u_quad_t *unreachable_val;
-	} unreachable;
-	struct {
-		u_int silent_len;
-		u_quad_t *silent_val;
-	} silent;
-	struct {
-		u_int positions_len;
-		wire_position *positions_val;
-	} positions;
+    struct {
+        u_int unreachable_len;
+        u_quad_t *unreachable_val;
+    } unreachable;
+    struct {
+        u_int silent_len;
+        u_quad_t *silent_val;
+    } silent;
+    struct {
+        u_int positions_len;
+        wire_position *positions_val;
+    } positions;
 };
 typedef struct wire_details wire_details;
 
 struct wire_changes {
-	u_quad_t base_version;
-	char *holder;
-	u_quad_t fence;
-	struct {
-		u_int entries_len;
-		wire_entry *entries_val;
-	} entries;
+    u_quad_t base_version;
+    char *holder;
+    u_quad_t fence;
+    struct {
+        u_int entries_len;
+        wire_entry *entries_val;
+    } entries;
 };
 typedef struct wire_changes wire_changes;
 
 struct wire_message {
-	char *from;
-	u_quad_t incarnation;
-	quad_t sent_at;
-	quad_t echo;
-	u_quad_t echo_incarnation;
-	u_quad_t applied;
-	u_quad_t view_version;
-	u_quad_t catalog_version;
-	u_quad_t registry_hash;
-	u_int flags;
-	wire_details *details;
-	wire_changes *changes;
+    char *from;
+    u_quad_t incarnation;
+    quad_t sent_at;
+    quad_t echo;
+    u_quad_t echo_incarnation;
+    u_quad_t applied;
+    u_quad_t view_version;
+    u_quad_t catalog_version;
+    u_quad_t registry_hash;
+    u_int flags;
+    wire_details *details;
+    wire_changes *changes;
 };
 typedef struct wire_message wire_message;
 
 /* the xdr functions */
 
 #if defined(__STDC__) || defined(__cplusplus)
-extern  bool_t xdr_wire_position (XDR *, wire_position*);
-extern  bool_t xdr_wire_entry (XDR *, wire_entry*);
-extern  bool_t xdr_wire_details (XDR *, wire_details*);
-extern  bool_t xdr_wire_changes (XDR *, wire_changes*);
-extern  bool_t xdr_wire_message (XDR *, wire_message*);
+extern bool_t xdr_wire_position(XDR *, wire_position *);
+extern bool_t xdr_wire_entry(XDR *, wire_entry *);
+extern bool_t xdr_wire_details(XDR *, wire_details *);
+extern bool_t xdr_wire_changes(XDR *, wire_changes *);
+extern bool_t xdr_wire_message(XDR *, wire_message *);
 
 #else /* K&R C */
-extern bool_t xdr_wire_position ();
-extern bool_t xdr_wire_entry ();
-extern bool_t xdr_wire_details ();
-extern bool_t xdr_wire_changes ();
-extern bool_t xdr_wire_message ();
+extern bool_t xdr_wire_position();
+extern bool_t xdr_wire_entry();
+extern bool_t xdr_wire_details();
+extern bool_t xdr_wire_changes();
+extern bool_t xdr_wire_message();
 
 #endif /* K&R C */
 
--- a/src/coordination/promoter.c
+++ b/src/coordination/promoter.c
@@ -117,6 +117,7 @@
         m->listed = members[i].listed;
         m->draining = members[i].draining;
         m->says_primary = members[i].says_primary;
+        m->replaced = members[i].replaced;
     }
     memcpy(c->members, kept, sizeof(kept));
     c->count = count;
--- a/src/coordination/promoter.h
+++ b/src/coordination/promoter.h
@@ -38,6 +38,8 @@
     bool listed;
     bool draining;
     bool says_primary;
+    bool replaced; /* another listed member has its address, and its log if it
+                      has left in order */
 };
 
 /* What this proxy knows of a service. */
--- a/src/coordination/promoter_internal.h
+++ b/src/coordination/promoter_internal.h
@@ -30,6 +30,7 @@
     char id[MEMBER_ID_BYTES];
     bool listed;
     bool draining;
+    bool replaced;
     bool says_primary;
     bool query_pending;
     bool answered;
--- a/src/coordination/successor.c
+++ b/src/coordination/successor.c
@@ -72,19 +72,34 @@
     return best;
 }
 
+/* Returns true if a member has stepped down as primary and answers with its
+   whole log: that which it had when it stepped down, or one that ends in the
+   newest term, which it has led. */
+static bool
+is_whole(const struct primary_change *c, const struct view_entry *e,
+         const struct member_state *m)
+{
+    if (m == NULL || !m->answered || m->report.primary ||
+        strcmp(m->id, e->primary) != 0) {
+        return false;
+    }
+    return (c->has_target && !successor_is_ahead(&c->target, &m->report)) ||
+           (e->term != 0 && m->report.received_term == e->term);
+}
+
 /* Returns true if a member has received every commit that was acknowledged
-   with sync_replicas: it has the whole log of the primary that stepped down,
-   or no replica that may have confirmed a commit is ahead of it. Fewer
-   replicas than sync_replicas may be missing, since each commit is on so
-   many. */
+   with sync_replicas: it has the whole log of a primary that stepped down, or
+   no replica that may have confirmed a commit is ahead of it. Fewer replicas
+   than sync_replicas may be missing, since each commit is on so many. */
 static bool
 has_synchronous_commits(const struct primary_change *c,
-                        const struct member_state *candidate, const char *old)
+                        const struct view_entry *e,
+                        const struct member_state *candidate)
 {
 #ifdef SUCCESSOR_BREAK_SYNCHRONOUS
     (void)c;
+    (void)e;
     (void)candidate;
-    (void)old;
     return true;
 #else
     int missing = 0;
@@ -94,11 +109,21 @@
     }
     for (int i = 0; i < c->count; i++) {
         const struct member_state *m = &c->members[i];
-        if (strcmp(m->id, old) == 0) {
+        if (is_whole(c, e, m) &&
+            !successor_is_ahead(&m->report, &candidate->report)) {
+            return true;
+        }
+    }
+    for (int i = 0; i < c->count; i++) {
+        const struct member_state *m = &c->members[i];
+        if (strcmp(m->id, e->primary) == 0) {
             continue;
         }
-        /* The log of a member that has left goes to its successor. */
+#ifdef SUCCESSOR_BREAK_LEFT
         missing += !m->answered && !(m->draining && !m->listed);
+#else
+        missing += !m->answered && !m->replaced;
+#endif
         if (m->answered &&
             successor_is_ahead(&m->report, &candidate->report)) {
             return false;
@@ -116,7 +141,7 @@
                   const struct member_state *candidate)
 {
     if (c->sync_replicas > 0) {
-        return has_synchronous_commits(c, candidate, e->primary)
+        return has_synchronous_commits(c, e, candidate)
                    ? 0
                    : SYNCHRONOUS_LOG_WAIT_MS;
     }
@@ -150,9 +175,9 @@
    sync_replicas, a replica that is draining or no longer listed is chosen if
    it is ahead of all others: it may be the only one with the last commits. The
    member that was ordered last is preferred, so that an order which is carried
-   out late changes nothing. The old primary is promoted again only if there is
-   no other candidate, it has stepped down, and an order prevents that it
-   simply continues. */
+   out late changes nothing. The old primary is promoted again only if it has
+   stepped down, and there is no other candidate and an order prevents that it
+   simply continues, or with sync_replicas the others may lack commits. */
 struct member_state *
 successor_choose(struct primary_change *c, const struct view_entry *e,
                  clock_ms now)
@@ -166,6 +191,12 @@
         (best == NULL || successor_is_ahead(&ahead->report, &best->report))) {
         best = ahead;
     }
+    if (c->sync_replicas > 0 && is_whole(c, e, old) &&
+        now >= old->excluded_until &&
+        (best == NULL || (successor_is_ahead(&old->report, &best->report) &&
+                          !has_synchronous_commits(c, e, best)))) {
+        best = old;
+    }
     if (best != NULL && ordered != NULL && ordered->answered &&
         ordered->listed && now >= ordered->excluded_until &&
         (is_barred(c, e, best->id, now) ||
--- a/tests/coordination/model_primary_change.c
+++ b/tests/coordination/model_primary_change.c
@@ -16,7 +16,8 @@
    Exit status 1 if a rule was broken:
 
    ONE   a proxy uses a member after a member of a later term was promoted
-   LOST  with synchronous commits, a promoted member lacks an acknowledged one
+   LOST  with synchronous commits, a promoted member lacks an acknowledged one;
+         a commit is acknowledged once a replica has received it
    TERM  the term of a published primary goes down
    DEAD  after the last fault, no primary serves within RECOVERY_MS */
 
@@ -28,6 +29,7 @@
 #define MEMBERS 3
 #define LOG_MAX 4000
 #define EVENTS_MAX 512
+#define PENDING_MAX 512
 #define TICK_MS 25
 #define MESSAGE_MS 400
 #define CONFIRM_MS 300
@@ -54,9 +56,19 @@
     clock_ms deaf_until; /* receives nothing */
     int64_t lag_ms;
     bool draining;
+    clock_ms unlisted_until;   /* the directory has no entry of it */
     clock_ms sees_newer_since; /* as a replaced primary; 0 if not */
 };
 
+/* A commit that no replica has received yet. */
+struct pending_commit {
+    uint32_t id;
+    uint64_t term;
+    int member;
+    int proxy;
+    uint64_t incarnation;
+};
+
 enum event_kind {
     EVENT_MESSAGE,
     EVENT_QUERY,  /* arrives at the member */
@@ -117,6 +129,8 @@
     uint32_t next_id;
     uint32_t acked[LOG_MAX]; /* ids of acknowledged entries */
     int acked_count;
+    struct pending_commit pending[PENDING_MAX];
+    int pending_count;
     const char *broken;
 } w;
 
@@ -568,24 +582,54 @@
         fail("ONE");
     }
     const struct entry e = {.term = m->term, .id = ++w.next_id, .at = w.now};
-    struct member *receiver = NULL;
-    for (int k = 0; k < MEMBERS; k++) {
-        struct member *r = &w.members[k];
-        if (r != m && is_up(r) && w.now >= r->deaf_until && !r->primary &&
-            r->length == m->length &&
-            (m->length == 0 ||
-             r->log[m->length - 1].id == m->log[m->length - 1].id)) {
-            receiver = r;
-        }
-    }
     m->log[m->length++] = e;
     w.newest_commit_term = MAX(w.newest_commit_term, e.term);
-    if (w.sync_replicas == 0) {
-        return;
+    if (w.sync_replicas > 0 && w.pending_count < PENDING_MAX) {
+        w.pending[w.pending_count++] =
+            (struct pending_commit){.id = e.id,
+                                    .term = e.term,
+                                    .member = i,
+                                    .proxy = (int)(p - w.proxies),
+                                    .incarnation = p->incarnation};
     }
-    if (receiver != NULL) {
-        receiver->log[receiver->length++] = e;
-        w.acked[w.acked_count++] = e.id;
+}
+
+/* Returns true if a proxy passes the answer to a commit on: it still follows
+   the member, or it had no reason yet to assume that others do not. */
+static bool
+passes_answer_on(const struct pending_commit *c)
+{
+    const struct proxy *p = &w.proxies[c->proxy];
+    const struct view *v = agreement_view(p->agreement);
+
+    return runs(p) && p->incarnation == c->incarnation && v->count > 0 &&
+           !v->entries[0].changing &&
+           strcmp(v->entries[0].primary, member_names[c->member]) == 0 &&
+           agreement_lease_is_valid(p->agreement, w.now);
+}
+
+/* Acknowledges the commits that a replica has received. A proxy that does not
+   run meanwhile receives the answer later, and does not pass it on. */
+static void
+acknowledge_commits(void)
+{
+    for (int i = 0; i < w.pending_count;) {
+        const struct pending_commit *c = &w.pending[i];
+        const struct member *m = &w.members[c->member];
+        bool received = false;
+        for (int k = 0; k < MEMBERS; k++) {
+            received =
+                received || (k != c->member && log_has(&w.members[k], c->id));
+        }
+        const bool open = answers(m) && m->primary && m->term == c->term;
+        if (open && !received) {
+            i++;
+            continue;
+        }
+        if (open && passes_answer_on(c) && w.acked_count < LOG_MAX) {
+            w.acked[w.acked_count++] = c->id;
+        }
+        w.pending[i] = w.pending[--w.pending_count];
     }
 }
 
@@ -623,7 +667,7 @@
     for (int i = 0; i < MEMBERS; i++) {
         list[i] = (struct service_member){
             .id = member_names[i],
-            .listed = true,
+            .listed = w.now >= w.members[i].unlisted_until,
             .draining = w.members[i].draining,
             .says_primary = w.members[i].primary,
         };
@@ -677,7 +721,7 @@
     struct member *m = &w.members[i];
     struct proxy *p = &w.proxies[k];
     const clock_ms end = delay(200, 3500);
-    switch (rng_below(&w.rng, 9)) {
+    switch (rng_below(&w.rng, 11)) {
     case 0:
         m->down_until = end;
         break;
@@ -704,6 +748,14 @@
     case 7:
         p->store_fault_until = end;
         break;
+    case 8:
+        m->unlisted_until = end;
+        break;
+    case 9: /* leaves, and is back later with its log */
+        m->draining = true;
+        m->down_until = end;
+        m->unlisted_until = end;
+        break;
     default:
         if (p->start_at == 0 && p->stop_at == 0) {
             p->stop_at = w.now + 2500; /* stopped in order */
@@ -722,6 +774,7 @@
         m->deaf_until = MIN(m->deaf_until, w.now);
         m->lag_ms = 0;
         m->draining = false;
+        m->unlisted_until = MIN(m->unlisted_until, w.now);
     }
     for (int k = 0; k < PROXIES; k++) {
         struct proxy *p = &w.proxies[k];
@@ -789,6 +842,7 @@
         }
         run_events();
         replicate();
+        acknowledge_commits();
         for (int k = 0; k < PROXIES; k++) {
             run_proxy(&w.proxies[k]);
         }
--- a/tests/coordination/test_promoter.c
+++ b/tests/coordination/test_promoter.c
@@ -100,6 +100,7 @@
     for (int i = 0; i < 3; i++) {
         members[i].listed = true;
         members[i].draining = false;
+        members[i].replaced = false;
         members[i].says_primary = i == 0;
     }
 }
@@ -811,15 +812,75 @@
     assert_int_equal(f.writes, 1);
     assert_string_equal(f.written.entries[0].primary, "m1");
     teardown(&f);
-    /* A member that has left does not count as missing. */
+    /* A member that has left does not count as missing once another one has
+       its address and log. */
     setup_synchronous(&f);
     members[1].draining = true;
     members[1].listed = false;
+    members[1].replaced = true;
     run_for(&f, 350, true, 5);
     accept_order_record(&f, "m3", 0);
     teardown(&f);
 }
 
+/* Guards against a promotion while a draining replica has left and the member
+   that takes its log over is not listed yet. */
+static void
+test_log_of_a_member_that_left_is_awaited(void **state)
+{
+    for (int replaced = 0; replaced < 2; replaced++) {
+        struct fixture f;
+
+        (void)state;
+        setup(&f, "b", true);
+        sync_replicas = 1;
+        members[2].draining = true;
+        members[2].listed = false;
+        members[2].replaced = replaced != 0;
+        run_for(&f, 1500, true, 5);
+        report(&f, "m2", false, 7, 38);
+        run_for(&f, 400, true, 5);
+        assert_int_equal(f.writes, replaced);
+        if (replaced == 0) {
+            report(&f, "m3", false, 7, 40);
+            run_for(&f, 400, true, 5);
+            report(&f, "m2", false, 7, 38);
+            report(&f, "m3", false, 7, 40);
+            run_for(&f, 400, true, 5);
+        }
+        accept_order_record(&f, replaced != 0 ? "m2" : "m3", 0);
+        teardown(&f);
+    }
+}
+
+/* Guards against waiting for a missing replica, or going on without it, when
+   the old primary has stepped down in an earlier change and has its whole
+   log. */
+static void
+test_whole_old_primary_is_promoted_again(void **state)
+{
+    struct fixture f;
+    struct view v;
+
+    (void)state;
+    setup(&f, "b", true);
+    v = *agreement_view(f.agreement);
+    v.version = 6;
+    v.entries[0].term = 7;
+    agreement_adopt_view(f.agreement, &v);
+    agreement_set_applied(f.agreement, 6);
+    sync_replicas = 1;
+    members[0].says_primary = false;
+    run_for(&f, 1500, false, 6);
+    const struct member_report old = {
+        .term = 8, .received_term = 7, .received_position = 40};
+    promoter_member_answered(f.promoter, "db", "m1", f.round, &old, f.now);
+    report(&f, "m2", false, 7, 38);
+    run_for(&f, 400, false, 6);
+    accept_order_record(&f, "m1", 0);
+    teardown(&f);
+}
+
 /* Guards against waiting for a missing replica although another one has the
    whole log of the primary, which has stepped down. */
 static void
@@ -1119,6 +1180,8 @@
         cmocka_unit_test(test_draining_replica_keeps_synchronous_commits),
         cmocka_unit_test(test_unlisted_replica_keeps_synchronous_commits),
         cmocka_unit_test(test_missing_replica_is_awaited),
+        cmocka_unit_test(test_log_of_a_member_that_left_is_awaited),
+        cmocka_unit_test(test_whole_old_primary_is_promoted_again),
         cmocka_unit_test(test_whole_log_needs_no_other_replica),
         cmocka_unit_test(test_draining_replicas_replace_a_lost_primary),
         cmocka_unit_test(test_newest_of_two_primaries_is_published),
