relay: acknowledge a synchronous commit only while the lease has held

Cause: the answer of a member was passed on whatever had happened since the request was sent. Change: if the lease is not valid, was lost since, or the process was suspended, the outcome of the commit is unknown. Only services with sync_replicas promise that the next primary has it, so others are as before. Test: test_synchronous_commit_needs_the_lease (eight cases) fails without the rule (RELAY_BREAK_SYNCHRONOUS).

--- a/src/node/members.c
+++ b/src/node/members.c
@@ -59,6 +59,23 @@
     return r != NULL ? *r : (struct member_range){0};
 }
 
+/* Returns true if a member is not listed any more and another one uses its
+   address. */
+bool
+node_is_replaced(const struct node *n, const struct member_range *r,
+                 const struct known_member *m)
+{
+    for (guint k = 0; k < r->count && m->unlisted_at != 0; k++) {
+        const struct known_member *o =
+            &g_array_index(n->members, struct known_member, r->first + k);
+        if (o->unlisted_at == 0 && o->entry.port == m->entry.port &&
+            strcmp(o->entry.host, m->entry.host) == 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
 /* Passes the listed and the unlisted members to their services. */
 void
 node_update_members(struct node *n)
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -183,23 +183,6 @@
                              clock_boottime_ms());
 }
 
-/* Returns true if a member is not listed any more and another one uses its
-   address. */
-static bool
-is_replaced(const struct node *n, const struct member_range *r,
-            const struct known_member *m)
-{
-    for (guint k = 0; k < r->count && m->unlisted_at != 0; k++) {
-        const struct known_member *o =
-            &g_array_index(n->members, struct known_member, r->first + k);
-        if (o->unlisted_at == 0 && o->entry.port == m->entry.port &&
-            strcmp(o->entry.host, m->entry.host) == 0) {
-            return true;
-        }
-    }
-    return false;
-}
-
 /* Runs the promoter for each configured service. */
 void
 node_tick_promoter(struct node *n, clock_ms now)
@@ -228,7 +211,7 @@
                 .listed = m->unlisted_at == 0,
                 .draining = m->entry.draining,
                 .says_primary = m->entry.says_primary,
-                .replaced = is_replaced(n, &r, m),
+                .replaced = node_is_replaced(n, &r, m),
             };
         }
         const struct service_limits *limits =
--- a/src/node/node_internal.h
+++ b/src/node/node_internal.h
@@ -88,6 +88,8 @@
 
 /* members.c */
 void node_update_members(struct node *n);
+bool node_is_replaced(const struct node *n, const struct member_range *r,
+                      const struct known_member *m);
 struct member_range node_members_of(const struct node *n, const char *service);
 void node_maintain_lists(struct node *n, clock_ms now);
 void node_check_stored_list(struct node *n, clock_ms now);
--- a/src/relay/exchange.c
+++ b/src/relay/exchange.c
@@ -91,6 +91,22 @@
     }
 }
 
+/* Returns true if the answer to the request acknowledges a commit that
+   sync_replicas protects, and the primary may have been replaced before the
+   commit: the new one may lack it. */
+static bool
+commit_may_be_lost(const struct session *s)
+{
+    const struct service_limits *limits =
+        g_hash_table_lookup(s->catalog->services, s->route->service);
+    const bool commits = s->transaction == TRANSACTION_NONE
+                             ? s->writes
+                             : s->request.verb == VERB_COMMIT && s->wrote;
+
+    return commits && limits != NULL && limits->sync_replicas > 0 &&
+           !pooled_held_lease(s->pooled, session_now(s));
+}
+
 /* Passes the member's answer to the caller. Returns the connection to the pool
    unless the transaction stays open. */
 static void
@@ -100,6 +116,14 @@
     struct pooled_link *l = s->pooled;
     const bool ok = a.failure == FAILURE_NONE;
 
+#ifndef RELAY_BREAK_SYNCHRONOUS
+    if (ok && commit_may_be_lost(s)) {
+        s->step = STEP_IDLE;
+        s->begun = false;
+        session_answer_failure(s, FAILURE_UNKNOWN_OUTCOME, "lease lost");
+        return;
+    }
+#endif
     if (ok && a.position.known) {
         token_raise(&s->token, a.position.term, a.position.position);
     }
--- a/src/relay/links.c
+++ b/src/relay/links.c
@@ -2,6 +2,9 @@
 
 #include "base/event_log.h"
 
+/* Without a call of service_tick() for this long, the process may have been
+   suspended. */
+#define TICK_GAP_MAX_MS 300
 /* Delay before the next connection attempt to an unreachable member: the first
    one, and the maximum after doubling. */
 #define RECONNECT_FIRST_MS 50
@@ -405,6 +408,19 @@
                               s->lease_valid(s->ctx, s->name, now));
 }
 
+/* Returns true if the lease has been valid without a break since the last
+   request was sent on a link, so that no other primary can have been chosen
+   before the member answered. */
+bool
+pooled_held_lease(const struct pooled_link *l, clock_ms now)
+{
+    const struct service *s = l->member->service;
+
+    return s->lease_valid(s->ctx, s->name, now) &&
+           l->sent_at >= clock_later(s->resumed_at, s->lease_regained_at) &&
+           now - s->ticked_at < TICK_GAP_MAX_MS;
+}
+
 /* Returns true if the member was the primary when the link was granted. */
 bool
 pooled_is_primary(const struct pooled_link *l)
--- a/src/relay/service.h
+++ b/src/relay/service.h
@@ -107,6 +107,7 @@
 void pooled_abandon(struct pooled_link *l);
 void pooled_discard(struct pooled_link *l);
 bool pooled_is_current(const struct pooled_link *l, clock_ms now);
+bool pooled_held_lease(const struct pooled_link *l, clock_ms now);
 bool pooled_is_primary(const struct pooled_link *l);
 const char *pooled_member(const struct pooled_link *l);
 int64_t pooled_silent_ms(const struct pooled_link *l, clock_ms now);
--- a/src/relay/service_internal.h
+++ b/src/relay/service_internal.h
@@ -89,8 +89,10 @@
     char primary[MEMBER_ID_BYTES]; /* empty if unknown */
     bool primary_changing;
     clock_ms primary_changed_at;
-    clock_ms resumed_at;    /* the process was suspended until then */
-    clock_ms lease_lost_at; /* 0 while the lease is valid */
+    clock_ms resumed_at;        /* the process was suspended until then */
+    clock_ms lease_lost_at;     /* 0 while the lease is valid */
+    clock_ms lease_regained_at; /* 0 if it was never lost */
+    clock_ms ticked_at;         /* last call of service_tick() */
     struct position_samples position_samples; /* of the primary's position */
     bool dispatching;
     bool dispatch_again; /* service_dispatch() was called while dispatching */
--- a/src/relay/upkeep.c
+++ b/src/relay/upkeep.c
@@ -184,7 +184,11 @@
 service_tick(struct service *s, clock_ms now)
 {
     drop_outdated_links(s, now);
+    s->ticked_at = now;
     if (s->lease_valid(s->ctx, s->name, now)) {
+        if (s->lease_lost_at != 0) {
+            s->lease_regained_at = now;
+        }
         s->lease_lost_at = 0;
     }
     else if (s->lease_lost_at == 0) {
--- a/tests/relay/test_session.c
+++ b/tests/relay/test_session.c
@@ -728,6 +728,54 @@
     fixture_teardown(&f);
 }
 
+/* Guards against a commit that is acknowledged although the primary may have
+   been replaced before it: after a lapse of the lease, or a suspension of the
+   process, while the answer was outstanding. Only services whose commits are
+   synchronous promise that the next primary has it. */
+static void
+test_synchronous_commit_needs_the_lease(void **state)
+{
+    static const enum failure expected[][2] = {
+        /* not synchronous, synchronous */
+        {FAILURE_NONE, FAILURE_NONE},            /* nothing happens */
+        {FAILURE_NONE, FAILURE_UNKNOWN_OUTCOME}, /* the lease is lost */
+        {FAILURE_NONE, FAILURE_UNKNOWN_OUTCOME}, /* and valid again */
+        {FAILURE_NONE, FAILURE_UNKNOWN_OUTCOME}, /* suspended */
+    };
+
+    (void)state;
+    for (int i = 0; i < 8; i++) {
+        const int event = i / 2;
+        const int synchronous = i % 2;
+        struct fixture f;
+        fixture_setup(&f, FRESHNESS_PRIMARY);
+        struct service_limits *limits = g_new0(struct service_limits, 1);
+        limits->service = g_strdup(catalog_route(f.catalog, "boats")->service);
+        limits->max_connections = 16;
+        limits->sync_replicas = synchronous;
+        catalog_add_service(f.catalog, limits);
+        struct session *s = fixture_session(&f);
+        struct member_link *l = open_transaction(&f, s);
+        fixture_advance_time(&f, 25);
+        fixture_request(s, VERB_COMMIT, "COMMIT");
+        if (event == 1 || event == 2) {
+            f.lease = false;
+            fixture_advance_time(&f, 50);
+            f.lease = event == 2;
+            fixture_advance_time(&f, 50);
+        }
+        else if (event == 3) {
+            f.now += 2000;
+        }
+        fixture_answer(l, FAILURE_NONE, TRANSACTION_NONE, 3, 8);
+        assert_int_equal(f.answers, 3);
+        assert_int_equal(f.failure, expected[event][synchronous]);
+        assert_int_equal(f.state, TRANSACTION_NONE);
+        session_end(s);
+        fixture_teardown(&f);
+    }
+}
+
 int
 main(void)
 {
@@ -752,6 +800,7 @@
         cmocka_unit_test(test_settings_are_compared_by_value),
         cmocka_unit_test(test_shutdown_ends_transactions),
         cmocka_unit_test(test_shutdown_leaves_time_for_short_statements),
+        cmocka_unit_test(test_synchronous_commit_needs_the_lease),
         cmocka_unit_test(test_shutdown_answers_every_request),
         cmocka_unit_test(test_shutdown_sends_nothing_at_the_end),
     };
