--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -38,6 +38,9 @@
 #define SETTLE_S 6
 /* Of the replica that is behind with --sync-replicas. */
 #define LAG_MS 1200
+/* A replica with the newest commits that stops together with the primary is
+   away for longer than a change that does not wait for it takes. */
+#define AHEAD_DOWN_MIN_MS 1500
 #define PROMOTION_MIN_MS 100
 #define PROMOTION_MAX_MS 1200
 /* With --late-orders, the faults of members end this long after an order, so
@@ -88,6 +91,7 @@
     gboolean synchronous;
     int draining;             /* member that reports to be draining, or -1 */
     clock_ms primary_stop_at; /* 0: not scheduled */
+    int ahead;                /* the replica that is not behind by then */
     int violations;
     int config_version;
     long faults;
@@ -321,8 +325,11 @@
 disturb_holder(struct soak *s, struct proxy_process *p)
 {
     const clock_ms now = clock_monotonic_ms();
+    /* A replica that was promoted too early could still catch up. */
+    const bool end_member_faults =
+        !s->synchronous || rng_below(&s->order_rng, 4) == 0;
 
-    for (int i = 0; i < SOAK_MEMBERS; i++) {
+    for (int i = 0; i < SOAK_MEMBERS && end_member_faults; i++) {
         if (s->member_start_at[i] != 0) {
             s->member_start_at[i] = now + RETURN_AFTER_ORDER_MS;
         }
@@ -468,7 +475,8 @@
 }
 
 /* Makes one replica the only one with the newest commits, often a draining
-   one, and stops the primary some time later. */
+   one, and stops the primary some time later, often together with that
+   replica. */
 static void
 inject_synchronous_fault(struct soak *s)
 {
@@ -479,12 +487,20 @@
         s->primary_stop_at = 0;
         standin_group_set_down(s->group, primary, true);
         s->member_start_at[primary] = random_fault_end_of(&s->order_rng);
+        if (s->ahead != primary && rng_below(&s->order_rng, 3) > 0) {
+            standin_group_set_down(s->group, s->ahead, true);
+            s->member_start_at[s->ahead] =
+                now + AHEAD_DOWN_MIN_MS +
+                (clock_ms)rng_below(&s->order_rng,
+                                    FAULT_MAX_MS - AHEAD_DOWN_MIN_MS);
+        }
     }
-    else if (s->primary_stop_at == 0 && rng_below(&s->order_rng, 12) == 0) {
+    else if (s->primary_stop_at == 0 && rng_below(&s->order_rng, 5) == 0) {
         const int ahead =
             (primary + 1 + (int)rng_below(&s->order_rng, SOAK_MEMBERS - 1)) %
             SOAK_MEMBERS;
         const int behind = SOAK_MEMBERS - primary - ahead;
+        s->ahead = ahead;
         s->draining = rng_below(&s->order_rng, 3) == 0 ? -1 : ahead;
         standin_group_set_lag(s->group, behind, LAG_MS);
         s->member_fault_end_at[behind] = random_fault_end_of(&s->order_rng);
