--- a/tests/soak/planned_stop.c
+++ b/tests/soak/planned_stop.c
@@ -407,6 +407,17 @@
     }
 }
 
+/* Returns true if late callers have had time to read, or the process did not
+   become ready. */
+static bool
+is_over(const struct soak *s, clock_ms now)
+{
+    if (s->gone_at != 0) {
+        return now - s->gone_at >= LATE_MS;
+    }
+    return s->ready_at == 0 && now - s->started_at >= READY_MAX_MS;
+}
+
 /* Sends the signals when they are due, and ends the run. */
 static void
 on_step(struct ev_loop *loop, ev_timer *w, int revents)
@@ -420,10 +431,7 @@
             s->ready_at = now;
         }
     }
-    if (s->gone_at != 0 && now - s->gone_at >= LATE_MS) {
-        ev_break(loop, EVBREAK_ALL);
-    }
-    else if (s->ready_at == 0 && now - s->started_at >= READY_MAX_MS) {
+    if (is_over(s, now)) {
         ev_break(loop, EVBREAK_ALL);
     }
     else if (s->pid != 0 && s->sigterm_at != 0 &&
