--- a/src/node/copy_fetcher.c
+++ b/src/node/copy_fetcher.c
@@ -187,7 +187,7 @@
               " store_gave_members=%d store_gave_proxies=%d",
               host, c->version, n->catalog->version, n->members_from_store,
               n->peers_from_store);
-    node_apply_catalog(n, c);
+    node_apply_catalog(n, c, "peer");
     catalog_unref(c);
     if (!n->members_from_store) {
         apply_members(n, texts->members);
--- a/src/node/metrics.c
+++ b/src/node/metrics.c
@@ -55,6 +55,8 @@
         g_snprintf(labels, sizeof(labels), "{le=\"%d\"}", 1 << b);
         put_metric(out, "statement_ms_bucket", labels, below);
     }
+    put_metric(out, "catalog_version", "", n->catalog->version);
+    put_metric(out, "catalog_age_ms", "", (uint64_t)node_catalog_age_ms(n));
     put_metric(out, "view_version", "", v->version);
     put_metric(out, "view_fence", "", v->fence);
     put_metric(out, "lease_valid", "",
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -2,7 +2,6 @@
 
 #include "base/event_log.h"
 #include "node/member_query.h"
-#include "relay/connection_share.h"
 
 #include <string.h>
 #include <xxhash.h>
@@ -26,8 +25,6 @@
 /* The load balancer notices within this time that a proxy is not ready; then
    idle callers are disconnected. */
 #define BALANCER_NOTICE_MS 2100
-/* After a power loss, proxies that start together do so within 0.3 s. */
-#define STARTUP_MS 400
 /* A service without connections and queued requests is checked on every eighth
    tick only, so that the cost of a tick grows with the services in use rather
    than with all of them. */
@@ -36,97 +33,15 @@
 #define LIST_INTERVAL_MS 1500
 #define LOG_FLUSH_INTERVAL_MS 1000
 
-/* Returns true while this proxy may rely on the view; called by services. */
-static bool
-lease_valid(void *ctx, const char *service, clock_ms now)
-{
-    const struct node *n = ctx;
-
-    (void)service;
-    return agreement_lease_is_valid(n->agreement, now);
-}
-
-static clock_ms
-boot_now(void *ctx)
+/* Returns the time on the clock of the coordination; called by services and
+   the relay. */
+clock_ms
+node_now(void *ctx)
 {
     (void)ctx;
     return clock_boottime_ms();
 }
 
-/* Sets how many connections to each member this proxy may open. Called when
-   the configuration or the number of proxies changes, and at the end of the
-   startup phase. */
-void
-node_update_shares(struct node *n)
-{
-    const int proxies = agreement_peer_count(n->agreement) + 1;
-    const bool starting = clock_boottime_ms() - n->started_at < STARTUP_MS;
-    GHashTableIter i;
-    void *name;
-    void *service;
-
-    g_hash_table_iter_init(&i, n->services);
-    while (g_hash_table_iter_next(&i, &name, &service)) {
-        const struct service_limits *l =
-            g_hash_table_lookup(n->catalog->services, name);
-        if (l != NULL) {
-            const struct connection_limits limits =
-                connection_limits(l->max_connections, proxies, starting);
-            service_set_connection_limits(service, &limits);
-        }
-    }
-    n->starting = starting;
-}
-
-/* Called with the operator's configuration from the store; c is NULL if the
-   store holds none. */
-void
-node_set_catalog(struct node *n, struct catalog *c)
-{
-    n->catalog_from_store = true;
-    if (c != NULL) {
-        node_apply_catalog(n, c);
-    }
-}
-
-/* Applies a version of the operator's configuration if it is newer than the
-   present one. */
-void
-node_apply_catalog(struct node *n, struct catalog *c)
-{
-    if (n->catalog->version >= c->version) {
-        return;
-    }
-    event_log(EVENT_STATE, "configuration",
-              "version=%llu before=%llu routes=%u services=%u",
-              (unsigned long long)c->version,
-              (unsigned long long)n->catalog->version,
-              g_hash_table_size(c->routes), g_hash_table_size(c->services));
-    catalog_unref(n->catalog);
-    n->catalog = catalog_ref(c);
-    GHashTableIter i;
-    void *name;
-    g_hash_table_iter_init(&i, c->services);
-    while (g_hash_table_iter_next(&i, &name, NULL)) {
-        if (!g_hash_table_contains(n->services, name)) {
-            const struct service_config config = {
-                .name = name,
-                .failure_domain = n->failure_domain,
-                .codec = n->platform.codec,
-                .lease_valid = lease_valid,
-                .now = boot_now,
-                .ctx = n,
-                .seed = XXH64(n->name, strlen(n->name), n->incarnation),
-            };
-            g_hash_table_insert(n->services, g_strdup(name),
-                                service_create(&config));
-        }
-    }
-    node_update_shares(n);
-    node_update_members(n);
-    node_apply_view(n);
-}
-
 /* Called with the outcome of write_view(). */
 void
 node_view_written(struct node *n, bool done)
@@ -311,7 +226,7 @@
     node_tick_promoter(n, now);
     copy_fetcher_tick(n->copy_fetcher, now);
     node_check_stored_list(n, now);
-    if (n->starting && now - n->started_at >= STARTUP_MS) {
+    if (n->starting && now - n->started_at >= NODE_STARTUP_MS) {
         node_update_shares(n);
     }
     check_isolation(n, now);
@@ -396,7 +311,7 @@
     const struct relay_config relay = {
         .catalog = find_catalog,
         .service = find_service,
-        .now = boot_now,
+        .now = node_now,
         .ctx = n,
     };
 
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -60,6 +60,7 @@
 void node_destroy(struct node *n);
 struct relay *node_relay(struct node *n);
 struct catalog *node_catalog(struct node *n);
+int64_t node_catalog_age_ms(const struct node *n);
 bool node_is_ready(const struct node *n);
 bool node_watches_directory(const struct node *n);
 bool node_should_disconnect_callers(const struct node *n);
@@ -68,6 +69,7 @@
 void node_write_metrics(const struct node *n, GString *out);
 
 void node_set_catalog(struct node *n, struct catalog *c);
+void node_set_catalog_checked(struct node *n);
 void node_set_members(struct node *n, const struct member_entry *entries,
                       size_t count);
 void node_set_stored_members(struct node *n, const char *text);
--- a/src/node/node_internal.h
+++ b/src/node/node_internal.h
@@ -9,6 +9,8 @@
 
 /* Further members of a service are ignored. */
 #define SERVICE_MEMBERS_MAX 16
+/* After a power loss, proxies that start together do so within 0.3 s. */
+#define NODE_STARTUP_MS 400
 
 /* A member, listed in the directory or kept after it was unlisted. */
 struct known_member {
@@ -61,6 +63,7 @@
     bool stored_list_checked; /* for changes that this proxy lacks */
     bool list_too_long;       /* for a row of the store; logged once */
     bool stored_list_read;
+    clock_ms catalog_checked_at; /* last answer of the store for it; or 0 */
     bool catalog_from_store; /* the store has delivered the configuration */
     bool members_from_store; /* the store has delivered the member list */
     bool peers_from_store;   /* the store has delivered the proxy list */
@@ -70,9 +73,12 @@
     bool store_lost; /* this proxy cannot reach the store */
 };
 
-/* node.c */
+/* configuration.c */
 void node_update_shares(struct node *n);
-void node_apply_catalog(struct node *n, struct catalog *c);
+void node_apply_catalog(struct node *n, struct catalog *c, const char *source);
+
+/* node.c */
+clock_ms node_now(void *ctx);
 void node_tick_promoter(struct node *n, clock_ms now);
 
 /* peer_messages.c */
--- a/tests/platform/test_frontend.c
+++ b/tests/platform/test_frontend.c
@@ -41,6 +41,13 @@
     return catalog;
 }
 
+int64_t
+node_catalog_age_ms(const struct node *n)
+{
+    (void)n;
+    return 0;
+}
+
 struct relay *
 node_relay(struct node *n)
 {
