soak: an operator whose changes must be in force in time

Cause: no test with real processes checked rule CONFIG: the soak rewrote the configuration without any difference that a caller could see. Change: operator.c adds and removes databases and asks every process for them.

--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -14,13 +14,15 @@
    database group, injects faults for SECONDS, removes them and waits for
    recovery, and then checks what callers and members saw.
 
-     soak [--late-orders] [--sync-replicas] PROGRAM SEED SECONDS
-          [MAX_CONNECTIONS [LOG_FOLDER]]
+     soak [--late-orders] [--sync-replicas] [--config-changes]
+          PROGRAM SEED SECONDS [MAX_CONNECTIONS [LOG_FOLDER]]
 
    With --late-orders, promotions take up to 1.2 s, and the process that orders
    one is often stopped, killed, suspended or cut off from the store before it
    takes effect. With --sync-replicas, commits are synchronous, members report
-   that they are draining, and no acknowledged write may be lost.
+   that they are draining, and no acknowledged write may be lost. With
+   --config-changes, faults are few and the operator makes changes around
+   them.
 
    Exit status 0: no guarantee was broken. 1: at least one was. 2: wrong usage
    or no temporary folder. */
@@ -48,6 +50,11 @@
 #define RETURN_AFTER_ORDER_MS 250
 #define FAULT_MAX_MS 3500
 #define VIOLATIONS_MAX 20
+/* Of --config-changes. Longer than the time that the operator grants after the
+   last fault. */
+#define EPISODE_MS 14000
+#define EPISODE_CHANGES 3
+#define EPISODE_STEP_S 0.05
 
 /* Depth of the arrays in an odd entry of the directory. */
 #define ODD_NESTING_LEVELS 40000
@@ -77,6 +84,7 @@
     struct standin_store *store;
     struct standin_group *group;
     struct callers *callers;
+    struct operator* operator;
     struct proxy_process proxies[SOAK_PROXIES];
     guint max_connections; /* that a member accepts */
     struct fault_proxy *member_fault_proxies[SOAK_MEMBERS];
@@ -89,6 +97,12 @@
     struct rng order_rng; /* of the options' faults */
     gboolean late_orders;
     gboolean synchronous;
+    gboolean config_changes;
+    clock_ms episode_at; /* when the present episode began */
+    clock_ms fail_store_at;
+    clock_ms fail_store_ms;
+    clock_ms fail_proxy_at;
+    clock_ms config_at[EPISODE_CHANGES];
     int draining;             /* member that reports to be draining, or -1 */
     clock_ms primary_stop_at; /* 0: not scheduled */
     int ahead;                /* the replica that is not behind by then */
@@ -205,6 +219,7 @@
     GString *o = g_string_new(NULL);
 
     s->config_version += 2;
+    operator_change_routes(s->operator);
     g_string_printf(o, "{\"version\":%d,\"routes\":[", s->config_version);
     for (int i = 0; i < 3; i++) {
         g_string_append_printf(
@@ -214,12 +229,14 @@
             "\"service\":\"%s\",\"max_staleness_ms\":1500}",
             i > 0 ? "," : "", i, types[i][0], types[i][1], SOAK_SERVICE);
     }
+    operator_append_routes(s->operator, o);
     g_string_append_printf(o,
                            "],\"services\":[{\"name\":\"%s\",\"max_conns\":%u,"
                            "\"sync_replicas\":%d}],\"limits\":{\"tx_idle_ms\":"
                            "3000}}",
                            SOAK_SERVICE, s->max_connections, s->synchronous);
     standin_store_put(s->store, "op", "config", o->str);
+    operator_acknowledged(s->operator);
     g_string_free(o, TRUE);
 }
 
@@ -233,6 +250,7 @@
         p->index);
 
     p->leaving = false;
+    operator_disturbed(s->operator, p->index);
     p->pid = fork();
     if (p->pid == 0) {
         setenv("GALENASTEP_SETTINGS", p->settings, 1);
@@ -260,6 +278,7 @@
     ev_child_stop(loop, w);
     p->pid = 0;
     p->sigcont_at = 0;
+    operator_process_ended(p->soak->operator, p->index);
     if (WIFSIGNALED(status) && WTERMSIG(status) != SIGKILL) {
         soak_violation(p->soak, "proxy %d was terminated by signal %d",
                        p->index, WTERMSIG(status));
@@ -380,14 +399,15 @@
 
 /* Injects a fault into one proxy process or its connection to the store. */
 static void
-inject_proxy_fault(struct soak *s)
+inject_proxy_fault(struct soak *s, struct rng *r)
 {
-    struct proxy_process *p = &s->proxies[rng_below(&s->rng, SOAK_PROXIES)];
+    struct proxy_process *p = &s->proxies[rng_below(r, SOAK_PROXIES)];
 
     if (p->pid == 0) {
         return;
     }
-    switch (rng_below(&s->rng, 5)) {
+    operator_disturbed(s->operator, p->index);
+    switch (rng_below(r, 5)) {
     case 0:
         kill(p->pid, SIGKILL);
         break;
@@ -396,16 +416,15 @@
         break;
     case 2:
         kill(p->pid, SIGSTOP);
-        p->sigcont_at = random_fault_end(s);
+        p->sigcont_at = random_fault_end_of(r);
         break;
     case 3:
         kill(p->pid, SIGHUP);
         break;
     default:
-        fault_proxy_set_fault(
-            p->store_fault_proxy,
-            (enum fault)(FAULT_SILENT + rng_below(&s->rng, 3)));
-        p->store_fault_end_at = random_fault_end(s);
+        fault_proxy_set_fault(p->store_fault_proxy,
+                              (enum fault)(FAULT_SILENT + rng_below(r, 3)));
+        p->store_fault_end_at = random_fault_end_of(r);
     }
 }
 
@@ -474,6 +493,64 @@
     }
 }
 
+/* Makes the store fail for a while, in one of the ways. */
+static void
+fail_store(struct soak *s, clock_ms for_ms)
+{
+    switch (rng_below(&s->order_rng, 4)) {
+    case 0:
+        standin_store_set_down(s->store, true);
+        break;
+    case 1:
+        standin_store_lose_answers(s->store, true);
+        break;
+    default:
+        standin_store_set_silent(s->store, true);
+    }
+    s->store_restore_at = clock_monotonic_ms() + for_ms;
+}
+
+/* Plays one step of an episode of --config-changes, which lasts EPISODE_MS: a
+   change, a fault of the store soon after it, more changes around the end of
+   the fault and, in half of the episodes, a fault of one process. Then nothing
+   disturbs the system for longer than the operator grants it. */
+static void
+step_episode(struct soak *s)
+{
+    const clock_ms now = clock_monotonic_ms();
+
+    if (now >= s->episode_at + EPISODE_MS) {
+        struct rng *r = &s->order_rng;
+        s->episode_at = now;
+        s->faults++;
+        s->fail_store_at = now + (clock_ms)rng_below(r, 1200);
+        s->fail_store_ms = 200 + (clock_ms)rng_below(r, 1800);
+        const clock_ms end = s->fail_store_at + s->fail_store_ms;
+        s->fail_proxy_at = rng_below(r, 2) == 0
+                               ? now + (clock_ms)rng_below(r, 4000)
+                               : CLOCK_NEVER;
+        s->config_at[0] = now;
+        s->config_at[1] = end + (clock_ms)rng_below(r, 1500);
+        s->config_at[2] = rng_below(r, 2) == 0
+                              ? end + 1500 + (clock_ms)rng_below(r, 2500)
+                              : CLOCK_NEVER;
+    }
+    for (int i = 0; i < EPISODE_CHANGES; i++) {
+        if (now >= s->config_at[i] && s->store_restore_at == 0) {
+            s->config_at[i] = CLOCK_NEVER;
+            write_config(s);
+        }
+    }
+    if (now >= s->fail_store_at) {
+        s->fail_store_at = CLOCK_NEVER;
+        fail_store(s, s->fail_store_ms);
+    }
+    if (now >= s->fail_proxy_at) {
+        s->fail_proxy_at = CLOCK_NEVER;
+        inject_proxy_fault(s, &s->order_rng);
+    }
+}
+
 /* Makes one replica the only one with the newest commits, often a draining
    one, and stops the primary some time later, often together with that
    replica. */
@@ -509,6 +586,21 @@
     }
 }
 
+/* Records which processes are disturbed by a fault in progress. */
+static void
+record_disturbances(struct soak *s)
+{
+    for (int i = 0; i < SOAK_PROXIES; i++) {
+        const struct proxy_process *p = &s->proxies[i];
+        if (p->pid == 0 || p->sigcont_at != 0 || p->store_fault_end_at != 0) {
+            operator_disturbed(s->operator, i);
+        }
+    }
+    if (s->store_restore_at != 0) {
+        operator_disturbed(s->operator, - 1);
+    }
+}
+
 /* Ends the faults that are due, or all of them. */
 static void
 end_faults(struct soak *s, bool all)
@@ -555,6 +647,7 @@
     struct soak *s = w->data;
 
     (void)revents;
+    record_disturbances(s);
     end_faults(s, s->settling);
     if (s->settling) {
         if (clock_monotonic_ms() >= s->phase_end_at) {
@@ -569,13 +662,17 @@
         s->phase_end_at = clock_monotonic_ms() + (clock_ms)SETTLE_S * 1000;
         return;
     }
+    if (s->config_changes) {
+        step_episode(s);
+        return;
+    }
     if (s->synchronous) {
         inject_synchronous_fault(s);
     }
     const uint64_t draw = rng_below(&s->rng, 20);
     s->faults += draw < 9;
     if (draw < 3) {
-        inject_proxy_fault(s);
+        inject_proxy_fault(s, &s->rng);
     }
     else if (draw < 8) {
         inject_member_fault(s);
@@ -607,6 +704,7 @@
             s->loop, soak_host(), (uint16_t)(MEMBER_FAULT_PROXY_PORT + i),
             soak_host(), standin_group_port(i));
     }
+    s->operator= operator_create(s, s->loop, seed + 3);
     write_directory(s);
     write_config(s);
     for (int i = 0; i < SOAK_PROXIES; i++) {
@@ -650,6 +748,7 @@
         fault_proxy_destroy(s->member_fault_proxies[i]);
     }
     callers_destroy(s->callers);
+    operator_destroy(s->operator);
     standin_store_destroy(s->store);
     standin_group_destroy(s->group);
     rmdir(s->folder);
@@ -679,6 +778,8 @@
          "Disturb the process that orders a promotion", NULL},
         {"sync-replicas", 0, 0, G_OPTION_ARG_NONE, &s.synchronous,
          "Make commits synchronous", NULL},
+        {"config-changes", 0, 0, G_OPTION_ARG_NONE, &s.config_changes,
+         "Change the configuration around few faults", NULL},
         {0},
     };
     GOptionContext *context = g_option_context_new(
@@ -712,7 +813,9 @@
         return 2;
     }
     start_all(&s, seed);
-    ev_timer_init(&s.step_timer, on_step, 2.0, FAULT_STEP_S);
+    s.episode_at = -EPISODE_MS;
+    ev_timer_init(&s.step_timer, on_step, 2.0,
+                  s.config_changes ? EPISODE_STEP_S : FAULT_STEP_S);
     s.step_timer.data = &s;
     ev_timer_start(s.loop, &s.step_timer);
     ev_run(s.loop, 0);
@@ -726,7 +829,8 @@
     if (served == 0) {
         soak_violation(&s, "no statement succeeded");
     }
-    printf("violations=%d\n", s.violations);
+    printf("probes=%ld violations=%d\n", operator_answers(s.operator),
+           s.violations);
     stop_all(&s);
     return s.violations == 0 ? 0 : 1;
 }
