--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -15,14 +15,16 @@
    recovery, and then checks what callers and members saw.
 
      soak [--late-orders] [--sync-replicas] [--config-changes]
-          PROGRAM SEED SECONDS [MAX_CONNECTIONS [LOG_FOLDER]]
+          [--restored-store] PROGRAM SEED SECONDS [MAX_CONNECTIONS
+   [LOG_FOLDER]]
 
    With --late-orders, promotions take up to 1.2 s, and the process that orders
    one is often stopped, killed, suspended or cut off from the store before it
    takes effect. With --sync-replicas, commits are synchronous, members report
    that they are draining, and no acknowledged write may be lost. With
    --config-changes, faults are few and the operator makes changes around
-   them.
+   them. With --restored-store, the store often loses the last seconds before
+   an outage; the operator and the members write again what they wrote there.
 
    Exit status 0: no guarantee was broken. 1: at least one was. 2: wrong usage
    or no temporary folder. */
@@ -52,8 +54,13 @@
 #define VIOLATIONS_MAX 20
 /* Of --config-changes. Longer than the time that the operator grants after the
    last fault. */
+/* What was lost is written again this long after the store is back. */
+#define CONFIG_REWRITE_MAX_MS 800
+#define MEMBERS_REWRITE_MAX_MS 1900
+/* A store that comes back loses up to so much. */
+#define LOST_MAX_MS 9000
 #define EPISODE_MS 14000
-#define EPISODE_CHANGES 3
+#define EPISODE_CHANGES 7
 #define EPISODE_STEP_S 0.05
 
 /* Depth of the arrays in an odd entry of the directory. */
@@ -98,6 +105,10 @@
     gboolean late_orders;
     gboolean synchronous;
     gboolean config_changes;
+    gboolean restored_store;
+    clock_ms lost_ms; /* that the present outage ends with; or 0 */
+    clock_ms rewrite_config_at;
+    clock_ms rewrite_members_at;
     clock_ms episode_at; /* when the present episode began */
     clock_ms fail_store_at;
     clock_ms fail_store_ms;
@@ -209,17 +220,15 @@
     }
 }
 
-/* Writes the operator's configuration with a new version. */
+/* Writes the operator's newest configuration to the store. */
 static void
-write_config(struct soak *s)
+put_config(struct soak *s)
 {
     static const char *const types[][2] = {{"primary", "primary"},
                                            {"bounded", "bounded_staleness"},
                                            {"own", "read_your_writes"}};
     GString *o = g_string_new(NULL);
 
-    s->config_version += 2;
-    operator_change_routes(s->operator);
     g_string_printf(o, "{\"version\":%d,\"routes\":[", s->config_version);
     for (int i = 0; i < 3; i++) {
         g_string_append_printf(
@@ -240,6 +249,15 @@
     g_string_free(o, TRUE);
 }
 
+/* Writes a configuration with a new version. */
+static void
+write_config(struct soak *s)
+{
+    s->config_version += 2;
+    operator_change_routes(s->operator);
+    put_config(s);
+}
+
 /* Starts the process; its output is appended to its log file. */
 static void
 start_proxy(struct proxy_process *p)
@@ -466,6 +484,16 @@
     }
 }
 
+/* With --restored-store, lets most outages end with a loss of the last
+   seconds. */
+static void
+draw_loss(struct soak *s)
+{
+    if (s->restored_store && rng_below(&s->order_rng, 4) > 0) {
+        s->lost_ms = 1 + (clock_ms)rng_below(&s->order_rng, LOST_MAX_MS);
+    }
+}
+
 /* Injects a fault into the store, or rewrites the configuration. */
 static void
 inject_store_fault(struct soak *s)
@@ -480,6 +508,7 @@
             standin_store_set_silent(s->store, true);
         }
         s->store_restore_at = random_fault_end(s);
+        draw_loss(s);
         break;
     case 1:
         standin_store_lose_answers(s->store, true);
@@ -508,6 +537,7 @@
         standin_store_set_silent(s->store, true);
     }
     s->store_restore_at = clock_monotonic_ms() + for_ms;
+    draw_loss(s);
 }
 
 /* Plays one step of an episode of --config-changes, which lasts EPISODE_MS: a
@@ -534,6 +564,11 @@
         s->config_at[2] = rng_below(r, 2) == 0
                               ? end + 1500 + (clock_ms)rng_below(r, 2500)
                               : CLOCK_NEVER;
+        for (int i = 3; i < EPISODE_CHANGES; i++) {
+            s->config_at[i] = s->restored_store
+                                  ? now + (clock_ms)rng_below(r, 1200)
+                                  : CLOCK_NEVER;
+        }
     }
     for (int i = 0; i < EPISODE_CHANGES; i++) {
         if (now >= s->config_at[i] && s->store_restore_at == 0) {
@@ -633,10 +668,28 @@
     }
     if (s->store_restore_at != 0 && now >= s->store_restore_at) {
         s->store_restore_at = 0;
+        if (s->lost_ms != 0) {
+            standin_store_restore(s->store, s->lost_ms);
+            s->lost_ms = 0;
+            s->rewrite_config_at =
+                clock_monotonic_ms() +
+                (clock_ms)rng_below(&s->order_rng, CONFIG_REWRITE_MAX_MS);
+            s->rewrite_members_at =
+                clock_monotonic_ms() +
+                (clock_ms)rng_below(&s->order_rng, MEMBERS_REWRITE_MAX_MS);
+        }
         standin_store_set_down(s->store, false);
         standin_store_set_silent(s->store, false);
         standin_store_lose_answers(s->store, false);
     }
+    if (s->rewrite_config_at != 0 && now >= s->rewrite_config_at) {
+        s->rewrite_config_at = 0;
+        put_config(s);
+    }
+    if (s->rewrite_members_at != 0 && now >= s->rewrite_members_at) {
+        s->rewrite_members_at = 0;
+        write_directory(s);
+    }
 }
 
 /* Ends due faults and injects the next one at random. After the given time no
@@ -780,6 +833,8 @@
          "Make commits synchronous", NULL},
         {"config-changes", 0, 0, G_OPTION_ARG_NONE, &s.config_changes,
          "Change the configuration around few faults", NULL},
+        {"restored-store", 0, 0, G_OPTION_ARG_NONE, &s.restored_store,
+         "Let the store come back from an older copy", NULL},
         {0},
     };
     GOptionContext *context = g_option_context_new(
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -60,6 +60,7 @@
 void standin_store_set_silent(struct standin_store *st, bool silent);
 void standin_store_lose_answers(struct standin_store *st, bool lose_answers);
 void standin_store_discard_history(struct standin_store *st);
+void standin_store_restore(struct standin_store *st, clock_ms age_ms);
 
 /* Stand-in for the members of the database group, with their line protocol. It
    shares nothing with fakes/group.h, which models groups that speak the
--- a/tests/soak/standin_store.c
+++ b/tests/soak/standin_store.c
@@ -16,6 +16,9 @@
 #define FEED_WAIT_MAX_MS 5500
 #define OPERATOR_FEED_WAIT_MAX_MS 2400
 
+#define SNAPSHOT_INTERVAL_MS 100
+#define SNAPSHOT_KEEP_MS 10000
+
 struct row {
     char *table;
     char *key;
@@ -36,6 +39,13 @@
     GList link;
 };
 
+/* The rows at one moment, from which the store may come back. */
+struct snapshot {
+    clock_ms at;
+    uint64_t version;
+    GPtrArray *rows;
+};
+
 struct standin_store {
     struct soak *soak;
     struct ev_loop *loop;
@@ -44,6 +54,8 @@
     ev_timer tick;
     GPtrArray *rows;
     uint64_t version;
+    uint64_t era; /* rises each time the store comes back from a snapshot */
+    GQueue snapshots;      /* of struct snapshot, the newest at the tail */
     uint64_t history_from; /* a feed from an older version gets 410 */
     bool down;
     bool silent;
@@ -106,9 +118,10 @@
     json_object_set_new(body, "now_ms", json_integer(clock_monotonic_ms()));
     char *text = json_dumps(body, JSON_COMPACT);
     char *out = g_strdup_printf("HTTP/1.1 %d X\r\nContent-Type: "
-                                "application/json\r\nContent-Length: %zu"
-                                "\r\n\r\n%s",
-                                status, strlen(text), text);
+                                "application/json\r\nStore-Era: %llu\r\n"
+                                "Content-Length: %zu\r\n\r\n%s",
+                                status, (unsigned long long)c->store->era,
+                                strlen(text), text);
 
     stream_write(c->stream, out, strlen(out));
     c->waiting = false;
@@ -165,14 +178,15 @@
 }
 
 /* Answers a feed request if there are changes or its wait time is over; 410 if
-   its version is older than the kept history. */
+   its version is older than the kept history, or was given before the store
+   came back from a snapshot and has not been given again. */
 static void
 answer_feed_if_due(struct client *c, clock_ms now)
 {
     const struct standin_store *st = c->store;
     json_t *rows = json_array();
 
-    if (c->after < st->history_from) {
+    if (c->after < st->history_from || c->after > st->version) {
         json_decref(rows);
         respond(c, 410, json_object());
         return;
@@ -389,6 +403,63 @@
     g_queue_push_tail_link(&st->clients, &c->link);
 }
 
+static void
+row_free(void *p)
+{
+    struct row *r = p;
+
+    g_free(r->table);
+    g_free(r->key);
+    g_free(r->value);
+    g_free(r);
+}
+
+static GPtrArray *
+copy_rows(const GPtrArray *rows)
+{
+    GPtrArray *copy = g_ptr_array_new_with_free_func(row_free);
+
+    for (guint i = 0; i < rows->len; i++) {
+        const struct row *r = rows->pdata[i];
+        struct row *n = g_new0(struct row, 1);
+        n->table = g_strdup(r->table);
+        n->key = g_strdup(r->key);
+        n->value = g_strdup(r->value);
+        n->version = r->version;
+        g_ptr_array_add(copy, n);
+    }
+    return copy;
+}
+
+static void
+snapshot_free(void *p)
+{
+    struct snapshot *s = p;
+
+    g_ptr_array_unref(s->rows);
+    g_free(s);
+}
+
+/* Takes a snapshot if the last one is old enough, and frees old ones. */
+static void
+take_snapshot(struct standin_store *st, clock_ms now)
+{
+    const struct snapshot *last = g_queue_peek_tail(&st->snapshots);
+    const struct snapshot *first = g_queue_peek_head(&st->snapshots);
+
+    if (last != NULL && now - last->at < SNAPSHOT_INTERVAL_MS) {
+        return;
+    }
+    struct snapshot *s = g_new0(struct snapshot, 1);
+    s->at = now;
+    s->version = st->version;
+    s->rows = copy_rows(st->rows);
+    g_queue_push_tail(&st->snapshots, s);
+    if (first != NULL && now - first->at > SNAPSHOT_KEEP_MS) {
+        snapshot_free(g_queue_pop_head(&st->snapshots));
+    }
+}
+
 /* Answers the waiting feed requests that have changes or have timed out. */
 static void
 on_tick(struct ev_loop *loop, ev_timer *w, int revents)
@@ -404,17 +475,7 @@
             answer_feed_if_due(c, now);
         }
     }
-}
-
-static void
-row_free(void *p)
-{
-    struct row *r = p;
-
-    g_free(r->table);
-    g_free(r->key);
-    g_free(r->value);
-    g_free(r);
+    take_snapshot(st, now);
 }
 
 /* Starts listening; aborts the soak if the port is in use. */
@@ -430,7 +491,9 @@
     st->rows = g_ptr_array_new_with_free_func(row_free);
     st->deferred_free = deferred_free_create(loop, g_free);
     st->version = 1;
+    st->era = 1;
     g_queue_init(&st->clients);
+    g_queue_init(&st->snapshots);
     st->fd = listener_open(host, port);
     if (st->fd < 0) {
         g_error("store %s:%u cannot listen", host, port);
@@ -456,6 +519,7 @@
         on_closed(c, "end");
     }
     deferred_free_destroy(st->deferred_free);
+    g_queue_clear_full(&st->snapshots, snapshot_free);
     g_ptr_array_free(st->rows, TRUE);
     g_free(st);
 }
@@ -504,3 +568,23 @@
 {
     st->history_from = st->version;
 }
+
+/* Comes back from the newest snapshot that is at least age_ms old: what was
+   written since is lost, and its versions are given out again. */
+void
+standin_store_restore(struct standin_store *st, clock_ms age_ms)
+{
+    const clock_ms now = clock_monotonic_ms();
+    struct snapshot *s = g_queue_pop_tail(&st->snapshots);
+
+    while (st->snapshots.length > 0 && now - s->at < age_ms) {
+        snapshot_free(s);
+        s = g_queue_pop_tail(&st->snapshots);
+    }
+    g_ptr_array_unref(st->rows);
+    st->rows = copy_rows(s->rows);
+    st->version = s->version;
+    st->history_from = MIN(st->history_from, st->version);
+    st->era++;
+    snapshot_free(s);
+}
