--- a/src/node/members.c
+++ b/src/node/members.c
@@ -150,9 +150,10 @@
     node_update_members(n);
 }
 
-/* Called with the member list that the store holds. The first list after the
-   start also adds members that the directory does not list: around an outage
-   of the store, entries of live members are missing for some seconds. */
+/* Called with the member list that the store holds, or NULL if it has none.
+   The first list after the start also adds members that the directory does not
+   list: around an outage of the store, entries of live members are missing for
+   some seconds. */
 void
 node_set_stored_members(struct node *n, const char *text)
 {
@@ -164,7 +165,7 @@
         n->stored_list_at = now;
         n->stored_list_checked = false;
     }
-    if (n->stored_list_read) {
+    if (n->stored_list_read || text == NULL) {
         return;
     }
     n->stored_list_read = true;
--- a/src/node/peer_messages.c
+++ b/src/node/peer_messages.c
@@ -310,6 +310,13 @@
     agreement_set_known_to_peers(n->agreement);
 }
 
+/* Returns true if this proxy may order promotions. */
+bool
+node_is_holder(const struct node *n)
+{
+    return strcmp(agreement_view(n->agreement)->holder, n->name) == 0;
+}
+
 /* Called with the view from the store, in answer to a read or write sent at
    asked_at. registered: the answer shows this proxy as registered. */
 void
