coordination: write the view again when the store has lost it

Cause: the condition of the next write was the highest version ever seen of the view's row, which no row had any more (view_not_written status=412 without end). Beside that, a process that started afterwards relied on the older view, whose primary may have been replaced, and could use a fence a second time. Change: versions of the view and fences of an era are beyond those of all earlier ones. A view of an earlier era is written again before it is changed: by the holder while its lease, confirmed by the witnesses alone, shows that nobody knows a newer one; by the next witness if the holder is gone; otherwise after 2 s, and then the members are asked which of them lead, once lost orders have taken effect. Nobody relies on a view of an earlier era that it has read from the store, nor tells it to others, and the store confirms none. A marker row, part of the condition, keeps a late write of an earlier era from taking a version that has been given out again for the one that it expects.

--- a/src/coordination/agreement.c
+++ b/src/coordination/agreement.c
@@ -45,8 +45,12 @@
     struct view view;            /* newest one that this proxy knows */
     uint64_t applied;            /* newest view version that it has applied */
     clock_ms store_confirmed_at; /* own clock */
-    uint64_t majority_version;   /* applied by a majority of the witnesses */
-    clock_ms majority_since;     /* when this proxy learned of it */
+    uint64_t store_era;          /* as far as this proxy knows */
+    clock_ms era_known_at;       /* since when (own clock) */
+    bool view_unproven; /* read from a store that had lost newer ones, perhaps
+                         */
+    uint64_t majority_version; /* applied by a majority of the witnesses */
+    clock_ms majority_since;   /* when this proxy learned of it */
     struct peer peers[AGREEMENT_PEERS_MAX];
     int count;
     uint64_t registry_hash; /* of the registered proxies, including this one */
@@ -75,8 +79,56 @@
     g_free(a);
 }
 
-/* Adopts v if it is newer than the present view. Returns true if it was; the
-   caller then applies the view and calls agreement_set_applied(). */
+/* Called when the store names the era that it is in. What it has confirmed in
+   an earlier one may be lost. */
+void
+agreement_set_store_era(struct agreement *a, uint64_t era, clock_ms now)
+{
+    if (era <= a->store_era) {
+        return;
+    }
+    a->store_era = era;
+    a->era_known_at = now;
+    a->store_confirmed_at = now - AGREEMENT_LEASE_MS;
+}
+
+/* Returns the number below all versions and fences of the present era; 0 when
+   the store names none. */
+uint64_t
+agreement_era_base(const struct agreement *a)
+{
+#ifdef AGREEMENT_BREAK_ERA
+    (void)a;
+    return 0;
+#endif
+    return a->store_era << AGREEMENT_ERA_SHIFT;
+}
+
+/* Returns true if the view is from an earlier era of the store: it must be
+   written again before it is changed. */
+bool
+agreement_view_is_lost(const struct agreement *a)
+{
+    return a->view.version <= agreement_era_base(a) && a->store_era > 0;
+}
+
+/* Returns for how long this proxy has known the present era of the store. */
+int64_t
+agreement_era_age(const struct agreement *a, clock_ms now)
+{
+    return now - a->era_known_at;
+}
+
+/* Returns true while others may still write again what the store has lost. */
+bool
+agreement_is_settling(const struct agreement *a, clock_ms now)
+{
+    return a->store_era > 0 && agreement_era_age(a, now) < AGREEMENT_SETTLE_MS;
+}
+
+/* Adopts v, which the store has returned, if it is newer than the present
+   view. Returns true if it was; the caller then applies the view and calls
+   agreement_set_applied(). */
 bool
 agreement_adopt_view(struct agreement *a, const struct view *v)
 {
@@ -84,6 +136,9 @@
         return false;
     }
     a->view = *v;
+#ifndef AGREEMENT_BREAK_UNPROVEN
+    a->view_unproven = agreement_view_is_lost(a);
+#endif
     return true;
 }
 
@@ -123,7 +178,7 @@
     a->known_to_peers = true;
 #endif
     if (version == a->view.version && asked_at > a->store_confirmed_at &&
-        registered && a->known_to_peers) {
+        registered && a->known_to_peers && !agreement_view_is_lost(a)) {
         a->store_confirmed_at = asked_at;
     }
 }
@@ -300,7 +355,9 @@
 
 /* Fills in a message for the peer `to`. If the peer is not known to have the
    present view, the message includes the changed entries, unless there are
-   more than AGREEMENT_CHANGES_MAX of them. unreachable may be NULL. */
+   more than AGREEMENT_CHANGES_MAX of them. A view that this proxy does not
+   rely on is kept to itself: a peer could not tell. unreachable may be NULL.
+ */
 void
 agreement_compose_message(const struct agreement *a, const char *to,
                           const struct service_set *unreachable, bool leaving,
@@ -312,8 +369,10 @@
     g_strlcpy(out->from, a->name, sizeof(out->from));
     out->incarnation = a->incarnation;
     out->sent_at = now;
-    out->applied = a->applied;
-    out->version = a->view.version;
+    if (!a->view_unproven) {
+        out->applied = a->applied;
+        out->version = a->view.version;
+    }
     if (unreachable != NULL) {
         out->unreachable = *unreachable;
     }
@@ -324,7 +383,7 @@
         out->echo = p->peer_sent_at;
         out->echo_incarnation = p->incarnation;
     }
-    if (p == NULL || p->version < a->view.version) {
+    if (p == NULL || p->version < out->version) {
         const struct view *v = &a->view;
         out->base_version = p == NULL ? 0 : p->version;
         out->change_count = view_changes(v, out->base_version, out->changes,
@@ -353,6 +412,7 @@
     a->view.version = m->version;
     a->view.fence = m->fence;
     memcpy(a->view.holder, m->holder, sizeof(a->view.holder));
+    a->view_unproven = false; /* peers tell only views that they rely on */
     return true;
 }
 
@@ -442,7 +502,7 @@
 bool
 agreement_lease_is_valid(const struct agreement *a, clock_ms now)
 {
-    return a->view.version > 0 &&
+    return a->view.version > 0 && !a->view_unproven &&
            now - agreement_confirmed_at(a) < AGREEMENT_LEASE_MS;
 }
 
@@ -544,6 +604,28 @@
     return rank;
 }
 
+/* Returns true if a service that is not in the view may have been in one that
+   the store has lost. */
+bool
+agreement_may_have_lost_services(const struct agreement *a, clock_ms now)
+{
+    return a->store_era > 0 &&
+           agreement_era_age(a, now) < AGREEMENT_LOST_SERVICES_MS;
+}
+
+/* Returns true if all registered proxies are alive and none of the others has
+   a view to rely on. */
+bool
+agreement_all_lack_view(const struct agreement *a, clock_ms now)
+{
+    for (int i = 0; i < a->count; i++) {
+        if (!is_alive(&a->peers[i], now) || a->peers[i].version > 0) {
+            return false;
+        }
+    }
+    return true;
+}
+
 /* Returns the number of live proxies other than this one. */
 int
 agreement_alive_count(const struct agreement *a, clock_ms now)
--- a/src/coordination/agreement.h
+++ b/src/coordination/agreement.h
@@ -18,10 +18,23 @@
    Up to AGREEMENT_WITNESSES_MAX proxies are witnesses, chosen by a hash of
    their names and spread over failure domains; in a smaller fleet every proxy
    is one. The traffic of the other proxies therefore does not grow with the
-   fleet. Only witnesses change the view. */
+   fleet. Only witnesses change the view.
+
+   The store may come back from an older copy, which begins a new era. The view
+   in it is then older than the one in force until a proxy that knows the newer
+   one has written that again; until then the store confirms nothing, and a
+   proxy that has read the older one does not rely on it. */
 struct agreement;
 
 #define AGREEMENT_LEASE_MS 1000
+/* Versions and fences given out in one era of the store are beyond those of
+   all earlier eras: the number of the era is in the upper bits. */
+#define AGREEMENT_ERA_SHIFT 32
+/* Proxies that know a newer view than the store, and members, write again well
+   within this time after the store is back what it has lost. */
+#define AGREEMENT_SETTLE_MS 2000
+/* A service that appears later than this after the store is back is new. */
+#define AGREEMENT_LOST_SERVICES_MS 20000
 /* A peer is alive if a message from it arrived within this time. */
 #define AGREEMENT_ALIVE_MS 1000
 #define AGREEMENT_WITNESSES_MAX 7
@@ -80,6 +93,13 @@
 struct agreement *agreement_create(const char *name, uint64_t incarnation);
 void agreement_destroy(struct agreement *a);
 
+void agreement_set_store_era(struct agreement *a, uint64_t era, clock_ms now);
+uint64_t agreement_era_base(const struct agreement *a);
+bool agreement_view_is_lost(const struct agreement *a);
+int64_t agreement_era_age(const struct agreement *a, clock_ms now);
+bool agreement_may_have_lost_services(const struct agreement *a, clock_ms now);
+bool agreement_all_lack_view(const struct agreement *a, clock_ms now);
+bool agreement_is_settling(const struct agreement *a, clock_ms now);
 bool agreement_adopt_view(struct agreement *a, const struct view *v);
 const struct view *agreement_view(const struct agreement *a);
 void agreement_set_applied(struct agreement *a, uint64_t version);
--- a/src/coordination/primary_change.c
+++ b/src/coordination/primary_change.c
@@ -15,6 +15,8 @@
 #define ORDER_RETRY_MS 100
 /* Interval of queries to members that may have more of the log. */
 #define AWAIT_QUERY_MS 150
+/* An order that the store has lost takes effect within this time, or never. */
+#define LOST_ORDER_MS 2000
 #define EXCLUSION_MS 1000 /* a member that did not run is not chosen again */
 /* A replaced primary that does not step down is passed over after this time.
    It steps down by itself a second after it has reached the new primary. */
@@ -69,12 +71,14 @@
 
 /* Returns true if a member's state is needed: it is listed, or it is the
    primary and may still answer. With sync_replicas, a member whose entry has
-   lapsed may be the only one with the last commits. */
+   lapsed may be the only one with the last commits; when the store has lost
+   the view, it may lead. */
 static bool
 is_relevant(const struct primary_change *c, const struct member_state *m,
             const char *primary)
 {
-    return m->listed || strcmp(m->id, primary) == 0 || c->sync_replicas > 0;
+    return m->listed || strcmp(m->id, primary) == 0 || c->sync_replicas > 0 ||
+           c->order_unknown;
 }
 
 /* Returns true if all needed members have answered. The old primary is not
@@ -189,7 +193,7 @@
         primary_change_enter_phase(c, PHASE_ORDER, now);
         return;
     }
-    if (successor_may_adopt(current, e)) {
+    if (successor_may_adopt(c, current, e)) {
         /* It is the primary already: the order took effect or the alarm was
            false. */
         g_strlcpy(c->new_primary, current->id, sizeof(c->new_primary));
@@ -412,7 +416,7 @@
     const struct member_state *m =
         primary_change_find_member(c, c->new_primary);
 
-    e->epoch = next.version + 1;
+    e->epoch = promoter_next_version(p, &next);
     e->changing = false;
     e->term = m != NULL ? m->report.term : 0;
     e->ordered[0] = '\0';
@@ -433,6 +437,7 @@
                    const struct view_entry *e, int index, clock_ms now)
 {
     c->record_pending = false;
+    c->order_unknown = strcmp(e->ordered, VIEW_ORDERED_UNKNOWN) == 0;
     if (c->phase > PHASE_SURVEY && c->phase < PHASE_PUBLISH &&
         successor_order_took_effect(c, e)) {
         g_strlcpy(c->new_primary, e->ordered, sizeof(c->new_primary));
@@ -445,13 +450,17 @@
         c->started_at = now;
         c->phase_since = now;
         c->awaited_since = 0;
+        c->expired_at = 0;
         c->has_target = false;
         primary_change_enter_phase(c, PHASE_EXPIRE_VIEWS, now);
         break;
     case PHASE_EXPIRE_VIEWS:
         if (agreement_older_views_expired(p->agreement, c->version,
                                           c->started_at, now)) {
-            primary_change_enter_phase(c, PHASE_SURVEY, now);
+            c->expired_at = c->expired_at == 0 ? now : c->expired_at;
+            if (!c->order_unknown || now - c->expired_at >= LOST_ORDER_MS) {
+                primary_change_enter_phase(c, PHASE_SURVEY, now);
+            }
         }
         break;
     case PHASE_SURVEY:
--- a/src/coordination/promoter.c
+++ b/src/coordination/promoter.c
@@ -123,6 +123,13 @@
     c->count = count;
 }
 
+/* Returns the version of the view that would follow v. */
+uint64_t
+promoter_next_version(const struct promoter *p, const struct view *v)
+{
+    return MAX(v->version, agreement_era_base(p->agreement)) + 1;
+}
+
 /* Writes the next view with this proxy as its holder. Returns false if a write
    is pending or it is too early for a retry. */
 bool
@@ -135,7 +142,8 @@
         next->fence++;
         g_strlcpy(next->holder, p->name, sizeof(next->holder));
     }
-    next->version++;
+    next->fence = MAX(next->fence, agreement_era_base(p->agreement) + 1);
+    next->version = promoter_next_version(p, next);
     p->write_pending = true;
     p->write_started_at = now;
     p->actions.write_view(p->actions.ctx, next);
@@ -155,8 +163,9 @@
 
 /* Returns how long this proxy waits before it acts on a condition; CLOCK_NEVER
    if it leaves that to others. */
-static int64_t
-action_delay_ms(const struct promoter *p, const struct view *v, clock_ms now)
+int64_t
+promoter_action_delay_ms(const struct promoter *p, const struct view *v,
+                         clock_ms now)
 {
     const int64_t rank = agreement_rank(p->agreement, now);
 
@@ -214,10 +223,12 @@
             primaries++;
         }
     }
-    track_since(&c->not_in_view_since, listed > 0, now);
+    /* The service may be in a view that the store has lost. */
+    track_since(&c->not_in_view_since,
+                listed > 0 && !agreement_is_settling(p->agreement, now), now);
     const int64_t wait_ms = primaries == 1 ? 0 : UNLISTED_MS;
-    if (!has_lasted(c->not_in_view_since, wait_ms, action_delay_ms(p, v, now),
-                    now)) {
+    if (!has_lasted(c->not_in_view_since, wait_ms,
+                    promoter_action_delay_ms(p, v, now), now)) {
         return;
     }
     c->add_pending = true;
@@ -247,8 +258,15 @@
                       c->service, next.count);
             continue;
         }
-        e->epoch = next.version + 1;
-        e->changing = c->new_primary[0] == '\0';
+        e->epoch = promoter_next_version(p, &next);
+        if (agreement_may_have_lost_services(p->agreement, now)) {
+            /* It may have another primary since. */
+            e->changing = true;
+            g_strlcpy(e->ordered, VIEW_ORDERED_UNKNOWN, sizeof(e->ordered));
+        }
+        else {
+            e->changing = c->new_primary[0] == '\0';
+        }
         g_strlcpy(e->primary, c->new_primary, sizeof(e->primary));
     }
     if (next.count > before && promoter_write_view(p, &next, now)) {
@@ -272,7 +290,7 @@
         const struct primary_change *c = value;
         if (c->record_pending) {
             struct view_entry *e = &next.entries[c->index];
-            e->epoch = next.version + 1;
+            e->epoch = promoter_next_version(p, &next);
             g_strlcpy(e->ordered, c->new_primary, sizeof(e->ordered));
             e->ordered_set =
                 (successor_orders_settled(c, now) ? 0 : e->ordered_set) |
@@ -286,7 +304,8 @@
 }
 
 /* Called after promoter_tick() has run for all services: adds the new ones to
-   the view, records orders in it, and whether a change is in progress here. */
+   the view, records orders in it, and whether a change is in progress here.
+   Writes the view again when the store has lost it. */
 void
 promoter_end_round(struct promoter *p, clock_ms now)
 {
@@ -295,6 +314,11 @@
     bool add_pending = false;
     bool record_pending = false;
 
+    if (agreement_view_is_lost(p->agreement) &&
+        agreement_view(p->agreement)->version > 0) {
+        restoration_run(p, now);
+        return;
+    }
     p->busy = false;
     g_hash_table_iter_init(&i, p->primary_changes);
     while (g_hash_table_iter_next(&i, NULL, &value)) {
@@ -323,7 +347,7 @@
                       (unreachable ? 1 : 0);
     const int voters = agreement_alive_count(p->agreement, now) + 1;
     const bool listed = m != NULL && m->listed;
-    const int64_t delay = action_delay_ms(p, v, now);
+    const int64_t delay = promoter_action_delay_ms(p, v, now);
 
     track_since(&c->unreachable_since, votes * 2 > voters, now);
     track_since(&c->unlisted_since, !listed, now);
@@ -370,7 +394,7 @@
     struct view next = *v;
 
     if (!next.entries[index].changing) {
-        next.entries[index].epoch = next.version + 1;
+        next.entries[index].epoch = promoter_next_version(p, &next);
         next.entries[index].changing = true;
     }
     if (promoter_write_view(p, &next, now)) {
@@ -483,6 +507,11 @@
     c->sync_replicas = state->sync_replicas;
     c->newest_commit_term =
         MAX(c->newest_commit_term, state->newest_commit_term);
+    if (agreement_view_is_lost(p->agreement) && v->version > 0) {
+        c->phase = PHASE_NONE;
+        c->record_pending = false;
+        return;
+    }
     if (!find_in_view(v, c)) {
         mark_new_service(p, c, now);
         return;
@@ -510,7 +539,7 @@
         const bool alive =
             agreement_can_change_view(p->agreement, v->holder, now);
         if (has_lasted(c->changing_since, alive ? HOLDER_TIMEOUT_MS : 0,
-                       action_delay_ms(p, v, now), now)) {
+                       promoter_action_delay_ms(p, v, now), now)) {
             c->primary_unreachable = false;
             claim_change(p, c, index, alive ? "holder stuck" : "holder gone",
                          now);
--- a/src/coordination/promoter_internal.h
+++ b/src/coordination/promoter_internal.h
@@ -79,6 +79,8 @@
     struct member_state members[SERVICE_MEMBERS_MAX];
     int count;
     int sync_replicas;
+    bool order_unknown;  /* the store may have lost an order */
+    clock_ms expired_at; /* when older views had expired; 0 if not yet */
     uint64_t newest_commit_term; /* known here; 0 if unknown */
 };
 
@@ -98,6 +100,12 @@
 bool promoter_write_view(struct promoter *p, struct view *next, clock_ms now);
 struct primary_change *promoter_get_primary_change(struct promoter *p,
                                                    const char *service);
+uint64_t promoter_next_version(const struct promoter *p, const struct view *v);
+int64_t promoter_action_delay_ms(const struct promoter *p,
+                                 const struct view *v, clock_ms now);
+
+/* restoration.c */
+void restoration_run(struct promoter *p, clock_ms now);
 
 /* primary_change.c */
 struct member_state *primary_change_find_member(struct primary_change *c,
@@ -129,7 +137,8 @@
                           const struct view_entry *e,
                           const struct member_state *candidate);
 bool successor_orders_settled(const struct primary_change *c, clock_ms now);
-bool successor_may_adopt(const struct member_state *m,
+bool successor_may_adopt(const struct primary_change *c,
+                         const struct member_state *m,
                          const struct view_entry *e);
 uint64_t successor_base_term(const struct primary_change *c,
                              const struct view_entry *e);
--- a/src/coordination/successor.c
+++ b/src/coordination/successor.c
@@ -244,17 +244,38 @@
     return best != NULL && best->report.term == newest ? best : NULL;
 }
 
+#ifndef SUCCESSOR_BREAK_ORDERED
+/* Returns true if every member that may lead in the newest term has
+   answered. */
+static bool
+is_survey_complete(const struct primary_change *c)
+{
+    for (int i = 0; i < c->count; i++) {
+        if (!c->members[i].answered && !c->members[i].replaced) {
+            return false;
+        }
+    }
+    return true;
+}
+#endif
+
 /* Returns true if a primary may be published without a promotion. Once an
    order may have been given, only the member that it named may lead:
    otherwise the order could take effect later, while callers use another
-   primary. */
+   primary. If the store may have lost which one it was, the orders of before
+   have taken effect, and the survey has to show that no other member leads. */
 bool
-successor_may_adopt(const struct member_state *m, const struct view_entry *e)
+successor_may_adopt(const struct primary_change *c,
+                    const struct member_state *m, const struct view_entry *e)
 {
 #ifdef SUCCESSOR_BREAK_ORDERED
+    (void)c;
     (void)e;
     return m->listed && !m->draining;
 #else
+    if (strcmp(e->ordered, VIEW_ORDERED_UNKNOWN) == 0) {
+        return m->listed && !m->draining && is_survey_complete(c);
+    }
     return m->listed && !m->draining &&
            (e->ordered[0] == '\0' || strcmp(e->ordered, m->id) == 0);
 #endif
--- a/src/coordination/view.h
+++ b/src/coordination/view.h
@@ -11,6 +11,10 @@
 #define VIEW_SERVICES_MAX 1024
 #define VIEW_NAME_BYTES 64
 
+/* In place of a member in view_entry.ordered: the store may have lost whether
+   a promotion was ordered, and of which member. */
+#define VIEW_ORDERED_UNKNOWN "?"
+
 /* The primary of one service. epoch is the version of the view in which the
    other fields last changed. While changing is set, no proxy uses any primary
    of the service. ordered is written before the promotion is ordered and stays
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -72,6 +72,7 @@
 void node_set_catalog_checked(struct node *n);
 void node_set_members(struct node *n, const struct member_entry *entries,
                       size_t count);
+void node_set_store_era(struct node *n, uint64_t era);
 bool node_is_holder(const struct node *n);
 void node_set_stored_members(struct node *n, const char *text);
 void node_set_peers(struct node *n, const struct node_peer *peers,
--- a/src/node/peer_messages.c
+++ b/src/node/peer_messages.c
@@ -310,6 +310,14 @@
     agreement_set_known_to_peers(n->agreement);
 }
 
+/* Called when the store names the era that it is in: at its first answer, and
+   when it has come back from an older copy. */
+void
+node_set_store_era(struct node *n, uint64_t era)
+{
+    agreement_set_store_era(n->agreement, era, clock_boottime_ms());
+}
+
 /* Returns true if this proxy may order promotions. */
 bool
 node_is_holder(const struct node *n)
--- a/tests/coordination/model_primary_change.c
+++ b/tests/coordination/model_primary_change.c
@@ -11,14 +11,16 @@
    orders, and one service of three members. It has no network; time passes in
    steps of STEP_MS.
 
-     model_primary_change FIRST_SEED COUNT
+     model_primary_change FIRST_SEED COUNT [restored]
 
+   With restored, the store is away at times and comes back from an older copy.
    Exit status 1 if a rule was broken:
 
    ONE   a proxy uses a member after a member of a later term was promoted
    LOST  with synchronous commits, a promoted member lacks an acknowledged one;
          a commit is acknowledged once a replica has received it
    TERM  the term of a published primary goes down
+   FENCE two proxies order a promotion with the same fence
    DEAD  after the last fault, no primary serves within RECOVERY_MS */
 
 #define STEP_MS 5
@@ -30,6 +32,8 @@
 #define LOG_MAX 4000
 #define EVENTS_MAX 512
 #define PENDING_MAX 512
+#define FENCES_MAX 512
+#define COPIES_MAX 1024
 #define TICK_MS 25
 #define MESSAGE_MS 400
 #define CONFIRM_MS 300
@@ -69,6 +73,14 @@
     uint64_t incarnation;
 };
 
+/* Versions of the row of the view, and of the row that says in which era the
+   view was written. */
+struct row_versions {
+    uint64_t view;
+    uint64_t marker_era;
+    uint64_t marker;
+};
+
 enum event_kind {
     EVENT_MESSAGE,
     EVENT_QUERY,  /* arrives at the member */
@@ -96,6 +108,16 @@
     struct agreement_message *message;
     struct view *view;
     clock_ms asked_at;
+    uint64_t era; /* of the store: known by the writer, or of the answer */
+    struct row_versions rows; /* expected, or those of the answer */
+};
+
+/* The view as the store held it from a time on. */
+struct copy {
+    clock_ms at;
+    struct view view;
+    struct row_versions rows;
+    uint64_t counter;
 };
 
 struct proxy {
@@ -110,6 +132,8 @@
     clock_ms message_at;
     clock_ms asked_at;
     uint64_t sent_version;
+    uint64_t era;             /* of the store, as far as it knows */
+    struct row_versions rows; /* in that era */
 };
 
 static struct {
@@ -121,6 +145,15 @@
     struct event events[EVENTS_MAX];
     int event_count;
     struct view stored;
+    struct row_versions rows;
+    uint64_t counter; /* of the store */
+    uint64_t era;
+    bool restored_store; /* play losses */
+    clock_ms restore_at; /* the store comes back then; 0 while it is there */
+    int copy_count;
+    uint64_t fences[FENCES_MAX]; /* of orders */
+    int fence_proxies[FENCES_MAX];
+    int fence_count;
     uint64_t newest_term;
     uint64_t published_term;
     uint64_t newest_commit_term;
@@ -134,6 +167,9 @@
     const char *broken;
 } w;
 
+/* The last states of the store, kept apart since they are large. */
+static struct copy copies[COPIES_MAX];
+
 static void
 fail(const char *rule)
 {
@@ -211,7 +247,9 @@
                        .ok = !(w.now < p->store_fault_until && chance(80)),
                        .lost = lost,
                        .view = g_memdup2(next, sizeof(*next)),
-                       .asked_at = w.now});
+                       .asked_at = w.now,
+                       .era = p->era,
+                       .rows = p->rows});
 }
 
 static void
@@ -230,12 +268,28 @@
                             .round = round});
 }
 
+/* Checks that no other proxy has used the fence. */
+static void
+check_fence(uint64_t fence, int proxy)
+{
+    for (int i = 0; i < w.fence_count; i++) {
+        if (w.fences[i] == fence && w.fence_proxies[i] != proxy) {
+            fail("FENCE");
+        }
+    }
+    if (w.fence_count < FENCES_MAX) {
+        w.fences[w.fence_count] = fence;
+        w.fence_proxies[w.fence_count++] = proxy;
+    }
+}
+
 static void
 on_order(void *ctx, const char *service, const char *member, uint64_t fence)
 {
     struct proxy *p = ctx;
 
     (void)service;
+    check_fence(fence, (int)(p - w.proxies));
     schedule((struct event){.kind = EVENT_ORDER,
                             .at = delay(1, chance(10) ? 400 : 10),
                             .proxy = (int)(p - w.proxies),
@@ -301,7 +355,7 @@
                                   p->stop_at != 0 ||
                                       promoter_is_blocked(p->promoter, w.now),
                                   w.now, m);
-        m->store_lost = w.now < p->store_fault_until;
+        m->store_lost = w.now < p->store_fault_until || w.restore_at != 0;
         schedule((struct event){.kind = EVENT_MESSAGE,
                                 .at = delay(1, 4),
                                 .proxy = k,
@@ -347,10 +401,42 @@
     }
 }
 
+/* Remembers the state of the store. */
+static void
+keep_copy(void)
+{
+    struct copy *c = &copies[w.copy_count++ % COPIES_MAX];
+
+    *c = (struct copy){.at = w.now, .rows = w.rows, .counter = w.counter};
+    c->view = w.stored;
+}
+
+/* The store comes back from a copy that is lost_ms old or older. */
+static void
+restore_store(clock_ms lost_ms)
+{
+    while (w.copy_count > 1 &&
+           w.now - copies[(w.copy_count - 1) % COPIES_MAX].at < lost_ms) {
+        w.copy_count--;
+    }
+    w.stored = copies[(w.copy_count - 1) % COPIES_MAX].view;
+    w.rows = copies[(w.copy_count - 1) % COPIES_MAX].rows;
+    w.counter = copies[(w.copy_count - 1) % COPIES_MAX].counter;
+    w.era++;
+}
+
+/* Returns true if the condition of a write holds. */
+static bool
+condition_holds(const struct event *e)
+{
+    return w.restored_store ? memcmp(&e->rows, &w.rows, sizeof(w.rows)) == 0
+                            : e->view->version == w.stored.version + 1;
+}
+
 static void
 store_write(const struct event *e)
 {
-    const bool done = e->ok && e->view->version == w.stored.version + 1;
+    const bool done = e->ok && w.restore_at == 0 && condition_holds(e);
 
     if (done) {
         const struct view_entry *entry = &e->view->entries[0];
@@ -361,8 +447,16 @@
             w.published_term = MAX(w.published_term, entry->term);
         }
         w.stored = *e->view;
+        w.rows.view = ++w.counter;
+        if (w.rows.marker_era != e->era) {
+            w.rows.marker_era = e->era;
+            w.rows.marker = w.counter;
+        }
+        keep_copy();
     }
     struct event answer = *e;
+    answer.era = w.era;
+    answer.rows = w.rows;
     answer.kind = EVENT_WRITTEN;
     answer.at = e->lost ? w.now + 400 : delay(2, 5);
     answer.ok = done && !e->lost;
@@ -418,6 +512,43 @@
     }
 }
 
+/* Follows the store into the era of an answer. Returns false if the answer is
+   from an earlier one. */
+static bool
+follow_era(struct proxy *p, const struct event *e)
+{
+    if (e->era < p->era) {
+        return false;
+    }
+    if (e->era > p->era) {
+        p->era = e->era;
+        p->rows.view = 0;
+        agreement_set_store_era(p->agreement, e->era, w.now);
+    }
+    if (e->rows.view > p->rows.view) {
+        p->rows = e->rows;
+    }
+    return true;
+}
+
+/* Handles the answer to a write of the view. One of a later era than the
+   write's condition was about another row; then the row is read. */
+static void
+handle_written(struct proxy *p, const struct event *e, uint64_t known_era)
+{
+    const bool ok = e->ok && e->era == known_era;
+
+    if (ok) {
+        adopt(p, e->view);
+    }
+    else if (w.now >= p->store_fault_until && w.restore_at == 0) {
+        struct event read = {.era = w.era, .rows = w.rows};
+        follow_era(p, &read);
+        adopt(p, &w.stored);
+    }
+    promoter_view_written(p->promoter, ok);
+}
+
 /* Handles an event that is due. Returns false if its proxy is suspended; it is
    then delivered later. */
 static bool
@@ -463,16 +594,18 @@
     case EVENT_WRITE:
         store_write(e);
         break;
-    case EVENT_WRITTEN:
-        if (e->ok) {
-            adopt(p, e->view);
-        }
-        else if (w.now >= p->store_fault_until) {
-            adopt(p, &w.stored);
+    case EVENT_WRITTEN: {
+        const uint64_t known_era = p->era;
+        if (e->lost || !follow_era(p, e)) {
+            e->ok = false;
         }
-        promoter_view_written(p->promoter, e->ok);
+        handle_written(p, e, known_era);
         break;
+    }
     case EVENT_READ:
+        if (!follow_era(p, e)) {
+            break;
+        }
         adopt(p, e->view);
         agreement_confirm_by_store(p->agreement, e->view->version, e->asked_at,
                                    true);
@@ -643,7 +776,7 @@
                      : -1;
 
     p->tick_at = w.now + TICK_MS;
-    if (w.now >= p->store_fault_until &&
+    if (w.now >= p->store_fault_until && w.restore_at == 0 &&
         w.now - agreement_confirmed_at(p->agreement) >= CONFIRM_MS &&
         w.now - p->asked_at >= CONFIRM_MS) {
         p->asked_at = w.now;
@@ -654,9 +787,12 @@
             .incarnation = p->incarnation,
             .view = g_memdup2(&w.stored, sizeof(w.stored)),
             .asked_at = w.now,
+            .era = w.era,
+            .rows = w.rows,
         });
     }
-    promoter_set_store_lost(p->promoter, w.now < p->store_fault_until);
+    promoter_set_store_lost(p->promoter,
+                            w.now < p->store_fault_until || w.restore_at != 0);
     if (w.now >= p->message_at ||
         p->sent_version != agreement_view(p->agreement)->version) {
         send_messages(p);
@@ -783,6 +919,22 @@
     }
 }
 
+/* With restored, lets the store go away now and then, and come back. */
+static void
+run_store(bool faults)
+{
+    if (!w.restored_store) {
+        return;
+    }
+    if (w.restore_at != 0 && (w.now >= w.restore_at || !faults)) {
+        w.restore_at = 0;
+        restore_store((clock_ms)rng_below(&w.rng, 9000));
+    }
+    else if (w.restore_at == 0 && faults && rng_below(&w.rng, 800) == 0) {
+        w.restore_at = delay(20, 2500);
+    }
+}
+
 /* Returns true if all proxies follow the primary of the newest term. */
 static bool
 is_settled(void)
@@ -803,7 +955,7 @@
 }
 
 static void
-run_seed(uint64_t seed)
+run_seed(uint64_t seed, bool restored_store)
 {
     for (int k = 0; k < PROXIES; k++) {
         if (w.proxies[k].agreement != NULL) {
@@ -826,6 +978,11 @@
         w.members[i].primary = i == 0;
     }
     w.stored.version = 1;
+    w.counter = 1;
+    w.rows.view = 1;
+    w.restored_store = restored_store;
+    w.era = restored_store;
+    keep_copy();
     for (int k = 0; k < PROXIES; k++) {
         start_proxy(&w.proxies[k]);
     }
@@ -840,6 +997,7 @@
             inject_fault();
             fault_at = delay(10, pause);
         }
+        run_store(faults);
         run_events();
         replicate();
         acknowledge_commits();
@@ -865,8 +1023,9 @@
 int
 main(int argc, char **argv)
 {
-    if (argc != 3) {
-        fprintf(stderr, "usage: model_primary_change FIRST_SEED COUNT\n");
+    if (argc < 3) {
+        fprintf(stderr,
+                "usage: model_primary_change FIRST_SEED COUNT [restored]\n");
         return 2;
     }
     const uint64_t first = strtoull(argv[1], NULL, 10);
@@ -874,7 +1033,7 @@
     uint64_t failed = 0;
 
     for (uint64_t i = 0; i < count; i++) {
-        run_seed(first + i);
+        run_seed(first + i, argc > 3 && strcmp(argv[3], "restored") == 0);
         failed += w.broken != NULL;
     }
     printf("seeds=%llu failed=%llu\n", (unsigned long long)count,
