soak: name the operator so that the formatter reads it

Cause: clang-format takes "operator" for the C++ keyword. Change: struct soak_operator; no behaviour.

--- a/tests/soak/operator.c
+++ b/tests/soak/operator.c
@@ -29,7 +29,7 @@
 
 /* A connection that asks one process for one database. */
 struct probe {
-    struct operator* owner;
+    struct soak_operator *owner;
     int proxy;
     guint route;
     struct stream *stream; /* NULL if none is in progress */
@@ -37,8 +37,7 @@
     uint64_t incarnation;
 };
 
-struct operator
-{
+struct soak_operator {
     struct soak *soak;
     struct ev_loop *loop;
     struct rng rng;
@@ -61,7 +60,7 @@
 }
 
 static struct extra_route *
-get_route(struct operator* o, guint route)
+get_route(struct soak_operator *o, guint route)
 {
     return &g_array_index(o->routes, struct extra_route, route);
 }
@@ -80,7 +79,7 @@
 static void
 check_change(const struct probe *p, int kind, clock_ms changed_at, bool served)
 {
-    struct operator* o = p->owner;
+    struct soak_operator *o = p->owner;
     struct extra_route *r = get_route(o, p->route);
     const bool in_force = served == (kind == 0);
     const clock_ms seen = r->effect_seen_at[p->proxy][kind];
@@ -111,7 +110,7 @@
 static void
 on_probe_answered(struct probe *p, bool served)
 {
-    struct operator* o = p->owner;
+    struct soak_operator *o = p->owner;
     const struct extra_route *r = get_route(o, p->route);
 
     if (p->incarnation != o->incarnation[p->proxy]) {
@@ -170,7 +169,7 @@
 static void
 on_timer(struct ev_loop *loop, ev_timer *w, int revents)
 {
-    struct operator* o = w->data;
+    struct soak_operator *o = w->data;
     const clock_ms now = clock_monotonic_ms();
     const guint n = o->routes->len;
 
@@ -191,10 +190,10 @@
     }
 }
 
-struct operator*
-    operator_create(struct soak *s, struct ev_loop *loop, uint64_t seed)
+struct soak_operator *
+operator_create(struct soak *s, struct ev_loop *loop, uint64_t seed)
 {
-    struct operator* o = g_new0(struct operator, 1);
+    struct soak_operator *o = g_new0(struct soak_operator, 1);
 
     o->soak = s;
     o->loop = loop;
@@ -209,7 +208,8 @@
     return o;
 }
 
-void operator_destroy(struct operator* o)
+void
+operator_destroy(struct soak_operator *o)
 {
     ev_timer_stop(o->loop, &o->timer);
     for (int i = 0; i < SOAK_PROXIES; i++) {
@@ -220,14 +220,15 @@
 }
 
 long
-operator_answers(const struct operator* o)
+operator_answers(const struct soak_operator *o)
 {
     return o->answers;
 }
 
 /* Adds a database, and removes the oldest one when there are many. The caller
    then writes the configuration. */
-void operator_change_routes(struct operator* o)
+void
+operator_change_routes(struct soak_operator *o)
 {
     const struct extra_route added = {.written_at = {clock_monotonic_ms(), 0}};
     guint open = 0;
@@ -243,7 +244,7 @@
 
 /* Appends the present databases to the routes of a configuration. */
 void
-operator_append_routes(const struct operator* o, GString *routes)
+operator_append_routes(const struct soak_operator *o, GString *routes)
 {
     for (guint i = 0; i < o->routes->len; i++) {
         if (g_array_index(o->routes, struct extra_route, i).written_at[1] ==
@@ -259,7 +260,8 @@
 }
 
 /* Called when the store has acknowledged the configuration. */
-void operator_acknowledged(struct operator* o)
+void
+operator_acknowledged(struct soak_operator *o)
 {
     const clock_ms now = clock_monotonic_ms();
 
@@ -274,7 +276,7 @@
 
 /* Records a disturbance of a process, or of the store if proxy is -1. */
 void
-operator_disturbed(struct operator* o, int proxy)
+operator_disturbed(struct soak_operator *o, int proxy)
 {
     const clock_ms now = clock_monotonic_ms();
 
@@ -287,7 +289,7 @@
 
 /* Records that a process has ended: the next one may know an older version. */
 void
-operator_process_ended(struct operator* o, int proxy)
+operator_process_ended(struct soak_operator *o, int proxy)
 {
     o->incarnation[proxy]++;
     for (guint i = 0; i < o->routes->len; i++) {
--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -91,7 +91,7 @@
     struct standin_store *store;
     struct standin_group *group;
     struct callers *callers;
-    struct operator* operator;
+    struct soak_operator *operator;
     struct proxy_process proxies[SOAK_PROXIES];
     guint max_connections; /* that a member accepts */
     struct fault_proxy *member_fault_proxies[SOAK_MEMBERS];
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -113,16 +113,16 @@
 /* The operator: adds and removes databases, and checks that every process
    serves or refuses them in time. The calls of operator_change_routes(),
    operator_append_routes() and operator_acknowledged() make up a change. */
-struct operator;
-struct operator *operator_create(struct soak *s, struct ev_loop *loop,
-                                 uint64_t seed);
-void operator_destroy(struct operator *o);
-void operator_change_routes(struct operator *o);
-void operator_append_routes(const struct operator *o, GString *routes);
-void operator_acknowledged(struct operator *o);
-void operator_disturbed(struct operator *o, int proxy);
-void operator_process_ended(struct operator *o, int proxy);
-long operator_answers(const struct operator *o);
+struct soak_operator;
+struct soak_operator *operator_create(struct soak *s, struct ev_loop *loop,
+                                      uint64_t seed);
+void operator_destroy(struct soak_operator *o);
+void operator_change_routes(struct soak_operator *o);
+void operator_append_routes(const struct soak_operator *o, GString *routes);
+void operator_acknowledged(struct soak_operator *o);
+void operator_disturbed(struct soak_operator *o, int proxy);
+void operator_process_ended(struct soak_operator *o, int proxy);
+long operator_answers(const struct soak_operator *o);
 
 /* Addresses of this run. Each run takes a network 127.N, so that several soaks
    can run in parallel. The returned strings are static. */
