--- a/tests/soak/standin_store.c
+++ b/tests/soak/standin_store.c
@@ -16,6 +16,10 @@
 #define FEED_WAIT_MAX_MS 5500
 #define OPERATOR_FEED_WAIT_MAX_MS 2400
 
+/* Keys of the proxies' own table. */
+#define VIEW_KEY "view"
+#define MARKER_PREFIX "store-era/"
+
 #define SNAPSHOT_INTERVAL_MS 100
 #define SNAPSHOT_KEEP_MS 10000
 
@@ -240,6 +244,41 @@
     return json_string_value(json_object_get(o, name));
 }
 
+/* Returns true if a list of rows has one whose key begins with a prefix. */
+static bool
+names_key(const json_t *rows, const char *prefix)
+{
+    size_t i;
+    const json_t *o;
+
+    json_array_foreach(rows, i, o)
+    {
+        if (g_str_has_prefix(string_field(o, "key"), prefix)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Checks that a write of the view has the marker of its era in its condition:
+   a late write of an earlier era could else meet a version that was given out
+   again. */
+static void
+check_marker(const struct standin_store *st, const json_t *body)
+{
+    bool has_marker = false;
+
+    for (guint i = 0; i < st->rows->len; i++) {
+        const struct row *r = st->rows->pdata[i];
+        has_marker = has_marker || (r->value != NULL &&
+                                    g_str_has_prefix(r->key, MARKER_PREFIX));
+    }
+    if (has_marker && names_key(json_object_get(body, "writes"), VIEW_KEY) &&
+        !names_key(json_object_get(body, "expected_rev"), MARKER_PREFIX)) {
+        soak_violation(st->soak, "the view is written without its marker");
+    }
+}
+
 /* Executes rows-tx. Answers 412 with the present rows if the version of an
    expected row differs. */
 static void
@@ -251,6 +290,7 @@
     const json_t *o;
     bool ok = true;
 
+    check_marker(st, body);
     json_array_foreach(json_object_get(body, "expected_rev"), i, o)
     {
         const struct row *r =
