soak: a request sent before a removal may be handled after it

Its log shows version 16, which removes x1, in force 1 ms before it refused x1; the operator had written that version at least 94 ms earlier, as proxy 0 had it by then. The probe had been sent before the removal was written and was answered after it, and the check judged it by the time when it was sent alone. Change: such a probe is judged only if the database was served; the refusal is right if the removal came first. Probes sent after the removal are judged as before.

--- a/tests/soak/operator.c
+++ b/tests/soak/operator.c
@@ -117,12 +117,16 @@
         return;
     }
     o->answers++;
-    if (r->written_at[1] == 0 || p->sent_at < r->written_at[1]) {
+    if (r->written_at[1] == 0) {
         check_change(p, 0, r->added_at, served);
     }
-    else {
+    else if (p->sent_at >= r->written_at[1]) {
         check_change(p, 1, r->removed_at, served);
     }
+    else if (served) {
+        /* The request may have been handled after its removal, too. */
+        check_change(p, 0, r->added_at, served);
+    }
 }
 
 static void
