directory, relay: interfaces for client accounts, keys and rate limits

Cause: two deployments ask for client accounts, whose requests must run under the account's name, and for limits over all proxies. The catalog can hold accounts and key digests; connections to members name an account; the relay is given the caller's key, the freshness of the configuration and a source of rate permits. Nothing uses them yet. Result: build and tests of relay, platform and directory pass.

--- a/src/directory/catalog.c
+++ b/src/directory/catalog.c
@@ -1,5 +1,7 @@
 #include "directory/catalog.h"
 
+#include <string.h>
+
 static void
 route_free(void *p)
 {
@@ -19,6 +21,31 @@
     g_free(s);
 }
 
+static void
+account_free(void *p)
+{
+    struct account *a = p;
+
+    g_free(a->name);
+    g_free(a);
+}
+
+static guint
+key_hash(gconstpointer p)
+{
+    const struct account_key *key = p;
+    guint hash;
+
+    memcpy(&hash, key->digest, sizeof(hash));
+    return hash;
+}
+
+static gboolean
+key_equal(gconstpointer a, gconstpointer b)
+{
+    return memcmp(a, b, sizeof(struct account_key)) == 0;
+}
+
 /* Creates an empty catalog with a reference count of one. */
 struct catalog *
 catalog_create(uint64_t version)
@@ -30,6 +57,9 @@
         g_hash_table_new_full(g_str_hash, g_str_equal, NULL, route_free);
     c->services = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
                                         service_limits_free);
+    c->accounts =
+        g_hash_table_new_full(g_str_hash, g_str_equal, NULL, account_free);
+    c->keys = g_hash_table_new_full(key_hash, key_equal, g_free, NULL);
     g_atomic_ref_count_init(&c->references);
     return c;
 }
@@ -50,6 +80,57 @@
     g_hash_table_replace(c->services, s->service, s);
 }
 
+/* Adds an account, which the catalog then owns. Returns false, and leaves the
+   account to the caller, if there is one of the same name. */
+bool
+catalog_add_account(struct catalog *c, struct account *a)
+{
+    if (g_hash_table_contains(c->accounts, a->name)) {
+        return false;
+    }
+    g_hash_table_insert(c->accounts, a->name, a);
+    return true;
+}
+
+/* Adds a key of an account. Returns false if there is no such account or the
+   key is in use. */
+bool
+catalog_add_key(struct catalog *c, const struct account_key *key,
+                const char *account)
+{
+    struct account *a = g_hash_table_lookup(c->accounts, account);
+
+    if (a == NULL || g_hash_table_contains(c->keys, key)) {
+        return false;
+    }
+    g_hash_table_insert(c->keys, g_memdup2(key, sizeof(*key)), a);
+    return true;
+}
+
+/* Returns the digest of an API key. */
+struct account_key
+account_key_of(struct sview plain)
+{
+    GChecksum *sum = g_checksum_new(G_CHECKSUM_SHA256);
+    struct account_key key;
+    uint8_t digest[32];
+    gsize size = sizeof(digest);
+
+    g_checksum_update(sum, (const guchar *)plain.p, (gssize)plain.n);
+    g_checksum_get_digest(sum, digest, &size);
+    g_checksum_free(sum);
+    memcpy(key.digest, digest, sizeof(key.digest));
+    return key;
+}
+
+/* Returns the account that holds a key, or NULL. It is valid as long as the
+   catalog is referenced. */
+const struct account *
+catalog_account_of_key(const struct catalog *c, const struct account_key *key)
+{
+    return g_hash_table_lookup(c->keys, key);
+}
+
 struct catalog *
 catalog_ref(struct catalog *c)
 {
@@ -66,6 +147,8 @@
     }
     g_hash_table_destroy(c->routes);
     g_hash_table_destroy(c->services);
+    g_hash_table_destroy(c->keys);
+    g_hash_table_destroy(c->accounts);
     g_free(c);
 }
 
--- a/src/node/member_query.c
+++ b/src/node/member_query.c
@@ -99,7 +99,7 @@
     q->round = round;
     q->done = done;
     q->ctx = ctx;
-    q->link = codec->open(codec->ctx, m, &query_events, q);
+    q->link = codec->open(codec->ctx, m, NULL, &query_events, q);
     ev_timer_init(&q->timer, on_timeout,
                   q->link == NULL ? 0.0 : QUERY_TIMEOUT_MS / 1000.0, 0.0);
     q->timer.data = q;
--- a/src/relay/links.c
+++ b/src/relay/links.c
@@ -297,7 +297,8 @@
     l->settings =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     l->prepared = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
-    l->codec_link = s->codec->open(s->codec->ctx, &m->entry, &link_events, l);
+    l->codec_link =
+        s->codec->open(s->codec->ctx, &m->entry, NULL, &link_events, l);
     g_ptr_array_add(m->links, l);
     s->counters.links_opened++;
     if (l->codec_link == NULL) {
--- a/src/relay/member_link.h
+++ b/src/relay/member_link.h
@@ -20,11 +20,14 @@
 
 /* Implementation of the protocol that members speak. open() is given the
    codec's ctx, and the ctx that it passes to events; it returns NULL if the
-   connection attempt fails immediately. A request sent with a min_position
+   connection attempt fails immediately. account is the name of the client
+   account whose requests the connection will carry, which cannot be changed
+   later; NULL for the proxy's own. A request sent with a min_position
    is executed only if the member's log has reached it; NULL requires
    nothing. */
 struct member_codec {
     struct member_link *(*open)(void *codec_ctx, const struct member_entry *m,
+                                const char *account,
                                 const struct member_link_events *events,
                                 void *ctx);
     void (*send)(struct member_link *l, const struct request *r,
--- a/src/relay/request.c
+++ b/src/relay/request.c
@@ -14,6 +14,7 @@
         [FAILURE_CONNECTION_LIMIT] = "connections",
         [FAILURE_NO_STATEMENT] = "no_statement",
         [FAILURE_NO_DATABASE] = "no_database",
+        [FAILURE_UNAUTHORIZED] = "unauthorized",
         [FAILURE_MALFORMED] = "malformed",
         [FAILURE_TOO_LARGE] = "too_large",
         [FAILURE_STATEMENT_FAILED] = "failed",
--- a/src/relay/request.h
+++ b/src/relay/request.h
@@ -48,6 +48,7 @@
     FAILURE_CONNECTION_LIMIT, /* not run: too many connections */
     FAILURE_NO_STATEMENT,     /* not run: unknown prepared statement */
     FAILURE_NO_DATABASE,      /* not run: no such database */
+    FAILURE_UNAUTHORIZED,     /* not run: the caller's API key is not valid */
     FAILURE_MALFORMED, /* not run: invalid, or not allowed in this state */
     FAILURE_TOO_LARGE, /* not run: over the size limit */
     FAILURE_STATEMENT_FAILED, /* the statement was executed and failed */
--- a/src/relay/service.h
+++ b/src/relay/service.h
@@ -2,6 +2,7 @@
 #define RELAY_SERVICE_H
 
 #include "base/clock.h"
+#include "directory/catalog.h"
 #include "directory/member_entry.h"
 #include "relay/connection_share.h"
 #include "relay/member_link.h"
@@ -18,7 +19,9 @@
 /* A request for a connection; embedded in the session. Unless it is withdrawn,
    exactly one of granted() and refused() is called, once. */
 struct connection_request {
-    int priority;       /* 0 is the most urgent */
+    int priority;                  /* 0 is the most urgent */
+    const struct account *account; /* NULL: of no account. Valid until the
+                                      request has left the queue */
     bool needs_primary; /* otherwise replicas that are recent enough may serve
                            it too */
     struct token floor; /* lowest position that the session may see, if
--- a/src/relay/session.c
+++ b/src/relay/session.c
@@ -18,7 +18,7 @@
    database is looked up again for each transaction, since the configuration
    may change; an unknown name is reported then. */
 struct session *
-session_create(struct relay *r, const char *database,
+session_create(struct relay *r, const char *database, struct sview api_key,
                const struct session_events *events, void *ctx)
 {
     struct session *s = g_new0(struct session, 1);
@@ -27,6 +27,7 @@
     s->events = events;
     s->ctx = ctx;
     s->database = g_strdup(database);
+    s->key = account_key_of(api_key);
     s->settings =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     s->prepared =
--- a/src/relay/session.h
+++ b/src/relay/session.h
@@ -2,6 +2,7 @@
 #define RELAY_SESSION_H
 
 #include "directory/catalog.h"
+#include "limits/rate_client.h"
 #include "relay/service.h"
 
 /* A caller's session: settings, prepared statements, transaction and causal
@@ -24,6 +25,10 @@
     /* Returns NULL if there is no such service. */
     struct service *(*service)(void *ctx, const char *name);
     clock_ms (*now)(void *ctx); /* the boot clock */
+    /* Returns true while the newest configuration is recent enough to rely on
+       its API keys; NULL: always. */
+    bool (*catalog_is_fresh)(void *ctx, clock_ms now);
+    struct rate_client *rate_client; /* NULL: rate limits are not enforced */
     void *ctx;
 };
 
@@ -47,6 +52,7 @@
 const struct relay_counters *relay_counters(const struct relay *r);
 
 struct session *session_create(struct relay *r, const char *database,
+                               struct sview api_key,
                                const struct session_events *events, void *ctx);
 void session_end(struct session *s);
 bool session_is_idle(const struct session *s);
--- a/src/relay/session_internal.h
+++ b/src/relay/session_internal.h
@@ -24,7 +24,8 @@
     const struct session_events *events;
     void *ctx;
     char *database;
-    GList active_node; /* in relay.active */
+    struct account_key key; /* digest of the caller's API key */
+    GList active_node;      /* in relay.active */
     bool in_active_list;
 
     struct catalog *catalog; /* keeps route valid */
--- a/tests/platform/test_frontend.c
+++ b/tests/platform/test_frontend.c
@@ -56,11 +56,12 @@
 }
 
 struct session *
-session_create(struct relay *r, const char *database,
+session_create(struct relay *r, const char *database, struct sview api_key,
                const struct session_events *events, void *ctx)
 {
     (void)r;
     (void)database;
+    (void)api_key;
     newest = g_new0(struct session, 1);
     newest->events = events;
     newest->ctx = ctx;
--- a/tests/relay/model_connections.c
+++ b/tests/relay/model_connections.c
@@ -114,11 +114,12 @@
 }
 
 static struct member_link *
-open_link(void *codec_ctx, const struct member_entry *m,
+open_link(void *codec_ctx, const struct member_entry *m, const char *account,
           const struct member_link_events *events, void *ctx)
 {
     const int member = m->id[1] - '1';
 
+    (void)account;
     for (int i = 0; i < LINKS_MAX; i++) {
         struct member_link *l = &model.links[i];
         if (l->used) {
--- a/tests/relay/relay_fixture.c
+++ b/tests/relay/relay_fixture.c
@@ -9,11 +9,12 @@
 
 /* Opens a connection whose member is played by the test. */
 static struct member_link *
-open_link(void *codec_ctx, const struct member_entry *m,
+open_link(void *codec_ctx, const struct member_entry *m, const char *account,
           const struct member_link_events *events, void *ctx)
 {
     struct fixture *f = codec_ctx;
 
+    (void)account;
     if (f->refuse_connections) {
         return NULL;
     }
@@ -170,7 +171,7 @@
 struct session *
 fixture_session(struct fixture *f)
 {
-    return session_create(f->relay, "boats", &events, f);
+    return session_create(f->relay, "boats", SVIEW(""), &events, f);
 }
 
 /* Makes a caller's request. The text must stay valid until the answer. */
