platform, daemon: SIGTERM during the start does not end the process by the signal

Cause: the default action of SIGTERM applied until the handlers were installed; only SIGHUP was blocked from main() on. Change: SIGTERM is blocked from main() on as well.

--- a/src/daemon/daemon.c
+++ b/src/daemon/daemon.c
@@ -250,6 +250,7 @@
     ev_signal_init(&d->sighup, on_sighup, SIGHUP);
     ev_signal_start(d->loop, &d->sighup);
     held_signal_set(SIGHUP, false);
+    held_signal_set(SIGTERM, false);
 }
 
 /* Up to this many proxies watch every database at the short probe interval, so
--- a/src/galenastepd.c
+++ b/src/galenastepd.c
@@ -30,6 +30,7 @@
         g_option_context_new("- database proxy with session consistency");
 
     held_signal_set(SIGHUP, true);
+    held_signal_set(SIGTERM, true);
     log_set_program("galenastepd");
     g_option_context_add_main_entries(options, entries, NULL);
     if (!g_option_context_parse(options, &argc, &argv, &option_error)) {
--- a/tests/test_early_hup.sh
+++ b/tests/test_early_hup.sh
@@ -1,7 +1,8 @@
 #!/bin/sh
-# Guards against a process that SIGHUP ends during its start, before the handler
-# is installed. The settings file is a FIFO, so that the process waits in open()
-# when the signal arrives; it is then refused as settings (exit code 2).
+# Guards against a process that SIGHUP or SIGTERM ends during its start, before
+# the handlers are installed. The settings file is a FIFO, so that the process
+# waits in open() when the signals arrive; it is then refused as settings (exit
+# code 2).
 #
 #   test_early_hup.sh platform|daemon PROGRAM
 set -eu
@@ -19,6 +20,7 @@
 pid=$!
 sleep 1
 kill -HUP "$pid"
+kill -TERM "$pid"
 sleep 0.2
 # Opening the FIFO lets the process go on, if it still runs.
 timeout 2 sh -c ": >'$dir/settings'" || true
