coordination: tell the age of the configuration's evidence in messages

Cause: proxies that do not ask the store often have to learn from others how recent the configuration is, and a new field in the message would split fleets of two builds.

Change: catalog_age_ms follows the XDR message as an optional part with length and format, covered by the signature. agreement_answered_at() returns the time for which a quorum of witnesses has answered.

--- a/src/coordination/agreement.c
+++ b/src/coordination/agreement.c
@@ -28,8 +28,10 @@
     clock_ms peer_sent_at; /* of its last message, on the peer's clock */
     /* Own clock: at this time or later, the peer knew no newer view. */
     clock_ms confirmed_at;
-    uint64_t applied; /* newest view version that it has applied */
-    uint64_t version; /* newest view version that it knows */
+    clock_ms answered_at; /* own clock: the peer has answered a message sent at
+                             this time */
+    uint64_t applied;     /* newest view version that it has applied */
+    uint64_t version;     /* newest view version that it knows */
     struct service_set unreachable;
     bool has_unreachable;   /* unreachable is not empty */
     uint64_t registry_hash; /* of the registered proxies known to the peer */
@@ -369,6 +371,7 @@
     g_strlcpy(out->from, a->name, sizeof(out->from));
     out->incarnation = a->incarnation;
     out->sent_at = now;
+    out->catalog_age_ms = -1;
     if (!a->view_unproven) {
         out->applied = a->applied;
         out->version = a->view.version;
@@ -452,6 +455,7 @@
     memcpy(p->silent, m->silent, sizeof(p->silent));
     if (m->echo_incarnation == a->incarnation) {
         a->known_to_peers = true; /* a proxy echoes only peers that it lists */
+        p->answered_at = MAX(p->answered_at, m->echo);
     }
     if (m->applied > p->applied) {
         p->applied = m->applied;
@@ -498,6 +502,29 @@
     return MAX(times[needed - 1], a->store_confirmed_at);
 }
 
+/* Returns the latest time (own clock) for which a quorum of witnesses has
+   answered messages that this proxy sent then or later, -1 if there is none;
+   CLOCK_NEVER if no quorum needs another proxy. */
+clock_ms
+agreement_answered_at(const struct agreement *a)
+{
+    clock_ms times[AGREEMENT_WITNESSES_MAX];
+    const int needed = quorum(a) - a->is_witness; /* other than this proxy */
+    const int n = a->witness_peer_count;
+
+    if (needed < 1) {
+        return CLOCK_NEVER;
+    }
+    if (n < needed) {
+        return -1;
+    }
+    for (int i = 0; i < n; i++) {
+        times[i] = a->peers[a->witness_peers[i]].answered_at;
+    }
+    qsort(times, (size_t)n, sizeof(times[0]), compare_times);
+    return times[needed - 1];
+}
+
 /* Returns true while this proxy may rely on its view. */
 bool
 agreement_lease_is_valid(const struct agreement *a, clock_ms now)
--- a/src/coordination/agreement.h
+++ b/src/coordination/agreement.h
@@ -70,6 +70,8 @@
        `version`. */
     struct service_set unreachable;
     uint64_t catalog_version; /* version of the operator's configuration */
+    int64_t catalog_age_ms;   /* of the evidence that the store held no newer
+                                 one; -1: none */
     uint64_t registry_hash; /* of the registered proxies known to the sender */
     /* Name hashes of proxies that the sender, a witness, has not heard from
        for AGREEMENT_SILENT_MS. */
@@ -126,6 +128,7 @@
                        clock_ms now);
 
 clock_ms agreement_confirmed_at(const struct agreement *a);
+clock_ms agreement_answered_at(const struct agreement *a);
 bool agreement_lease_is_valid(const struct agreement *a, clock_ms now);
 bool agreement_older_views_expired(struct agreement *a, uint64_t version,
                                    clock_ms since, clock_ms now);
--- a/src/coordination/peer_message.x
+++ b/src/coordination/peer_message.x
@@ -52,3 +52,14 @@
     wire_details *details;
     wire_changes *changes;
 };
+
+/* Follows a message if it has something to tell; earlier builds ignore it. The
+   length is that of what follows the length itself. Later formats only add
+   fields at the end, which a reader skips that does not know them. */
+const WIRE_TRAILER_FORMAT = 1;
+
+struct wire_trailer {
+    unsigned int length;
+    unsigned int format;
+    unsigned int catalog_age_ms;
+};
--- a/src/coordination/peer_message_xdr.c
+++ b/src/coordination/peer_message_xdr.c
@@ -115,3 +115,17 @@
         return FALSE;
     return TRUE;
 }
+
+bool_t
+xdr_wire_trailer(XDR *xdrs, wire_trailer *objp)
+{
+    register int32_t *buf;
+
+    if (!xdr_u_int(xdrs, &objp->length))
+        return FALSE;
+    if (!xdr_u_int(xdrs, &objp->format))
+        return FALSE;
+    if (!xdr_u_int(xdrs, &objp->catalog_age_ms))
+        return FALSE;
+    return TRUE;
+}
--- a/src/coordination/peer_message_xdr.h
+++ b/src/coordination/peer_message_xdr.h
@@ -76,6 +76,14 @@
     wire_changes *changes;
 };
 typedef struct wire_message wire_message;
+#define WIRE_TRAILER_FORMAT 1
+
+struct wire_trailer {
+    u_int length;
+    u_int format;
+    u_int catalog_age_ms;
+};
+typedef struct wire_trailer wire_trailer;
 
 /* the xdr functions */
 
@@ -85,6 +93,7 @@
 extern bool_t xdr_wire_details(XDR *, wire_details *);
 extern bool_t xdr_wire_changes(XDR *, wire_changes *);
 extern bool_t xdr_wire_message(XDR *, wire_message *);
+extern bool_t xdr_wire_trailer(XDR *, wire_trailer *);
 
 #else /* K&R C */
 extern bool_t xdr_wire_position();
@@ -92,6 +101,7 @@
 extern bool_t xdr_wire_details();
 extern bool_t xdr_wire_changes();
 extern bool_t xdr_wire_message();
+extern bool_t xdr_wire_trailer();
 
 #endif /* K&R C */
 
--- a/src/coordination/peer_socket.c
+++ b/src/coordination/peer_socket.c
@@ -18,6 +18,8 @@
 #define SIGNATURE_VERSION 3
 /* HMAC-SHA256 truncated to half its length, as RFC 2104 allows. */
 #define SIGNATURE_BYTES 16
+/* Size of struct wire_trailer on the wire. */
+#define TRAILER_BYTES 12
 
 struct peer_socket {
     struct ev_loop *loop;
@@ -123,6 +125,36 @@
                                      SIGNATURE_BYTES) >= 0;
 }
 
+/* Reads what follows a message, if anything does. A part with a length that
+   does not fit is ignored, as earlier builds do. */
+static void
+read_trailer(XDR *x, size_t size, struct agreement_message *m)
+{
+    const size_t at = xdr_getpos(x);
+    wire_trailer t = {0};
+
+    m->catalog_age_ms = -1;
+    if (size - at >= TRAILER_BYTES && xdr_wire_trailer(x, &t) &&
+        t.length >= TRAILER_BYTES - sizeof(t.length) &&
+        t.length <= size - at - sizeof(t.length) &&
+        t.format >= WIRE_TRAILER_FORMAT) {
+        m->catalog_age_ms = t.catalog_age_ms;
+    }
+}
+
+/* Encodes what follows a message. Returns false if it does not fit. */
+static bool
+write_trailer(XDR *x, const struct agreement_message *m)
+{
+    wire_trailer t = {
+        .length = TRAILER_BYTES - sizeof(t.length),
+        .format = WIRE_TRAILER_FORMAT,
+        .catalog_age_ms = (u_int)MIN(m->catalog_age_ms, G_MAXUINT32),
+    };
+
+    return m->catalog_age_ms < 0 || xdr_wire_trailer(x, &t);
+}
+
 /* Decodes a datagram. Returns false if it is not a valid message. */
 static bool
 decode(char *bytes, size_t size, struct agreement_message *m)
@@ -133,10 +165,11 @@
     memset(m, 0, sizeof(*m));
     xdrmem_create(&x, bytes, (u_int)size, XDR_DECODE);
     const bool ok = xdr_wire_message(&x, &w);
-    xdr_destroy(&x);
     if (ok) {
         read_message(&w, m);
+        read_trailer(&x, size, m);
     }
+    xdr_destroy(&x);
     xdr_free((xdrproc_t)xdr_wire_message, (char *)&w);
     return ok;
 }
@@ -287,7 +320,7 @@
         .changes = m->has_changes ? &view_changes : NULL,
     };
     xdrmem_create(&x, bytes, sizeof(bytes), XDR_ENCODE);
-    const bool ok = xdr_wire_message(&x, &w);
+    const bool ok = xdr_wire_message(&x, &w) && write_trailer(&x, m);
     const u_int size = xdr_getpos(&x);
     xdr_destroy(&x);
     const struct rpc_signed what = signed_data(bytes, size);
--- a/tests/coordination/test_peer_socket.c
+++ b/tests/coordination/test_peer_socket.c
@@ -139,6 +139,7 @@
     memset(m.from, 'n', sizeof(m.from) - 1);
     m.version = 77;
     m.catalog_version = 5;
+    m.catalog_age_ms = 4321;
     m.registry_hash = 6;
     m.store_lost = true;
     m.has_changes = true;
@@ -176,6 +177,7 @@
         .sent_at = 2,
         .echo = 3,
         .version = 4,
+        .catalog_age_ms = -1,
     };
     const size_t budget_per_s = 4096;
     const size_t messages_per_s = 2 * 7 * 1000 / 400;
@@ -192,6 +194,194 @@
     end(&f);
 }
 
+/* Guards against evidence about the configuration that makes each message
+   longer: only replies have it, and only in strict mode. 12 bytes more in each
+   reply, 210 a second for seven of them every 400 ms. */
+static void
+test_reply_with_evidence_fits_the_budget(void **state)
+{
+    static struct agreement_message m = {
+        .from = "front-far-harbour-12",
+        .incarnation = 1,
+        .sent_at = 2,
+        .echo = 3,
+        .version = 4,
+        .catalog_age_ms = -1,
+    };
+    const size_t budget_per_s = 4096 + 256;
+    struct fixture f;
+
+    (void)state;
+    begin(&f, true);
+    const size_t request = peer_socket_send(f.a, "127.0.0.2", f.port, &m);
+    m.reply = true;
+    m.catalog_age_ms = INT64_MAX;
+    const size_t reply = peer_socket_send(f.a, "127.0.0.2", f.port, &m);
+    assert_int_equal(reply, request + 12);
+    assert_true((request + reply) * 7 * 1000 / 400 <= budget_per_s);
+    end(&f);
+}
+
+/* What signatures cover besides the message; see peer_socket.c. */
+#define SIGNATURE_PROGRAM 0x20673704
+#define SIGNATURE_VERSION 3
+#define SIGNATURE_BYTES 16
+
+/* A message that build 0ef6b30, before messages had a trailing part, has
+   sent. */
+static const uint8_t recorded[] = {
+    0x00, 0x00, 0x00, 0x14, 0x66, 0x72, 0x6f, 0x6e, 0x74, 0x2d, 0x66, 0x61,
+    0x72, 0x2d, 0x68, 0x61, 0x72, 0x62, 0x6f, 0x75, 0x72, 0x2d, 0x31, 0x32,
+    0x11, 0x12, 0x13, 0x14, 0x15, 0x16, 0x17, 0x18, 0x00, 0x00, 0x00, 0x00,
+    0x00, 0x00, 0x07, 0xd1, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x07, 0xcf,
+    0x21, 0x22, 0x23, 0x24, 0x25, 0x26, 0x27, 0x28, 0x00, 0x00, 0x00, 0x00,
+    0x00, 0x00, 0x00, 0x4c, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x4d,
+    0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x05, 0x00, 0x00, 0x00, 0x00,
+    0x00, 0x00, 0x00, 0x06, 0x00, 0x00, 0x00, 0x06, 0x00, 0x00, 0x00, 0x01,
+    0x00, 0x00, 0x00, 0x01, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x08,
+    0x00, 0x00, 0x00, 0x01, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x08,
+    0x00, 0x00, 0x00, 0x01, 0x00, 0x00, 0x00, 0x03, 0x00, 0x00, 0x00, 0x00,
+    0x00, 0x00, 0x00, 0x04, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x03, 0x84,
+    0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x0c, 0x00, 0x00, 0x00, 0x01,
+    0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x46, 0x00, 0x00, 0x00, 0x11,
+    0x66, 0x72, 0x6f, 0x6e, 0x74, 0x2d, 0x6e, 0x65, 0x61, 0x72, 0x2d, 0x71,
+    0x75, 0x61, 0x79, 0x2d, 0x31, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00,
+    0x00, 0x00, 0x00, 0x09, 0x00, 0x00, 0x00, 0x01, 0x00, 0x00, 0x00, 0x04,
+    0x6c, 0x6f, 0x62, 0x6f, 0x00, 0x00, 0x00, 0x03, 0x69, 0x2d, 0x31, 0x00,
+    0x00, 0x00, 0x00, 0x03, 0x69, 0x2d, 0x32, 0x00, 0x00, 0x00, 0x00, 0x00,
+    0x00, 0x00, 0x00, 0x03, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x47,
+    0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x04, 0x00, 0x00, 0x00, 0x01,
+    0x28, 0x41, 0xa7, 0xfa, 0x04, 0x0b, 0x6c, 0x60, 0x88, 0xec, 0xaa, 0xdf,
+    0xf8, 0x34, 0x4b, 0x9f,
+};
+
+/* Sends bytes to b. */
+static void
+send_bytes(const struct fixture *f, const uint8_t *bytes, size_t size)
+{
+    struct sockaddr_in to = {.sin_family = AF_INET,
+                             .sin_port = htons(f->port)};
+    const int fd = socket(AF_INET, SOCK_DGRAM, 0);
+
+    inet_pton(AF_INET, "127.0.0.2", &to.sin_addr);
+    assert_int_equal(
+        sendto(fd, bytes, size, 0, (struct sockaddr *)&to, sizeof(to)),
+        (ssize_t)size);
+    close(fd);
+}
+
+/* Sends the recorded message with another trailing part to b, signed. */
+static void
+send_with_trailer(const struct fixture *f, const uint8_t *trailer, size_t size)
+{
+    const size_t plain = sizeof(recorded) - SIGNATURE_BYTES;
+    uint8_t bytes[sizeof(recorded) + 256];
+    uint8_t mac[RPC_MAC_BYTES];
+    const struct rpc_signed what = {
+        .program = SIGNATURE_PROGRAM,
+        .version = SIGNATURE_VERSION,
+        .body = {.p = (const char *)bytes, .n = plain + size},
+    };
+
+    memcpy(bytes, recorded, plain);
+    memcpy(bytes + plain, trailer, size);
+    assert_true(rpc_auth_sign(f->keys, &what, 0, mac));
+    memcpy(bytes + plain + size, mac, SIGNATURE_BYTES);
+    send_bytes(f, bytes, plain + size + SIGNATURE_BYTES);
+}
+
+/* Checks that b has received the recorded message with an age. */
+static void
+check_recorded(const struct fixture *f, int64_t catalog_age_ms)
+{
+    const struct agreement_message *m = &f->last;
+
+    assert_int_equal(f->received, 1);
+    assert_string_equal(m->from, "front-far-harbour-12");
+    assert_int_equal(m->incarnation, 0x1112131415161718);
+    assert_int_equal(m->echo, 1999);
+    assert_int_equal(m->echo_incarnation, 0x2122232425262728);
+    assert_int_equal(m->version, 77);
+    assert_int_equal(m->catalog_version, 5);
+    assert_true(m->reply && m->store_lost && !m->leaving);
+    assert_int_equal(m->position_count, 1);
+    assert_int_equal(m->positions[0].age_ms, 12);
+    assert_string_equal(m->holder, "front-near-quay-1");
+    assert_int_equal(m->change_count, 1);
+    assert_string_equal(m->changes[0].ordered, "i-2");
+    assert_int_equal(m->catalog_age_ms, catalog_age_ms);
+}
+
+/* Guards against a fleet of two builds that cannot talk: the message of an
+   earlier build has no trailing part. */
+static void
+test_message_of_earlier_build(void **state)
+{
+    struct fixture f;
+
+    (void)state;
+    begin(&f, true);
+    send_bytes(&f, recorded, sizeof(recorded));
+    run(&f, WATCHDOG_S);
+    check_recorded(&f, -1);
+    end(&f);
+}
+
+/* Guards against a message of a later build that is dropped, or misread,
+   because it tells more than this build knows. */
+static void
+test_message_of_later_build(void **state)
+{
+    static const struct {
+        uint8_t bytes[32];
+        size_t size;
+        int64_t age_ms;
+    } cases[] = {
+        /* A field more, and something behind the trailing part. */
+        {{0, 0, 0, 16, 0, 0, 0, 9, 0, 0, 16, 0,
+          1, 2, 3, 4,  5, 6, 7, 8, 9, 9, 9,  9},
+         24,
+         4096},
+        /* Lengths that do not fit, and a part that is too short. */
+        {{0, 0, 0, 99, 0, 0, 0, 1, 0, 0, 16, 0}, 12, -1},
+        {{255, 255, 255, 255, 0, 0, 0, 1, 0, 0, 16, 0}, 12, -1},
+        {{0, 0, 0, 4, 0, 0, 0, 1, 0, 0, 16, 0}, 12, -1},
+        {{0, 0, 0, 4, 0, 0, 0, 1}, 8, -1},
+        {{7, 7, 7}, 3, -1},
+    };
+
+    (void)state;
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        struct fixture f;
+        begin(&f, true);
+        send_with_trailer(&f, cases[i].bytes, cases[i].size);
+        run(&f, WATCHDOG_S);
+        check_recorded(&f, cases[i].age_ms);
+        end(&f);
+    }
+}
+
+/* Guards against a trailing part that the signature does not cover: an
+   attacker could make an old configuration look recent. */
+static void
+test_unsigned_trailer_is_refused(void **state)
+{
+    static const uint8_t trailer[] = {0, 0, 0, 8, 0, 0, 0, 1, 0, 0, 0, 1};
+    uint8_t bytes[sizeof(recorded) + sizeof(trailer)];
+    const size_t plain = sizeof(recorded) - SIGNATURE_BYTES;
+    struct fixture f;
+
+    (void)state;
+    begin(&f, true);
+    memcpy(bytes, recorded, plain);
+    memcpy(bytes + plain, trailer, sizeof(trailer));
+    memcpy(bytes + plain + sizeof(trailer), recorded + plain, SIGNATURE_BYTES);
+    send_bytes(&f, bytes, sizeof(bytes));
+    run(&f, 0.3);
+    assert_int_equal(f.received, 0);
+    end(&f);
+}
+
 /* Guards against an attacker without the key who confirms leases or sends a
    view. Covers a message signed with another key and datagrams without a valid
    signature. */
@@ -226,6 +416,10 @@
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(test_longest_message_arrives_unchanged),
         cmocka_unit_test(test_message_at_rest_fits_the_budget),
+        cmocka_unit_test(test_reply_with_evidence_fits_the_budget),
+        cmocka_unit_test(test_message_of_earlier_build),
+        cmocka_unit_test(test_message_of_later_build),
+        cmocka_unit_test(test_unsigned_trailer_is_refused),
         cmocka_unit_test(test_unauthenticated_messages_are_ignored),
     };
 
