settings: optional keys for accounts and rate limits

Change: [accounts] strict_revocation, revocation_ms, rate_window_s, rate_excess, rate_slack and [proxy] limits_port. A missing or empty value is the default; an invalid one is an error that names group and key. The stand-in of the platform renders sections and placeholders without a value as nothing.

Result: files without the keys load as before (node_test_settings).

--- a/review/standin/sim.py
+++ b/review/standin/sim.py
@@ -736,14 +736,28 @@
 
 
 def render(template, fields):
-    """Fills in the placeholders {{a.b}} of the settings template."""
+    """Fills in the placeholders {{a.b}} of the settings template. One without
+    a value renders as nothing, and so does a section {{#a.b}}...{{/a.b}}
+    without one."""
 
-    def value(match):
+    def find(path):
         v = fields
-        for part in match.group(1).split("."):
-            v = v[int(part)] if isinstance(v, list) else v[part]
-        return str(v)
+        for part in path.split("."):
+            if isinstance(v, list):
+                v = v[int(part)] if int(part) < len(v) else None
+            else:
+                v = v.get(part)
+            if v is None:
+                return None
+        return v
+
+    def value(match):
+        v = find(match.group(1))
+        return "" if v is None else str(v)
 
+    template = re.sub(r"\{\{#([a-z_.0-9]+)\}\}(.*?)\{\{/\1\}\}",
+                      lambda m: "" if find(m.group(1)) is None else m.group(2),
+                      template, flags=re.S)
     return re.sub(r"\{\{([a-z_.0-9]+)\}\}", value, template)
 
 
--- a/src/node/settings.h
+++ b/src/node/settings.h
@@ -3,6 +3,7 @@
 
 #include "directory/member_entry.h"
 
+#include <stdbool.h>
 #include <stdint.h>
 
 #define NODE_KEY_BYTES 257
@@ -25,6 +26,16 @@
     uint16_t peer_port;       /* for messages and copies between proxies */
     uint16_t metrics_port;
     int64_t grace_ms; /* from SIGTERM to SIGKILL */
+    /* API keys count only while the configuration is known to be recent, so
+       that one that was withdrawn is refused within revocation_ms. */
+    bool strict_revocation;
+    int64_t revocation_ms;
+    /* In any rate_window_ms, an account's operations may exceed its limit by
+       rate_excess_permille and rate_slack. */
+    int64_t rate_window_ms;
+    int rate_excess_permille;
+    int rate_slack;
+    uint16_t limits_port; /* UDP; 0: rate limits are not enforced */
 };
 
 bool endpoint_parse(const char *text, struct endpoint *out);
--- a/tests/node/test_settings.c
+++ b/tests/node/test_settings.c
@@ -89,6 +89,110 @@
     }
 }
 
+/* Loads the good settings with lines added to the group [proxy] and a group
+   [accounts] with lines. Returns NULL or an error, which the caller frees. */
+static char *
+load_with(const char *proxy, const char *accounts, struct node_settings *out)
+{
+    char **parts = g_strsplit(good, "[peers]", 2);
+    char *text = g_strconcat(parts[0], proxy, "\n[peers]", parts[1],
+                             "[accounts]\n", accounts, "\n", NULL);
+    char *error = load(text, out);
+
+    g_free(text);
+    g_strfreev(parts);
+    return error;
+}
+
+/* Guards against a file of an earlier build, which lacks the keys, or one with
+   values that the platform does not provide, that keeps the process from
+   starting or changes what it does. */
+static void
+test_missing_and_empty_account_settings(void **state)
+{
+    struct node_settings s;
+
+    (void)state;
+    for (int i = 0; i < 2; i++) {
+        if (i == 0) {
+            assert_null(load(good, &s));
+        }
+        else {
+            assert_null(load_with("limits_port = ",
+                                  "strict_revocation =\nrevocation_ms =\n"
+                                  "rate_window_s = \nrate_excess =\n"
+                                  "rate_slack =",
+                                  &s));
+        }
+        assert_false(s.strict_revocation);
+        assert_int_equal(s.revocation_ms, 5000);
+        assert_int_equal(s.rate_window_ms, 5000);
+        assert_int_equal(s.rate_excess_permille, 0);
+        assert_int_equal(s.rate_slack, 0);
+        assert_int_equal(s.limits_port, 0);
+    }
+}
+
+/* Guards against values that are read in another unit or into the wrong
+   field. */
+static void
+test_account_settings(void **state)
+{
+    struct node_settings s;
+
+    (void)state;
+    assert_null(load_with("limits_port = 7662",
+                          "strict_revocation = true\nrevocation_ms = 6000\n"
+                          "rate_window_s = 2.5\nrate_excess = 0.1\n"
+                          "rate_slack = 20",
+                          &s));
+    assert_true(s.strict_revocation);
+    assert_int_equal(s.revocation_ms, 6000);
+    assert_int_equal(s.rate_window_ms, 2500);
+    assert_int_equal(s.rate_excess_permille, 100);
+    assert_int_equal(s.rate_slack, 20);
+    assert_int_equal(s.limits_port, 7662);
+    assert_null(load_with("", "strict_revocation = False", &s));
+    assert_false(s.strict_revocation);
+    assert_null(load_with("", "strict_revocation = True", &s));
+    assert_true(s.strict_revocation);
+}
+
+/* Guards against an invalid value that is taken for the default, which would
+   silently turn a promise off, and against an error that does not name the
+   key. */
+static void
+test_bad_account_settings(void **state)
+{
+    static const struct {
+        const char *proxy;
+        const char *accounts;
+        const char *named;
+    } cases[] = {
+        {"", "strict_revocation = maybe", "[accounts] strict_revocation"},
+        {"", "revocation_ms = 3999", "[accounts] revocation_ms"},
+        {"", "revocation_ms = 5s", "[accounts] revocation_ms"},
+        {"", "revocation_ms = nan", "[accounts] revocation_ms"},
+        {"", "rate_window_s = 0", "[accounts] rate_window_s"},
+        {"", "rate_window_s = -1", "[accounts] rate_window_s"},
+        {"", "rate_excess = -0.1", "[accounts] rate_excess"},
+        {"", "rate_excess = 1e9", "[accounts] rate_excess"},
+        {"", "rate_slack = x", "[accounts] rate_slack"},
+        {"", "rate_slack = -1", "[accounts] rate_slack"},
+        {"limits_port = 70000", "", "[proxy] limits_port"},
+        {"limits_port = x", "", "[proxy] limits_port"},
+    };
+
+    (void)state;
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        struct node_settings s;
+        char *error = load_with(cases[i].proxy, cases[i].accounts, &s);
+        assert_non_null(error);
+        assert_non_null(strstr(error, cases[i].named));
+        g_free(error);
+    }
+}
+
 /* Guards against accepting a file with a missing or invalid key, and against
    an error message that does not name the key. */
 static void
@@ -129,6 +233,9 @@
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(test_good_settings),
         cmocka_unit_test(test_grace_in_seconds),
+        cmocka_unit_test(test_missing_and_empty_account_settings),
+        cmocka_unit_test(test_account_settings),
+        cmocka_unit_test(test_bad_account_settings),
         cmocka_unit_test(test_bad_settings),
     };
 
