node: refuse API keys while the configuration may be old

Change: the node feeds catalog_evidence from answers of the store, with the time at which they were requested, and from replies. In strict mode the relay learns through catalog_is_fresh whether keys may be relied on; witnesses and the holder ask for the configuration every second, others as before unless no peer gives them evidence.

--- a/src/node/configuration.c
+++ b/src/node/configuration.c
@@ -48,27 +48,12 @@
 node_set_catalog(struct node *n, struct catalog *c)
 {
     n->catalog_from_store = true;
+    n->store_catalog_version = c != NULL ? c->version : 0;
     if (c != NULL) {
         node_apply_catalog(n, c, "store");
     }
 }
 
-/* Called whenever the store has answered a request for the configuration or
-   its changes: node_set_catalog() was called with all changes until now. */
-void
-node_set_catalog_checked(struct node *n)
-{
-    n->catalog_checked_at = clock_boottime_ms();
-}
-
-/* Returns how long ago the store last answered for the configuration, counted
-   from the start if it has not yet. */
-int64_t
-node_catalog_age_ms(const struct node *n)
-{
-    return clock_boottime_ms() - MAX(n->catalog_checked_at, n->started_at);
-}
-
 /* Applies a version of the operator's configuration if it is newer than the
    present one. source is "store" or "peer". */
 void
@@ -85,6 +70,7 @@
               source);
     catalog_unref(n->catalog);
     n->catalog = catalog_ref(c);
+    catalog_evidence_add_version(&n->evidence, c->version);
     GHashTableIter i;
     void *name;
     g_hash_table_iter_init(&i, c->services);
--- a/src/node/metrics.c
+++ b/src/node/metrics.c
@@ -57,6 +57,13 @@
     }
     put_metric(out, "catalog_version", "", n->catalog->version);
     put_metric(out, "catalog_age_ms", "", (uint64_t)node_catalog_age_ms(n));
+    const clock_ms now = clock_boottime_ms();
+    const int64_t evidence_age = catalog_evidence_age_ms(&n->evidence, now);
+    if (evidence_age >= 0) {
+        put_metric(out, "catalog_evidence_age_ms", "", (uint64_t)evidence_age);
+    }
+    put_metric(out, "catalog_fresh", "",
+               node_catalog_is_fresh((void *)n, now));
     put_metric(out, "view_version", "", v->version);
     put_metric(out, "view_fence", "", v->fence);
     put_metric(out, "lease_valid", "",
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -226,6 +226,7 @@
     node_tick_promoter(n, now);
     copy_fetcher_tick(n->copy_fetcher, now);
     node_check_stored_list(n, now);
+    node_check_freshness(n, now);
     if (n->starting && now - n->started_at >= NODE_STARTUP_MS) {
         node_update_shares(n);
     }
@@ -312,6 +313,7 @@
         .catalog = find_catalog,
         .service = find_service,
         .now = node_now,
+        .catalog_is_fresh = node_catalog_is_fresh,
         .ctx = n,
     };
 
@@ -329,6 +331,8 @@
     n->platform = *config->platform;
     n->traffic = config->traffic;
     n->incarnation = (uint64_t)clock_realtime_ms();
+    n->strict_revocation = config->strict_revocation;
+    catalog_evidence_init(&n->evidence, n->incarnation, config->revocation_ms);
     n->agreement = agreement_create(config->name, n->incarnation);
     n->promoter = promoter_create(config->name, n->agreement, &actions);
     n->catalog = catalog_create(0);
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -33,6 +33,10 @@
     /* Requests the configuration and the member list again: a change seems to
        be missing. Answered by node_set_catalog() and node_set_members(). */
     void (*refresh_directory)(void *ctx);
+    /* Requests the configuration again: its evidence is getting old. Answered
+       by node_set_catalog() and node_set_catalog_checked(). Called in strict
+       mode only. */
+    void (*refresh_configuration)(void *ctx);
     const struct member_codec *codec;
     void *ctx;
 };
@@ -44,6 +48,8 @@
     const char *host;
     uint16_t peer_port; /* UDP for messages, TCP for copies; same for all */
     const char *key;    /* shared by all proxies */
+    bool strict_revocation; /* API keys need a recent configuration */
+    int64_t revocation_ms;  /* within which a withdrawn key is refused */
     const struct node_platform *platform;
     struct traffic *traffic; /* counts the messages between proxies */
 };
@@ -63,13 +69,14 @@
 int64_t node_catalog_age_ms(const struct node *n);
 bool node_is_ready(const struct node *n);
 bool node_watches_directory(const struct node *n);
+bool node_watches_configuration(const struct node *n);
 bool node_should_disconnect_callers(const struct node *n);
 void node_begin_shutdown(struct node *n, const struct shutdown_schedule *s);
 void node_answer_all(struct node *n);
 void node_write_metrics(const struct node *n, GString *out);
 
 void node_set_catalog(struct node *n, struct catalog *c);
-void node_set_catalog_checked(struct node *n);
+void node_set_catalog_checked(struct node *n, clock_ms asked_at);
 void node_set_members(struct node *n, const struct member_entry *entries,
                       size_t count);
 void node_set_store_era(struct node *n, uint64_t era);
--- a/src/node/node_internal.h
+++ b/src/node/node_internal.h
@@ -2,6 +2,7 @@
 #define NODE_NODE_INTERNAL_H
 
 #include "coordination/peer_socket.h"
+#include "directory/catalog_evidence.h"
 #include "node/copy_exchange.h"
 #include "node/node.h"
 
@@ -63,7 +64,12 @@
     bool stored_list_checked; /* for changes that this proxy lacks */
     bool list_too_long;       /* for a row of the store; logged once */
     bool stored_list_read;
-    clock_ms catalog_checked_at; /* last answer of the store for it; or 0 */
+    clock_ms catalog_checked_at;    /* last answer of the store for it; or 0 */
+    uint64_t store_catalog_version; /* in the last answer of the store */
+    bool strict_revocation;
+    struct catalog_evidence evidence;
+    bool catalog_was_fresh;          /* at the last tick */
+    clock_ms configuration_asked_at; /* because peers gave no evidence */
     bool catalog_from_store; /* the store has delivered the configuration */
     bool members_from_store; /* the store has delivered the member list */
     bool peers_from_store;   /* the store has delivered the proxy list */
@@ -77,6 +83,14 @@
 void node_update_shares(struct node *n);
 void node_apply_catalog(struct node *n, struct catalog *c, const char *source);
 
+/* freshness.c */
+bool node_catalog_is_fresh(void *ctx, clock_ms now);
+int64_t node_announced_evidence_age(const struct node *n, clock_ms now);
+void node_receive_evidence(struct node *n,
+                           const struct agreement_message *message,
+                           bool registered, clock_ms now);
+void node_check_freshness(struct node *n, clock_ms now);
+
 /* node.c */
 clock_ms node_now(void *ctx);
 void node_tick_promoter(struct node *n, clock_ms now);
--- a/src/node/peer_messages.c
+++ b/src/node/peer_messages.c
@@ -106,6 +106,7 @@
     message.store_lost = n->store_lost;
     message.catalog_version = n->catalog->version;
     if (reply) {
+        message.catalog_age_ms = node_announced_evidence_age(n, now);
         add_positions(n, p->name, now, &message);
     }
     n->traffic->sent[TRAFFIC_AGREEMENT]
@@ -240,7 +241,9 @@
 
     copy_fetcher_on_message(n->copy_fetcher, host, message->catalog_version,
                             now);
-    if (agreement_receive(n->agreement, message, now)) {
+    const bool newer = agreement_receive(n->agreement, message, now);
+    node_receive_evidence(n, message, from != NULL, now);
+    if (newer) {
         event_log(EVENT_STATE, "view_from_peer", "peer=%s version=%llu",
                   message->from, (unsigned long long)message->version);
         node_apply_view(n);
@@ -316,6 +319,7 @@
 node_set_store_era(struct node *n, uint64_t era)
 {
     agreement_set_store_era(n->agreement, era, clock_boottime_ms());
+    catalog_evidence_doubt_store(&n->evidence, clock_boottime_ms());
 }
 
 /* Returns true if this proxy may order promotions. */
--- a/tests/node/test_fetch.c
+++ b/tests/node/test_fetch.c
@@ -28,6 +28,7 @@
     uint64_t awaited; /* version of the configuration */
     bool hung;
     struct traffic traffic; /* of all nodes */
+    bool strict;            /* revocation */
 };
 
 /* These nodes never change the view. */
@@ -71,6 +72,15 @@
     refreshes++;
 }
 
+static int configuration_refreshes; /* by any node */
+
+static void
+count_configuration_refresh(void *ctx)
+{
+    (void)ctx;
+    configuration_refreshes++;
+}
+
 /* Returns a TCP port that is free. */
 static uint16_t
 free_port(void)
@@ -95,6 +105,7 @@
         .write_members = ignore_text,
         .unregister_proxy = ignore_text,
         .refresh_directory = count_refresh,
+        .refresh_configuration = count_configuration_refresh,
     };
     const struct node_config config = {
         .loop = f->loop,
@@ -103,6 +114,8 @@
         .host = host,
         .peer_port = f->peer_port,
         .key = key,
+        .strict_revocation = f->strict,
+        .revocation_ms = 5000,
         .platform = &platform,
         .traffic = &f->traffic,
     };
@@ -190,16 +203,24 @@
 }
 
 static void
-begin(struct fixture *f, const char *key)
+begin_with(struct fixture *f, const char *key, bool strict)
 {
     memset(f, 0, sizeof(*f));
+    f->strict = strict;
     refreshes = 0;
+    configuration_refreshes = 0;
     f->loop = ev_loop_new(EVFLAG_AUTO);
     f->peer_port = free_port();
     f->with_store = start(f, "a", "127.0.0.1", KEY);
     f->without_store = start(f, "b", "127.0.0.2", key);
 }
 
+static void
+begin(struct fixture *f, const char *key)
+{
+    begin_with(f, key, false);
+}
+
 static void
 end(struct fixture *f)
 {
@@ -245,6 +266,85 @@
     end(&f);
 }
 
+/* Ends the run once the second node's configuration is fresh. */
+static void
+on_poll_fresh(struct ev_loop *loop, ev_timer *w, int revents)
+{
+    struct fixture *f = w->data;
+
+    (void)revents;
+    if (node_catalog_is_fresh(f->without_store, clock_boottime_ms())) {
+        ev_break(loop, EVBREAK_ALL);
+    }
+}
+
+/* Runs until the second node's configuration is fresh, at most limit_s
+   seconds. Returns true if it is. */
+static bool
+run_until_fresh(struct fixture *f, double limit_s)
+{
+    f->hung = false;
+    ev_timer_init(&f->poll, on_poll_fresh, 0.01, 0.01);
+    f->poll.data = f;
+    ev_timer_start(f->loop, &f->poll);
+    ev_timer_init(&f->watchdog, on_watchdog, limit_s, 0.0);
+    f->watchdog.data = f;
+    ev_timer_start(f->loop, &f->watchdog);
+    ev_run(f->loop, 0);
+    ev_timer_stop(f->loop, &f->poll);
+    ev_timer_stop(f->loop, &f->watchdog);
+    return !f->hung;
+}
+
+/* Guards against a process that relies on the keys of a copy, and against one
+   that is not told by its peers that the configuration is recent, or that
+   stays fresh when nobody can tell any more. */
+static void
+test_freshness_from_peer(void **state)
+{
+    struct fixture f;
+    GString *metrics = g_string_new(NULL);
+
+    (void)state;
+    begin_with(&f, KEY, true);
+    publish(&f, 7);
+    assert_true(run_until(&f, 7, WATCHDOG_S));
+    assert_false(node_catalog_is_fresh(f.without_store, clock_boottime_ms()));
+    assert_false(run_until_fresh(&f, 1.0));
+    node_set_catalog_checked(f.with_store, clock_boottime_ms());
+    assert_true(node_catalog_is_fresh(f.with_store, clock_boottime_ms()));
+    assert_true(run_until_fresh(&f, WATCHDOG_S));
+    node_write_metrics(f.without_store, metrics);
+    assert_non_null(strstr(metrics->str, "galenastep_catalog_fresh 1\n"));
+    assert_non_null(
+        strstr(metrics->str, "galenastep_catalog_evidence_age_ms "));
+    /* Nobody asks the store again: the evidence expires, and both ask. */
+    assert_false(run_until(&f, 8, 4.0));
+    assert_false(node_catalog_is_fresh(f.without_store, clock_boottime_ms()));
+    assert_false(node_catalog_is_fresh(f.with_store, clock_boottime_ms()));
+    assert_true(configuration_refreshes >= 2);
+    assert_true(node_watches_configuration(f.without_store));
+    g_string_free(metrics, TRUE);
+    end(&f);
+}
+
+/* Guards against a change for deployments without strict revocation. */
+static void
+test_always_fresh_unless_strict(void **state)
+{
+    struct fixture f;
+
+    (void)state;
+    begin(&f, KEY);
+    publish(&f, 7);
+    assert_true(run_until(&f, 7, WATCHDOG_S));
+    assert_false(run_until(&f, 8, 3.0));
+    assert_true(node_catalog_is_fresh(f.without_store, clock_boottime_ms()));
+    assert_false(node_watches_configuration(f.with_store));
+    assert_int_equal(configuration_refreshes, 0);
+    end(&f);
+}
+
 /* Ends the run once a node has requested the directory again. */
 static void
 on_poll_refresh(struct ev_loop *loop, ev_timer *w, int revents)
@@ -466,6 +566,8 @@
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(test_configuration_from_peer),
         cmocka_unit_test(test_newer_configuration),
+        cmocka_unit_test(test_freshness_from_peer),
+        cmocka_unit_test(test_always_fresh_unless_strict),
         cmocka_unit_test(test_wrong_key),
         cmocka_unit_test(test_callers_stay_after_a_start),
         cmocka_unit_test(test_holder_learns_newest_commits),
