tests: parentheses around damaged texts of two lines

Cause: clang-tidy takes adjacent literals in a list for a missing comma. Change: parentheses. Result: clang-tidy has no finding; directory_test_catalog_text passes.

--- a/tests/directory/test_catalog_text.c
+++ b/tests/directory/test_catalog_text.c
@@ -217,11 +217,11 @@
         "catalog 17 3000\naccount a 0 1 1\naccount a 0 1 1\n",
         "catalog 17 3000\nkey 00112233445566778899aabbccddeeff a\n",
         "catalog 17 3000\naccount a 0 1 1\nkey 0011 a\n",
-        "catalog 17 3000\naccount a 0 1 1\n"
-        "key 00112233445566778899aabbccddeefg a\n",
-        "catalog 17 3000\naccount a 0 1 1\naccount b 0 1 1\n"
-        "key 00112233445566778899aabbccddeeff a\n"
-        "key 00112233445566778899aabbccddeeff b\n",
+        ("catalog 17 3000\naccount a 0 1 1\n"
+         "key 00112233445566778899aabbccddeefg a\n"),
+        ("catalog 17 3000\naccount a 0 1 1\naccount b 0 1 1\n"
+         "key 00112233445566778899aabbccddeeff a\n"
+         "key 00112233445566778899aabbccddeeff b\n"),
         "catalog 17 3000\nroute %zz s1 0 1 2 3 4\n",
     };
 
