relay, platform: check the API key of each request

Cause: with accounts, a request may run only while the newest configuration lists the session's key under the account that it had, and in strict mode only while that configuration is fresh. Change: src/relay/authorization.c decides. It is asked when a request that needs a route arrives, and again before anything is sent to a member, so that queued, retried and prepared requests and open transactions are checked too. A refused transaction is rolled back; a refused COMMIT was not sent. A read of which an earlier attempt may have run is answered TIMEOUT, since UNAUTH says that nothing ran. Requests for connections name the account. The front checks the key at STARTUP, disconnects callers after UNAUTH, and clears the line that held the key. Log lines name the account; metrics count accounts, keys and refusals.

--- a/src/node/metrics.c
+++ b/src/node/metrics.c
@@ -57,6 +57,12 @@
     }
     put_metric(out, "catalog_version", "", n->catalog->version);
     put_metric(out, "catalog_age_ms", "", (uint64_t)node_catalog_age_ms(n));
+    put_metric(out, "accounts", "", g_hash_table_size(n->catalog->accounts));
+    put_metric(out, "account_keys", "", g_hash_table_size(n->catalog->keys));
+    put_metric(out, "refused_stale_total", "", r->refused_stale);
+    put_metric(out, "startups_unauthorized_total", "",
+               r->startups_unauthorized);
+    put_metric(out, "startups_stale_total", "", r->startups_stale);
     put_metric(out, "view_version", "", v->version);
     put_metric(out, "view_fence", "", v->fence);
     put_metric(out, "lease_valid", "",
--- a/src/relay/exchange.c
+++ b/src/relay/exchange.c
@@ -43,6 +43,7 @@
     w->target = s->arrived_at + r->target_ms;
     w->staleness_ms = r->max_staleness_ms;
     w->settings_hash = s->settings_hash;
+    session_set_request_account(s);
     s->step = STEP_QUEUED;
     s->attempts++;
     session_update_active(s);
@@ -266,6 +267,7 @@
     }
 #endif
     else {
+        s->may_have_run = s->may_have_run || step == STEP_STATEMENT;
         retry(s, FAILURE_BUSY, why);
     }
 }
@@ -395,20 +397,40 @@
     g_free(name);
 }
 
+/* Returns NULL if the granted connection may still be used, otherwise why
+   not. The account of an open transaction may become known: it was no other
+   one before. */
+static const char *
+find_obstacle(const struct session *s)
+{
+    if (!pooled_is_current(s->pooled, session_now(s))) {
+        return "primary changed";
+    }
+    if (!session_keeps_request_account(s) &&
+        !(s->begun && s->connection_request.account == NULL)) {
+        return "account changed";
+    }
+    return NULL;
+}
+
 /* Sends what comes next on the granted connection: settings and prepared
    statements, BEGIN, or the caller's statement. */
 void
 exchange_proceed(struct session *s)
 {
-    if (!pooled_is_current(s->pooled, session_now(s))) {
+    if (!session_authorized(s)) {
+        return;
+    }
+    const char *obstacle = find_obstacle(s);
+    if (obstacle != NULL) {
         s->step = STEP_IDLE;
         if (s->begun) {
-            session_answer_failure(s, FAILURE_ABORTED, "primary changed");
+            session_answer_failure(s, FAILURE_ABORTED, obstacle);
             return;
         }
         release_member(s, true);
         s->connection_request.avoid_member[0] = '\0';
-        retry(s, FAILURE_BUSY, "primary changed");
+        retry(s, FAILURE_BUSY, obstacle);
         return;
     }
     if (s->step != STEP_SETUP && s->step != STEP_BEGIN) {
@@ -506,6 +528,7 @@
                   sizeof(s->connection_request.avoid_member));
         session_release_link(s);
         s->step = STEP_IDLE;
+        s->may_have_run = true;
         retry(s, FAILURE_TIMEOUT, "no answer yet");
         return;
     }
--- a/src/relay/session.c
+++ b/src/relay/session.c
@@ -28,6 +28,7 @@
     s->ctx = ctx;
     s->database = g_strdup(database);
     s->key = account_key_of(api_key);
+    session_fix_account(s, r->config.catalog(r->config.ctx));
     s->settings =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     s->prepared =
@@ -71,6 +72,8 @@
     g_hash_table_destroy(s->settings);
     g_hash_table_destroy(s->prepared);
     catalog_unref(s->catalog);
+    catalog_unref(s->account_catalog);
+    g_free(s->account_name);
     g_free(s->database);
     g_free(s->begin_id);
     g_free(s->begin_text);
@@ -110,26 +113,28 @@
     }
     if (a->failure != FAILURE_NONE) {
         r->counters.failures[a->failure]++;
-        event_log(
-            EVENT_REQUEST, "statement_failed",
-            "id=%.*s database=%s service=%s outcome=%s detail=\"%.*s\" "
-            "attempts=%d took_ms=%lld member=%s silent_ms=%lld queue=%zu "
-            "catalog=%llu",
-            (int)s->request.id.n, s->request.id.p, s->database,
-            s->service != NULL ? service_name(s->service) : "-",
-            failure_name(a->failure), (int)a->detail.n, a->detail.p,
-            s->attempts, (long long)(now - s->arrived_at),
-            s->member[0] != '\0' ? s->member : "-", (long long)s->silent_ms,
-            s->service != NULL ? service_queue_length(s->service) : 0,
-            (unsigned long long)(s->catalog ? s->catalog->version : 0));
+        event_log(EVENT_REQUEST, "statement_failed",
+                  "id=%.*s database=%s service=%s account=%s outcome=%s "
+                  "detail=\"%.*s\" attempts=%d took_ms=%lld member=%s "
+                  "silent_ms=%lld queue=%zu catalog=%llu",
+                  (int)s->request.id.n, s->request.id.p, s->database,
+                  s->service != NULL ? service_name(s->service) : "-",
+                  s->account_name != NULL ? s->account_name : "-",
+                  failure_name(a->failure), (int)a->detail.n, a->detail.p,
+                  s->attempts, (long long)(now - s->arrived_at),
+                  s->member[0] != '\0' ? s->member : "-",
+                  (long long)s->silent_ms,
+                  s->service != NULL ? service_queue_length(s->service) : 0,
+                  (unsigned long long)(s->catalog ? s->catalog->version : 0));
     }
     else if (verb_runs_at_member(s->request.verb) &&
              now - s->arrived_at > s->route->target_ms) {
         event_log(EVENT_REQUEST, "statement_late",
-                  "id=%.*s database=%s service=%s attempts=%d took_ms=%lld "
-                  "waited_ms=%lld member=%s queue=%zu",
+                  "id=%.*s database=%s service=%s account=%s attempts=%d "
+                  "took_ms=%lld waited_ms=%lld member=%s queue=%zu",
                   (int)s->request.id.n, s->request.id.p, s->database,
-                  service_name(s->service), s->attempts,
+                  service_name(s->service),
+                  s->account_name != NULL ? s->account_name : "-", s->attempts,
                   (long long)(now - s->arrived_at),
                   (long long)(s->sent_at - s->arrived_at), s->member,
                   service_queue_length(s->service));
@@ -233,6 +238,9 @@
         session_answer_failure(s, FAILURE_NO_DATABASE, s->database);
         return;
     }
+    if (!session_authorized(s)) {
+        return;
+    }
     if (s->transaction == TRANSACTION_OPEN &&
         session_must_end_transaction(s, s->arrived_at)) {
         session_answer_failure(s, FAILURE_ABORTED, "shutting down");
@@ -269,6 +277,9 @@
         session_answer_failure(s, FAILURE_NO_DATABASE, s->database);
         return;
     }
+    if (!session_authorized(s)) {
+        return;
+    }
     s->transaction = TRANSACTION_OPEN;
     s->read_only = s->request.verb == VERB_BEGIN_READ;
     s->wrote = false;
@@ -356,6 +367,7 @@
     s->request = *r;
     s->arrived_at = session_now(s);
     s->attempts = 0;
+    s->may_have_run = false;
     s->connection_request.avoid_member[0] = '\0';
     if (s->transaction == TRANSACTION_FAILED) {
         request_in_failed_transaction(s);
--- a/src/relay/session.h
+++ b/src/relay/session.h
@@ -38,6 +38,12 @@
     uint64_t succeeded;
     uint64_t retried;
     uint64_t failures[FAILURE_UNKNOWN_OUTCOME + 1];
+    /* Requests refused because the configuration is not fresh, and callers
+       refused at their start for an unknown key with and without a fresh
+       configuration. */
+    uint64_t refused_stale;
+    uint64_t startups_unauthorized;
+    uint64_t startups_stale;
     /* Histogram of statement times: bucket i counts times below 2^i ms, the
        last one all longer times. */
     uint64_t latency[16];
@@ -51,6 +57,9 @@
 void relay_answer_all(struct relay *r, clock_ms now);
 const struct relay_counters *relay_counters(const struct relay *r);
 
+enum failure relay_check_key(struct relay *r, const struct catalog *c,
+                             const struct database_route *route,
+                             struct sview api_key);
 struct session *session_create(struct relay *r, const char *database,
                                struct sview api_key,
                                const struct session_events *events, void *ctx);
--- a/src/relay/session_internal.h
+++ b/src/relay/session_internal.h
@@ -3,7 +3,7 @@
 
 #include "relay/session.h"
 
-/* Shared by relay.c, session.c and exchange.c only. */
+/* Shared by authorization.c, relay.c, session.c and exchange.c only. */
 
 /* Progress of the request that a session is handling. */
 enum step {
@@ -25,7 +25,11 @@
     void *ctx;
     char *database;
     struct account_key key; /* digest of the caller's API key */
-    GList active_node;      /* in relay.active */
+    char *account_name;     /* account of the key when it was first known;
+                               NULL: not known so far */
+    struct catalog *account_catalog; /* keeps connection_request.account
+                                        valid */
+    GList active_node;               /* in relay.active */
     bool in_active_list;
 
     struct catalog *catalog; /* keeps route valid */
@@ -53,6 +57,7 @@
     enum step step;
     int setup_answers_left;
     int attempts;
+    bool may_have_run; /* an earlier attempt was sent and not answered */
     clock_ms arrived_at;
     clock_ms deadline;
     clock_ms sent_at;
@@ -79,6 +84,12 @@
 bool session_is_answering_all(const struct session *s, clock_ms now);
 bool session_must_end_transaction(const struct session *s, clock_ms now);
 
+/* authorization.c */
+void session_fix_account(struct session *s, const struct catalog *c);
+bool session_authorized(struct session *s);
+void session_set_request_account(struct session *s);
+bool session_keeps_request_account(const struct session *s);
+
 /* session.c */
 void session_answer(struct session *s, struct answer *a);
 void session_answer_success(struct session *s);
--- a/tests/platform/test_frontend.c
+++ b/tests/platform/test_frontend.c
@@ -33,6 +33,10 @@
 
 static struct catalog *catalog;
 static struct session *newest; /* the session that was opened last */
+static enum failure key_check; /* result of relay_check_key() */
+static char checked_key[64];   /* that relay_check_key() was given last */
+/* If not FAILURE_NONE, requests are answered with it at once. */
+static enum failure answer_at_once;
 
 struct catalog *
 node_catalog(struct node *n)
@@ -55,6 +59,18 @@
     return NULL;
 }
 
+enum failure
+relay_check_key(struct relay *r, const struct catalog *c,
+                const struct database_route *route, struct sview api_key)
+{
+    (void)r;
+    (void)c;
+    (void)route;
+    g_snprintf(checked_key, sizeof(checked_key), "%.*s", (int)api_key.n,
+               api_key.p);
+    return key_check;
+}
+
 struct session *
 session_create(struct relay *r, const char *database, struct sview api_key,
                const struct session_events *events, void *ctx)
@@ -87,6 +103,12 @@
     (void)r;
     s->pending = true;
     s->requests++;
+    if (answer_at_once != FAILURE_NONE) {
+        const struct answer a = {.failure = answer_at_once,
+                                 .detail = SVIEW("not now")};
+        s->pending = false;
+        s->events->answered(s->ctx, &a);
+    }
 }
 
 /* Answers the request in progress with so many rows of the same text. */
@@ -176,6 +198,8 @@
     char *error = NULL;
 
     memset(f, 0, sizeof(*f));
+    key_check = FAILURE_NONE;
+    answer_at_once = FAILURE_NONE;
     const int probe = socket(AF_INET, SOCK_STREAM, 0);
     assert_int_equal(bind(probe, (struct sockaddr *)&a, sizeof(a)), 0);
     assert_int_equal(getsockname(probe, (struct sockaddr *)&a, &n), 0);
@@ -382,6 +406,147 @@
     teardown(&f);
 }
 
+/* Replaces the caller's connection by a new one. */
+static void
+reconnect(struct fixture *f)
+{
+    struct sockaddr_in a = {.sin_family = AF_INET,
+                            .sin_addr.s_addr = htonl(INADDR_LOOPBACK),
+                            .sin_port = htons(f->address.port)};
+
+    close(f->fd);
+    for (int i = 0;
+         i < WAIT_MAX_STEPS && frontend_caller_count(f->frontend) > 0; i++) {
+        run_loop(f);
+    }
+    f->fd = socket(AF_INET, SOCK_STREAM, 0);
+    assert_int_equal(connect(f->fd, (struct sockaddr *)&a, sizeof(a)), 0);
+}
+
+/* Guards against a session with a key that was not accepted, against an answer
+   to the requests that follow at once, and against the wrong code; also for a
+   caller that waited for the configuration. */
+static void
+test_key_is_refused_at_the_start(void **state)
+{
+    static const struct {
+        enum failure why;
+        bool waits;
+        const char *answer;
+    } cases[] = {
+        {FAILURE_UNAUTHORIZED, false, "ERROR UNAUTH unknown API key\r\n"},
+        {FAILURE_UNAUTHORIZED, true, "ERROR UNAUTH unknown API key\r\n"},
+        {FAILURE_BUSY, false, "ERROR BUSY configuration_stale\r\n"},
+        {FAILURE_BUSY, true, "ERROR BUSY configuration_stale\r\n"},
+    };
+
+    (void)state;
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        struct fixture f;
+        setup(&f);
+        reconnect(&f);
+        key_check = cases[i].why;
+        catalog->version = cases[i].waits ? 0 : 1;
+        send_text(&f, "STARTUP boats the key\r\nQUERY q1 READ a\r\n"
+                      "QUERY q2 WRITE a b\r\n");
+        for (int k = 0; k < 5; k++) {
+            run_loop(&f);
+        }
+        catalog->version = 1;
+        GString *s = read_to_end(&f);
+        assert_string_equal(s->str, cases[i].answer);
+        assert_string_equal(checked_key, "the key");
+        assert_null(newest);
+        g_string_free(s, TRUE);
+        teardown(&f);
+    }
+}
+
+/* Guards against a caller that stays connected after its key has become
+   invalid, and against requests behind the refused one that are handled: they
+   end with the connection, without an answer. */
+static void
+test_key_is_refused_later(void **state)
+{
+    for (int at_once = 0; at_once < 2; at_once++) {
+        struct fixture f;
+        (void)state;
+        setup(&f);
+        send_text(&f, "QUERY q1 READ a\r\n");
+        await_requests(&f, 1);
+        send_text(&f, "QUERY q2 WRITE a b\r\nQUERY q3 READ a\r\n"
+                      "QUERY q4 COMMIT\r\n");
+        if (at_once) {
+            answer_at_once = FAILURE_UNAUTHORIZED;
+            answer(newest, SVIEW("x"), 1);
+        }
+        else {
+            answer(newest, SVIEW("x"), 1);
+            await_requests(&f, 2);
+            const struct answer a = {.failure = FAILURE_UNAUTHORIZED,
+                                     .detail = SVIEW("not now"),
+                                     .state = TRANSACTION_FAILED};
+            newest->events->answered(newest->ctx, &a);
+        }
+        GString *s = read_to_end(&f);
+        assert_null(newest);
+        assert_int_equal(count_text(s, "COMPLETE "), 1);
+        assert_int_equal(count_text(s, "ERROR "), 1);
+        assert_int_equal(count_text(s, "ERROR UNAUTH not now\r\n"), 1);
+        assert_int_equal(count_text(s, "READY "), 2);
+        g_string_free(s, TRUE);
+        for (int i = 0;
+             i < WAIT_MAX_STEPS && frontend_caller_count(f.frontend) > 0;
+             i++) {
+            run_loop(&f);
+        }
+        assert_int_equal(frontend_caller_count(f.frontend), 0);
+        teardown(&f);
+    }
+}
+
+/* Guards against closing the connection for a refusal that may pass. */
+static void
+test_busy_keeps_the_connection(void **state)
+{
+    struct fixture f;
+
+    (void)state;
+    setup(&f);
+    answer_at_once = FAILURE_BUSY;
+    send_text(&f, "QUERY q1 READ a\r\nQUERY q2 READ a\r\n");
+    await_requests(&f, 2);
+    assert_non_null(newest);
+    frontend_drain(f.frontend);
+    GString *s = read_to_end(&f);
+    assert_int_equal(count_text(s, "ERROR BUSY not now retry_after_ms="), 2);
+    g_string_free(s, TRUE);
+    teardown(&f);
+}
+
+/* Guards against a stop of the process that handles requests behind a refused
+   key, or does not end the connection. */
+static void
+test_key_is_refused_during_the_stop(void **state)
+{
+    struct fixture f;
+
+    (void)state;
+    setup(&f);
+    send_text(&f, "QUERY q1 READ a\r\n");
+    await_requests(&f, 1);
+    frontend_drain(f.frontend);
+    answer_at_once = FAILURE_UNAUTHORIZED;
+    send_text(&f, "QUERY q2 READ a\r\nQUERY q3 READ a\r\n");
+    answer(newest, SVIEW("x"), 1);
+    frontend_close_all(f.frontend);
+    GString *s = read_to_end(&f);
+    assert_int_equal(count_text(s, "COMPLETE "), 1);
+    assert_true(count_text(s, "ERROR UNAUTH ") <= 1);
+    g_string_free(s, TRUE);
+    teardown(&f);
+}
+
 int
 main(void)
 {
@@ -392,6 +557,10 @@
         cmocka_unit_test(test_error_reaches_the_caller),
         cmocka_unit_test(test_open_caller_does_not_delay_the_stop),
         cmocka_unit_test(test_waiting_caller_is_refused),
+        cmocka_unit_test(test_key_is_refused_at_the_start),
+        cmocka_unit_test(test_key_is_refused_later),
+        cmocka_unit_test(test_busy_keeps_the_connection),
+        cmocka_unit_test(test_key_is_refused_during_the_stop),
     };
 
     return cmocka_run_group_tests(tests, NULL, NULL);
--- a/tests/relay/relay_fixture.c
+++ b/tests/relay/relay_fixture.c
@@ -82,6 +82,15 @@
     return f->lease;
 }
 
+static bool
+catalog_is_fresh(void *ctx, clock_ms at)
+{
+    const struct fixture *f = ctx;
+
+    (void)at;
+    return !f->catalog_stale;
+}
+
 /* Creates the relay and its three members; m1 is the primary. */
 void
 fixture_setup(struct fixture *f, enum freshness freshness)
@@ -127,6 +136,7 @@
     const struct relay_config rc = {.catalog = find_catalog,
                                     .service = find_service,
                                     .now = now,
+                                    .catalog_is_fresh = catalog_is_fresh,
                                     .ctx = f};
     f->relay = relay_create(&rc);
 }
@@ -168,10 +178,16 @@
 static const struct session_events events = {.answered = on_answered};
 
 /* The session must be ended with session_end() before the teardown. */
+struct session *
+fixture_session_with_key(struct fixture *f, const char *key)
+{
+    return session_create(f->relay, "boats", sview_from(key), &events, f);
+}
+
 struct session *
 fixture_session(struct fixture *f)
 {
-    return session_create(f->relay, "boats", SVIEW(""), &events, f);
+    return fixture_session_with_key(f, "");
 }
 
 /* Makes a caller's request. The text must stay valid until the answer. */
--- a/tests/relay/relay_fixture.h
+++ b/tests/relay/relay_fixture.h
@@ -31,7 +31,8 @@
 
 struct fixture {
     clock_ms now;
-    bool lease; /* result of lease_valid() */
+    bool lease;         /* result of lease_valid() */
+    bool catalog_stale; /* negated result of catalog_is_fresh() */
     struct catalog *catalog;
     struct member_entry members[3];
     struct service *service;
@@ -50,6 +51,7 @@
 void fixture_teardown(struct fixture *f);
 void fixture_move_replicas_near(struct fixture *f);
 struct session *fixture_session(struct fixture *f);
+struct session *fixture_session_with_key(struct fixture *f, const char *key);
 void fixture_request(struct session *s, enum verb verb, const char *text);
 struct member_link *fixture_link(struct fixture *f, int n);
 void fixture_accept_all(struct fixture *f);
