--- a/src/node/configuration.c
+++ b/src/node/configuration.c
@@ -54,12 +54,22 @@
     }
 }
 
+/* Returns true if c is to replace the present configuration. A peer of an
+   earlier build hands out the same version without its accounts. */
+static bool
+is_newer(const struct catalog *c, const struct catalog *present)
+{
+    return c->version > present->version ||
+           (c->version == present->version && c->has_accounts &&
+            !present->has_accounts);
+}
+
 /* Applies a version of the operator's configuration if it is newer than the
    present one. source is "store" or "peer". */
 void
 node_apply_catalog(struct node *n, struct catalog *c, const char *source)
 {
-    if (n->catalog->version >= c->version) {
+    if (!is_newer(c, n->catalog)) {
         return;
     }
     event_log(EVENT_STATE, "configuration",
