soak: judge the marker of writes of the view that are carried out

The stand-in judged a request before its condition. Of two proxies that write the first view, the second has read the table before there was a marker, and is refused for the version of the view, which harms nothing. Change: the check runs once the condition holds.

--- a/tests/soak/standin_store.c
+++ b/tests/soak/standin_store.c
@@ -260,9 +260,11 @@
     return false;
 }
 
-/* Checks that a write of the view has the marker of its era in its condition:
-   a late write of an earlier era could else meet a version that was given out
-   again. */
+/* Checks that a write of the view that is carried out has the marker of its
+   era in its condition: a late write of an earlier era could else meet a
+   version that was given out again. Of two proxies that write the first view,
+   the second has read the table before there was a marker; its write is
+   refused for the version of the view. */
 static void
 check_marker(const struct standin_store *st, const json_t *body)
 {
@@ -290,7 +292,6 @@
     const json_t *o;
     bool ok = true;
 
-    check_marker(st, body);
     json_array_foreach(json_object_get(body, "expected_rev"), i, o)
     {
         const struct row *r =
@@ -307,6 +308,7 @@
         return;
     }
     json_decref(conflicts);
+    check_marker(st, body);
     st->version++;
     json_array_foreach(json_object_get(body, "writes"), i, o)
     {
