relay: home replicas and paced openings for fleets larger than a member's limit

Each proxy now keeps a connection to one replica, opened early and not closed for being idle. Reads prefer it and wait for it rather than open another. Openings count as statements, are bounded by the requests that need them and get rarer while they are refused or slow. A member that refuses an opening with BUSY stays reachable. A read whose position the replicas are not expected to have waits or goes to the primary, at most one read in eight; LAG_RETRY_* is replaced by the measured lag.

Fleets with enough connections are served as before.

--- a/src/node/configuration.c
+++ b/src/node/configuration.c
@@ -16,26 +16,52 @@
     return agreement_lease_is_valid(n->agreement, now);
 }
 
+/* Sets this proxy's place among the registered ones, which are sorted by name.
+   The list may lack this proxy while it starts. */
+static void
+find_place(const struct node *n, struct home_place *place)
+{
+    int rank = 0;
+
+    home_place_add(place, n->failure_domain);
+    for (guint i = 0; i < n->peers->len; i++) {
+        const struct node_peer *p =
+            &g_array_index(n->peers, struct node_peer, i);
+        const int order = strcmp(p->name, n->name);
+        if (order != 0) {
+            home_place_add(place, p->failure_domain);
+        }
+        rank += order < 0 && strcmp(p->failure_domain, n->failure_domain) == 0;
+    }
+    home_place_set_own(place, n->failure_domain, rank);
+}
+
 /* Sets how many connections to each member this proxy may open. Called when
    the configuration or the number of proxies changes, and at the end of the
    startup phase. */
 void
 node_update_shares(struct node *n)
 {
-    const int proxies = agreement_peer_count(n->agreement) + 1;
     const bool starting =
         clock_boottime_ms() - n->started_at < NODE_STARTUP_MS;
+    struct fleet_share share = {
+        .proxies = agreement_peer_count(n->agreement) + 1,
+        .starting = starting,
+        .accounts = n->catalog->has_accounts,
+    };
     GHashTableIter i;
     void *name;
     void *service;
 
+    find_place(n, &share.place);
     g_hash_table_iter_init(&i, n->services);
     while (g_hash_table_iter_next(&i, &name, &service)) {
         const struct service_limits *l =
             g_hash_table_lookup(n->catalog->services, name);
         if (l != NULL) {
+            share.max_connections = l->max_connections;
             const struct connection_limits limits =
-                connection_limits(l->max_connections, proxies, starting);
+                connection_limits_in_fleet(&share);
             service_set_connection_limits(service, &limits);
         }
     }
--- a/src/relay/connection_share.c
+++ b/src/relay/connection_share.c
@@ -20,6 +20,10 @@
    keep open on average while they open them on demand. The rest is for peaks,
    and for dead connections that the member still counts. */
 #define ON_DEMAND_OPEN_PERMILLE 750
+/* Part of a replica's connections, in thousandths, that proxies keep open to
+   it. The rest is for transactions that occupy a kept connection, for proxies
+   without one, and for dead connections. */
+#define HOMES_PERMILLE 800
 
 /* Returns how many connections each proxy may have to a member that accepts
    max_connections in total. The proxies together leave half of them unused:
@@ -58,30 +62,61 @@
     return CLAMP(left / MAX(proxies, 1), 1, share);
 }
 
-/* Returns the limits for one of so many proxies; starting is true right after
-   its start. If a member accepts a connection of each proxy, these stay open.
-   Otherwise connections are opened on demand and closed so that the average of
-   all proxies stays below what the member accepts: some proxies would have
-   none if the others kept theirs. */
+/* Returns the limits where connections are opened on demand. With a place in
+   the fleet, each proxy also keeps a connection to one replica. */
+static struct connection_limits
+limits_on_demand(const struct fleet_share *f, int usable, int count)
+{
+    struct connection_limits l = {
+        .working = ON_DEMAND_WORKING,
+        .total = ON_DEMAND_TOTAL,
+        .idle_permille = MAX(usable * ON_DEMAND_OPEN_PERMILLE / count, 1),
+        .accounts = f->accounts,
+    };
+
+    l.replica_idle_permille = l.idle_permille;
+    if (f->place.domain_count > 0) {
+        l.max_homes = f->max_connections * HOMES_PERMILLE / 1000;
+        const int others = MAX(usable - l.max_homes, 1);
+        l.replica_idle_permille =
+            MAX(others * ON_DEMAND_OPEN_PERMILLE / count, 1);
+        l.place = f->place;
+    }
+    return l;
+}
+
+/* Returns the limits for one of so many proxies. If a member accepts a
+   connection of each proxy, these stay open. Otherwise connections are opened
+   on demand and closed so that the average of all proxies stays below what the
+   member accepts: some proxies would have none if the others kept theirs. */
 struct connection_limits
-connection_limits(int max_connections, int proxies, bool starting)
+connection_limits_in_fleet(const struct fleet_share *f)
 {
-    const int usable = MAX(max_connections - RESERVED_CONNECTIONS, 1);
-    const int count = MAX(proxies, 1);
+    const int usable = MAX(f->max_connections - RESERVED_CONNECTIONS, 1);
+    const int count = MAX(f->proxies, 1);
 
     if (usable < count) {
-        return (struct connection_limits){
-            .working = ON_DEMAND_WORKING,
-            .total = ON_DEMAND_TOTAL,
-            .idle_permille = MAX(usable * ON_DEMAND_OPEN_PERMILLE / count, 1),
-        };
+        return limits_on_demand(f, usable, count);
     }
-    if (starting) {
-        const int share = connection_share_at_start(max_connections, proxies);
+    if (f->starting) {
+        const int share =
+            connection_share_at_start(f->max_connections, f->proxies);
         return (struct connection_limits){.working = share, .total = share};
     }
     return (struct connection_limits){
-        .working = connection_share(max_connections, proxies),
-        .total = connection_share_max(max_connections, proxies),
+        .working = connection_share(f->max_connections, f->proxies),
+        .total = connection_share_max(f->max_connections, f->proxies),
     };
 }
+
+/* Returns the limits of a proxy without a place in the fleet and without
+   accounts. */
+struct connection_limits
+connection_limits(int max_connections, int proxies, bool starting)
+{
+    const struct fleet_share f = {.max_connections = max_connections,
+                                  .proxies = proxies,
+                                  .starting = starting};
+
+    return connection_limits_in_fleet(&f);
+}
--- a/src/relay/dispatch.c
+++ b/src/relay/dispatch.c
@@ -30,6 +30,11 @@
    this is left until its latency target. */
 #define TYPICAL_STATEMENT_MS 15
 #define QUEUE_MAX 512
+/* Reads at the primary because the replicas lag: the primary runs all writes,
+   and every read there raises its session's position, so that the next read
+   finds the replicas behind again. The maximum is in thousandths. */
+#define LAGGED_READS_PART 8
+#define LAGGED_READS_MAX 4000
 #define CANDIDATES_MAX 32
 
 static void
@@ -74,23 +79,48 @@
     return best;
 }
 
-/* Returns false if a replica is expected to lack the position that a request
-   requires: it has not reported that position and was found to lag recently. A
-   replica that lags still serves the reads that it is recent enough for. */
+/* Returns true if a link carries a transaction that waits for its next
+   statement. */
 static bool
-may_have_position(const struct member *m, const struct connection_request *w,
-                  clock_ms now)
+link_rests(const struct pooled_link *l)
 {
-    return now >= m->lag_retry_at ||
-           (m->position.known && w->min_position.known &&
-            token_is_satisfied(&w->min_position, m->position.term,
-                               m->position.position));
+    return l->state == LINK_GRANTED && !l->active;
+}
+
+/* Returns the time until a connection in use is expected to be free for
+   another request; 0 if none is, or if opening one takes less. Requests wait
+   only for connections that are opened on demand. */
+static int64_t
+free_link_wait_us(const struct member *m, const struct placement_member *p,
+                  const struct connection_request *w, clock_ms now)
+{
+    int active = 0;
+
+    for (guint k = 0; k < m->links->len; k++) {
+        const struct pooled_link *l = m->links->pdata[k];
+        active += l->state == LINK_GRANTED && l->active &&
+                  link_waited_ms(l, now) < ANSWER_OVERDUE_MS;
+    }
+    if (active == 0 || p->connection_idle) {
+        return 0;
+    }
+    const int64_t us =
+        m->mean_statement_us * (2 * m->waiting + 1) / (2 * (int64_t)active);
+    const int64_t late_us =
+        (w->target - now) * 1000 - us - 2 * m->mean_statement_us;
+    const int64_t open_us =
+        p->connection_available ? placement_open_us(p) : INT64_MAX;
+    return us < open_us && late_us > 0 ? us : 0;
 }
 
 static struct placement_member
 describe_member(const struct service *s, const struct member *m,
                 const struct connection_request *w, bool lease, clock_ms now)
 {
+    const bool listed =
+        m->unlisted_at == 0 || now - m->unlisted_at < UNLISTED_GRACE_MS;
+    const int64_t lag_wait_ms = replica_lag_wait_ms(
+        &m->lag, &s->position_samples, &w->min_position, now);
     struct placement_member p = {
         .usable = m->unreachable_since == 0 &&
                   (m->unlisted_at == 0 ||
@@ -98,36 +128,78 @@
         .primary = lease && strcmp(m->entry.id, s->primary) == 0 &&
                    now >= m->not_primary_until,
         .caught_up =
-            may_have_position(m, w, now) && !m->entry.draining &&
-            (m->unlisted_at == 0 || now - m->unlisted_at < UNLISTED_GRACE_MS),
+            listed && !m->entry.draining && now + lag_wait_ms < w->deadline,
         .same_failure_domain =
             strcmp(m->entry.failure_domain, s->failure_domain) == 0,
         .behind = m->missing_position.known,
+        .home = m->home,
         .avoided = strcmp(w->avoid_member, m->entry.id) == 0,
         .slots = m->entry.slots,
         .max_executing = m->entry.slots + EXTRA_STATEMENTS,
         .mean_statement_us = m->mean_statement_us,
     };
-
+    const bool on_demand = s->limits.idle_permille > 0;
     bool idle = false;
     int working = 0;
+
     for (guint k = 0; k < m->links->len; k++) {
         const struct pooled_link *l = m->links->pdata[k];
         const bool overdue = link_waited_ms(l, now) >= ANSWER_OVERDUE_MS;
-        p.executing += l->active && !overdue;
-        working += !overdue;
+        const bool opening = on_demand && l->state == LINK_OPENING;
+        p.executing += (l->active || opening) && !overdue;
+        working += !overdue && !(on_demand && link_rests(l));
         idle = idle || l->state == LINK_IDLE;
     }
     p.connection_idle = idle;
-    const int limit =
-        s->limits.idle_permille > 0 ? (int)m->window : s->limits.working;
+    const int limit = on_demand ? (int)m->window : s->limits.working;
+    const clock_ms open_from =
+        on_demand ? MAX(m->full_until, member_open_from(m)) : m->full_until;
     p.connection_available =
         now >= m->busy_until &&
         (idle || (working < limit && (int)m->links->len < s->limits.total &&
-                  now >= m->full_until));
+                  now >= open_from));
+    if (on_demand) {
+        p.open_us = MAX(member_opening_us(m, now), 1);
+        p.wait_us = free_link_wait_us(m, &p, w, now);
+    }
+    if (!p.primary) {
+        p.wait_us = MAX(p.wait_us, lag_wait_ms * 1000);
+    }
     return p;
 }
 
+/* Removes the primary from the candidates for a read that the replicas can
+   serve only after a wait, if too many such reads have gone there, and the
+   wait does not make it miss its target. Returns true if the read is one that
+   all usable replicas are behind for. */
+static bool
+spare_primary(const struct service *s, struct placement_member *p, int n,
+              const struct connection_request *w, clock_ms now)
+{
+    int64_t least_us = INT64_MAX;
+
+    for (int i = 0; i < n; i++) {
+        const struct member *m = s->members->pdata[i];
+        const int64_t us = replica_lag_wait_ms(&m->lag, &s->position_samples,
+                                               &w->min_position, now) *
+                           1000;
+        if (p[i].usable && !p[i].primary && p[i].caught_up) {
+            least_us = MIN(least_us, us);
+        }
+    }
+    if (least_us == 0 || least_us == INT64_MAX) {
+        return false;
+    }
+    for (int i = 0; i < n; i++) {
+        if (p[i].primary && s->lagged_reads_credit < 1000 &&
+            now + least_us / 1000 + 2 * p[i].mean_statement_us / 1000 <
+                w->target) {
+            p[i].usable = false;
+        }
+    }
+    return true;
+}
+
 static void
 grant(struct service *s, struct pooled_link *l, struct connection_request *w,
       bool primary)
@@ -139,9 +211,23 @@
     l->active = true;
     l->changed_at = service_now(s);
     s->counters.granted++;
+    s->counters.home_granted += l->member->home;
     w->granted(w->ctx, l);
 }
 
+/* Counts a granted read. One in LAGGED_READS_PART may go to the primary
+   because the replicas lag. */
+static void
+count_read(struct service *s, bool lagged_at_primary)
+{
+    s->lagged_reads_credit = MIN(
+        s->lagged_reads_credit + 1000 / LAGGED_READS_PART, LAGGED_READS_MAX);
+    if (lagged_at_primary) {
+        s->lagged_reads_credit -= 1000;
+        s->counters.lagged_at_primary++;
+    }
+}
+
 /* Sets the position that a replica must have to serve the request. Returns
    false if only the primary can serve it. */
 static bool
@@ -198,6 +284,26 @@
     return MAX(s->lease_lost_at, m != NULL ? m->unreachable_since : 0);
 }
 
+/* Opens a connection to a member unless enough are being opened: where they
+   are opened on demand, one for each request of this dispatch that is to be
+   served there, since an opening costs as much as half a statement. */
+static void
+open_if_wanted(struct member *m, clock_ms now)
+{
+    const struct service *s = m->service;
+    const int wanted =
+        s->limits.idle_permille > 0 ? m->wanted : (int)s->queue.length;
+    int opening = 0;
+
+    for (guint k = 0; k < m->links->len; k++) {
+        const struct pooled_link *o = m->links->pdata[k];
+        opening += o->state == LINK_OPENING;
+    }
+    if (opening < wanted) {
+        link_open(m, now);
+    }
+}
+
 /* Grants a connection to a request, or refuses it if its deadline has passed
    or no member can serve it. Opens a connection if a suitable member has no
    idle one. Returns true if the request left the queue. */
@@ -217,6 +323,8 @@
         candidates[i] =
             describe_member(s, s->members->pdata[i], w, lease, now);
     }
+    const bool lagged =
+        replicas_allowed && spare_primary(s, candidates, n, w, now);
     const int chosen =
         placement_choose(candidates, n, w->needs_primary, replicas_allowed);
     if (chosen == PLACEMENT_NONE) {
@@ -234,35 +342,55 @@
         return false;
     }
     struct member *m = s->members->pdata[chosen];
+    if (candidates[chosen].wait_us > 0) {
+        m->waiting++;
+        return false;
+    }
     bool exact;
     struct pooled_link *l = find_idle_link(m, w->settings_hash, &exact);
     if (l != NULL) {
+        if (replicas_allowed) {
+            count_read(s, lagged && candidates[chosen].primary);
+        }
         grant(s, l, w, candidates[chosen].primary);
         return true;
     }
-    int opening = 0;
-    for (guint k = 0; k < m->links->len; k++) {
-        const struct pooled_link *o = m->links->pdata[k];
-        opening += o->state == LINK_OPENING;
-    }
-    if (opening < (int)s->queue.length) {
-        link_open(m, now);
-    }
+    m->wanted++;
+    open_if_wanted(m, now);
     return false;
 }
 
+/* Starts a pass over the queue anew: requests that are still queued are
+   counted again. */
+static void
+restart_pass(struct service *s)
+{
+    for (guint i = 0; i < s->members->len; i++) {
+        struct member *m = s->members->pdata[i];
+        m->wanted = m->wanted_before;
+        m->waiting = m->waiting_before;
+    }
+}
+
 /* Places the queued requests that are late, or only those that are not. */
 static void
 place_requests(struct service *s, bool lease, bool late, clock_ms now)
 {
     GList *next = s->queue.head;
 
+    for (guint i = 0; i < s->members->len; i++) {
+        struct member *m = s->members->pdata[i];
+        m->wanted_before = late ? m->wanted : 0;
+        m->waiting_before = late ? m->waiting : 0;
+    }
+    restart_pass(s);
     while (next != NULL) {
         struct connection_request *w = next->data;
         next = next->next;
         /* The callbacks may change the queue, so start again. */
         if ((now + TYPICAL_STATEMENT_MS >= w->target) == late &&
             place_request(s, w, lease, now)) {
+            restart_pass(s);
             next = s->queue.head;
         }
     }
--- a/src/relay/links.c
+++ b/src/relay/links.c
@@ -22,12 +22,6 @@
 /* Delay before the presumed primary gets requests again after it answered that
    it is a replica. */
 #define NOT_PRIMARY_RETRY_MS 40
-/* Delay before a replica that lacked a position is asked again for a position
-   that it is not known to have: at first about its usual lag, then doubled up
-   to the maximum while it still lags. */
-#define LAG_RETRY_FIRST_MS 30
-#define LAG_RETRY_MAX_MS 240
-
 /* Called whenever a member has answered. */
 void
 member_mark_reachable(struct member *m, clock_ms now)
@@ -151,6 +145,7 @@
     const clock_ms now = service_now(s);
     member_mark_reachable(l->member, now);
     l->member->refusals = 0;
+    member_opening_ended(l->member, now - l->sent_at, now);
     link_make_idle(l, now);
     service_dispatch(s);
 }
@@ -163,9 +158,12 @@
     const clock_ms now = service_now(m->service);
 
     m->service->counters.links_refused++;
+    member_opening_refused(m, now);
     event_log(EVENT_STATE, "link_refused", "service=%s member=%s why=%s",
               m->service->name, m->entry.id, failure_name(why));
-    if (why == FAILURE_CONNECTION_LIMIT) {
+    /* A member whose queue is full refuses openings too. It is reachable: all
+       proxies would otherwise try it again every RECONNECT_MAX_MS. */
+    if (why == FAILURE_CONNECTION_LIMIT || why == FAILURE_BUSY) {
         member_mark_reachable(m, now);
         mark_full(m, now);
     }
@@ -197,28 +195,19 @@
 update_replica_position(struct member *m, const struct pooled_link *l,
                         const struct answer *a, clock_ms now)
 {
+    const struct position_samples *samples = &m->service->position_samples;
+
     if (a->failure == FAILURE_LAGGING) {
-        m->position = a->position; /* may be lower after a promotion */
-        if (token_is_satisfied(&l->min_position, a->position.term,
-                               a->position.position)) {
-            /* The reported position contradicts the failure. */
-            m->position.known = false;
-        }
         m->missing_position = l->min_position;
-        m->lag_retry_ms =
-            CLAMP(m->lag_retry_ms * 2, LAG_RETRY_FIRST_MS, LAG_RETRY_MAX_MS);
-        m->lag_retry_at = now + m->lag_retry_ms;
+        replica_lag_refused(&m->lag, samples, &a->position, &l->min_position,
+                            now);
         return;
     }
-    if (a->position.known) {
-        token_raise(&m->position, a->position.term, a->position.position);
-    }
-    if (m->missing_position.known && m->position.known &&
-        token_is_satisfied(&m->missing_position, m->position.term,
-                           m->position.position)) {
+    replica_lag_reported(&m->lag, samples, &a->position, now);
+    if (m->missing_position.known && m->lag.position.known &&
+        token_is_satisfied(&m->missing_position, m->lag.position.term,
+                           m->lag.position.position)) {
         m->missing_position.known = false;
-        m->lag_retry_ms = 0;
-        m->lag_retry_at = 0;
     }
 }
 
@@ -300,6 +289,7 @@
     l->codec_link =
         s->codec->open(s->codec->ctx, &m->entry, NULL, &link_events, l);
     g_ptr_array_add(m->links, l);
+    m->opened_at = now;
     s->counters.links_opened++;
     if (l->codec_link == NULL) {
         member_mark_unreachable(m, "connect", now);
--- a/src/relay/position_samples.c
+++ b/src/relay/position_samples.c
@@ -58,3 +58,34 @@
     *position = s->ring[last].position;
     return true;
 }
+
+/* Estimates when the primary's log reached a position, between the two samples
+   around it. Sets *at to the time of the newest sample if the position is not
+   below it. Returns false if there is no sample at or below the position. */
+bool
+position_samples_time(const struct position_samples *s,
+                      const struct token *position, clock_ms *at)
+{
+    const struct token *before = NULL;
+
+    for (int i = 0; i < s->count; i++) {
+        const int k = (s->next + POSITION_SAMPLES_MAX - s->count + i) %
+                      POSITION_SAMPLES_MAX;
+        const struct token *p = &s->ring[k].position;
+        const clock_ms t = s->ring[k].at;
+        if (token_compare(p->term, p->position, position->term,
+                          position->position) <= 0) {
+            before = p;
+            *at = t;
+            continue;
+        }
+        if (before != NULL && before->term == p->term) {
+            const double part =
+                (double)(position->position - before->position) /
+                (double)(p->position - before->position);
+            *at += (clock_ms)(part * (double)(t - *at));
+        }
+        break;
+    }
+    return before != NULL;
+}
--- a/src/relay/position_samples.h
+++ b/src/relay/position_samples.h
@@ -23,5 +23,7 @@
                              struct token *position);
 bool position_samples_min_position(const struct position_samples *s,
                                    clock_ms since, struct token *min);
+bool position_samples_time(const struct position_samples *s,
+                           const struct token *position, clock_ms *at);
 
 #endif
--- a/src/relay/service.c
+++ b/src/relay/service.c
@@ -159,6 +159,7 @@
         m->unlisted_at = 0;
         m->entry = entries[k];
     }
+    service_update_home(s);
     service_dispatch(s);
 }
 
@@ -168,6 +169,7 @@
                               const struct connection_limits *limits)
 {
     s->limits = *limits;
+    service_update_home(s);
 }
 
 /* Sets the primary; ignored if the epoch is the current one. While
@@ -194,6 +196,7 @@
     s->primary_changing = primary_changing;
     g_strlcpy(s->primary, primary, sizeof(s->primary));
     s->primary_changed_at = now;
+    service_update_home(s);
     service_dispatch(s);
 }
 
@@ -256,7 +259,8 @@
 }
 
 /* Returns true if service_tick() has nothing to expire: no request is queued,
-   no connection is open or being opened, and all members are reachable. */
+   no connection is open or being opened except one that is kept, and all
+   members are reachable. */
 bool
 service_is_idle(const struct service *s)
 {
@@ -265,7 +269,10 @@
     }
     for (guint i = 0; i < s->members->len; i++) {
         const struct member *m = s->members->pdata[i];
-        if (m->links->len > 0 || m->unreachable_since != 0) {
+        const bool kept =
+            m->home && m->links->len == 1 && link_is_kept(m->links->pdata[0]);
+        if (m->links->len > kept || m->unreachable_since != 0 ||
+            (m->home && !kept)) {
             return false;
         }
     }
--- a/src/relay/service.h
+++ b/src/relay/service.h
@@ -70,6 +70,11 @@
     uint64_t links_opened;
     uint64_t links_refused;
     uint64_t links_lost;
+    uint64_t homes_opened; /* connections opened before a request needed them,
+                              to be kept to a replica */
+    uint64_t lagged_at_primary; /* reads granted there because the replicas
+                                   lag */
+    uint64_t home_granted;      /* requests granted at that replica */
 };
 
 struct service *service_create(const struct service_config *config);
--- a/src/relay/service_internal.h
+++ b/src/relay/service_internal.h
@@ -3,6 +3,7 @@
 
 #include "base/rng.h"
 #include "relay/position_samples.h"
+#include "relay/replica_lag.h"
 #include "relay/service.h"
 
 /* Shared by service.c, links.c, upkeep.c and dispatch.c only. */
@@ -32,14 +33,11 @@
     clock_ms retry_at;   /* while unreachable: no connection attempt before */
     clock_ms full_until; /* no new connection before: it refused one because
                             it had too many */
-    clock_ms not_primary_until;    /* not used as the primary before */
-    struct token position;         /* newest position it has reported */
+    clock_ms not_primary_until; /* not used as the primary before */
+    struct replica_lag lag;
     struct token missing_position; /* position that it last lacked; unknown
                                       once it has caught up */
-    clock_ms lag_retry_at; /* before, it only gets reads that `position`
-                              satisfies */
-    int64_t lag_retry_ms;
-    int failures;        /* in a row; determines retry_at */
+    int failures;                  /* in a row; determines retry_at */
     int refusals;        /* of connections, in a row; determines full_until */
     clock_ms busy_until; /* gets no statement before: it refused one because
                             of its load */
@@ -51,6 +49,21 @@
     double idle_credit_ms;
     clock_ms idle_credit_at;
     int64_t mean_statement_us;
+    bool home;             /* this proxy keeps a connection to it */
+    clock_ms home_open_at; /* when to open that connection; 0 while one exists
+                              or is being opened */
+    /* Requests of the present dispatch that need a connection to it, and this
+       number at the start of its present pass. */
+    int wanted;
+    int wanted_before;
+    /* The same for requests that wait until a connection to it is free. */
+    int waiting;
+    int waiting_before;
+    clock_ms opened_at;       /* start of the last opening */
+    int64_t mean_opening_us;  /* decays; see member_opening_us() */
+    clock_ms opening_at;      /* end of the last opening */
+    int64_t open_interval_ms; /* least time between two openings on demand */
+    int64_t open_jitter;      /* random part of it, in thousandths */
 };
 
 struct pooled_link {
@@ -94,6 +107,9 @@
     clock_ms lease_regained_at; /* 0 if it was never lost */
     clock_ms ticked_at;         /* last call of service_tick() */
     struct position_samples position_samples; /* of the primary's position */
+    /* Reads that may still go to the primary because the replicas lag, in
+       thousandths. */
+    int lagged_reads_credit;
     bool dispatching;
     bool dispatch_again; /* service_dispatch() was called while dispatching */
     struct service_counters counters;
@@ -113,8 +129,16 @@
 void member_free(struct member *m, const char *why);
 bool link_is_outdated(const struct pooled_link *l);
 
+void member_opening_ended(struct member *m, int64_t took_ms, clock_ms now);
+void member_opening_refused(struct member *m, clock_ms now);
+int64_t member_opening_us(const struct member *m, clock_ms now);
+clock_ms member_open_from(const struct member *m);
 int64_t link_waited_ms(const struct pooled_link *l, clock_ms now);
 
+/* upkeep.c */
+void service_update_home(struct service *s);
+bool link_is_kept(const struct pooled_link *l);
+
 /* dispatch.c */
 void service_dispatch(struct service *s);
 
--- a/src/relay/upkeep.c
+++ b/src/relay/upkeep.c
@@ -19,10 +19,108 @@
 #define ABANDONED_CLOSE_MS 700
 #define IDLE_CLOSE_MS 15000
 /* Limits of the time for which connections opened on demand may be open: what
-   is saved up without use, and what is owed after long use. */
-#define IDLE_CREDIT_MAX_MS 500.0
+   is saved up in so much time without use, and what is owed after long use.
+   In the model of a busy fleet, 2 s gave 0.117 openings a statement and 6 s
+   0.094; with 8 s, openings were refused at the start of the load, since all
+   proxies had saved the maximum. */
+#define IDLE_CREDIT_SAVED_MS 6000
 #define IDLE_DEBT_MAX_MS 200.0
 
+/* The proxies open the connections that they keep over this time, so that the
+   openings leave the member slots for statements: 63 openings of 12 ms take a
+   quarter of six slots. */
+#define HOME_OPEN_SPREAD_MS 500
+
+/* Returns true if a member may be the replica that proxies keep connections
+   to. */
+static bool
+may_be_home(const struct service *s, const struct member *m)
+{
+    return m->unlisted_at == 0 && !m->entry.draining &&
+           strcmp(m->entry.id, s->primary) != 0;
+}
+
+/* Chooses the replica to which this proxy keeps a connection. Called when the
+   members, the primary or the limits change; without a primary, the choice
+   stays. The connection to the former one is then closed like others. */
+void
+service_update_home(struct service *s)
+{
+    struct home_replica r[HOME_REPLICAS_MAX];
+    const char *home = NULL;
+    int n = 0;
+
+    if (s->limits.max_homes > 0 &&
+        (s->primary_changing || s->primary[0] == '\0')) {
+        return;
+    }
+    for (guint i = 0; i < s->members->len && n < HOME_REPLICAS_MAX; i++) {
+        const struct member *m = s->members->pdata[i];
+        if (may_be_home(s, m)) {
+            r[n++] = (struct home_replica){
+                .id = m->entry.id, .failure_domain = m->entry.failure_domain};
+        }
+    }
+    if (s->limits.max_homes > 0) {
+        const int k = home_choose(r, n, &s->limits.place, s->limits.max_homes);
+        home = k >= 0 ? r[k].id : NULL;
+    }
+    for (guint i = 0; i < s->members->len; i++) {
+        struct member *m = s->members->pdata[i];
+        const bool chosen = home != NULL && strcmp(m->entry.id, home) == 0;
+        if (chosen != m->home) {
+            m->home = chosen;
+            m->home_open_at = 0;
+            event_log(EVENT_STATE, "home", "service=%s member=%s home=%d",
+                      s->name, m->entry.id, chosen);
+        }
+    }
+}
+
+/* Returns true if a link is the idle one that this proxy keeps to a replica:
+   the most recently used of the idle ones. */
+bool
+link_is_kept(const struct pooled_link *l)
+{
+    const struct member *m = l->member;
+
+    if (!m->home || l->state != LINK_IDLE) {
+        return false;
+    }
+    for (guint k = 0; k < m->links->len; k++) {
+        const struct pooled_link *o = m->links->pdata[k];
+        if (o != l && o->state == LINK_IDLE &&
+            (o->changed_at > l->changed_at ||
+             (o->changed_at == l->changed_at && o > l))) {
+            return false;
+        }
+    }
+    return true;
+}
+
+/* Opens the connection that this proxy keeps to a replica, if there is none,
+   after a random delay. */
+static void
+open_home(struct member *m, clock_ms now)
+{
+    struct service *s = m->service;
+
+    if (m->links->len > 0) {
+        m->home_open_at = 0;
+        return;
+    }
+    if (m->home_open_at == 0) {
+        m->home_open_at =
+            now + (int64_t)rng_below(&s->rng, HOME_OPEN_SPREAD_MS);
+    }
+    if (now >= m->home_open_at && now >= m->full_until &&
+        now >= m->busy_until) {
+        m->home_open_at = 0;
+        s->counters.homes_opened++;
+        link_open(m, now);
+    }
+}
+
 /* Closes the links with requests in progress at a replaced primary, after the
    grace time or when it is unreachable. */
 static void
@@ -69,7 +167,8 @@
         link_drop(l, "no answer");
         return;
     case LINK_IDLE:
-        if (s->limits.idle_permille > 0 && l->member->idle_credit_ms > 0) {
+        if (s->limits.idle_permille > 0 &&
+            (l->member->idle_credit_ms > 0 || link_is_kept(l))) {
             return;
         }
         if (s->limits.idle_permille == 0 &&
@@ -116,19 +215,23 @@
 
 /* Updates the time for which connections to a member may still be open. It
    grows with the proxy's part of the member's connections and shrinks with its
-   open ones, so that their average stays within that part. */
+   open ones, so that their average stays within that part. The one that is
+   kept to a replica does not count. */
 static void
 update_idle_credit(struct member *m, clock_ms now)
 {
-    const double part = m->service->limits.idle_permille / 1000.0;
+    const struct connection_limits *l = &m->service->limits;
+    const bool replica = strcmp(m->entry.id, m->service->primary) != 0;
+    const double part =
+        (replica ? l->replica_idle_permille : l->idle_permille) / 1000.0;
+    const double open = (double)m->links->len - (m->home && m->links->len > 0);
     const double elapsed_ms = (double)(now - m->idle_credit_at);
 
     m->idle_credit_at = now;
-    m->idle_credit_ms =
-        CLAMP(m->idle_credit_ms + elapsed_ms * (part - (double)m->links->len),
-              -IDLE_DEBT_MAX_MS, IDLE_CREDIT_MAX_MS);
+    m->idle_credit_ms = CLAMP(m->idle_credit_ms + elapsed_ms * (part - open),
+                              -IDLE_DEBT_MAX_MS, part * IDLE_CREDIT_SAVED_MS);
 #ifdef RELAY_BREAK_KEEP_CONNECTIONS
-    m->idle_credit_ms = IDLE_CREDIT_MAX_MS;
+    m->idle_credit_ms = IDLE_CREDIT_SAVED_MS;
 #endif
 }
 
@@ -147,6 +250,9 @@
     else if (now >= m->retry_at && m->unlisted_at == 0) {
         reconnect(m, now);
     }
+    if (m->home && m->unreachable_since == 0) {
+        open_home(m, now);
+    }
 }
 
 /* Returns true if an unlisted member is not needed any more. */
