--- a/src/relay/dispatch.c
+++ b/src/relay/dispatch.c
@@ -113,14 +113,31 @@
     return us < open_us && late_us > 0 ? us : 0;
 }
 
+/* Returns after which time a replica is expected to have the position that a
+   request requires. Where connections stay open, this is 0 or INT64_MAX: a
+   replica that was found to lag is tried again after a delay. */
+static int64_t
+lag_wait_ms(const struct service *s, const struct member *m,
+            const struct connection_request *w, clock_ms now)
+{
+    if (s->limits.idle_permille > 0) {
+        return replica_lag_wait_ms(&m->lag, &s->position_samples,
+                                   &w->min_position, now);
+    }
+    const struct token *position = &m->lag.position;
+    const bool has = position->known && w->min_position.known &&
+                     token_is_satisfied(&w->min_position, position->term,
+                                        position->position);
+    return has || now >= m->lag_retry_at ? 0 : INT64_MAX;
+}
+
 static struct placement_member
 describe_member(const struct service *s, const struct member *m,
                 const struct connection_request *w, bool lease, clock_ms now)
 {
     const bool listed =
         m->unlisted_at == 0 || now - m->unlisted_at < UNLISTED_GRACE_MS;
-    const int64_t lag_wait_ms = replica_lag_wait_ms(
-        &m->lag, &s->position_samples, &w->min_position, now);
+    const int64_t lag_ms = lag_wait_ms(s, m, w, now);
     struct placement_member p = {
         .usable = m->unreachable_since == 0 &&
                   (m->unlisted_at == 0 ||
@@ -128,7 +145,7 @@
         .primary = lease && strcmp(m->entry.id, s->primary) == 0 &&
                    now >= m->not_primary_until,
         .caught_up =
-            listed && !m->entry.draining && now + lag_wait_ms < w->deadline,
+            listed && !m->entry.draining && lag_ms < w->deadline - now,
         .same_failure_domain =
             strcmp(m->entry.failure_domain, s->failure_domain) == 0,
         .behind = m->missing_position.known,
@@ -162,16 +179,17 @@
         p.open_us = MAX(member_opening_us(m, now), 1);
         p.wait_us = free_link_wait_us(m, &p, w, now);
     }
-    if (!p.primary) {
-        p.wait_us = MAX(p.wait_us, lag_wait_ms * 1000);
+    if (!p.primary && p.caught_up) {
+        p.lag_us = lag_ms * 1000;
+        p.wait_us = MAX(p.wait_us, p.lag_us);
     }
     return p;
 }
 
 /* Removes the primary from the candidates for a read that the replicas can
    serve only after a wait, if too many such reads have gone there, and the
-   wait does not make it miss its target. Returns true if the read is one that
-   all usable replicas are behind for. */
+   wait does not make it miss its target. Returns true if all usable replicas
+   are behind for the read. */
 static bool
 spare_primary(const struct service *s, struct placement_member *p, int n,
               const struct connection_request *w, clock_ms now)
@@ -179,21 +197,17 @@
     int64_t least_us = INT64_MAX;
 
     for (int i = 0; i < n; i++) {
-        const struct member *m = s->members->pdata[i];
-        const int64_t us = replica_lag_wait_ms(&m->lag, &s->position_samples,
-                                               &w->min_position, now) *
-                           1000;
         if (p[i].usable && !p[i].primary && p[i].caught_up) {
-            least_us = MIN(least_us, us);
+            least_us = MIN(least_us, p[i].lag_us);
         }
     }
     if (least_us == 0 || least_us == INT64_MAX) {
         return false;
     }
     for (int i = 0; i < n; i++) {
+        const int64_t us = least_us + 2 * p[i].mean_statement_us;
         if (p[i].primary && s->lagged_reads_credit < 1000 &&
-            now + least_us / 1000 + 2 * p[i].mean_statement_us / 1000 <
-                w->target) {
+            now + us / 1000 < w->target) {
             p[i].usable = false;
         }
     }
--- a/src/relay/links.c
+++ b/src/relay/links.c
@@ -22,6 +22,13 @@
 /* Delay before the presumed primary gets requests again after it answered that
    it is a replica. */
 #define NOT_PRIMARY_RETRY_MS 40
+/* Where connections stay open: delay before a replica that lacked a position
+   is asked again for a position that it is not known to have, at first about
+   its usual lag, then doubled up to the maximum while it still lags. Where
+   they are opened on demand, its measured lag decides (replica_lag.c). */
+#define LAG_RETRY_FIRST_MS 30
+#define LAG_RETRY_MAX_MS 240
+
 /* Called whenever a member has answered. */
 void
 member_mark_reachable(struct member *m, clock_ms now)
@@ -163,7 +170,8 @@
               m->service->name, m->entry.id, failure_name(why));
     /* A member whose queue is full refuses openings too. It is reachable: all
        proxies would otherwise try it again every RECONNECT_MAX_MS. */
-    if (why == FAILURE_CONNECTION_LIMIT || why == FAILURE_BUSY) {
+    if (why == FAILURE_CONNECTION_LIMIT ||
+        (why == FAILURE_BUSY && m->service->limits.idle_permille > 0)) {
         member_mark_reachable(m, now);
         mark_full(m, now);
     }
@@ -201,6 +209,9 @@
         m->missing_position = l->min_position;
         replica_lag_refused(&m->lag, samples, &a->position, &l->min_position,
                             now);
+        m->lag_retry_ms =
+            CLAMP(m->lag_retry_ms * 2, LAG_RETRY_FIRST_MS, LAG_RETRY_MAX_MS);
+        m->lag_retry_at = now + m->lag_retry_ms;
         return;
     }
     replica_lag_reported(&m->lag, samples, &a->position, now);
@@ -208,6 +219,8 @@
         token_is_satisfied(&m->missing_position, m->lag.position.term,
                            m->lag.position.position)) {
         m->missing_position.known = false;
+        m->lag_retry_ms = 0;
+        m->lag_retry_at = 0;
     }
 }
 
--- a/src/relay/placement.h
+++ b/src/relay/placement.h
@@ -23,8 +23,9 @@
     int max_executing;         /* statements that this proxy may have there */
     int64_t mean_statement_us;
     int64_t open_us; /* time to open a connection; 0: the usual one */
-    /* Time until it has the required position, or until a connection in use
-       is free, if that is expected to take less time than opening one. */
+    int64_t lag_us;  /* time until it is expected to have the position */
+    /* The same, or longer: time until a connection in use is free, if that is
+       expected to take less time than opening one. */
     int64_t wait_us;
 };
 
--- a/src/relay/replica_lag.c
+++ b/src/relay/replica_lag.c
@@ -41,7 +41,6 @@
         return;
     }
     token_raise(&r->position, position->term, position->position);
-    r->position.known = true;
     if (!position_samples_time(s, position, &at)) {
         return;
     }
@@ -98,11 +97,9 @@
         return 0;
     }
     /* A position above the newest sample is as recent as this moment. */
-    if (!position_samples_newest(s, &newest_at, &newest)) {
-        at = now;
-    }
-    else if (token_compare(newest.term, newest.position, required->term,
-                           required->position) < 0) {
+    if (!position_samples_newest(s, &newest_at, &newest) ||
+        token_compare(newest.term, newest.position, required->term,
+                      required->position) < 0) {
         at = now;
     }
     else if (!position_samples_time(s, required, &at)) {
--- a/src/relay/service_internal.h
+++ b/src/relay/service_internal.h
@@ -37,7 +37,10 @@
     struct replica_lag lag;
     struct token missing_position; /* position that it last lacked; unknown
                                       once it has caught up */
-    int failures;                  /* in a row; determines retry_at */
+    clock_ms lag_retry_at; /* before, it only gets reads that its position
+                              satisfies; not used for connections on demand */
+    int64_t lag_retry_ms;
+    int failures;        /* in a row; determines retry_at */
     int refusals;        /* of connections, in a row; determines full_until */
     clock_ms busy_until; /* gets no statement before: it refused one because
                             of its load */
