--- a/src/relay/dispatch.c
+++ b/src/relay/dispatch.c
@@ -4,13 +4,6 @@
 
 #include <string.h>
 
-/* A proxy may have this many statements more at a member than the member has
-   slots, which keeps the slots busy during the round trip. */
-#define EXTRA_STATEMENTS 1
-/* An answer that takes longer may be lost: statements usually take 15 ms and
-   rarely more than 200 ms. Another connection may then be opened in place of
-   the one that waits. */
-#define ANSWER_OVERDUE_MS 250
 /* Subtracted from the staleness bound, for the time that passes before the
    member reads the request. */
 #define STALENESS_MARGIN_MS 100
@@ -29,119 +22,51 @@
 /* Usual time of a statement at a member. A request counts as late if less than
    this is left until its latency target. */
 #define TYPICAL_STATEMENT_MS 15
-#define QUEUE_MAX 512
+/* Reads at the primary because the replicas lag: the primary runs all writes,
+   and every read there raises its session's position, so that the next read
+   finds the replicas behind again. The maximum is in thousandths. */
+#define LAGGED_READS_PART 8
+#define LAGGED_READS_MAX 4000
 #define CANDIDATES_MAX 32
 
-static void
-remove_from_queue(struct service *s, struct connection_request *w)
-{
-    if (w->queued) {
-        g_queue_unlink(&s->queue, &w->queue_node);
-        w->queued = false;
-    }
-}
-
 static void
 refuse_request(struct service *s, struct connection_request *w,
                uint64_t *counter, const char *why)
 {
-    remove_from_queue(s, w);
+    queue_remove(s, w, false);
     (*counter)++;
     w->refused(w->ctx, why);
 }
 
-/* Returns an idle link of a member, or NULL: preferably one with the same
-   settings, for which it sets *exact, otherwise one without settings. */
-static struct pooled_link *
-find_idle_link(const struct member *m, uint64_t settings_hash, bool *exact)
-{
-    struct pooled_link *best = NULL;
-
-    *exact = false;
-    for (guint k = 0; k < m->links->len; k++) {
-        struct pooled_link *l = m->links->pdata[k];
-        if (l->state != LINK_IDLE) {
-            continue;
-        }
-        if (l->settings_hash == settings_hash) {
-            *exact = true;
-            return l;
-        }
-        if (best == NULL || l->settings_hash == 0) {
-            best = l;
-        }
-    }
-    return best;
-}
-
-/* Returns false if a replica is expected to lack the position that a request
-   requires: it has not reported that position and was found to lag recently. A
-   replica that lags still serves the reads that it is recent enough for. */
-static bool
-may_have_position(const struct member *m, const struct connection_request *w,
-                  clock_ms now)
-{
-    return now >= m->lag_retry_at ||
-           (m->position.known && w->min_position.known &&
-            token_is_satisfied(&w->min_position, m->position.term,
-                               m->position.position));
-}
-
-static struct placement_member
-describe_member(const struct service *s, const struct member *m,
-                const struct connection_request *w, bool lease, clock_ms now)
-{
-    struct placement_member p = {
-        .usable = m->unreachable_since == 0 &&
-                  (m->unlisted_at == 0 ||
-                   now - m->unlisted_at < UNLISTED_KEEP_MAX_MS),
-        .primary = lease && strcmp(m->entry.id, s->primary) == 0 &&
-                   now >= m->not_primary_until,
-        .caught_up =
-            may_have_position(m, w, now) && !m->entry.draining &&
-            (m->unlisted_at == 0 || now - m->unlisted_at < UNLISTED_GRACE_MS),
-        .same_failure_domain =
-            strcmp(m->entry.failure_domain, s->failure_domain) == 0,
-        .behind = m->missing_position.known,
-        .avoided = strcmp(w->avoid_member, m->entry.id) == 0,
-        .slots = m->entry.slots,
-        .max_executing = m->entry.slots + EXTRA_STATEMENTS,
-        .mean_statement_us = m->mean_statement_us,
-    };
-
-    bool idle = false;
-    int working = 0;
-    for (guint k = 0; k < m->links->len; k++) {
-        const struct pooled_link *l = m->links->pdata[k];
-        const bool overdue = link_waited_ms(l, now) >= ANSWER_OVERDUE_MS;
-        p.executing += l->active && !overdue;
-        working += !overdue;
-        idle = idle || l->state == LINK_IDLE;
-    }
-    p.connection_idle = idle;
-    const int limit =
-        s->limits.idle_permille > 0 ? (int)m->window : s->limits.working;
-    p.connection_available =
-        now >= m->busy_until &&
-        (idle || (working < limit && (int)m->links->len < s->limits.total &&
-                  now >= m->full_until));
-    return p;
-}
-
 static void
 grant(struct service *s, struct pooled_link *l, struct connection_request *w,
       bool primary)
 {
-    remove_from_queue(s, w);
+    queue_remove(s, w, true);
     l->state = LINK_GRANTED;
+    l->was_granted = true;
     l->as_primary = primary;
     l->epoch = s->epoch;
     l->active = true;
     l->changed_at = service_now(s);
     s->counters.granted++;
+    s->counters.home_granted += l->member->home;
     w->granted(w->ctx, l);
 }
 
+/* Counts a granted read. One in LAGGED_READS_PART may go to the primary
+   because the replicas lag. */
+static void
+count_read(struct service *s, bool lagged_at_primary)
+{
+    s->lagged_reads_credit = MIN(
+        s->lagged_reads_credit + 1000 / LAGGED_READS_PART, LAGGED_READS_MAX);
+    if (lagged_at_primary) {
+        s->lagged_reads_credit -= 1000;
+        s->counters.lagged_at_primary++;
+    }
+}
+
 /* Sets the position that a replica must have to serve the request. Returns
    false if only the primary can serve it. */
 static bool
@@ -198,6 +123,49 @@
     return MAX(s->lease_lost_at, m != NULL ? m->unreachable_since : 0);
 }
 
+/* Returns how many connections to a member may be in the state of being opened
+   for an account: where they are opened on demand, one for each queued request
+   that needs one there, since an opening costs as much as half a statement. */
+static int
+count_wanted(const struct member *m, const struct account *a)
+{
+    const struct service *s = m->service;
+    int wanted = 0;
+
+    if (s->limits.idle_permille == 0) {
+        return (int)s->queue.length;
+    }
+    for (const GList *l = s->queue.head; l != NULL; l = l->next) {
+        const struct connection_request *o = l->data;
+        wanted += o->needs_opening == m && account_equal(o->account, a);
+    }
+    return wanted;
+}
+
+/* Opens a connection to a member for a request unless enough are being opened.
+   If it does not fit, the longest idle one of another account is closed for
+   it. */
+static void
+open_if_wanted(struct member *m, struct connection_request *w, clock_ms now)
+{
+    struct service *s = m->service;
+    int opening = 0;
+
+    w->needs_opening = m;
+    for (guint k = 0; k < m->links->len; k++) {
+        const struct pooled_link *o = m->links->pdata[k];
+        opening += o->state == LINK_OPENING && link_serves(o, w->account);
+    }
+    if (opening >= count_wanted(m, w->account)) {
+        return;
+    }
+    if (member_must_evict(m, now)) {
+        s->counters.links_evicted++;
+        link_drop(member_longest_idle(m, now), "evicted");
+    }
+    link_open(m, w->account != NULL ? w->account->name : NULL, now);
+}
+
 /* Grants a connection to a request, or refuses it if its deadline has passed
    or no member can serve it. Opens a connection if a suitable member has no
    idle one. Returns true if the request left the queue. */
@@ -212,11 +180,14 @@
         refuse_request(s, w, &s->counters.refused_deadline, "queue_deadline");
         return true;
     }
+    w->needs_opening = NULL;
     const bool replicas_allowed = set_min_position(s, w);
     for (int i = 0; i < n; i++) {
         candidates[i] =
-            describe_member(s, s->members->pdata[i], w, lease, now);
+            candidate_describe(s->members->pdata[i], w, lease, now);
     }
+    const bool lagged =
+        replicas_allowed && candidates_spare_primary(s, candidates, n, w, now);
     const int chosen =
         placement_choose(candidates, n, w->needs_primary, replicas_allowed);
     if (chosen == PLACEMENT_NONE) {
@@ -234,35 +205,55 @@
         return false;
     }
     struct member *m = s->members->pdata[chosen];
-    bool exact;
-    struct pooled_link *l = find_idle_link(m, w->settings_hash, &exact);
+    if (candidates[chosen].opening_wait_us > 0) {
+        w->needs_opening = m;
+        return false;
+    }
+    if (candidates[chosen].wait_us > 0) {
+        m->waiting++;
+        return false;
+    }
+    struct pooled_link *l = candidate_idle_link(m, w);
     if (l != NULL) {
+        if (replicas_allowed) {
+            count_read(s, lagged && candidates[chosen].primary);
+        }
         grant(s, l, w, candidates[chosen].primary);
         return true;
     }
-    int opening = 0;
-    for (guint k = 0; k < m->links->len; k++) {
-        const struct pooled_link *o = m->links->pdata[k];
-        opening += o->state == LINK_OPENING;
-    }
-    if (opening < (int)s->queue.length) {
-        link_open(m, now);
-    }
+    open_if_wanted(m, w, now);
     return false;
 }
 
+/* Starts a pass over the queue anew: requests that are still queued are
+   counted again. */
+static void
+restart_pass(struct service *s)
+{
+    for (guint i = 0; i < s->members->len; i++) {
+        struct member *m = s->members->pdata[i];
+        m->waiting = m->waiting_before;
+    }
+}
+
 /* Places the queued requests that are late, or only those that are not. */
 static void
 place_requests(struct service *s, bool lease, bool late, clock_ms now)
 {
     GList *next = s->queue.head;
 
+    for (guint i = 0; i < s->members->len; i++) {
+        struct member *m = s->members->pdata[i];
+        m->waiting_before = late ? m->waiting : 0;
+    }
+    restart_pass(s);
     while (next != NULL) {
         struct connection_request *w = next->data;
         next = next->next;
         /* The callbacks may change the queue, so start again. */
         if ((now + TYPICAL_STATEMENT_MS >= w->target) == late &&
             place_request(s, w, lease, now)) {
+            restart_pass(s);
             next = s->queue.head;
         }
     }
@@ -290,68 +281,3 @@
     } while (s->dispatch_again);
     s->dispatching = false;
 }
-
-/* Estimates how long a new request would wait, from the requests of at least
-   the same priority ahead of it and the statement times of the reachable
-   members. */
-static int64_t
-expected_wait_ms(const struct service *s, const struct connection_request *w)
-{
-    int64_t ahead = 0;
-    int64_t weighted_us = 0;
-    int slots = 0;
-
-    for (const GList *l = s->queue.head; l != NULL; l = l->next) {
-        const struct connection_request *o = l->data;
-        ahead += o->priority <= w->priority;
-    }
-    for (guint i = 0; i < s->members->len; i++) {
-        const struct member *m = s->members->pdata[i];
-        if (m->unreachable_since == 0 && m->unlisted_at == 0) {
-            slots += m->entry.slots;
-            weighted_us += m->mean_statement_us * m->entry.slots;
-        }
-    }
-    return slots == 0 ? 0 : ahead * (weighted_us / slots) / slots / 1000;
-}
-
-/* Queues a request behind all of the same or a more urgent priority. A request
-   that is expected to wait beyond its deadline is refused immediately.
-   granted() or refused() may be called before this function returns. */
-void
-service_submit(struct service *s, struct connection_request *w)
-{
-    const clock_ms now = service_now(s);
-
-    if (s->queue.length >= QUEUE_MAX ||
-        expected_wait_ms(s, w) > w->deadline - now) {
-        s->counters.refused_queue++;
-        w->refused(w->ctx, "queue_full");
-        return;
-    }
-    w->queue_node = (GList){.data = w};
-    w->queued = true;
-    GList *before = s->queue.tail;
-    while (before != NULL) {
-        const struct connection_request *o = before->data;
-        if (o->priority <= w->priority) {
-            break;
-        }
-        before = before->prev;
-    }
-    if (before == NULL) {
-        g_queue_push_head_link(&s->queue, &w->queue_node);
-    }
-    else {
-        g_queue_insert_after_link(&s->queue, before, &w->queue_node);
-    }
-    service_dispatch(s);
-}
-
-/* Removes a request from the queue. Neither granted() nor refused() is
-   called. */
-void
-service_withdraw(struct service *s, struct connection_request *w)
-{
-    remove_from_queue(s, w);
-}
--- a/src/relay/links.c
+++ b/src/relay/links.c
@@ -22,9 +22,10 @@
 /* Delay before the presumed primary gets requests again after it answered that
    it is a replica. */
 #define NOT_PRIMARY_RETRY_MS 40
-/* Delay before a replica that lacked a position is asked again for a position
-   that it is not known to have: at first about its usual lag, then doubled up
-   to the maximum while it still lags. */
+/* Where connections stay open: delay before a replica that lacked a position
+   is asked again for a position that it is not known to have, at first about
+   its usual lag, then doubled up to the maximum while it still lags. Where
+   they are opened on demand, its measured lag decides (replica_lag.c). */
 #define LAG_RETRY_FIRST_MS 30
 #define LAG_RETRY_MAX_MS 240
 
@@ -77,6 +78,7 @@
     }
     g_hash_table_destroy(l->settings);
     g_hash_table_destroy(l->prepared);
+    g_free(l->account);
     g_free(l);
 }
 
@@ -85,6 +87,7 @@
 link_make_idle(struct pooled_link *l, clock_ms now)
 {
     l->state = LINK_IDLE;
+    l->rested = false;
     l->active = false;
     l->user = NULL;
     l->changed_at = now;
@@ -151,6 +154,7 @@
     const clock_ms now = service_now(s);
     member_mark_reachable(l->member, now);
     l->member->refusals = 0;
+    member_opening_ended(l->member, now - l->sent_at, now);
     link_make_idle(l, now);
     service_dispatch(s);
 }
@@ -163,9 +167,13 @@
     const clock_ms now = service_now(m->service);
 
     m->service->counters.links_refused++;
+    member_opening_refused(m, now);
     event_log(EVENT_STATE, "link_refused", "service=%s member=%s why=%s",
               m->service->name, m->entry.id, failure_name(why));
-    if (why == FAILURE_CONNECTION_LIMIT) {
+    /* A member whose queue is full refuses openings too. It is reachable: all
+       proxies would otherwise try it again every RECONNECT_MAX_MS. */
+    if (why == FAILURE_CONNECTION_LIMIT ||
+        (why == FAILURE_BUSY && m->service->limits.idle_permille > 0)) {
         member_mark_reachable(m, now);
         mark_full(m, now);
     }
@@ -197,25 +205,21 @@
 update_replica_position(struct member *m, const struct pooled_link *l,
                         const struct answer *a, clock_ms now)
 {
+    const struct position_samples *samples = &m->service->position_samples;
+
     if (a->failure == FAILURE_LAGGING) {
-        m->position = a->position; /* may be lower after a promotion */
-        if (token_is_satisfied(&l->min_position, a->position.term,
-                               a->position.position)) {
-            /* The reported position contradicts the failure. */
-            m->position.known = false;
-        }
         m->missing_position = l->min_position;
+        replica_lag_refused(&m->lag, samples, &a->position, &l->min_position,
+                            now);
         m->lag_retry_ms =
             CLAMP(m->lag_retry_ms * 2, LAG_RETRY_FIRST_MS, LAG_RETRY_MAX_MS);
         m->lag_retry_at = now + m->lag_retry_ms;
         return;
     }
-    if (a->position.known) {
-        token_raise(&m->position, a->position.term, a->position.position);
-    }
-    if (m->missing_position.known && m->position.known &&
-        token_is_satisfied(&m->missing_position, m->position.term,
-                           m->position.position)) {
+    replica_lag_reported(&m->lag, samples, &a->position, now);
+    if (m->missing_position.known && m->lag.position.known &&
+        token_is_satisfied(&m->missing_position, m->lag.position.term,
+                           m->lag.position.position)) {
         m->missing_position.known = false;
         m->lag_retry_ms = 0;
         m->lag_retry_at = 0;
@@ -283,14 +287,35 @@
     .closed = on_closed,
 };
 
-/* Starts to connect to a member. */
+/* Accounts are compared by name: the catalog may have been replaced since a
+   link was opened or a request queued. */
+bool
+account_equal(const struct account *a, const struct account *b)
+{
+    return g_strcmp0(a != NULL ? a->name : NULL, b != NULL ? b->name : NULL) ==
+           0;
+}
+
+/* Returns true if a link serves the requests of an account. */
+bool
+link_serves(const struct pooled_link *l, const struct account *a)
+{
+#ifdef RELAY_BREAK_ACCOUNTS
+    return true;
+#endif
+    return g_strcmp0(l->account, a != NULL ? a->name : NULL) == 0;
+}
+
+/* Starts to connect to a member for the requests of an account; NULL for those
+   of no account. */
 void
-link_open(struct member *m, clock_ms now)
+link_open(struct member *m, const char *account, clock_ms now)
 {
     struct service *s = m->service;
     struct pooled_link *l = g_new0(struct pooled_link, 1);
 
     l->member = m;
+    l->account = g_strdup(account);
     l->state = LINK_OPENING;
     l->sent_at = now;
     l->changed_at = now;
@@ -298,8 +323,9 @@
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     l->prepared = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     l->codec_link =
-        s->codec->open(s->codec->ctx, &m->entry, NULL, &link_events, l);
+        s->codec->open(s->codec->ctx, &m->entry, l->account, &link_events, l);
     g_ptr_array_add(m->links, l);
+    m->opened_at = now;
     s->counters.links_opened++;
     if (l->codec_link == NULL) {
         member_mark_unreachable(m, "connect", now);
@@ -351,6 +377,7 @@
 pooled_set_inactive(struct pooled_link *l)
 {
     l->active = false;
+    l->rested = true;
     service_dispatch(l->member->service);
 }
 
--- a/src/relay/service.c
+++ b/src/relay/service.c
@@ -37,6 +37,7 @@
     s->ctx = config->ctx;
     s->members = g_ptr_array_new();
     g_queue_init(&s->queue);
+    s->turns = turns_create();
     s->limits = (struct connection_limits){.working = 2, .total = 2};
     rng_seed(&s->rng, config->seed);
     return s;
@@ -50,6 +51,7 @@
         member_free(s->members->pdata[i], "shutdown");
     }
     g_ptr_array_free(s->members, TRUE);
+    turns_destroy(s->turns);
     g_free(s->name);
     g_free(s->failure_domain);
     g_free(s);
@@ -159,6 +161,7 @@
         m->unlisted_at = 0;
         m->entry = entries[k];
     }
+    service_update_home(s);
     service_dispatch(s);
 }
 
@@ -168,6 +171,7 @@
                               const struct connection_limits *limits)
 {
     s->limits = *limits;
+    service_update_home(s);
 }
 
 /* Sets the primary; ignored if the epoch is the current one. While
@@ -194,6 +198,7 @@
     s->primary_changing = primary_changing;
     g_strlcpy(s->primary, primary, sizeof(s->primary));
     s->primary_changed_at = now;
+    service_update_home(s);
     service_dispatch(s);
 }
 
@@ -256,7 +261,8 @@
 }
 
 /* Returns true if service_tick() has nothing to expire: no request is queued,
-   no connection is open or being opened, and all members are reachable. */
+   no connection is open or being opened except one that is kept, and all
+   members are reachable. */
 bool
 service_is_idle(const struct service *s)
 {
@@ -265,7 +271,10 @@
     }
     for (guint i = 0; i < s->members->len; i++) {
         const struct member *m = s->members->pdata[i];
-        if (m->links->len > 0 || m->unreachable_since != 0) {
+        const bool kept =
+            m->home && m->links->len == 1 && link_is_kept(m->links->pdata[0]);
+        const bool to_open = m->home && !kept && !s->limits.accounts;
+        if (m->links->len > kept || m->unreachable_since != 0 || to_open) {
             return false;
         }
     }
--- a/src/relay/service_internal.h
+++ b/src/relay/service_internal.h
@@ -2,8 +2,11 @@
 #define RELAY_SERVICE_INTERNAL_H
 
 #include "base/rng.h"
+#include "relay/placement.h"
 #include "relay/position_samples.h"
+#include "relay/replica_lag.h"
 #include "relay/service.h"
+#include "relay/turns.h"
 
 /* Shared by service.c, links.c, upkeep.c and dispatch.c only. */
 
@@ -32,12 +35,12 @@
     clock_ms retry_at;   /* while unreachable: no connection attempt before */
     clock_ms full_until; /* no new connection before: it refused one because
                             it had too many */
-    clock_ms not_primary_until;    /* not used as the primary before */
-    struct token position;         /* newest position it has reported */
+    clock_ms not_primary_until; /* not used as the primary before */
+    struct replica_lag lag;
     struct token missing_position; /* position that it last lacked; unknown
                                       once it has caught up */
-    clock_ms lag_retry_at; /* before, it only gets reads that `position`
-                              satisfies */
+    clock_ms lag_retry_at; /* before, it only gets reads that its position
+                              satisfies; not used for connections on demand */
     int64_t lag_retry_ms;
     int failures;        /* in a row; determines retry_at */
     int refusals;        /* of connections, in a row; determines full_until */
@@ -51,14 +54,29 @@
     double idle_credit_ms;
     clock_ms idle_credit_at;
     int64_t mean_statement_us;
+    bool home;             /* this proxy keeps a connection to it */
+    clock_ms home_open_at; /* when to open that connection; 0 while one exists
+                              or is being opened */
+    /* Requests of the present dispatch that wait until a connection to it is
+       free, and this number at the start of its present pass. */
+    int waiting;
+    int waiting_before;
+    clock_ms opened_at;       /* start of the last opening */
+    int64_t mean_opening_us;  /* decays; see member_opening_us() */
+    clock_ms opening_at;      /* end of the last opening */
+    int64_t open_interval_ms; /* least time between two openings on demand */
+    int64_t open_jitter;      /* random part of it, in thousandths */
 };
 
 struct pooled_link {
     struct member *member;
+    char *account; /* whose requests it serves; NULL: those of no account */
     struct member_link *codec_link;
     enum link_state state;
     bool as_primary; /* granted as a connection to the primary */
     uint64_t epoch;  /* of the primary when the link was granted */
+    bool was_granted;
+    bool rested;     /* the transaction has waited for a statement */
     bool active;     /* counts towards the member's limit of statements */
     int outstanding; /* requests without an answer */
     bool timed;      /* the outstanding request is a statement, whose time
@@ -82,7 +100,8 @@
     clock_ms (*now)(void *ctx);
     void *ctx;
     GPtrArray *members; /* of struct member */
-    GQueue queue; /* of struct connection_request, by priority, then arrival */
+    GQueue queue;       /* of struct connection_request; order: see queue.c */
+    struct turns *turns;
     struct connection_limits limits; /* of each member */
     struct rng rng;
     uint64_t epoch;                /* of the primary */
@@ -94,6 +113,9 @@
     clock_ms lease_regained_at; /* 0 if it was never lost */
     clock_ms ticked_at;         /* last call of service_tick() */
     struct position_samples position_samples; /* of the primary's position */
+    /* Reads that may still go to the primary because the replicas lag, in
+       thousandths. */
+    int lagged_reads_credit;
     bool dispatching;
     bool dispatch_again; /* service_dispatch() was called while dispatching */
     struct service_counters counters;
@@ -109,12 +131,39 @@
 void member_mark_unreachable(struct member *m, const char *why, clock_ms now);
 void link_drop(struct pooled_link *l, const char *why);
 void link_make_idle(struct pooled_link *l, clock_ms now);
-void link_open(struct member *m, clock_ms now);
+void link_open(struct member *m, const char *account, clock_ms now);
+bool link_serves(const struct pooled_link *l, const struct account *a);
+bool account_equal(const struct account *a, const struct account *b);
 void member_free(struct member *m, const char *why);
 bool link_is_outdated(const struct pooled_link *l);
 
+void member_opening_ended(struct member *m, int64_t took_ms, clock_ms now);
+void member_opening_refused(struct member *m, clock_ms now);
+int64_t member_opening_us(const struct member *m, clock_ms now);
+clock_ms member_open_from(const struct member *m);
 int64_t link_waited_ms(const struct pooled_link *l, clock_ms now);
 
+/* upkeep.c */
+void service_update_home(struct service *s);
+bool link_is_kept(const struct pooled_link *l);
+
+/* queue.c */
+void queue_remove(struct service *s, struct connection_request *w,
+                  bool served);
+
+/* candidates.c */
+struct pooled_link *candidate_idle_link(const struct member *m,
+                                        const struct connection_request *w);
+struct pooled_link *member_longest_idle(const struct member *m, clock_ms now);
+bool member_must_evict(const struct member *m, clock_ms now);
+struct placement_member candidate_describe(const struct member *m,
+                                           const struct connection_request *w,
+                                           bool lease, clock_ms now);
+bool candidates_spare_primary(const struct service *s,
+                              struct placement_member *p, int n,
+                              const struct connection_request *w,
+                              clock_ms now);
+
 /* dispatch.c */
 void service_dispatch(struct service *s);
 
