coordination: tell the version of the member list in replies

Change: members_version follows the age in the trailing part, and may be left out. agreement_registry_differs() says whether a witness has another list of proxies.

--- a/src/coordination/agreement.c
+++ b/src/coordination/agreement.c
@@ -653,6 +653,19 @@
     return true;
 }
 
+/* Returns true if a live witness has another list of registered proxies. */
+bool
+agreement_registry_differs(const struct agreement *a, clock_ms now)
+{
+    for (int i = 0; i < a->witness_peer_count; i++) {
+        const struct peer *p = &a->peers[a->witness_peers[i]];
+        if (is_alive(p, now) && p->registry_hash != a->registry_hash) {
+            return true;
+        }
+    }
+    return false;
+}
+
 /* Returns the number of live proxies other than this one. */
 int
 agreement_alive_count(const struct agreement *a, clock_ms now)
--- a/src/coordination/agreement.h
+++ b/src/coordination/agreement.h
@@ -72,6 +72,7 @@
     uint64_t catalog_version; /* version of the operator's configuration */
     int64_t catalog_age_ms;   /* of the evidence that the store held no newer
                                  one; -1: none */
+    uint64_t members_version; /* of the list of members; 0: not told */
     uint64_t registry_hash; /* of the registered proxies known to the sender */
     /* Name hashes of proxies that the sender, a witness, has not heard from
        for AGREEMENT_SILENT_MS. */
@@ -118,6 +119,7 @@
 void agreement_set_peers(struct agreement *a,
                          const struct agreement_peer *peers, int n,
                          clock_ms now);
+bool agreement_registry_differs(const struct agreement *a, clock_ms now);
 bool agreement_is_witness(const struct agreement *a, const char *name);
 int agreement_peer_count(const struct agreement *a);
 void agreement_compose_message(const struct agreement *a, const char *to,
--- a/src/coordination/peer_message.x
+++ b/src/coordination/peer_message.x
@@ -61,5 +61,10 @@
 struct wire_trailer {
     unsigned int length;
     unsigned int format;
-    unsigned int catalog_age_ms;
+    unsigned int catalog_age_ms; /* the highest number: none */
+};
+
+/* The next field of the trailer, left out if it is 0. */
+struct wire_members {
+    unsigned hyper members_version;
 };
--- a/src/coordination/peer_message_xdr.c
+++ b/src/coordination/peer_message_xdr.c
@@ -129,3 +129,13 @@
         return FALSE;
     return TRUE;
 }
+
+bool_t
+xdr_wire_members(XDR *xdrs, wire_members *objp)
+{
+    register int32_t *buf;
+
+    if (!xdr_u_quad_t(xdrs, &objp->members_version))
+        return FALSE;
+    return TRUE;
+}
--- a/src/coordination/peer_message_xdr.h
+++ b/src/coordination/peer_message_xdr.h
@@ -85,6 +85,11 @@
 };
 typedef struct wire_trailer wire_trailer;
 
+struct wire_members {
+    u_quad_t members_version;
+};
+typedef struct wire_members wire_members;
+
 /* the xdr functions */
 
 #if defined(__STDC__) || defined(__cplusplus)
@@ -94,6 +99,7 @@
 extern bool_t xdr_wire_changes(XDR *, wire_changes *);
 extern bool_t xdr_wire_message(XDR *, wire_message *);
 extern bool_t xdr_wire_trailer(XDR *, wire_trailer *);
+extern bool_t xdr_wire_members(XDR *, wire_members *);
 
 #else /* K&R C */
 extern bool_t xdr_wire_position();
@@ -102,6 +108,7 @@
 extern bool_t xdr_wire_changes();
 extern bool_t xdr_wire_message();
 extern bool_t xdr_wire_trailer();
+extern bool_t xdr_wire_members();
 
 #endif /* K&R C */
 
--- a/src/coordination/peer_socket.c
+++ b/src/coordination/peer_socket.c
@@ -132,27 +132,46 @@
 {
     const size_t at = xdr_getpos(x);
     wire_trailer t = {0};
+    wire_members members = {0};
 
     m->catalog_age_ms = -1;
-    if (size - at >= TRAILER_BYTES && xdr_wire_trailer(x, &t) &&
-        t.length >= TRAILER_BYTES - sizeof(t.length) &&
-        t.length <= size - at - sizeof(t.length) &&
-        t.format >= WIRE_TRAILER_FORMAT) {
+    if (size - at < TRAILER_BYTES || !xdr_wire_trailer(x, &t) ||
+        t.length < TRAILER_BYTES - sizeof(t.length) ||
+        t.length > size - at - sizeof(t.length) ||
+        t.format < WIRE_TRAILER_FORMAT) {
+        return;
+    }
+    if (t.catalog_age_ms != G_MAXUINT32) {
         m->catalog_age_ms = t.catalog_age_ms;
     }
+    if (t.length >= TRAILER_BYTES - sizeof(t.length) + sizeof(members) &&
+        xdr_wire_members(x, &members)) {
+        m->members_version = members.members_version;
+    }
 }
 
 /* Encodes what follows a message. Returns false if it does not fit. */
 static bool
 write_trailer(XDR *x, const struct agreement_message *m)
 {
+    wire_members members = {.members_version = m->members_version};
     wire_trailer t = {
         .length = TRAILER_BYTES - sizeof(t.length),
         .format = WIRE_TRAILER_FORMAT,
-        .catalog_age_ms = (u_int)MIN(m->catalog_age_ms, G_MAXUINT32),
+        .catalog_age_ms = G_MAXUINT32,
     };
 
-    return m->catalog_age_ms < 0 || xdr_wire_trailer(x, &t);
+    if (m->catalog_age_ms < 0 && m->members_version == 0) {
+        return true;
+    }
+    if (m->catalog_age_ms >= 0) {
+        t.catalog_age_ms = (u_int)MIN(m->catalog_age_ms, G_MAXUINT32 - 1);
+    }
+    if (m->members_version == 0) {
+        return xdr_wire_trailer(x, &t);
+    }
+    t.length += sizeof(members);
+    return xdr_wire_trailer(x, &t) && xdr_wire_members(x, &members);
 }
 
 /* Decodes a datagram. Returns false if it is not a valid message. */
--- a/tests/coordination/test_peer_socket.c
+++ b/tests/coordination/test_peer_socket.c
@@ -140,6 +140,7 @@
     m.version = 77;
     m.catalog_version = 5;
     m.catalog_age_ms = 4321;
+    m.members_version = UINT64_MAX;
     m.registry_hash = 6;
     m.store_lost = true;
     m.has_changes = true;
@@ -222,6 +223,26 @@
     end(&f);
 }
 
+/* Guards against a version of the members that is lost on the way, or that
+   brings an age with it; in a large fleet each reply has it. */
+static void
+test_members_version_arrives(void **state)
+{
+    static struct agreement_message m = {.from = "a", .reply = true};
+
+    (void)state;
+    for (int i = 0; i < 2; i++) {
+        struct fixture f;
+        begin(&f, true);
+        m.catalog_age_ms = i == 0 ? -1 : 70;
+        m.members_version = (uint64_t)3 << 40 | 9;
+        peer_socket_send(f.a, "127.0.0.2", f.port, &m);
+        run(&f, WATCHDOG_S);
+        assert_memory_equal(&f.last, &m, sizeof(m));
+        end(&f);
+    }
+}
+
 /* What signatures cover besides the message; see peer_socket.c. */
 #define SIGNATURE_PROGRAM 0x20673704
 #define SIGNATURE_VERSION 3
@@ -338,7 +359,7 @@
         int64_t age_ms;
     } cases[] = {
         /* A field more, and something behind the trailing part. */
-        {{0, 0, 0, 16, 0, 0, 0, 9, 0, 0, 16, 0,
+        {{0, 0, 0, 20, 0, 0, 0, 9, 0, 0, 16, 0,
           1, 2, 3, 4,  5, 6, 7, 8, 9, 9, 9,  9},
          24,
          4096},
@@ -417,6 +438,7 @@
         cmocka_unit_test(test_longest_message_arrives_unchanged),
         cmocka_unit_test(test_message_at_rest_fits_the_budget),
         cmocka_unit_test(test_reply_with_evidence_fits_the_budget),
+        cmocka_unit_test(test_members_version_arrives),
         cmocka_unit_test(test_message_of_earlier_build),
         cmocka_unit_test(test_message_of_later_build),
         cmocka_unit_test(test_unsigned_trailer_is_refused),
