directory: decide when a table may be left to the peers

Change: feed_pace_hold_ms(): in a fleet of more than 60 proxies, one that is neither witness nor holder need not ask the store while the evidence of its peers is younger than 4 s, so that one request is left before the bound of 5 s for a configuration.

--- a/src/directory/catalog_evidence.c
+++ b/src/directory/catalog_evidence.c
@@ -116,6 +116,14 @@
     e->peers_answer = true;
 }
 
+/* Returns the age of the newest evidence that a peer has given, -1 if none
+   has. */
+int64_t
+catalog_evidence_peers_age_ms(const struct catalog_evidence *e, clock_ms now)
+{
+    return e->peers_answer ? MAX(now - e->peers_proven_at, 0) : -1;
+}
+
 /* Returns true if no peer has given recent evidence, so that this proxy has to
    ask the store itself. */
 bool
--- a/src/directory/catalog_evidence.h
+++ b/src/directory/catalog_evidence.h
@@ -75,6 +75,8 @@
                                 uint64_t own_version, clock_ms now);
 bool catalog_evidence_needs_store(const struct catalog_evidence *e,
                                   clock_ms now);
+int64_t catalog_evidence_peers_age_ms(const struct catalog_evidence *e,
+                                      clock_ms now);
 bool catalog_evidence_is_fresh(const struct catalog_evidence *e, clock_ms now);
 int64_t catalog_evidence_age_ms(const struct catalog_evidence *e,
                                 clock_ms now);
--- a/src/directory/feed_pace.c
+++ b/src/directory/feed_pace.c
@@ -15,3 +15,18 @@
                       : MIN(p->delay_ms * 2, p->max_ms);
     return p->delay_ms;
 }
+
+/* Returns for how long the next request for a table may be put off, after
+   which this is called again; 0 if it has to be sent now. */
+int64_t
+feed_pace_hold_ms(const struct feed_duty *d)
+{
+    if (d->proxies <= FEED_FLEET_LARGE || d->watches ||
+        d->since_answer_ms >= FEED_IDLE_MAX_MS) {
+        return 0;
+    }
+    if (d->evidence_age_ms >= 0) {
+        return MAX(FEED_EVIDENCE_MAX_MS - d->evidence_age_ms, 0);
+    }
+    return MAX(d->first_evidence_ms - d->since_start_ms, 0);
+}
