node, platform: ask the store less in large fleets

Change: with more than 60 proxies, those that are neither witness nor holder ask for no feed while replies of the witnesses bring recent evidence. They take a newer configuration or member list from a witness, and ask for the list of proxies when a witness has another one. The peer asked is the one with the lowest hash, so that connections stay below the limit of 64; the store is asked if that has not helped after 1.3 s.

--- a/src/node/copy_fetcher.c
+++ b/src/node/copy_fetcher.c
@@ -5,6 +5,7 @@
 #include "directory/member_list.h"
 
 #include <string.h>
+#include <xxhash.h>
 
 /* Decides when to request a copy from which peer, and applies the copies. A
    process that starts while the store is unreachable gets everything from a
@@ -18,6 +19,11 @@
 /* A newer configuration that a peer announces is requested from it after this
    time; usually the feed of the store has delivered it by then. */
 #define NEWER_WAIT_MS 400
+/* In a large fleet, requests to the peers are spread over this time, and the
+   store is asked only if they have not helped after another. Together with the
+   time until a witness knows of a change, less than 5 s. */
+#define SPREAD_MS 400
+#define STORE_AFTER_MS 1300
 /* Number of peers remembered as sources. */
 #define SOURCES_MAX 16
 
@@ -31,10 +37,21 @@
     size_t next_source;
     clock_ms started_at;
     clock_ms requested_at;
-    char newer_host[MEMBER_HOST_BYTES]; /* peer with a newer configuration */
+    /* The peer with the newest configuration or list of members that this
+       proxy lacks. Of several, the one with the lowest hash: proxies have
+       different preferences, and each keeps few connections. */
+    char newer_host[MEMBER_HOST_BYTES];
     uint64_t newer_version;
+    uint64_t newer_members;
+    uint64_t newer_hash;        /* of newer_host */
+    uint64_t host_members;      /* list that newer_host has said it has */
+    uint64_t asked_members;     /* the same when a copy was requested */
     clock_ms newer_since;       /* 0 if none is known */
+    clock_ms lacking_since;     /* the same; a failed request leaves it */
     uint64_t refreshed_version; /* for which the store was asked again */
+    uint64_t refreshed_members;
+    int64_t spread_ms;  /* added to the wait of this proxy in a large fleet */
+    uint64_t name_hash; /* of this proxy */
 };
 
 /* Remembers a peer as a source. */
@@ -124,17 +141,29 @@
     g_array_free(list, TRUE);
 }
 
-/* Applies a member list from a peer. An empty list is ignored. */
-static void
+/* Applies a member list from a peer. Returns false if it is empty, which is
+   ignored. */
+static bool
 apply_members(struct node *n, const char *text)
 {
     GArray *list = member_list_parse(sview_from(text));
+    const bool some = list->len > 0;
 
-    if (list->len > 0) {
+    if (some) {
         node_apply_members(n, (const struct member_entry *)(void *)list->data,
                            list->len);
     }
     g_array_free(list, TRUE);
+    return some;
+}
+
+/* Returns true if a peer has a newer list of members, which this proxy takes
+   from it. */
+static bool
+lacks_members(const struct copy_fetcher *f)
+{
+    return node_follows_peers(f->node) &&
+           f->newer_members > f->node->members_version;
 }
 
 /* Fills in a copy for a peer. Returns false until this proxy has a
@@ -171,9 +200,12 @@
     struct copy_fetcher *f = ctx;
     struct node *n = f->node;
 
+    const uint64_t newer_version = f->newer_version;
+    const uint64_t newer_members = f->newer_members;
     /* The next message from a peer that is ahead sets these again. */
     f->newer_since = 0;
     f->newer_version = 0;
+    f->newer_members = 0;
     if (texts == NULL) {
         return; /* logged by the exchange; the next tick asks another peer */
     }
@@ -192,6 +224,14 @@
     if (!n->members_from_store) {
         apply_members(n, texts->members);
     }
+    else if (node_follows_peers(n) && f->asked_members > n->members_version &&
+             apply_members(n, texts->members)) {
+        n->members_version = f->asked_members;
+    }
+    if (n->catalog->version >= newer_version &&
+        n->members_version >= newer_members) {
+        f->lacking_since = 0;
+    }
     if (!n->peers_from_store) {
         apply_proxies(n, texts->proxies, host);
     }
@@ -219,6 +259,8 @@
     g_strlcpy(f->host, config->host, sizeof(f->host));
     f->port = config->peer_port;
     f->started_at = clock_boottime_ms();
+    f->name_hash = XXH64(config->name, strlen(config->name), 0);
+    f->spread_ms = (int64_t)(f->name_hash % SPREAD_MS);
     f->copies = copy_exchange_create(&copies, error);
     if (f->copies == NULL) {
         g_free(f);
@@ -238,9 +280,26 @@
     g_free(f);
 }
 
-/* Requests a copy if something is missing. If that is a newer configuration,
-   the store is asked again as well: the response to the feed request may be
-   lost, and a copy has a limited size. Called on each tick. */
+/* Asks the store again for what a peer has and this proxy lacks: the response
+   to the feed request may be lost, and a copy has a limited size. In a large
+   fleet, copies have been tried before. */
+static void
+refresh_if_due(struct copy_fetcher *f, clock_ms now)
+{
+    const struct node *n = f->node;
+
+    if ((f->refreshed_version >= f->newer_version &&
+         f->refreshed_members >= f->newer_members) ||
+        (node_follows_peers(n) && now - f->lacking_since < STORE_AFTER_MS)) {
+        return;
+    }
+    f->refreshed_version = MAX(f->refreshed_version, f->newer_version);
+    f->refreshed_members = MAX(f->refreshed_members, f->newer_members);
+    n->platform.refresh_directory(n->platform.ctx);
+}
+
+/* Requests a copy if something is missing. If that is a newer configuration or
+   list of members, the store may be asked as well. Called on each tick. */
 void
 copy_fetcher_tick(struct copy_fetcher *f, clock_ms now)
 {
@@ -250,36 +309,59 @@
         now - f->requested_at < REQUEST_INTERVAL_MS) {
         return;
     }
-    if (n->catalog->version >= f->newer_version) {
+    if (n->catalog->version >= f->newer_version && !lacks_members(f)) {
         f->newer_since = 0;
     }
     if (is_incomplete(n) && now - f->started_at >= STORE_WAIT_MS &&
         f->source_count > 0) {
         const char *host = f->sources[f->next_source++ % f->source_count];
         f->requested_at = now;
+        f->asked_members = 0;
         copy_exchange_request(f->copies, host, f->port);
     }
-    else if (f->newer_since != 0 && now - f->newer_since >= NEWER_WAIT_MS) {
+    else if (f->newer_since != 0 &&
+             now - f->newer_since >=
+                 NEWER_WAIT_MS + (node_follows_peers(n) ? f->spread_ms : 0)) {
         f->requested_at = now;
+        f->asked_members = f->host_members;
         copy_exchange_request(f->copies, f->newer_host, f->port);
-        if (f->refreshed_version < f->newer_version) {
-            f->refreshed_version = f->newer_version;
-            n->platform.refresh_directory(n->platform.ctx);
-        }
+        refresh_if_due(f, now);
     }
 }
 
-/* Called for each message from a peer; catalog_version is the version of the
-   operator's configuration that the peer has. */
+/* Called for each message from a peer, which tells what the peer has. */
 void
 copy_fetcher_on_message(struct copy_fetcher *f, const char *host,
-                        uint64_t catalog_version, clock_ms now)
+                        const struct agreement_message *message, clock_ms now)
 {
+    const struct node *n = f->node;
+    const uint64_t catalog = message->catalog_version;
+    const uint64_t members =
+        node_follows_peers(n) ? message->members_version : 0;
+
     add_source(f, host);
-    if (catalog_version > f->node->catalog->version &&
-        catalog_version > f->newer_version) {
-        f->newer_version = catalog_version;
-        f->newer_since = f->newer_since == 0 ? now : f->newer_since;
-        g_strlcpy(f->newer_host, host, sizeof(f->newer_host));
+    if (catalog <= n->catalog->version && members <= n->members_version) {
+        if (n->catalog->version >= f->newer_version && !lacks_members(f)) {
+            f->lacking_since = 0;
+        }
+        return;
+    }
+    if (f->lacking_since == 0) {
+        f->lacking_since = now;
+    }
+    if (catalog > MAX(f->newer_version, n->catalog->version) ||
+        members > MAX(f->newer_members, n->members_version)) {
+        f->newer_version = MAX(f->newer_version, catalog);
+        f->newer_members = MAX(f->newer_members, members);
+        f->newer_hash = G_MAXUINT64; /* its host may lack this */
+    }
+    f->newer_since = f->newer_since == 0 ? now : f->newer_since;
+    const uint64_t hash = XXH64(host, strlen(host), f->name_hash);
+    if (catalog < f->newer_version || members < f->newer_members ||
+        hash >= f->newer_hash) {
+        return;
     }
+    f->newer_hash = hash;
+    f->host_members = members;
+    g_strlcpy(f->newer_host, host, sizeof(f->newer_host));
 }
--- a/src/node/freshness.c
+++ b/src/node/freshness.c
@@ -40,8 +40,9 @@
 int64_t
 node_announced_evidence_age(const struct node *n, clock_ms now)
 {
-    return n->strict_revocation ? catalog_evidence_age_ms(&n->evidence, now)
-                                : -1;
+    return n->strict_revocation || node_is_large_fleet(n)
+               ? catalog_evidence_age_ms(&n->evidence, now)
+               : -1;
 }
 
 /* Called for each message from a proxy, after the agreement has received
--- a/src/node/members.c
+++ b/src/node/members.c
@@ -11,8 +11,6 @@
 /* A longer list does not fit in a row of 64 KB after base64 encoding and is
    not stored. */
 #define STORED_LIST_MAX_BYTES 49000
-/* A list of more members may be too long; lines rarely exceed 120 bytes. */
-#define STORED_MEMBERS_MAX 400
 /* A member that another proxy has stored, or stored as draining, is usually
    delivered to this proxy within this time. Short enough that a member can
    still be left within 7 s of its report. */
@@ -110,6 +108,22 @@
     }
 }
 
+/* Sets the version of the list of members that node_set_members() is called
+   with next. It rises with each change, and is the same in all proxies. */
+void
+node_set_members_version(struct node *n, uint64_t version)
+{
+    n->members_version = version;
+}
+
+/* Returns the version of the list of members in force, which may have come
+   from a peer; 0 if it is not known. */
+uint64_t
+node_members_version(const struct node *n)
+{
+    return n->members_version;
+}
+
 /* Called with the complete member list from the directory. */
 void
 node_set_members(struct node *n, const struct member_entry *entries,
@@ -249,7 +263,7 @@
 node_watches_directory(const struct node *n)
 {
     return n->peers->len == 0 || n->stored_list == NULL ||
-           n->members->len > STORED_MEMBERS_MAX ||
+           n->members->len > NODE_COPIED_MEMBERS_MAX ||
            agreement_is_witness(n->agreement, n->name) ||
            strcmp(agreement_view(n->agreement)->holder, n->name) == 0;
 }
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -14,6 +14,7 @@
    long; early enough to get the answer before the lease expires. */
 #define CONFIRM_AFTER_MS 500
 #define CONFIRM_INTERVAL_MS 300
+#define FIRST_CONFIRM_INTERVAL_MS 1000
 /* A tick that is this late means that the process was suspended. */
 #define SUSPENDED_AFTER_MS 300
 /* A proxy that has had no valid lease for this long reports not ready, so that
@@ -227,6 +228,7 @@
     copy_fetcher_tick(n->copy_fetcher, now);
     node_check_stored_list(n, now);
     node_check_freshness(n, now);
+    node_check_registry(n, now);
     if (n->starting && now - n->started_at >= NODE_STARTUP_MS) {
         node_update_shares(n);
     }
@@ -242,8 +244,13 @@
         node_send_messages(n, applied, now);
     }
     const clock_ms confirmed_at = agreement_confirmed_at(n->agreement);
+    /* Before its first lease, a proxy of a large fleet loses nothing: it
+       serves once the witnesses know it. */
+    const int64_t interval = n->lease_valid_at == 0 && node_follows_peers(n)
+                                 ? FIRST_CONFIRM_INTERVAL_MS
+                                 : CONFIRM_INTERVAL_MS;
     if (now - confirmed_at >= CONFIRM_AFTER_MS &&
-        now - n->view_asked_at >= CONFIRM_INTERVAL_MS) {
+        now - n->view_asked_at >= interval) {
         n->view_asked_at = now;
         n->platform.read_view(n->platform.ctx);
     }
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -33,6 +33,8 @@
     /* Requests the configuration and the member list again: a change seems to
        be missing. Answered by node_set_catalog() and node_set_members(). */
     void (*refresh_directory)(void *ctx);
+    /* Requests the list of proxies again. Answered by node_set_peers(). */
+    void (*refresh_proxies)(void *ctx);
     /* Requests the configuration again: its evidence is getting old. Answered
        by node_set_catalog() and node_set_catalog_checked(). Called in strict
        mode only. */
@@ -70,6 +72,9 @@
 bool node_is_ready(const struct node *n);
 bool node_watches_directory(const struct node *n);
 bool node_watches_configuration(const struct node *n);
+bool node_is_large_fleet(const struct node *n);
+int64_t node_feed_hold_ms(const struct node *n, int64_t since_answer_ms,
+                          int64_t first_evidence_ms);
 bool node_should_disconnect_callers(const struct node *n);
 void node_begin_shutdown(struct node *n, const struct shutdown_schedule *s);
 void node_answer_all(struct node *n);
@@ -77,6 +82,8 @@
 
 void node_set_catalog(struct node *n, struct catalog *c);
 void node_set_catalog_checked(struct node *n, clock_ms asked_at);
+void node_set_members_version(struct node *n, uint64_t version);
+uint64_t node_members_version(const struct node *n);
 void node_set_members(struct node *n, const struct member_entry *entries,
                       size_t count);
 void node_set_store_era(struct node *n, uint64_t era);
--- a/src/node/node_internal.h
+++ b/src/node/node_internal.h
@@ -3,6 +3,7 @@
 
 #include "coordination/peer_socket.h"
 #include "directory/catalog_evidence.h"
+#include "directory/feed_pace.h"
 #include "node/copy_exchange.h"
 #include "node/node.h"
 
@@ -10,6 +11,9 @@
 
 /* Further members of a service are ignored. */
 #define SERVICE_MEMBERS_MAX 16
+/* A list of more members may not fit in the stored list or in a peer's answer;
+   lines rarely exceed 120 bytes. */
+#define NODE_COPIED_MEMBERS_MAX 400
 /* After a power loss, proxies that start together do so within 0.3 s. */
 #define NODE_STARTUP_MS 400
 
@@ -70,7 +74,12 @@
     struct catalog_evidence evidence;
     bool catalog_was_fresh;          /* at the last tick */
     clock_ms configuration_asked_at; /* because peers gave no evidence */
-    bool catalog_from_store; /* the store has delivered the configuration */
+    bool catalog_from_store;  /* the store has delivered the configuration */
+    uint64_t members_version; /* of the list of members in force; 0: unknown */
+    bool registry_differs;    /* from that of a witness */
+    clock_ms registry_differs_since;
+    struct feed_pace registry_pace;
+    clock_ms registry_asked_at;
     bool members_from_store; /* the store has delivered the member list */
     bool peers_from_store;   /* the store has delivered the proxy list */
     struct copy_fetcher *copy_fetcher;
@@ -83,6 +92,10 @@
 void node_update_shares(struct node *n);
 void node_apply_catalog(struct node *n, struct catalog *c, const char *source);
 
+/* feeds.c */
+bool node_follows_peers(const struct node *n);
+void node_check_registry(struct node *n, clock_ms now);
+
 /* freshness.c */
 bool node_catalog_is_fresh(void *ctx, clock_ms now);
 int64_t node_announced_evidence_age(const struct node *n, clock_ms now);
@@ -123,6 +136,7 @@
 void copy_fetcher_destroy(struct copy_fetcher *f);
 void copy_fetcher_tick(struct copy_fetcher *f, clock_ms now);
 void copy_fetcher_on_message(struct copy_fetcher *f, const char *host,
-                             uint64_t catalog_version, clock_ms now);
+                             const struct agreement_message *message,
+                             clock_ms now);
 
 #endif
--- a/src/node/peer_messages.c
+++ b/src/node/peer_messages.c
@@ -107,6 +107,8 @@
     message.catalog_version = n->catalog->version;
     if (reply) {
         message.catalog_age_ms = node_announced_evidence_age(n, now);
+        message.members_version =
+            node_is_large_fleet(n) ? n->members_version : 0;
         add_positions(n, p->name, now, &message);
     }
     n->traffic->sent[TRAFFIC_AGREEMENT]
@@ -239,8 +241,7 @@
         n->failure_domain, from != NULL ? from->failure_domain : NULL)] +=
         bytes;
 
-    copy_fetcher_on_message(n->copy_fetcher, host, message->catalog_version,
-                            now);
+    copy_fetcher_on_message(n->copy_fetcher, host, message, now);
     const bool newer = agreement_receive(n->agreement, message, now);
     node_receive_evidence(n, message, from != NULL, now);
     if (newer) {
--- a/tests/node/test_fetch.c
+++ b/tests/node/test_fetch.c
@@ -81,6 +81,15 @@
     configuration_refreshes++;
 }
 
+static int proxies_refreshes; /* by any node */
+
+static void
+count_proxies_refresh(void *ctx)
+{
+    (void)ctx;
+    proxies_refreshes++;
+}
+
 /* Returns a TCP port that is free. */
 static uint16_t
 free_port(void)
@@ -106,6 +115,7 @@
         .unregister_proxy = ignore_text,
         .refresh_directory = count_refresh,
         .refresh_configuration = count_configuration_refresh,
+        .refresh_proxies = count_proxies_refresh,
     };
     const struct node_config config = {
         .loop = f->loop,
@@ -209,6 +219,7 @@
     f->strict = strict;
     refreshes = 0;
     configuration_refreshes = 0;
+    proxies_refreshes = 0;
     f->loop = ev_loop_new(EVFLAG_AUTO);
     f->peer_port = free_port();
     f->with_store = start(f, "a", "127.0.0.1", KEY);
@@ -432,6 +443,97 @@
     end(&f);
 }
 
+/* Lists both nodes and so many proxies that do not run. The first node is a
+   witness. */
+static void
+list_large_fleet(struct fixture *f, struct node *n, int silent)
+{
+    struct node_peer peers[2 + 80] = {
+        {.name = "a", .host = "127.0.0.1", .failure_domain = "a"},
+        {.name = "b", .host = "127.0.0.2", .failure_domain = "x"},
+    };
+
+    for (int i = 0; i < 2 + silent; i++) {
+        peers[i].port = f->peer_port;
+        if (i >= 2) {
+            g_snprintf(peers[i].name, sizeof(peers[i].name), "p%d", i);
+            g_strlcpy(peers[i].host, "127.0.0.3", sizeof(peers[i].host));
+            g_strlcpy(peers[i].failure_domain, "x",
+                      sizeof(peers[i].failure_domain));
+        }
+    }
+    node_set_peers(n, peers, (size_t)silent + 2);
+}
+
+/* Ends the run once the second node has the first one's list of members. */
+static void
+on_poll_members(struct ev_loop *loop, ev_timer *w, int revents)
+{
+    struct fixture *f = w->data;
+
+    (void)revents;
+    if (node_members_version(f->without_store) ==
+            node_members_version(f->with_store) &&
+        node_feed_hold_ms(f->without_store, 0, 0) > 0) {
+        ev_break(loop, EVBREAK_ALL);
+    }
+}
+
+/* Guards against a proxy of a large fleet that asks the store although a
+   witness can tell it everything, that misses a draining member then, or that
+   goes on relying on a witness which learns nothing any more. */
+static void
+test_large_fleet_follows_witnesses(void **state)
+{
+    const struct member_entry ready = {.id = "m1",
+                                       .service = "s1",
+                                       .host = "127.0.0.9",
+                                       .failure_domain = "z",
+                                       .port = 1,
+                                       .slots = 2,
+                                       .started_at = 5};
+    struct member_entry draining = ready;
+    struct catalog *c = catalog(7);
+    struct fixture f;
+
+    (void)state;
+    begin(&f, KEY);
+    draining.draining = true;
+    for (int i = 0; i < 2; i++) {
+        struct node *n = i == 0 ? f.with_store : f.without_store;
+        node_set_catalog(n, c);
+        node_set_members_version(n, i == 0 ? 12 : 11);
+        node_set_members(n, i == 0 ? &draining : &ready, 1);
+        list_large_fleet(&f, n, 60);
+    }
+    catalog_unref(c);
+    assert_true(node_follows_peers(f.without_store));
+    assert_false(node_follows_peers(f.with_store));
+    assert_int_equal(node_feed_hold_ms(f.without_store, 0, 0), 0);
+    node_set_catalog_checked(f.with_store, clock_boottime_ms());
+    ev_timer_init(&f.poll, on_poll_members, 0.01, 0.01);
+    f.poll.data = &f;
+    ev_timer_start(f.loop, &f.poll);
+    ev_timer_init(&f.watchdog, on_watchdog, WATCHDOG_S, 0.0);
+    f.watchdog.data = &f;
+    ev_timer_start(f.loop, &f.watchdog);
+    ev_run(f.loop, 0);
+    ev_timer_stop(f.loop, &f.poll);
+    ev_timer_stop(f.loop, &f.watchdog);
+    assert_false(f.hung);
+    assert_true(g_array_index(f.without_store->members, struct known_member, 0)
+                    .entry.draining);
+    assert_int_equal(refreshes, 0);
+    assert_int_equal(proxies_refreshes, 0);
+    /* The witness hears nothing from the store any more, and another proxy
+       has registered. */
+    list_large_fleet(&f, f.with_store, 61);
+    assert_false(run_until(&f, 8, 4.2));
+    assert_int_equal(node_feed_hold_ms(f.without_store, 0, 0), 0);
+    assert_true(proxies_refreshes >= 2 && proxies_refreshes <= 6);
+    end(&f);
+}
+
 /* Guards against accepting messages from, or giving copies to, a process that
    lacks the key. */
 static void
@@ -568,6 +670,7 @@
         cmocka_unit_test(test_newer_configuration),
         cmocka_unit_test(test_freshness_from_peer),
         cmocka_unit_test(test_always_fresh_unless_strict),
+        cmocka_unit_test(test_large_fleet_follows_witnesses),
         cmocka_unit_test(test_wrong_key),
         cmocka_unit_test(test_callers_stay_after_a_start),
         cmocka_unit_test(test_holder_learns_newest_commits),
