--- a/src/node/feeds.c
+++ b/src/node/feeds.c
@@ -12,7 +12,7 @@
 /* Limits of the interval between such requests. Lists differ for as long as
    proxies register. */
 #define REGISTRY_INTERVAL_MIN_MS 400
-#define REGISTRY_INTERVAL_MAX_MS 5000
+#define REGISTRY_INTERVAL_MAX_MS 1600
 
 /* Returns true if the fleet is so large that only witnesses and the holder ask
    the store often. */
