--- a/src/node/configuration.c
+++ b/src/node/configuration.c
@@ -54,6 +54,7 @@
     void *service;
 
     find_place(n, &share.place);
+    n->shares_positions = false;
     g_hash_table_iter_init(&i, n->services);
     while (g_hash_table_iter_next(&i, &name, &service)) {
         const struct service_limits *l =
@@ -63,6 +64,7 @@
             const struct connection_limits limits =
                 connection_limits_in_fleet(&share);
             service_set_connection_limits(service, &limits);
+            n->shares_positions = n->shares_positions || limits.max_homes > 0;
         }
     }
     n->starting = starting;
--- a/src/node/node_internal.h
+++ b/src/node/node_internal.h
@@ -53,6 +53,7 @@
     uint64_t tick_count;
     clock_ms messages_sent_at;
     guint next_probe; /* index of the next silent peer to probe */
+    bool shares_positions; /* of all primaries, with peers of its domain */
     struct service_set sent_unreachable; /* in the last messages */
     int next_position_index; /* in the view: service whose primary's position
                                 the next message starts with */
--- a/src/node/peer_messages.c
+++ b/src/node/peer_messages.c
@@ -4,6 +4,10 @@
 
 #include <string.h>
 
+/* A position that was current longer ago is of no use to reads: staleness
+   bounds are one to three seconds, and the exchange takes up to one. */
+#define SHARED_POSITION_MAX_AGE_MS 2000
+
 /* Determines the services whose primary this proxy cannot reach. */
 void
 node_list_unreachable(const struct node *n, clock_ms now,
@@ -21,13 +25,26 @@
     }
 }
 
+/* Returns true if this proxy exchanges the positions of all primaries with a
+   peer: where proxies keep a connection to one replica only, most of them
+   reach a primary too rarely to know a recent position, and would read there
+   to learn one. Proxies and witnesses of one failure domain do so, since bytes
+   between failure domains cost. */
+static bool
+shares_positions(const struct node *n, const struct node_peer *with)
+{
+    return n->shares_positions &&
+           strcmp(with->failure_domain, n->failure_domain) == 0;
+}
+
 /* Adds the log positions of the primaries that a peer cannot reach, so that it
    can continue to serve reads from replicas. The holder also gets those of the
    services whose primary it replaces: it may have served none of their
-   callers, and has to know of the newest commits. If not all fit, the next
-   message starts with the ones left out. */
+   callers, and has to know of the newest commits. With all set, the peer gets
+   those of all services that are recent enough for reads. If not all fit, the
+   next message starts with the ones left out. */
 static void
-add_positions(struct node *n, const char *to, clock_ms now,
+add_positions(struct node *n, const char *to, bool all, clock_ms now,
               struct agreement_message *message)
 {
     const struct view *v = agreement_view(n->agreement);
@@ -35,7 +52,7 @@
         agreement_peer_unreachable(n->agreement, to);
     const bool holder = strcmp(v->holder, to) == 0;
 
-    if (unreachable == NULL && !holder) {
+    if (unreachable == NULL && !holder && !all) {
         return;
     }
     for (int k = 0;
@@ -48,9 +65,11 @@
             (unreachable != NULL && service_set_has(unreachable, i)) ||
             (holder && v->entries[i].changing);
         const struct service *s =
-            wanted ? g_hash_table_lookup(n->services, v->entries[i].service)
-                   : NULL;
-        if (s != NULL && service_newest_primary_position(s, &at, &position)) {
+            wanted || all
+                ? g_hash_table_lookup(n->services, v->entries[i].service)
+                : NULL;
+        if (s != NULL && service_newest_primary_position(s, &at, &position) &&
+            (wanted || now - at <= SHARED_POSITION_MAX_AGE_MS)) {
             message->positions[message->position_count++] =
                 (struct agreement_position){
                     .index = i,
@@ -66,7 +85,7 @@
     }
 }
 
-/* Applies the log positions in a reply. Each was current age_ms before the
+/* Applies the log positions in a message. Each was current age_ms before the
    peer received the echoed message, or later. */
 static void
 receive_positions(struct node *n, const struct agreement_message *message)
@@ -109,7 +128,9 @@
         message.catalog_age_ms = node_announced_evidence_age(n, now);
         message.members_version =
             node_is_large_fleet(n) ? n->members_version : 0;
-        add_positions(n, p->name, now, &message);
+    }
+    if (reply || shares_positions(n, p)) {
+        add_positions(n, p->name, shares_positions(n, p), now, &message);
     }
     n->traffic->sent[TRAFFIC_AGREEMENT]
                     [traffic_peer_of(n->failure_domain, p->failure_domain)] +=
@@ -249,10 +270,10 @@
                   message->from, (unsigned long long)message->version);
         node_apply_view(n);
     }
-    if (message->reply) {
+    if (message->reply || n->shares_positions) {
         receive_positions(n, message);
     }
-    else {
+    if (!message->reply) {
         send_reply(n, message->from, now);
     }
     if (promoter_busy(n->promoter)) {
--- a/src/relay/candidates.c
+++ b/src/relay/candidates.c
@@ -151,7 +151,7 @@
 
     if (s->limits.idle_permille > 0) {
         return replica_lag_wait_ms(&m->lag, &s->position_samples,
-                                   &w->min_position, now);
+                                   &w->min_position, w->arrived_at, now);
     }
     const struct token *position = &m->lag.position;
     const bool has = position->known && w->min_position.known &&
