base, platform: an answer outlives the close of its connection

Cause: the rows of an answer point into the input of the connection. Before: platform_test_member_codec, sanitizers: heap-use-after-free. After: it passes.

--- a/src/base/stream.c
+++ b/src/base/stream.c
@@ -210,6 +210,19 @@
     return s;
 }
 
+/* Closes the socket. Unsent data is discarded. The input stays valid until
+   stream_close(), the only call that may follow. */
+void
+stream_disconnect(struct stream *s)
+{
+    ev_io_stop(s->loop, &s->read_watcher);
+    ev_io_stop(s->loop, &s->write_watcher);
+    if (s->fd >= 0) {
+        close(s->fd);
+    }
+    s->fd = -1;
+}
+
 /* Closes the socket and frees the stream. Unsent data is discarded. NULL is
    allowed. */
 void
@@ -218,9 +231,7 @@
     if (s == NULL) {
         return;
     }
-    ev_io_stop(s->loop, &s->read_watcher);
-    ev_io_stop(s->loop, &s->write_watcher);
-    close(s->fd);
+    stream_disconnect(s);
     g_string_free(s->in_buffer, TRUE);
     g_string_free(s->out_buffer, TRUE);
     g_free(s);
--- a/src/base/stream.h
+++ b/src/base/stream.h
@@ -29,6 +29,7 @@
                               const struct stream_callbacks *callbacks,
                               void *ctx);
 void stream_finish(struct stream *s);
+void stream_disconnect(struct stream *s);
 void stream_close(struct stream *s);
 struct sview stream_input(const struct stream *s);
 void stream_consume(struct stream *s, size_t n);
