--- a/src/relay/dispatch.c
+++ b/src/relay/dispatch.c
@@ -33,7 +33,7 @@
 refuse_request(struct service *s, struct connection_request *w,
                uint64_t *counter, const char *why)
 {
-    queue_remove(s, w, false);
+    service_remove_request(s, w, false);
     (*counter)++;
     w->refused(w->ctx, why);
 }
@@ -42,7 +42,7 @@
 grant(struct service *s, struct pooled_link *l, struct connection_request *w,
       bool primary)
 {
-    queue_remove(s, w, true);
+    service_remove_request(s, w, true);
     l->state = LINK_GRANTED;
     l->was_granted = true;
     l->as_primary = primary;
--- a/src/relay/service_internal.h
+++ b/src/relay/service_internal.h
@@ -148,8 +148,8 @@
 bool link_is_kept(const struct pooled_link *l);
 
 /* queue.c */
-void queue_remove(struct service *s, struct connection_request *w,
-                  bool served);
+void service_remove_request(struct service *s, struct connection_request *w,
+                            bool served);
 
 /* candidates.c */
 struct pooled_link *candidate_idle_link(const struct member *m,
--- a/tests/relay/relay_fixture.c
+++ b/tests/relay/relay_fixture.c
@@ -32,8 +32,10 @@
           const struct token *min_position)
 {
     struct fixture_sent *s = &l->sent[l->sent_count++];
+    static int sends;
 
     assert_false(l->closed);
+    l->used_at = ++sends;
     s->verb = r->verb;
     g_snprintf(s->text, sizeof(s->text), "%.*s", (int)r->text.n, r->text.p);
     s->has_min_position = min_position != NULL;
@@ -257,10 +259,14 @@
 struct member_link *
 fixture_last_used_link(struct fixture *f)
 {
-    for (int i = f->link_count - 1; i >= 0; i--) {
-        if (!f->links[i]->closed && f->links[i]->sent_count > 0) {
-            return f->links[i];
+    struct member_link *last = NULL;
+
+    for (int i = 0; i < f->link_count; i++) {
+        struct member_link *l = f->links[i];
+        if (!l->closed && l->sent_count > 0 &&
+            (last == NULL || l->used_at > last->used_at)) {
+            last = l;
         }
     }
-    return NULL;
+    return last;
 }
--- a/tests/relay/relay_fixture.h
+++ b/tests/relay/relay_fixture.h
@@ -24,6 +24,7 @@
     void *ctx;
     bool closed;
     int sent_count;
+    int used_at;         /* rises with each request sent on any link */
     clock_ms busy_until; /* used by tests only: end of the statement */
     int answered;        /* used by tests only: requests answered */
     struct fixture_sent sent[64];
--- a/tests/relay/test_accounts.c
+++ b/tests/relay/test_accounts.c
@@ -507,6 +507,8 @@
     set_keys(&f, "k1", "k2", true);
     fixture_request(s, VERB_BEGIN, "BEGIN");
     fixture_request(s, VERB_WRITE, "WRITE x v");
+    fixture_accept_all(&f);
+    l = fixture_last_used_link(&f);
     fixture_answer(l, FAILURE_NONE, TRANSACTION_OPEN, 3, 7);
     fixture_answer(l, FAILURE_NONE, TRANSACTION_OPEN, 3, 7);
     const int sent = count_sent(&f);
