--- a/src/node/configuration.c
+++ b/src/node/configuration.c
@@ -42,11 +42,12 @@
 void
 node_update_shares(struct node *n)
 {
-    const bool starting =
-        clock_boottime_ms() - n->started_at < NODE_STARTUP_MS;
+    const int64_t age_ms = clock_boottime_ms() - n->started_at;
+    const bool starting = age_ms < NODE_STARTUP_MS;
     struct fleet_share share = {
         .proxies = agreement_peer_count(n->agreement) + 1,
         .starting = starting,
+        .recent_start = age_ms < NODE_DEAD_CONNECTIONS_MS,
         .accounts = n->catalog->has_accounts,
     };
     GHashTableIter i;
@@ -68,6 +69,7 @@
         }
     }
     n->starting = starting;
+    n->recent_start = share.recent_start;
 }
 
 /* Called with the operator's configuration from the store; c is NULL if the
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -229,7 +229,8 @@
     node_check_stored_list(n, now);
     node_check_freshness(n, now);
     node_check_registry(n, now);
-    if (n->starting && now - n->started_at >= NODE_STARTUP_MS) {
+    if ((n->starting && now - n->started_at >= NODE_STARTUP_MS) ||
+        (n->recent_start && now - n->started_at >= NODE_DEAD_CONNECTIONS_MS)) {
         node_update_shares(n);
     }
     check_isolation(n, now);
--- a/src/node/node_internal.h
+++ b/src/node/node_internal.h
@@ -16,6 +16,8 @@
 #define NODE_COPIED_MEMBERS_MAX 400
 /* After a power loss, proxies that start together do so within 0.3 s. */
 #define NODE_STARTUP_MS 400
+/* Members count the connections of a VM that has lost power for 3 s. */
+#define NODE_DEAD_CONNECTIONS_MS 3500
 
 /* A member, listed in the directory or kept after it was unlisted. */
 struct known_member {
@@ -48,11 +50,12 @@
     GArray *peers;             /* of struct node_peer */
     ev_timer tick;
     clock_ms started_at;
-    bool starting; /* connection shares are those after a start */
+    bool starting;     /* connection shares are those after a start */
+    bool recent_start; /* connections opened on demand are not kept open */
     clock_ms last_tick;
     uint64_t tick_count;
     clock_ms messages_sent_at;
-    guint next_probe; /* index of the next silent peer to probe */
+    guint next_probe;      /* index of the next silent peer to probe */
     bool shares_positions; /* of all primaries, with peers of its domain */
     struct service_set sent_unreachable; /* in the last messages */
     int next_position_index; /* in the view: service whose primary's position
--- a/src/relay/connection_share.c
+++ b/src/relay/connection_share.c
@@ -25,6 +25,10 @@
    keep open on average while they open them on demand. The rest is for peaks,
    and for dead connections that the member still counts. */
 #define ON_DEMAND_OPEN_PERMILLE 750
+/* The same while a proxy has just started. If all proxies have lost power, the
+   members still count their dead connections, and the few that are left have
+   to pass from proxy to proxy. */
+#define RECENT_START_OPEN_PERMILLE 50
 /* Part of a replica's connections, in thousandths, that proxies keep open to
    it. The rest is for transactions that occupy a kept connection, for proxies
    without one, and for dead connections. */
@@ -72,6 +76,7 @@
 static struct connection_limits
 limits_on_demand(const struct fleet_share *f, int usable, int count)
 {
+    const bool keeps_home = usable < count && f->place.domain_count > 0;
     struct connection_limits l = {
         .working = ON_DEMAND_WORKING,
         .total = f->accounts ? MAX(ACCOUNTS_TOTAL, usable / count)
@@ -80,8 +85,14 @@
         .accounts = f->accounts,
     };
 
+    if (f->recent_start && (f->accounts || keeps_home)) {
+        l.idle_permille = MAX(usable * RECENT_START_OPEN_PERMILLE / count, 1);
+        l.replica_idle_permille = l.idle_permille;
+        return l;
+    }
+
     l.replica_idle_permille = l.idle_permille;
-    if (usable < count && f->place.domain_count > 0) {
+    if (keeps_home) {
         l.max_homes = f->max_connections * HOMES_PERMILLE / 1000;
         const int others = MAX(usable - l.max_homes, 1);
         l.replica_idle_permille =
--- a/src/relay/connection_share.h
+++ b/src/relay/connection_share.h
@@ -28,6 +28,8 @@
     int max_connections;
     int proxies;
     bool starting;           /* this proxy has just started */
+    bool recent_start;       /* members may still count connections that an
+                                earlier process of this proxy had */
     bool accounts;           /* the configuration lists client accounts */
     struct home_place place; /* empty: no connection is kept to a replica */
 };
