--- a/src/node/configuration.c
+++ b/src/node/configuration.c
@@ -66,6 +66,9 @@
                 connection_limits_in_fleet(&share);
             service_set_connection_limits(service, &limits);
             n->shares_positions = n->shares_positions || limits.max_homes > 0;
+            service_set_refreshes_position(
+                service, limits.max_homes > 0 &&
+                             agreement_is_witness(n->agreement, n->name));
         }
     }
     n->starting = starting;
--- a/src/relay/service.h
+++ b/src/relay/service.h
@@ -109,6 +109,7 @@
 bool service_old_primary_idle(const struct service *s);
 bool service_is_idle(const struct service *s);
 bool service_primary_unreachable(const struct service *s, clock_ms now);
+void service_set_refreshes_position(struct service *s, bool refreshes);
 void service_tick(struct service *s, clock_ms now);
 void service_resumed(struct service *s, clock_ms now);
 
--- a/src/relay/service_internal.h
+++ b/src/relay/service_internal.h
@@ -116,6 +116,8 @@
     /* Reads that may still go to the primary because the replicas lag, in
        thousandths. */
     int lagged_reads_credit;
+    bool refreshes_position;
+    clock_ms position_asked_at; /* by service_refresh_position() */
     bool dispatching;
     bool dispatch_again; /* service_dispatch() was called while dispatching */
     struct service_counters counters;
@@ -126,6 +128,9 @@
 clock_ms clock_later(clock_ms a, clock_ms b);
 struct member *service_find_member(const struct service *s, const char *id);
 
+/* position_refresh.c */
+void service_refresh_position(struct service *s, clock_ms now);
+
 /* links.c */
 void member_mark_reachable(struct member *m, clock_ms now);
 void member_mark_unreachable(struct member *m, const char *why, clock_ms now);
--- a/src/relay/upkeep.c
+++ b/src/relay/upkeep.c
@@ -340,5 +340,6 @@
             member_free(m, "member gone");
         }
     }
+    service_refresh_position(s, now);
     service_dispatch(s);
 }
