--- a/src/relay/candidates.c
+++ b/src/relay/candidates.c
@@ -139,8 +139,8 @@
     if (left == 0) {
         return 0;
     }
-    for (const GList *q = m->service->queue.head; q != NULL && q->data != w;
-         q = q->next) {
+    for (const GList *q = m->service->queue.head;
+         left > 0 && q != NULL && q->data != w; q = q->next) {
         const struct connection_request *o = q->data;
         left -= o->needs_opening == m && account_equal(o->account, w->account);
     }
