--- a/scripts/generate-xdr.sh
+++ b/scripts/generate-xdr.sh
@@ -4,7 +4,7 @@
 set -eu
 cd "$(dirname "$0")/.."
 for xdr_file in src/fleet/peer src/control/control src/coordination/peer_message \
-    src/node/copy; do
+    src/node/copy src/limits/limit_message; do
     dir=$(dirname "$xdr_file")
     name=$(basename "$xdr_file")
     (
--- a/tests/fuzz/fuzz_decoders.c
+++ b/tests/fuzz/fuzz_decoders.c
@@ -3,6 +3,7 @@
 #include "coordination/view.h"
 #include "directory/catalog_text.h"
 #include "directory/member_list.h"
+#include "limits/limit_socket.h"
 #include "line_protocol.h"
 #include "node/copy_xdr.h"
 #include "node/settings.h"
@@ -120,6 +121,15 @@
     xdr_free((xdrproc_t)xdr_wire_message, (char *)&w);
 }
 
+static void
+fuzz_limits(const char *p, size_t n)
+{
+    static struct limit_request q;
+    static struct limit_reply r;
+
+    limit_message_decode((char *)p, n, &q, &r);
+}
+
 static void
 fuzz_copy(const char *p, size_t n)
 {
@@ -182,7 +192,7 @@
     {"members", fuzz_members, 1},   {"view", fuzz_view, 4},
     {"message", fuzz_message, 1},   {"copy", fuzz_copy, 1},
     {"settings", fuzz_settings, 8}, {"frame", fuzz_frame, 1},
-    {"token", fuzz_token, 1},
+    {"token", fuzz_token, 1},       {"limits", fuzz_limits, 1},
 };
 
 struct example {
