node: rate limits on their own port

Connects src/limits with a UDP socket, the list of registered proxies and the configuration; without limits_port nothing is limited. Requests of proxies that are not registered are not answered. Counters of permits, refusals and messages are on the metrics port, bytes under the cause "limits", and a change of this proxy's part is logged as limit_part. node_test_rate_limits runs three nodes on the loopback interface.

--- a/src/base/traffic.c
+++ b/src/base/traffic.c
@@ -9,7 +9,7 @@
     static const char *const names[TRAFFIC_CAUSES] = {
         [TRAFFIC_STATEMENT] = "statement", [TRAFFIC_CONNECT] = "connect",
         [TRAFFIC_QUERY] = "query",         [TRAFFIC_AGREEMENT] = "agreement",
-        [TRAFFIC_STORE] = "store",
+        [TRAFFIC_LIMITS] = "limits",       [TRAFFIC_STORE] = "store",
     };
 
     return names[c];
--- a/src/base/traffic.h
+++ b/src/base/traffic.h
@@ -12,6 +12,7 @@
     TRAFFIC_QUERY,     /* role and position of members, for a change of
                           primary */
     TRAFFIC_AGREEMENT, /* messages between proxies about the view */
+    TRAFFIC_LIMITS,    /* requests for permits of rate limits */
     TRAFFIC_STORE,     /* requests to the store and for orders */
     TRAFFIC_CAUSES,
 };
--- a/src/node/configuration.c
+++ b/src/node/configuration.c
@@ -103,6 +103,7 @@
                                 service_create(&config));
         }
     }
+    node_limits_set_catalog(n);
     node_update_shares(n);
     node_update_members(n);
     node_apply_view(n);
--- a/src/node/metrics.c
+++ b/src/node/metrics.c
@@ -49,6 +49,7 @@
         put_metric(out, "failures_total", labels, r->failures[f]);
     }
     put_traffic(out, n->traffic);
+    node_limits_write_metrics(n, out);
     uint64_t below = 0;
     for (int b = 0; b < 16; b++) {
         below += r->latency[b];
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -293,7 +293,7 @@
     }
     n->port = peer_socket_create(config->loop, config->host, config->peer_port,
                                  n->keys, node_on_message, n, error);
-    return n->port != NULL;
+    return n->port != NULL && node_limits_open(n, config, error);
 }
 
 /* Creates the node and starts its timer. On failure returns NULL and sets
@@ -308,16 +308,18 @@
         .order = on_order,
         .ctx = n,
     };
-    const struct relay_config relay = {
+    struct relay_config relay = {
         .catalog = find_catalog,
         .service = find_service,
         .now = node_now,
         .ctx = n,
     };
 
+    n->incarnation = (uint64_t)clock_realtime_ms();
     n->keys = rpc_keys_create();
     if (!open_ports(n, config, error)) {
         copy_fetcher_destroy(n->copy_fetcher);
+        peer_socket_destroy(n->port);
         rpc_keys_destroy(n->keys);
         g_free(n);
         return NULL;
@@ -328,7 +330,6 @@
     n->failure_domain = g_strdup(config->failure_domain);
     n->platform = *config->platform;
     n->traffic = config->traffic;
-    n->incarnation = (uint64_t)clock_realtime_ms();
     n->agreement = agreement_create(config->name, n->incarnation);
     n->promoter = promoter_create(config->name, n->agreement, &actions);
     n->catalog = catalog_create(0);
@@ -338,6 +339,7 @@
     n->member_ranges =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     n->peers = g_array_new(FALSE, TRUE, sizeof(struct node_peer));
+    relay.rate_client = node_limits_client(n);
     n->relay = relay_create(&relay);
     ev_timer_init(&n->tick, on_tick, TICK_MS / 1000.0, TICK_MS / 1000.0);
     n->tick.data = n;
@@ -353,6 +355,7 @@
     copy_fetcher_destroy(n->copy_fetcher);
     g_hash_table_destroy(n->services);
     relay_destroy(n->relay);
+    node_limits_close(n);
     peer_socket_destroy(n->port);
     rpc_keys_destroy(n->keys);
     promoter_destroy(n->promoter);
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -43,7 +43,12 @@
     const char *failure_domain;
     const char *host;
     uint16_t peer_port; /* UDP for messages, TCP for copies; same for all */
-    const char *key;    /* shared by all proxies */
+    /* Rate limits of accounts; UDP port, same for all, 0: not enforced. */
+    uint16_t limits_port;
+    int64_t rate_window_ms;
+    int rate_excess_permille;
+    int rate_slack;
+    const char *key; /* shared by all proxies */
     const struct node_platform *platform;
     struct traffic *traffic; /* counts the messages between proxies */
 };
--- a/src/node/node_internal.h
+++ b/src/node/node_internal.h
@@ -34,7 +34,8 @@
     uint64_t incarnation;
     struct agreement *agreement;
     struct promoter *promoter;
-    struct peer_socket *port; /* for messages between proxies */
+    struct peer_socket *port;   /* for messages between proxies */
+    struct node_limits *limits; /* NULL: rate limits are not enforced */
     struct relay *relay;
     struct catalog *catalog;
     GHashTable *services;      /* name -> struct service */
@@ -77,6 +78,16 @@
 void node_update_shares(struct node *n);
 void node_apply_catalog(struct node *n, struct catalog *c, const char *source);
 
+/* rate_limits.c */
+bool node_limits_open(struct node *n, const struct node_config *config,
+                      char **error);
+void node_limits_close(struct node *n);
+struct rate_client *node_limits_client(const struct node *n);
+void node_limits_set_peers(struct node *n);
+void node_limits_set_registered(struct node *n);
+void node_limits_set_catalog(struct node *n);
+void node_limits_write_metrics(const struct node *n, GString *out);
+
 /* node.c */
 clock_ms node_now(void *ctx);
 void node_tick_promoter(struct node *n, clock_ms now);
--- a/src/node/peer_messages.c
+++ b/src/node/peer_messages.c
@@ -283,6 +283,7 @@
     }
     agreement_set_peers(n->agreement, names, (int)count, clock_boottime_ms());
     g_free(names);
+    node_limits_set_peers(n);
     event_log(EVENT_STATE, "peers", "registered=%zu", count);
     node_update_shares(n);
     node_send_messages(n, false, clock_boottime_ms());
@@ -308,6 +309,7 @@
 node_set_known_to_peers(struct node *n)
 {
     agreement_set_known_to_peers(n->agreement);
+    node_limits_set_registered(n);
 }
 
 /* Called when the store names the era that it is in: at its first answer, and
--- a/src/node/settings.h
+++ b/src/node/settings.h
@@ -24,7 +24,11 @@
     char key[NODE_KEY_BYTES]; /* shared by all proxies */
     uint16_t peer_port;       /* for messages and copies between proxies */
     uint16_t metrics_port;
-    int64_t grace_ms; /* from SIGTERM to SIGKILL */
+    int64_t grace_ms;     /* from SIGTERM to SIGKILL */
+    uint16_t limits_port; /* for rate limits; 0: they are not enforced */
+    int64_t rate_window_ms;
+    int rate_excess_permille;
+    int rate_slack; /* operations */
 };
 
 bool endpoint_parse(const char *text, struct endpoint *out);
