relay: an operation needs a permit of its account's rate limit

A single statement, or a transaction at its first statement, waits for a permit before it is queued for a connection. One that has expired in the queue is replaced before anything is sent. A permit is kept for a retry, or returned, if the attempt provably did not run; a retry after one that may have run needs a new one.

--- a/src/relay/exchange.c
+++ b/src/relay/exchange.c
@@ -24,9 +24,43 @@
            !session_is_answering_all(s, now);
 }
 
-/* Queues the request until a connection is granted. */
+/* Returns the account whose rate limit applies to the session's operations, or
+   NULL. */
+static const struct account *
+limited_account(const struct session *s)
+{
+    return s->relay->config.rate_client != NULL ? s->connection_request.account
+                                                : NULL;
+}
+
+/* Returns true if the operation has to get a permit before it is sent to a
+   member. A transaction needs one for all of its statements. */
+static bool
+needs_permit(const struct session *s)
+{
+    return limited_account(s) != NULL && !s->begun &&
+           (!s->has_permit || session_now(s) >= s->rate_request.valid_until);
+}
+
+/* Ends the wait for a permit, and returns one that was not used. */
 void
-exchange_submit(struct session *s)
+exchange_drop_permit(struct session *s)
+{
+    struct rate_client *c = s->relay->config.rate_client;
+
+    if (s->rate_request.waiting) {
+        rate_client_withdraw(c, &s->rate_request);
+    }
+    if (s->has_permit) {
+        s->has_permit = false;
+        rate_client_return(c, s->rate_request.account->name,
+                           s->rate_request.valid_until);
+    }
+}
+
+/* Queues the request until a connection is granted. */
+static void
+submit(struct session *s)
 {
     const struct database_route *r = s->route;
     struct connection_request *w = &s->connection_request;
@@ -49,6 +83,56 @@
     service_submit(s->service, w);
 }
 
+static void
+on_permit(void *ctx)
+{
+    struct session *s = ctx;
+
+    s->has_permit = true;
+    s->step = STEP_IDLE;
+    if (s->pooled != NULL) {
+        exchange_proceed(s);
+        return;
+    }
+    submit(s);
+}
+
+/* The operation is beyond the account's rate limit, or no witness answers. */
+static void
+on_permit_refused(void *ctx, const char *why, int64_t retry_after_ms)
+{
+    struct session *s = ctx;
+
+    s->retry_after_ms = retry_after_ms;
+    exchange_refused(s, why);
+}
+
+/* Waits for a permit, with or without a connection. A permit that has expired
+   is replaced. */
+static void
+acquire_permit(struct session *s)
+{
+    exchange_drop_permit(s);
+    s->rate_request = (struct rate_request){.account = limited_account(s),
+                                            .granted = on_permit,
+                                            .refused = on_permit_refused,
+                                            .ctx = s};
+    s->step = STEP_RATE_LIMIT;
+    session_update_active(s);
+    rate_client_acquire(s->relay->config.rate_client, &s->rate_request);
+}
+
+/* Starts an attempt to execute the request. */
+void
+exchange_start(struct session *s)
+{
+    if (needs_permit(s)) {
+        acquire_permit(s);
+        return;
+    }
+    submit(s);
+}
+
 /* Queues the request again, or answers with the failure if there is no attempt
    or time left. Only for requests that have certainly not been executed, and
    for reads. */
@@ -69,7 +153,7 @@
                   ? s->connection_request.avoid_member
                   : "-",
               (long long)(session_now(s) - s->arrived_at));
-    exchange_submit(s);
+    exchange_start(s);
 }
 
 /* Returns the connection after a failed attempt, or closes it if it is not
@@ -158,6 +242,7 @@
         g_hash_table_remove_all(pooled_prepared_names(s->pooled));
     }
     if (single && failure_means_not_run(a->failure)) {
+        s->has_permit = limited_account(s) != NULL;
         s->connection_request.needs_primary =
             s->connection_request.needs_primary ||
             a->failure == FAILURE_LAGGING;
@@ -183,6 +268,8 @@
         exchange_proceed(s);
         return;
     }
+    s->has_permit =
+        limited_account(s) != NULL && failure_means_not_run(a->failure);
     s->connection_request.needs_primary =
         s->connection_request.needs_primary || a->failure == FAILURE_LAGGING;
     s->step = STEP_IDLE;
@@ -246,6 +333,9 @@
         s->transaction = TRANSACTION_FAILED;
         return;
     }
+    if (step == STEP_RATE_LIMIT) {
+        exchange_drop_permit(s);
+    }
     s->step = STEP_IDLE;
     const bool was_begun = s->begun;
     s->begun = false;
@@ -388,6 +478,7 @@
         r.name = sview_from(name);
     }
     s->step = STEP_STATEMENT;
+    s->has_permit = false; /* used */
     s->sent_at = session_now(s);
     g_strlcpy(s->member, pooled_member(s->pooled), sizeof(s->member));
     pooled_send(s->pooled, &r,
@@ -411,6 +502,10 @@
         retry(s, FAILURE_BUSY, "primary changed");
         return;
     }
+    if (needs_permit(s)) {
+        acquire_permit(s); /* it has expired while the request waited */
+        return;
+    }
     if (s->step != STEP_SETUP && s->step != STEP_BEGIN) {
         s->setup_answers_left = 0;
         if (!has_session_settings(s)) {
@@ -431,6 +526,7 @@
             .text = sview_from(s->begin_text),
         };
         s->step = STEP_BEGIN;
+        s->has_permit = false; /* used */
         pooled_send(s->pooled, &r,
                     pooled_is_primary(s->pooled)
                         ? NULL
@@ -486,9 +582,17 @@
         return;
     }
     const bool shutting_down = session_is_answering_all(s, now);
-    if (s->step == STEP_QUEUED) {
+    if (s->step == STEP_RATE_LIMIT && now >= s->deadline) {
+        exchange_drop_permit(s);
+        exchange_refused(s, "limit_unknown");
+        return;
+    }
+    if (s->step == STEP_QUEUED || s->step == STEP_RATE_LIMIT) {
         if (shutting_down) {
-            service_withdraw(s->service, &s->connection_request);
+            if (s->step == STEP_QUEUED) {
+                service_withdraw(s->service, &s->connection_request);
+            }
+            exchange_drop_permit(s);
             s->step = STEP_IDLE;
             session_answer_failure(s,
                                    s->transaction == TRANSACTION_OPEN
--- a/src/relay/request.h
+++ b/src/relay/request.h
@@ -81,6 +81,7 @@
                                answers */
     enum transaction_state state;
     struct token position;
+    int64_t retry_after_ms; /* when a refused caller may return; 0: unknown */
     bool has_report;
     struct member_report report;
 };
--- a/src/relay/session.c
+++ b/src/relay/session.c
@@ -64,6 +64,7 @@
     if (s->step == STEP_QUEUED) {
         service_withdraw(s->service, &s->connection_request);
     }
+    exchange_drop_permit(s);
     session_release_link(s);
     s->step = STEP_IDLE;
     s->transaction = TRANSACTION_NONE;
@@ -134,6 +135,9 @@
                   (long long)(s->sent_at - s->arrived_at), s->member,
                   service_queue_length(s->service));
     }
+    exchange_drop_permit(s);
+    a->retry_after_ms = s->retry_after_ms;
+    s->retry_after_ms = 0;
     a->state = s->transaction;
     if (!a->position.known) {
         a->position = s->token;
@@ -257,7 +261,7 @@
         exchange_proceed(s);
         return;
     }
-    exchange_submit(s);
+    exchange_start(s);
 }
 
 /* Starts a transaction. The member is chosen for the first statement, so that
--- a/src/relay/session_internal.h
+++ b/src/relay/session_internal.h
@@ -8,10 +8,11 @@
 /* Progress of the request that a session is handling. */
 enum step {
     STEP_IDLE,
-    STEP_QUEUED,    /* waits for a connection */
-    STEP_SETUP,     /* SET, RESET and PREPARE requests are in progress */
-    STEP_BEGIN,     /* BEGIN was sent to the member */
-    STEP_STATEMENT, /* the caller's statement was sent to the member */
+    STEP_RATE_LIMIT, /* waits for a permit of the account's rate limit */
+    STEP_QUEUED,     /* waits for a connection */
+    STEP_SETUP,      /* SET, RESET and PREPARE requests are in progress */
+    STEP_BEGIN,      /* BEGIN was sent to the member */
+    STEP_STATEMENT,  /* the caller's statement was sent to the member */
 };
 
 struct prepared_statement {
@@ -61,6 +62,10 @@
                           statement was given up; 0 otherwise */
     struct connection_request connection_request;
     struct pooled_link *pooled; /* NULL unless granted */
+    struct rate_request rate_request;
+    bool has_permit; /* of the account's rate limit, which no attempt has used
+                        yet */
+    int64_t retry_after_ms; /* for the answer; 0: unknown */
 };
 
 struct relay {
@@ -89,7 +94,8 @@
                                                        struct sview name);
 
 /* exchange.c */
-void exchange_submit(struct session *s);
+void exchange_start(struct session *s);
+void exchange_drop_permit(struct session *s);
 void exchange_proceed(struct session *s);
 void exchange_check_timeouts(struct session *s, clock_ms now);
 void exchange_granted(void *ctx, struct pooled_link *l);
