limits: a witness's part follows the longest list that another one knows

Replies now carry the number of witnesses, and the smallest part counts. In fleets of up to five all of them must have the list of a witness that begins.

--- a/src/limits/limit_message.h
+++ b/src/limits/limit_message.h
@@ -28,8 +28,9 @@
     uint64_t incarnation; /* of the process that sent the request */
     uint64_t id;
     uint64_t witnesses; /* hash of the names of the sender's witnesses */
-    int64_t listed_ms;  /* how long the receiver has been one of them; -1: it
-                           is not */
+    int witness_count;
+    int64_t listed_ms; /* how long the receiver has been one of them; -1: it
+                          is not */
     int count;
     struct limit_reply_item {
         uint64_t account;
--- a/src/limits/limit_message.x
+++ b/src/limits/limit_message.x
@@ -31,6 +31,7 @@
     unsigned hyper incarnation;
     unsigned hyper id;
     unsigned hyper witnesses;
+    unsigned int witness_count;
     int listed_ms;
     limit_wire_granted items<64>;
 };
--- a/src/limits/limit_message_xdr.c
+++ b/src/limits/limit_message_xdr.c
@@ -74,6 +74,8 @@
         return FALSE;
     if (!xdr_u_quad_t(xdrs, &objp->witnesses))
         return FALSE;
+    if (!xdr_u_int(xdrs, &objp->witness_count))
+        return FALSE;
     if (!xdr_int(xdrs, &objp->listed_ms))
         return FALSE;
     if (!xdr_array(xdrs, (char **)&objp->items.items_val,
--- a/src/limits/limit_message_xdr.h
+++ b/src/limits/limit_message_xdr.h
@@ -49,6 +49,7 @@
     u_quad_t incarnation;
     u_quad_t id;
     u_quad_t witnesses;
+    u_int witness_count;
     int listed_ms;
     struct {
         u_int items_len;
--- a/src/limits/limit_socket.c
+++ b/src/limits/limit_socket.c
@@ -1,6 +1,7 @@
 #include "limits/limit_socket.h"
 
 #include "base/event_log.h"
+#include "coordination/agreement.h"
 #include "limits/limit_message_xdr.h"
 
 #include <arpa/inet.h>
@@ -86,6 +87,7 @@
     r->incarnation = w->incarnation;
     r->id = w->id;
     r->witnesses = w->witnesses;
+    r->witness_count = (int)w->witness_count;
     r->listed_ms = w->listed_ms;
     r->count = (int)w->items.items_len;
     for (int i = 0; i < r->count; i++) {
@@ -97,7 +99,8 @@
             return false;
         }
     }
-    return r->from[0] != '\0' && r->id != 0 && r->listed_ms >= -1;
+    return r->from[0] != '\0' && r->id != 0 && r->listed_ms >= -1 &&
+           w->witness_count <= AGREEMENT_WITNESSES_MAX;
 }
 
 /* Decodes a datagram without its signature into *q or *r. */
@@ -304,6 +307,7 @@
         .incarnation = r->incarnation,
         .id = r->id,
         .witnesses = r->witnesses,
+        .witness_count = (u_int)r->witness_count,
         .listed_ms = (int)r->listed_ms,
         .items = {.items_len = (u_int)r->count, .items_val = items},
     };
--- a/src/limits/rate_limits.c
+++ b/src/limits/rate_limits.c
@@ -55,6 +55,7 @@
     memset(r, 0, offsetof(struct limit_reply, items));
     g_strlcpy(r->from, l->name, sizeof(r->from));
     r->witnesses = witness_list_hash(l->list);
+    r->witness_count = witness_list_count(l->list);
     r->listed_ms = witness_list_listed_ms(l->list, q->from, now);
     update_part(l, now);
     rate_bucket_answer(l->bucket, q, now, r);
@@ -195,8 +196,10 @@
     asked_at += asked_at != 0 ? now_of(l) - client_now(l) : 0;
 #endif
     if (asked_at != 0) {
-        witness_list_answered(l->list, r->from, r->witnesses, r->listed_ms,
-                              asked_at, now_of(l));
+        const struct witness_answer a = {.witnesses = r->witnesses,
+                                         .count = r->witness_count,
+                                         .listed_ms = r->listed_ms};
+        witness_list_answered(l->list, r->from, &a, asked_at, now_of(l));
     }
 }
 
--- a/src/limits/witness_list.c
+++ b/src/limits/witness_list.c
@@ -14,6 +14,8 @@
     clock_ms lists_self_at;    /* it listed this proxy at that time or later */
     clock_ms lists_self_since; /* and since then, or longer */
     clock_ms same_list_at;     /* it had this proxy's list then, or later */
+    clock_ms answered_at;      /* when its last answer was requested */
+    int count;                 /* of witnesses in its list */
 };
 
 struct witness_list {
@@ -127,28 +129,20 @@
 /* Processes what a reply to the request sent at asked_at says of the list. */
 void
 witness_list_answered(struct witness_list *l, const char *from,
-                      uint64_t witnesses, int64_t listed_ms, clock_ms asked_at,
+                      const struct witness_answer *a, clock_ms asked_at,
                       clock_ms now)
 {
     struct witness *w = find_witness(l, from);
 
-    if (w == NULL || asked_at > now) {
+    if (w == NULL || asked_at > now || asked_at < w->answered_at) {
         return;
     }
-    if (listed_ms >= 0 && asked_at > w->lists_self_at) {
-        w->lists_self_at = asked_at;
-        w->lists_self_since =
-            listed_ms >= WITNESS_LISTED_LONG_MS ? NEVER : now - listed_ms;
-    }
-    if (listed_ms < 0) {
-        w->lists_self_at = 0;
-    }
-    if (witnesses == l->hash) {
-        w->same_list_at = MAX(w->same_list_at, asked_at);
-    }
-    else {
-        w->same_list_at = 0;
-    }
+    w->answered_at = asked_at;
+    w->count = a->count;
+    w->same_list_at = a->witnesses == l->hash ? asked_at : 0;
+    w->lists_self_at = a->listed_ms >= 0 ? asked_at : 0;
+    w->lists_self_since =
+        a->listed_ms >= WITNESS_LISTED_LONG_MS ? NEVER : now - a->listed_ms;
 }
 
 uint64_t
@@ -199,11 +193,12 @@
 
 /* Returns how many witnesses must have the list of one that begins to grant.
    Together with keep_quorum() more than all names of two lists that differ by
-   two of seven names, or by one in smaller fleets. */
+   two of seven names, and of lists of three to five names of which one is a
+   part of the other. */
 static int
 begin_quorum(const struct witness_list *l)
 {
-    return l->count > 3 ? l->count - 1 : l->count;
+    return l->count > 5 ? l->count - 1 : l->count;
 }
 
 static bool
@@ -265,6 +260,20 @@
     }
 }
 
+/* Returns the number of witnesses in the longest list that is known. */
+static int
+largest_count(const struct witness_list *l, clock_ms now)
+{
+    int count = l->count;
+
+    for (int i = 0; i < l->count; i++) {
+        if (is_recent(l->witnesses[i].answered_at, now)) {
+            count = MAX(count, l->witnesses[i].count);
+        }
+    }
+    return count;
+}
+
 #if defined(RATE_BREAK_QUORUM) || defined(RATE_BREAK_WAIT)
 /* Returns the part without asking the others: after a wait from this proxy's
    own list on, or at once. */
@@ -313,18 +322,19 @@
         l->same_since != 0 && now - l->same_since >= WITNESS_WAIT_MS;
     if (!l->established && waited) {
         l->established = true;
-        l->divisor = l->count;
+        l->divisor = 0;
         l->valid_until = now + WITNESS_CONFIRM_MS;
         p.is_new = true;
     }
     if (!l->established) {
         return p;
     }
-    /* A smaller part counts at once, a larger one after the wait. A process
-       that continues for its predecessor takes the part of the list with which
-       it started. */
-    if (l->divisor == 0 || l->count > l->divisor || waited) {
-        l->divisor = l->count;
+    /* A smaller part counts at once, also if only another witness knows that
+       there are more; a larger one after the wait. A process that continues
+       for its predecessor takes the part of the list with which it started. */
+    const int count = largest_count(l, now);
+    if (l->divisor == 0 || count > l->divisor || waited) {
+        l->divisor = count;
     }
     p.divisor = l->divisor;
     return p;
--- a/src/limits/witness_list.h
+++ b/src/limits/witness_list.h
@@ -32,9 +32,17 @@
 void witness_list_set(struct witness_list *l, const char *const *names, int n,
                       clock_ms now);
 void witness_list_set_registered(struct witness_list *l);
+
+/* What a reply says of the sender's list. */
+struct witness_answer {
+    uint64_t witnesses; /* hash of the names */
+    int count;
+    int64_t listed_ms; /* how long it has listed this proxy; -1: it does not */
+};
+
 void witness_list_answered(struct witness_list *l, const char *from,
-                           uint64_t witnesses, int64_t listed_ms,
-                           clock_ms asked_at, clock_ms now);
+                           const struct witness_answer *a, clock_ms asked_at,
+                           clock_ms now);
 
 uint64_t witness_list_hash(const struct witness_list *l);
 int64_t witness_list_listed_ms(const struct witness_list *l, const char *name,
--- a/tests/limits/model_faults.c
+++ b/tests/limits/model_faults.c
@@ -239,6 +239,15 @@
 static void
 retire(struct model *m, int i)
 {
+    int registered = 0;
+
+    for (int k = 0; k < m->proxy_count; k++) {
+        registered += m->proxies[k].registered;
+    }
+    /* Two proxies cannot tell a cut from the loss of the other one. */
+    if (registered <= 3) {
+        return;
+    }
     model_stop_proxy(m, i);
     m->proxies[i].restart_at = INT64_MAX;
     model_set_registered(m, i, false);
--- a/tests/limits/model_rate_limits.h
+++ b/tests/limits/model_rate_limits.h
@@ -134,7 +134,7 @@
     long messages;
     long bytes;
     long far_bytes; /* between failure domains */
-    long over; /* windows over the bound */
+    long over;      /* windows over the bound */
     double worst;
 };
 
