--- a/src/node/node_internal.h
+++ b/src/node/node_internal.h
@@ -41,7 +41,8 @@
     uint64_t incarnation;
     struct agreement *agreement;
     struct promoter *promoter;
-    struct peer_socket *port; /* for messages between proxies */
+    struct peer_socket *port;   /* for messages between proxies */
+    struct node_limits *limits; /* NULL: rate limits are not enforced */
     struct relay *relay;
     struct catalog *catalog;
     GHashTable *services;      /* name -> struct service */
@@ -108,6 +109,16 @@
                            bool registered, clock_ms now);
 void node_check_freshness(struct node *n, clock_ms now);
 
+/* rate_limits.c */
+bool node_limits_open(struct node *n, const struct node_config *config,
+                      char **error);
+void node_limits_close(struct node *n);
+struct rate_client *node_limits_client(const struct node *n);
+void node_limits_set_peers(struct node *n);
+void node_limits_set_registered(struct node *n);
+void node_limits_set_catalog(struct node *n);
+void node_limits_write_metrics(const struct node *n, GString *out);
+
 /* node.c */
 clock_ms node_now(void *ctx);
 void node_tick_promoter(struct node *n, clock_ms now);
