--- a/src/limits/rate_account.c
+++ b/src/limits/rate_account.c
@@ -55,7 +55,19 @@
 {
     const uint32_t expired = rate_account_expire(a, now);
 
-    if (count == 0 || expires_at <= now || a->stock_count == STOCK_MAX) {
+    if (count == 0 || expires_at <= now) {
+        return expired + count;
+    }
+    for (int k = a->stock_count - 1; k >= 0; k--) {
+        /* In a full stock, they join permits that expire earlier. */
+        if (a->stock[k].expires_at == expires_at ||
+            (a->stock_count == STOCK_MAX &&
+             a->stock[k].expires_at < expires_at)) {
+            a->stock[k].count += count;
+            return expired;
+        }
+    }
+    if (a->stock_count == STOCK_MAX) {
         return expired + count;
     }
     int i = a->stock_count++;
--- a/src/limits/rate_client.h
+++ b/src/limits/rate_client.h
@@ -80,6 +80,7 @@
 
 struct rate_client *rate_client_create(const struct rate_client_config *c);
 void rate_client_destroy(struct rate_client *c);
+void rate_client_forget_refusals(struct rate_client *c);
 void rate_client_set_witnesses(struct rate_client *c,
                                const struct rate_witness *witnesses, int n);
 clock_ms rate_client_receive(struct rate_client *c,
--- a/src/limits/rate_limits.c
+++ b/src/limits/rate_limits.c
@@ -173,6 +173,7 @@
     }
     l->active = c->has_accounts;
     rate_bucket_set_catalog(l->bucket, c, now);
+    rate_client_forget_refusals(l->client);
 }
 
 /* Answers a request from a registered proxy. */
--- a/src/limits/rate_replies.c
+++ b/src/limits/rate_replies.c
@@ -250,6 +250,24 @@
     return a->hash < b->hash ? -1 : a->hash > b->hash ? 1 : 0;
 }
 
+/* Asks every witness again, also those that had no permits: the witnesses or
+   the limits have changed. */
+void
+rate_client_forget_refusals(struct rate_client *c)
+{
+    GHashTableIter i;
+    void *value;
+
+    g_hash_table_iter_init(&i, c->accounts);
+    while (g_hash_table_iter_next(&i, NULL, &value)) {
+        struct rate_account *a = value;
+        a->current = -1;
+        memset(a->none_until, 0, sizeof(a->none_until));
+        memset(a->low_until, 0, sizeof(a->low_until));
+        memset(a->unable, 0, sizeof(a->unable));
+    }
+}
+
 /* Replaces the witnesses. This proxy itself is asked first, then those in its
    failure domain; proxies ask the others in different orders. */
 void
@@ -259,8 +277,6 @@
     struct preference order[WITNESSES_MAX];
     struct client_witness next[WITNESSES_MAX] = {0};
     const uint64_t seed = XXH64(c->name, strlen(c->name), 0);
-    GHashTableIter i;
-    void *value;
 
     n = MIN(n, WITNESSES_MAX);
     for (int k = 0; k < n; k++) {
@@ -284,11 +300,5 @@
     }
     memcpy(c->witnesses, next, sizeof(next));
     c->witness_count = n;
-    g_hash_table_iter_init(&i, c->accounts);
-    while (g_hash_table_iter_next(&i, NULL, &value)) {
-        struct rate_account *a = value;
-        a->current = -1;
-        memset(a->none_until, 0, sizeof(a->none_until));
-        memset(a->low_until, 0, sizeof(a->low_until));
-    }
+    rate_client_forget_refusals(c);
 }
--- a/src/node/configuration.c
+++ b/src/node/configuration.c
@@ -105,6 +105,15 @@
     if (!is_newer(c, n->catalog)) {
         return;
     }
+    if (strcmp(source, "peer") == 0 && n->catalog->has_accounts &&
+        !c->has_accounts) {
+        /* A peer of an earlier build drops the accounts, and the keys would
+           not be checked. If the operator has removed them, the store says
+           so. */
+        event_log(EVENT_STATE, "copy_without_accounts", "version=%llu",
+                  (unsigned long long)c->version);
+        return;
+    }
     event_log(EVENT_STATE, "configuration",
               "version=%llu before=%llu routes=%u services=%u source=%s",
               (unsigned long long)c->version,
--- a/src/relay/authorization.c
+++ b/src/relay/authorization.c
@@ -73,9 +73,8 @@
     const struct database_route *route = catalog_route(c, s->database);
     const bool is_public = (route != NULL ? route : s->route)->is_public;
 
-    if (!c->has_accounts) {
-        return true;
-    }
+    /* Before the list of accounts is looked at: a newer configuration may have
+       one. */
     if (!is_public && !is_fresh(r)) {
         r->counters.refused_stale++;
         refuse(s,
@@ -84,6 +83,9 @@
                "configuration_stale");
         return false;
     }
+    if (!c->has_accounts) {
+        return true;
+    }
     session_fix_account(s, c);
     const struct account *a = find_account(c, &s->key);
     if (a == NULL ? is_public : strcmp(a->name, s->account_name) == 0) {
@@ -96,6 +98,22 @@
     return false;
 }
 
+/* Returns the account under which the session's requests run. On a public
+   route a key counts only while it is known to be valid. */
+static const struct account *
+account_in_force(const struct session *s)
+{
+    const struct relay *r = s->relay;
+    const struct catalog *c = r->config.catalog(r->config.ctx);
+    const struct database_route *route = catalog_route(c, s->database);
+    const struct account *a = find_account(c, &s->key);
+
+    return a != NULL && (route != NULL ? route : s->route)->is_public &&
+                   !is_fresh(r)
+               ? NULL
+               : a;
+}
+
 /* Sets the account of the request for a connection from the newest
    configuration, which is kept as long as the request may be queued. */
 void
@@ -106,7 +124,7 @@
     catalog_ref(c);
     catalog_unref(s->account_catalog);
     s->account_catalog = c;
-    s->connection_request.account = find_account(c, &s->key);
+    s->connection_request.account = account_in_force(s);
 }
 
 /* Returns true if requests of the session run under the same account as when
@@ -115,8 +133,7 @@
 bool
 session_keeps_request_account(const struct session *s)
 {
-    const struct catalog *c = s->relay->config.catalog(s->relay->config.ctx);
-    const struct account *now = find_account(c, &s->key);
+    const struct account *now = account_in_force(s);
     const struct account *then = s->connection_request.account;
 
     return g_strcmp0(now != NULL ? now->name : NULL,
--- a/src/relay/exchange.c
+++ b/src/relay/exchange.c
@@ -77,7 +77,6 @@
     w->target = s->arrived_at + r->target_ms;
     w->staleness_ms = r->max_staleness_ms;
     w->settings_hash = s->settings_hash;
-    session_set_request_account(s);
     s->step = STEP_QUEUED;
     s->attempts++;
     session_update_active(s);
@@ -114,6 +113,8 @@
 acquire_permit(struct session *s)
 {
     exchange_drop_permit(s);
+    catalog_unref(s->permit_catalog);
+    s->permit_catalog = catalog_ref(s->account_catalog);
     s->rate_request = (struct rate_request){.account = limited_account(s),
                                             .granted = on_permit,
                                             .refused = on_permit_refused,
@@ -123,10 +124,25 @@
     rate_client_acquire(s->relay->config.rate_client, &s->rate_request);
 }
 
+/* Returns true if the session holds a permit of another account than the one
+   of the request. */
+static bool
+has_foreign_permit(const struct session *s)
+{
+    const struct account *a = limited_account(s);
+
+    return s->has_permit &&
+           (a == NULL || strcmp(s->rate_request.account->name, a->name) != 0);
+}
+
 /* Starts an attempt to execute the request. */
 void
 exchange_start(struct session *s)
 {
+    session_set_request_account(s);
+    if (has_foreign_permit(s)) {
+        exchange_drop_permit(s);
+    }
     if (needs_permit(s)) {
         acquire_permit(s);
         return;
--- a/src/relay/session.c
+++ b/src/relay/session.c
@@ -74,6 +74,7 @@
     g_hash_table_destroy(s->prepared);
     catalog_unref(s->catalog);
     catalog_unref(s->account_catalog);
+    catalog_unref(s->permit_catalog);
     g_free(s->account_name);
     g_free(s->database);
     g_free(s->begin_id);
--- a/src/relay/session_internal.h
+++ b/src/relay/session_internal.h
@@ -30,6 +30,7 @@
                                NULL: not known so far */
     struct catalog *account_catalog; /* keeps connection_request.account
                                         valid */
+    struct catalog *permit_catalog;  /* keeps rate_request.account valid */
     GList active_node;               /* in relay.active */
     bool in_active_list;
 
