--- a/src/relay/opening_pace.c
+++ b/src/relay/opening_pace.c
@@ -20,6 +20,9 @@
 static void
 slow_down(struct member *m)
 {
+    if (m->service->limits.idle_permille == 0) {
+        return; /* connections stay open */
+    }
     m->open_interval_ms =
         CLAMP(m->open_interval_ms * 2, INTERVAL_FIRST_MS, INTERVAL_MAX_MS);
     m->open_jitter = (int64_t)rng_below(&m->service->rng, 1000);
