--- a/tests/limits/model_rate_limits.c
+++ b/tests/limits/model_rate_limits.c
@@ -170,7 +170,7 @@
         if (r != NULL) {
             x->reply = *r;
         }
-        else {
+        else if (q != NULL) {
             x->request = *q;
         }
         int64_t delay = 1 + (int64_t)rng_below(&m->rng, 2);
