directory: evidence lasts 4.5 s of a bound of 5 s

Change: the second is taken off the time of the evidence, and only where an answer came before the request had been held open for a second.

--- a/src/directory/catalog_evidence.c
+++ b/src/directory/catalog_evidence.c
@@ -82,6 +82,19 @@
     e->store_version = 0;
 }
 
+/* Returns for which time an answer of the feed is evidence. The request was
+   sent at sent_at; without changes, the store has held it open for wait_ms. */
+clock_ms
+catalog_evidence_feed_time(clock_ms sent_at, int64_t wait_ms, bool has_changes)
+{
+#ifdef CATALOG_EVIDENCE_BREAK_LAG
+    return sent_at;
+#endif
+    const int64_t held_ms = has_changes ? 0 : wait_ms;
+
+    return sent_at - MAX(CATALOG_EVIDENCE_FEED_LAG_MS - held_ms, 0);
+}
+
 /* Called for each message of a peer. The peer composed it after the echoed
    message had been sent, so its evidence is from echo - age_ms or later. It
    says nothing about a version that this proxy lacks. */
--- a/src/directory/catalog_evidence.h
+++ b/src/directory/catalog_evidence.h
@@ -16,19 +16,13 @@
    request was sent, and from peers that answer a message of this proxy with
    the age of their own evidence. */
 
+/* The feed of the store may leave out the changes of the last second. */
+#define CATALOG_EVIDENCE_FEED_LAG_MS 1000
 /* A key has to be refused a certain time after the store has acknowledged the
-   version without it. Evidence counts for less, since the feed of the store
-   may leave out the changes of the last second, and since clocks run at
-   different rates and a member reads a request some time after it was sent.
+   version without it. Evidence counts for less, since clocks run at different
+   rates and a member reads a request some time after it was sent.
    docs/design/configuration-freshness.md has the arithmetic. */
-#define CATALOG_EVIDENCE_FEED_LAG_MS 1000
-#define CATALOG_EVIDENCE_DELIVERY_MS 500
-#ifdef CATALOG_EVIDENCE_BREAK_LAG
-#define CATALOG_EVIDENCE_MARGIN_MS CATALOG_EVIDENCE_DELIVERY_MS
-#else
-#define CATALOG_EVIDENCE_MARGIN_MS                                            \
-    (CATALOG_EVIDENCE_FEED_LAG_MS + CATALOG_EVIDENCE_DELIVERY_MS)
-#endif
+#define CATALOG_EVIDENCE_MARGIN_MS 500
 /* How often some proxies ask the store, and from which age of its evidence on
    any other proxy does so, because it does not hear from them. */
 #define CATALOG_EVIDENCE_ASK_INTERVAL_MS 1000
@@ -73,6 +67,8 @@
 void catalog_evidence_from_peer(struct catalog_evidence *e,
                                 const struct catalog_claim *claim,
                                 uint64_t own_version, clock_ms now);
+clock_ms catalog_evidence_feed_time(clock_ms sent_at, int64_t wait_ms,
+                                    bool has_changes);
 bool catalog_evidence_needs_store(const struct catalog_evidence *e,
                                   clock_ms now);
 int64_t catalog_evidence_peers_age_ms(const struct catalog_evidence *e,
--- a/tests/directory/model_catalog_evidence.c
+++ b/tests/directory/model_catalog_evidence.c
@@ -63,6 +63,7 @@
     uint64_t version;     /* of the configuration */
     uint64_t era;
     bool lists_changes;
+    bool full; /* answers a read of the whole table */
     bool reply;
     clock_ms sent_at;
     uint64_t sender_incarnation;
@@ -97,6 +98,7 @@
     struct store_request request;
     uint64_t request_number;
     clock_ms asked_at; /* own clock */
+    clock_ms wait_ms;  /* of the request in progress */
     clock_ms request_timeout_at;
     clock_ms next_request_at; /* 0: none is planned */
     clock_ms refreshed_at;
@@ -217,6 +219,7 @@
     const clock_ms arrives_at = m->now + draw_delay(m);
 
     p->asked_at = local_time(m, i);
+    p->wait_ms = wait;
     p->next_request_at = 0;
     p->request_timeout_at =
         m->now + (full ? READ_TIMEOUT_MS : wait + FEED_MARGIN_MS);
@@ -257,6 +260,7 @@
     e->version = version;
     e->era = m->era;
     e->lists_changes = r->full || changed;
+    e->full = r->full;
 }
 
 /* Applies a configuration unless it is older than the present one. */
@@ -314,8 +318,12 @@
     p->feed_version = e->version;
     p->request_timeout_at = 0;
     apply(p, e->version);
-    catalog_evidence_from_store(&p->evidence, e->version, p->asked_at,
-                                answered_at(m, e->to));
+    catalog_evidence_from_store(
+        &p->evidence, e->version,
+        e->full ? p->asked_at
+                : catalog_evidence_feed_time(p->asked_at, p->wait_ms,
+                                             e->lists_changes),
+        answered_at(m, e->to));
     if (e->lists_changes) {
         p->next_request_at = m->now + BATCH_DELAY_MS;
     }
