limits: an account gets rate x window + burst in each window

Change: a bucket fills at (rate x window + burst) / window, and each witness counts what it has granted in the window. In its first window it fills at the plain rate, since it does not know what was granted before. The unit tests expect the new pace; two are added.

--- a/src/limits/rate_bucket.c
+++ b/src/limits/rate_bucket.c
@@ -17,13 +17,18 @@
    until this part of the bucket is full, so that no bucket overflows while
    others are empty. */
 #define LOW_PERMILLE 900
-/* A rate is never lowered by more than this factor to keep the bounds, so that
-   each account is served. */
-#define RATE_LOWERED_MIN 0.1
 /* Part before the first witness list; only its rate is used, for buckets that
    are not granted from. */
 #define DIVISOR_UNKNOWN AGREEMENT_WITNESSES_MAX
 
+/* Width of a slot of the sliding window, and how many slots cover it. The
+   slot that is only partly in the window counts whole. */
+#define SLOT_MS 100
+#define SLOTS_MAX 128
+/* Part of the tolerance of a limit that is granted. The rest is for proxies
+   that disagree for a while on who grants. */
+#define TOLERANCE_USED 0.6
+
 struct limit {
     int64_t rate_milli;
     int64_t burst_milli;
@@ -38,6 +43,16 @@
     clock_ms next_slot; /* the next proxy that gets no token returns then */
     int64_t rate;       /* of this part, in billionths per millisecond */
     int64_t capacity;
+    /* Permits granted in the slots of the window that ends now, and how many
+       the window may have. */
+    uint16_t granted[SLOTS_MAX];
+    uint32_t granted_sum;
+    uint32_t window_max;
+    int64_t slot; /* number of the newest slot */
+    /* Until then the window may lack permits that were granted before this
+       process, or this witness, began; the bucket fills at the plain rate. */
+    clock_ms window_known_at;
+    bool window_known;
 };
 
 struct rate_bucket {
@@ -79,28 +94,75 @@
     g_free(b);
 }
 
-/* Computes rate and capacity of this witness's part. A part holds at least one
-   token, since it could not grant otherwise. All parts together may give the
-   capacity at once and the rate for the window and the time in which a permit
-   is used; where that is over the bound, the rate is lowered. */
+/* Returns how many slots cover the window and the time in which a permit is
+   used. */
+static int
+slot_count(const struct rate_bucket *b)
+{
+    return (int)CLAMP((b->bounds.window_ms + RATE_RUN_MS) / SLOT_MS + 2, 1,
+                      SLOTS_MAX);
+}
+
+/* Computes rate, capacity and window of this witness's part. A limit allows
+   rate x window + burst in any window, for as long as they are asked for, so
+   the bucket fills at that pace; what all parts may grant in a window is
+   counted besides. A part holds at least one token, since it could not grant
+   otherwise. */
 static void
 set_part(const struct rate_bucket *b, struct bucket *k)
 {
     const double rate = (double)k->in_force.rate_milli / 1000;
     const double burst = (double)k->in_force.burst_milli / 1000;
     const double window = (double)b->bounds.window_ms / 1000;
+    const double limit = rate * window + burst;
     const double capacity =
         MAX(burst + b->bounds.slack / 2.0, (double)b->divisor);
-    const double bound =
-        (rate * window + burst) * (1 + b->bounds.excess_permille / 1000.0) +
-        b->bounds.slack;
-    const double allowed =
-        (bound - capacity) / (window + RATE_RUN_MS / 1000.0);
-
-    const double used = CLAMP(allowed, rate * RATE_LOWERED_MIN, rate);
-    k->rate = (int64_t)(used / b->divisor * (TOKEN / 1000.0));
+    const double in_window =
+        limit * (1 + TOLERANCE_USED * b->bounds.excess_permille / 1000.0) +
+        TOLERANCE_USED * b->bounds.slack;
+
+    const double pace = k->window_known ? MAX(limit / window, rate) : rate;
+    k->rate = (int64_t)(pace / b->divisor * (TOKEN / 1000.0));
     k->capacity = (int64_t)(capacity / b->divisor * TOKEN);
     k->level = MIN(k->level, k->capacity);
+    k->window_max = (uint32_t)MAX(in_window / b->divisor, 1);
+}
+
+/* Forgets the slots that have left the window. */
+static void
+advance_window(const struct rate_bucket *b, struct bucket *k, clock_ms now)
+{
+    const int slots = slot_count(b);
+    const int64_t slot = now / SLOT_MS;
+
+    if (slot - k->slot >= slots) {
+        memset(k->granted, 0, sizeof(k->granted));
+        k->granted_sum = 0;
+        k->slot = slot;
+    }
+    while (k->slot < slot) {
+        k->slot++;
+        uint16_t *oldest = &k->granted[k->slot % slots];
+        k->granted_sum -= *oldest;
+        *oldest = 0;
+    }
+}
+
+/* Called when others may have granted from this part until now. */
+static void
+forget_window(const struct rate_bucket *b, struct bucket *k, clock_ms now)
+{
+    k->window_known = false;
+    k->window_known_at = now + b->bounds.window_ms + RATE_RUN_MS;
+}
+
+/* Returns how many permits may be granted now. */
+static int64_t
+available(const struct bucket *k)
+{
+    const int64_t left = (int64_t)k->window_max - k->granted_sum;
+
+    return CLAMP(k->level / TOKEN, 0, MAX(left, 0));
 }
 
 /* Adds the tokens since the last update. */
@@ -124,6 +186,11 @@
 static void
 update(const struct rate_bucket *b, struct bucket *k, clock_ms now)
 {
+    if (!k->window_known && now >= k->window_known_at) {
+        fill(k, k->window_known_at);
+        k->window_known = true;
+        set_part(b, k);
+    }
     if (k->raise_at != 0 && now >= k->raise_at) {
         fill(k, k->raise_at);
         k->raise_at = 0;
@@ -160,6 +227,7 @@
     k->in_force = *l;
     k->configured = *l;
     k->updated_at = now;
+    forget_window(b, k, now);
     set_part(b, k);
 #ifdef RATE_BREAK_FULL
     k->level = k->capacity;
@@ -228,8 +296,9 @@
         struct bucket *k = value;
         if (part.is_new) {
             k->level = 0;
+            forget_window(b, k, now);
         }
-        if (changed) {
+        if (changed || part.is_new) {
             set_part(b, k);
         }
 #ifdef RATE_BREAK_FULL
@@ -280,8 +349,13 @@
         return 0;
     }
     update(b, k, now);
-    const int64_t granted = MIN(k->level / TOKEN, (int64_t)wanted);
+    advance_window(b, k, now);
+    uint16_t *slot = &k->granted[k->slot % slot_count(b)];
+    const int64_t granted =
+        MIN(MIN(available(k), (int64_t)wanted), UINT16_MAX - *slot);
     k->level -= granted * TOKEN;
+    k->granted_sum += (uint32_t)granted;
+    *slot = (uint16_t)(*slot + granted);
     b->counters.granted += (uint64_t)granted;
     b->counters.denied += wanted - (uint64_t)granted;
     *next_ms = (uint32_t)(granted == (int64_t)wanted
