--- a/src/relay/dispatch.c
+++ b/src/relay/dispatch.c
@@ -27,7 +27,6 @@
    finds the replicas behind again. The maximum is in thousandths. */
 #define LAGGED_READS_PART 8
 #define LAGGED_READS_MAX 4000
-#define CANDIDATES_MAX 32
 
 static void
 refuse_request(struct service *s, struct connection_request *w,
@@ -166,6 +165,59 @@
     link_open(m, w->account != NULL ? w->account->name : NULL, now);
 }
 
+/* Returns true if this proxy knows the primary and may use it. */
+bool
+service_may_use_primary(const struct service *s, clock_ms now)
+{
+    return !s->primary_changing && s->primary[0] != '\0' &&
+           s->lease_valid(s->ctx, s->name, now);
+}
+
+/* Decides what to do with a request at this time. It changes nothing but what
+   dispatch.c keeps in the request: the position that a replica must have. */
+void
+service_decide(const struct service *s, struct connection_request *w,
+               bool lease, clock_ms now, struct placement_decision *d)
+{
+    *d = (struct placement_decision){.member = -1};
+    if (now >= w->deadline) {
+        d->action = PLACEMENT_REFUSE_LATE;
+        d->why = "queue_deadline";
+        return;
+    }
+    d->n = (int)MIN(s->members->len, CANDIDATES_MAX);
+    d->replicas_allowed = set_min_position(s, w);
+    for (int i = 0; i < d->n; i++) {
+        d->candidates[i] =
+            candidate_describe(s->members->pdata[i], w, lease, now);
+    }
+    d->lagged = d->replicas_allowed &&
+                candidates_weigh_lag(s, d->candidates, d->n, w, now);
+    const int chosen = placement_choose(d->candidates, d->n, w->needs_primary,
+                                        d->replicas_allowed);
+    if (chosen == PLACEMENT_NONE) {
+        const int64_t waited_ms = now - MAX(w->arrived_at, blocked_since(s));
+        d->wait_ms = max_wait_ms(s, now) - waited_ms;
+        d->action = d->wait_ms > 0 ? PLACEMENT_AWAIT_MEMBER
+                                   : PLACEMENT_REFUSE_NO_MEMBER;
+        d->why = s->primary_changing ? "primary_changing"
+                 : lease             ? "no_member"
+                                     : "no_lease";
+        return;
+    }
+    if (chosen == PLACEMENT_WAIT) {
+        d->action = PLACEMENT_AWAIT_CAPACITY;
+        return;
+    }
+    const struct member *m = s->members->pdata[chosen];
+    d->member = chosen;
+    d->action = d->candidates[chosen].opening_wait_us > 0
+                    ? PLACEMENT_AWAIT_OPENING
+                : d->candidates[chosen].wait_us > 0 ? PLACEMENT_AWAIT_FREE
+                : candidate_idle_link(m, w) != NULL ? PLACEMENT_GRANT
+                                                    : PLACEMENT_OPEN;
+}
+
 /* Grants a connection to a request, or refuses it if its deadline has passed
    or no member can serve it. Opens a connection if a suitable member has no
    idle one. Returns true if the request left the queue. */
@@ -173,56 +225,42 @@
 place_request(struct service *s, struct connection_request *w, bool lease,
               clock_ms now)
 {
-    struct placement_member candidates[CANDIDATES_MAX];
-    const int n = (int)MIN(s->members->len, CANDIDATES_MAX);
+    struct placement_decision d;
 
-    if (now >= w->deadline) {
-        refuse_request(s, w, &s->counters.refused_deadline, "queue_deadline");
-        return true;
-    }
     w->needs_opening = NULL;
-    const bool replicas_allowed = set_min_position(s, w);
-    for (int i = 0; i < n; i++) {
-        candidates[i] =
-            candidate_describe(s->members->pdata[i], w, lease, now);
+    service_decide(s, w, lease, now, &d);
+    if (w->decision != NULL) {
+        *w->decision = d;
     }
-    const bool lagged =
-        replicas_allowed && candidates_weigh_lag(s, candidates, n, w, now);
-    const int chosen =
-        placement_choose(candidates, n, w->needs_primary, replicas_allowed);
-    if (chosen == PLACEMENT_NONE) {
-        if (now - MAX(w->arrived_at, blocked_since(s)) >=
-            max_wait_ms(s, now)) {
-            refuse_request(s, w, &s->counters.refused_no_member,
-                           s->primary_changing ? "primary_changing"
-                           : lease             ? "no_member"
-                                               : "no_lease");
-            return true;
-        }
-        return false;
+    if (d.action == PLACEMENT_REFUSE_LATE) {
+        refuse_request(s, w, &s->counters.refused_deadline, d.why);
+        return true;
     }
-    if (chosen == PLACEMENT_WAIT) {
+    if (d.action == PLACEMENT_REFUSE_NO_MEMBER) {
+        refuse_request(s, w, &s->counters.refused_no_member, d.why);
+        return true;
+    }
+    if (d.member < 0) {
         return false;
     }
-    struct member *m = s->members->pdata[chosen];
-    if (candidates[chosen].opening_wait_us > 0) {
+    struct member *m = s->members->pdata[d.member];
+    switch (d.action) {
+    case PLACEMENT_AWAIT_OPENING:
         w->needs_opening = m;
         return false;
-    }
-    if (candidates[chosen].wait_us > 0) {
+    case PLACEMENT_AWAIT_FREE:
         m->waiting++;
         return false;
-    }
-    struct pooled_link *l = candidate_idle_link(m, w);
-    if (l != NULL) {
-        if (replicas_allowed) {
-            count_read(s, lagged && candidates[chosen].primary);
+    case PLACEMENT_GRANT:
+        if (d.replicas_allowed) {
+            count_read(s, d.lagged && d.candidates[d.member].primary);
         }
-        grant(s, l, w, candidates[chosen].primary);
+        grant(s, candidate_idle_link(m, w), w, d.candidates[d.member].primary);
         return true;
+    default:
+        open_if_wanted(m, w, now);
+        return false;
     }
-    open_if_wanted(m, w, now);
-    return false;
 }
 
 /* Starts a pass over the queue anew: requests that are still queued are
@@ -274,8 +312,7 @@
     do {
         s->dispatch_again = false;
         const clock_ms now = service_now(s);
-        const bool lease = !s->primary_changing && s->primary[0] != '\0' &&
-                           s->lease_valid(s->ctx, s->name, now);
+        const bool lease = service_may_use_primary(s, now);
         place_requests(s, lease, false, now);
         place_requests(s, lease, true, now);
     } while (s->dispatch_again);
--- a/src/relay/placement.c
+++ b/src/relay/placement.c
@@ -39,8 +39,8 @@
    penalties for members that should be avoided. Statements of this proxy share
    the slots with those of other proxies, and wait once there are more of them
    than slots. */
-static int64_t
-expected_us(const struct placement_member *m, bool needs_primary)
+int64_t
+placement_expected_us(const struct placement_member *m, bool needs_primary)
 {
     const int64_t per_slot_us = m->mean_statement_us / MAX(m->slots, 1);
     const int waiting = MAX(m->executing + 1 - m->slots, 0);
@@ -70,6 +70,15 @@
     return us;
 }
 
+/* Returns true if a member may serve a statement, at once or later. */
+bool
+placement_is_suitable(const struct placement_member *m, bool needs_primary,
+                      bool replicas_allowed)
+{
+    return m->usable && (m->primary ||
+                         (!needs_primary && replicas_allowed && m->caught_up));
+}
+
 /* Chooses the member that is expected to finish a statement first. Replicas
    that have caught up are considered only if needs_primary is false and
    replicas_allowed is true. Returns the member's index, which may have to be
@@ -84,11 +93,7 @@
     int64_t best_us = 0;
 
     for (int i = 0; i < n; i++) {
-        const bool suitable =
-            m[i].usable &&
-            (m[i].primary ||
-             (!needs_primary && replicas_allowed && m[i].caught_up));
-        if (!suitable) {
+        if (!placement_is_suitable(&m[i], needs_primary, replicas_allowed)) {
             continue;
         }
         if (m[i].opening_wait_us == 0 &&
@@ -97,7 +102,7 @@
             best = best == PLACEMENT_NONE ? PLACEMENT_WAIT : best;
             continue;
         }
-        const int64_t us = expected_us(&m[i], needs_primary);
+        const int64_t us = placement_expected_us(&m[i], needs_primary);
         if (best < 0 || us < best_us) {
             best = i;
             best_us = us;
--- a/src/relay/placement.h
+++ b/src/relay/placement.h
@@ -35,6 +35,10 @@
 #define PLACEMENT_WAIT (-2) /* all suitable members are at their limits */
 
 int64_t placement_open_us(const struct placement_member *m);
+bool placement_is_suitable(const struct placement_member *m,
+                           bool needs_primary, bool replicas_allowed);
+int64_t placement_expected_us(const struct placement_member *m,
+                              bool needs_primary);
 int placement_choose(const struct placement_member *m, int n,
                      bool needs_primary, bool replicas_allowed);
 
--- a/src/relay/queue.c
+++ b/src/relay/queue.c
@@ -104,6 +104,22 @@
     return slots == 0 ? 0 : ahead * (weighted_us / slots) / slots / 1000;
 }
 
+/* Returns how long a request that is not queued would wait by estimate, and
+   sets *ahead to the number of requests that are served before it. */
+int64_t
+service_expected_wait_ms(const struct service *s,
+                         const struct connection_request *w, int *ahead)
+{
+    const struct turn_key k = key_of(w);
+    const uint64_t number = turns_next(s->turns, &k);
+
+    *ahead = 0;
+    for (const GList *l = s->queue.head; l != NULL; l = l->next) {
+        *ahead += is_ahead(l->data, &k, number);
+    }
+    return expected_wait_ms(s, &k);
+}
+
 /* Returns the last queued request of the account that has the most, if that
    are more than the account of a new request would have and none of them is
    more urgent; NULL otherwise. */
--- a/src/relay/service.h
+++ b/src/relay/service.h
@@ -16,6 +16,7 @@
 struct service;
 struct member;
 struct pooled_link;
+struct placement_decision;
 
 /* A request for a connection; embedded in the session. Unless it is withdrawn,
    exactly one of granted() and refused() is called, once. */
@@ -44,6 +45,8 @@
     uint64_t turn; /* its number among the turns of accounts */
     const struct member *needs_opening; /* member to which a connection must be
                                            opened for it; set by dispatch.c */
+    struct placement_decision *decision; /* NULL, or set by dispatch.c to its
+                                            last decision */
 };
 
 /* Callbacks to the user of a granted connection. After lost() the connection
--- a/src/relay/service_internal.h
+++ b/src/relay/service_internal.h
@@ -9,7 +9,7 @@
 #include "relay/turns.h"
 
 /* Shared by service.c, links.c, opening_pace.c, upkeep.c, queue.c,
-   candidates.c and dispatch.c only. */
+   candidates.c, dispatch.c and explain_placement.c only. */
 
 /* A directory entry that disappears during an outage of the store is back
    within 2 s; after this time an unlisted member is treated as removed. */
@@ -26,6 +26,32 @@
     LINK_ROLLING_BACK, /* the proxy has sent a ROLLBACK */
 };
 
+#define CANDIDATES_MAX 32
+
+/* What dispatch.c does with a queued request. */
+enum placement_action {
+    PLACEMENT_REFUSE_LATE,
+    PLACEMENT_REFUSE_NO_MEMBER,
+    PLACEMENT_AWAIT_MEMBER,   /* no member can serve it */
+    PLACEMENT_AWAIT_CAPACITY, /* all suitable members are at their limits */
+    PLACEMENT_AWAIT_OPENING,  /* of a connection that is being opened */
+    PLACEMENT_AWAIT_FREE,     /* connection in use, or lag of a replica */
+    PLACEMENT_GRANT,
+    PLACEMENT_OPEN, /* a connection, unless enough are being opened */
+};
+
+struct placement_decision {
+    enum placement_action action;
+    int member; /* its index, or -1 */
+    /* Answer to the caller, or the one that it would get after wait_ms. */
+    const char *why;
+    int64_t wait_ms;
+    bool replicas_allowed;
+    bool lagged; /* all usable replicas are behind */
+    int n;
+    struct placement_member candidates[CANDIDATES_MAX];
+};
+
 struct member {
     struct service *service;
     struct member_entry entry;
@@ -156,6 +182,9 @@
 /* queue.c */
 void service_queue_remove(struct service *s, struct connection_request *w,
                           bool served);
+int64_t service_expected_wait_ms(const struct service *s,
+                                 const struct connection_request *w,
+                                 int *ahead);
 
 /* candidates.c */
 struct pooled_link *candidate_idle_link(const struct member *m,
@@ -170,6 +199,9 @@
                           clock_ms now);
 
 /* dispatch.c */
+bool service_may_use_primary(const struct service *s, clock_ms now);
+void service_decide(const struct service *s, struct connection_request *w,
+                    bool lease, clock_ms now, struct placement_decision *d);
 void service_dispatch(struct service *s);
 
 #endif
