--- a/src/relay/turns.c
+++ b/src/relay/turns.c
@@ -57,6 +57,24 @@
     g_free(t);
 }
 
+/* Returns an independent copy. */
+struct turns *
+turns_copy(const struct turns *t)
+{
+    struct turns *copy = turns_create();
+
+    for (guint i = 0; i < t->turns->len; i++) {
+        struct turn *e = g_memdup2(t->turns->pdata[i], sizeof(struct turn));
+        e->key.account = g_strdup(e->key.account);
+        g_ptr_array_add(copy->turns, e);
+    }
+    for (guint i = 0; i < t->classes->len; i++) {
+        g_ptr_array_add(copy->classes, g_memdup2(t->classes->pdata[i],
+                                                 sizeof(struct turn_class)));
+    }
+    return copy;
+}
+
 static struct turn_class *
 find_class(const struct turns *t, const struct turn_key *k)
 {
--- a/src/relay/turns.h
+++ b/src/relay/turns.h
@@ -19,6 +19,7 @@
 };
 
 struct turns *turns_create(void);
+struct turns *turns_copy(const struct turns *t);
 void turns_destroy(struct turns *t);
 uint64_t turns_next(const struct turns *t, const struct turn_key *k);
 uint64_t turns_add(struct turns *t, const struct turn_key *k);
