ctl, node: add galenastepctl explain-route

Operators could not ask a proxy where a statement would go. The metrics server of galenastep-platform now answers /explain-route with the explanation as JSON, and galenastepctl explain-route prints it as tables or as it came. Bad queries get status 400, unknown databases and accounts 404, both with the reason. Accounts are given by name; an API key is not a parameter.

--- a/src/base/http_server.c
+++ b/src/base/http_server.c
@@ -57,6 +57,7 @@
                     "Content-Length: %zu\r\n\r\n",
                     status,
                     status == 200   ? "OK"
+                    : status == 400 ? "Bad Request"
                     : status == 404 ? "Not Found"
                                     : "Service Unavailable",
                     body->len);
--- a/src/ctl/ctl.c
+++ b/src/ctl/ctl.c
@@ -4,6 +4,7 @@
 #include "ctl/ctl_call.h"
 #include "ctl/ctl_output.h"
 #include "ctl/explain.h"
+#include "ctl/explain_route.h"
 #include "fleet/rpc_codec.h"
 
 #include <string.h>
@@ -27,6 +28,10 @@
     "  drain                     stop the proxy gracefully\n"
     "  explain ID FILE...        trace a request by its id to its cause, "
     "from logs\n"
+    "  explain-route ADDRESS DATABASE\n"
+    "                            where a statement would go now, and why; "
+    "ADDRESS is the\n"
+    "                            metrics address of a galenastep-platform\n"
     "  log-level LEVEL           error, warning, notice, info or debug\n"
     "\n"
     "Environment:\n"
@@ -41,6 +46,11 @@
     gboolean csv;
     gboolean wait;
     gboolean version;
+    char *account;
+    gboolean read;
+    gboolean write;
+    gboolean transaction;
+    gboolean json;
 };
 
 /* Commands without further arguments that print a table. */
@@ -221,6 +231,32 @@
     return usage_error(t->err, "unknown command or wrong number of arguments");
 }
 
+static int
+run_explain_route(const struct options *o, char **words, FILE *out, FILE *err)
+{
+    struct explain_route_options e = {.account = o->account,
+                                      .kind = o->write         ? "write"
+                                              : o->transaction ? "transaction"
+                                                               : "read",
+                                      .json = o->json,
+                                      .timeout_ms = o->timeout_ms};
+
+    if (g_strv_length(words) != 3) {
+        return usage_error(
+            err, "explain-route needs a metrics address and a database");
+    }
+    if (o->read + o->write + o->transaction > 1) {
+        return usage_error(
+            err, "--read, --write and --transaction exclude each other");
+    }
+    if (o->csv) {
+        return usage_error(err, "explain-route has --json and no --csv");
+    }
+    e.address = words[1];
+    e.database = words[2];
+    return explain_route_run(&e, out, err);
+}
+
 static int
 run_with_options(const struct options *o, char **words, FILE *out, FILE *err)
 {
@@ -242,6 +278,9 @@
                    : usage_error(err,
                                  "explain needs a request id and log files");
     }
+    if (strcmp(words[0], "explain-route") == 0) {
+        return run_explain_route(o, words, out, err);
+    }
     if (!o->connect && (!env || !*env)) {
         return usage_error(
             err, "no address given: use --connect or GALENASTEP_CONTROL");
@@ -288,6 +327,16 @@
          "Print a table as comma-separated values", NULL},
         {"wait", 0, 0, G_OPTION_ARG_NONE, &o.wait,
          "Wait until every proxy has received all tickets", NULL},
+        {"account", 0, 0, G_OPTION_ARG_STRING, &o.account,
+         "With explain-route: name of the client account", "NAME"},
+        {"read", 0, 0, G_OPTION_ARG_NONE, &o.read,
+         "With explain-route: a single read (default)", NULL},
+        {"write", 0, 0, G_OPTION_ARG_NONE, &o.write,
+         "With explain-route: a single write", NULL},
+        {"transaction", 0, 0, G_OPTION_ARG_NONE, &o.transaction,
+         "With explain-route: the first statement of a transaction", NULL},
+        {"json", 0, 0, G_OPTION_ARG_NONE, &o.json,
+         "With explain-route: print JSON", NULL},
         {"version", 0, 0, G_OPTION_ARG_NONE, &o.version, "Print the version",
          NULL},
         {G_OPTION_REMAINING, 0, 0, G_OPTION_ARG_STRING_ARRAY, &words, NULL,
@@ -321,5 +370,6 @@
     g_strfreev(o.connect);
     g_free(o.key_file);
     g_free(o.author);
+    g_free(o.account);
     return code;
 }
--- a/src/limits/rate_client.c
+++ b/src/limits/rate_client.c
@@ -57,6 +57,21 @@
     return g_hash_table_lookup(c->accounts, &hash);
 }
 
+/* Returns how many permits of an account are in stock and not expired. */
+int
+rate_client_stock(const struct rate_client *c, const char *account)
+{
+    const uint64_t hash = limit_account_hash(account);
+    const struct rate_account *a = g_hash_table_lookup(c->accounts, &hash);
+    const clock_ms now = rate_client_now(c);
+    int n = 0;
+
+    for (int i = 0; a != NULL && i < a->stock_count; i++) {
+        n += a->stock[i].expires_at > now ? (int)a->stock[i].count : 0;
+    }
+    return n;
+}
+
 static struct rate_account *
 get_account(struct rate_client *c, const char *name, clock_ms now)
 {
--- a/src/limits/rate_client.h
+++ b/src/limits/rate_client.h
@@ -89,6 +89,7 @@
 void rate_client_tick(struct rate_client *c);
 clock_ms rate_client_next_tick(const struct rate_client *c);
 size_t rate_client_waiting(const struct rate_client *c);
+int rate_client_stock(const struct rate_client *c, const char *account);
 const struct rate_client_counters *
 rate_client_counters(const struct rate_client *c);
 
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -84,6 +84,7 @@
 void node_begin_shutdown(struct node *n, const struct shutdown_schedule *s);
 void node_answer_all(struct node *n);
 void node_write_metrics(const struct node *n, GString *out);
+int node_explain_route(const struct node *n, const char *query, GString *body);
 
 void node_set_catalog(struct node *n, struct catalog *c);
 void node_set_catalog_checked(struct node *n, clock_ms asked_at);
--- a/src/relay/relay.c
+++ b/src/relay/relay.c
@@ -85,10 +85,16 @@
 
 /* Returns true if nothing is sent to members any more, because there is no
    time to wait for an answer. */
+bool
+relay_is_answering_all(const struct relay *r, clock_ms now)
+{
+    return r->answer_all_at != 0 && now >= r->answer_all_at;
+}
+
 bool
 session_is_answering_all(const struct session *s, clock_ms now)
 {
-    return s->relay->answer_all_at != 0 && now >= s->relay->answer_all_at;
+    return relay_is_answering_all(s->relay, now);
 }
 
 /* Returns true if the shutdown leaves no time for the next statement of an
--- a/src/relay/session.h
+++ b/src/relay/session.h
@@ -55,6 +55,7 @@
 void relay_begin_shutdown(struct relay *r, clock_ms end_transactions_at,
                           clock_ms answer_all_at);
 void relay_answer_all(struct relay *r, clock_ms now);
+bool relay_is_answering_all(const struct relay *r, clock_ms now);
 const struct relay_counters *relay_counters(const struct relay *r);
 
 enum failure relay_check_key(struct relay *r, const struct catalog *c,
