--- a/tests/limits/test_rate_client.c
+++ b/tests/limits/test_rate_client.c
@@ -286,13 +286,17 @@
     acquire(&f, 0);
     rate_client_flush(f.client);
     reply(&f, 0, 1, 0);
+    assert_int_equal(rate_client_stock(f.client, "a"), 0);
     rate_client_return(f.client, "a", f.requests[0].valid_until);
+    assert_int_equal(rate_client_stock(f.client, "a"), 1);
+    assert_int_equal(rate_client_stock(f.client, "b"), 0);
     f.now += RATE_PERMIT_MS - 1;
     acquire(&f, 1);
     assert_int_equal(f.granted, 2);
     assert_int_equal(f.requests[1].valid_until, f.requests[0].valid_until);
     rate_client_return(f.client, "a", f.requests[1].valid_until);
     f.now++;
+    assert_int_equal(rate_client_stock(f.client, "a"), 0);
     acquire(&f, 2);
     assert_int_equal(f.granted, 2);
     rate_client_withdraw(f.client, &f.requests[2]);
