relay: the first try after a lost connection is not delayed

Cause: the loss of a connection put off the next attempt by up to 3 ms per proxy, so that a proxy would learn up to 0.4 s later that a primary is down. Change: member_pace_lost() begins the ramp only; member_pace_unreachable(), after a failed attempt, spreads the next ones. First writes at a promoted member are spread over 1 ms per proxy.

--- a/src/relay/member_pace.c
+++ b/src/relay/member_pace.c
@@ -17,6 +17,9 @@
    Opening a connection takes a slot of the member for 12 ms, and members have
    at least four slots. */
 #define SPREAD_PER_PROXY_MS 3
+/* The same for the first writes at a promoted member, to which connections may
+   be open. */
+#define PROMOTED_SPREAD_PER_PROXY_MS 1
 /* Assumed latency while none is known. */
 #define FIRST_LATENCY_MS 25.0f
 /* Growth per answer outside of the ramp while the latency is the usual one, as
@@ -166,8 +169,11 @@
     p->refused = 0;
     p->failed = 0;
     if (why != PACE_START_REACHABLE) {
-        p->next_at = now + random_below(rng, (float)(p->proxies - 1) *
-                                                 (float)SPREAD_PER_PROXY_MS);
+        const int per_proxy_ms = why == PACE_START_NEW
+                                     ? SPREAD_PER_PROXY_MS
+                                     : PROMOTED_SPREAD_PER_PROXY_MS;
+        p->next_at =
+            now + random_below(rng, (float)(per_proxy_ms * (p->proxies - 1)));
     }
 }
 
@@ -342,11 +348,20 @@
     return lowered;
 }
 
-/* Called when the member closed a connection or did not accept one. It may
-   have restarted, and may be back before this proxy finds it unreachable: the
-   ramp begins again. Repeated calls only put off the next try. */
+/* Called when the member closed a connection. It may have restarted, so the
+   ramp begins again. The next attempt is not delayed: it shows whether the
+   member is down, which the change of a primary must learn soon. */
 void
 member_pace_lost(struct member_pace *p, clock_ms now, struct rng *rng)
+{
+    member_pace_start(p, PACE_START_REACHABLE, now, rng);
+    p->next_at = now;
+}
+
+/* Called when the member did not accept a connection. The next attempts of the
+   proxies are spread, since all have found it unreachable at the same time. */
+void
+member_pace_unreachable(struct member_pace *p, clock_ms now, struct rng *rng)
 {
     member_pace_start(p, PACE_START_NEW, now, rng);
 }
--- a/src/relay/member_pace.h
+++ b/src/relay/member_pace.h
@@ -78,6 +78,8 @@
 bool member_pace_timed_out(struct member_pace *p, clock_ms now,
                            struct rng *rng);
 void member_pace_lost(struct member_pace *p, clock_ms now, struct rng *rng);
+void member_pace_unreachable(struct member_pace *p, clock_ms now,
+                             struct rng *rng);
 
 enum pace_condition member_pace_condition(const struct member_pace *p);
 
--- a/tests/relay/pace_model_proxy.c
+++ b/tests/relay/pace_model_proxy.c
@@ -160,7 +160,7 @@
 view_unreachable(struct view *v)
 {
     v->unreachable = true;
-    policy_lost(&v->policy, pace_model.now);
+    policy_unreachable(&v->policy, pace_model.now);
     v->retry_at = MAX(pace_model.now + MIN(50 << MIN(v->failures, 3), 400),
                       policy_earliest(&v->policy));
     v->failures++;
--- a/tests/relay/pace_policies.c
+++ b/tests/relay/pace_policies.c
@@ -149,3 +149,11 @@
         member_pace_start(&s->pace, PACE_START_REACHABLE, now, s->rng);
     }
 }
+
+void
+policy_unreachable(struct policy_state *s, clock_ms now)
+{
+    if (s->policy == POLICY_PACE) {
+        member_pace_unreachable(&s->pace, now, s->rng);
+    }
+}
--- a/tests/relay/pace_policies.h
+++ b/tests/relay/pace_policies.h
@@ -41,6 +41,7 @@
                    clock_ms now);
 void policy_refused(struct policy_state *s, bool connection, clock_ms now);
 void policy_lost(struct policy_state *s, clock_ms now);
+void policy_unreachable(struct policy_state *s, clock_ms now);
 void policy_reachable(struct policy_state *s, clock_ms now);
 
 #endif
--- a/tests/relay/test_member_pace.c
+++ b/tests/relay/test_member_pace.c
@@ -191,7 +191,7 @@
     rng_seed(&rng, 7);
     for (int i = 0; i < 134; i++) {
         member_pace_init(&pace, 134, 0, &rng);
-        member_pace_lost(&pace, 1000, &rng);
+        member_pace_unreachable(&pace, 1000, &rng);
         assert_true(pace.limit < 0.1f);
         assert_true(member_pace_may_send(&pace, 0, 1000 + 134 * 3));
         early += member_pace_may_send(&pace, 0, 1000 + 40);
@@ -199,6 +199,20 @@
     assert_in_range(early, 1, 40);
 }
 
+/* Guards against a delay before it is known that a member is down. */
+static void
+try_after_loss_is_not_delayed(void **state)
+{
+    struct fixture f = answering_member();
+
+    (void)state;
+    member_pace_refused(&f.pace, f.now, &f.rng);
+    member_pace_lost(&f.pace, f.now, &f.rng);
+    assert_true(member_pace_may_open(&f.pace, 0, f.now));
+    assert_int_equal((int)f.pace.limit, 1);
+    assert_true(f.pace.ramping);
+}
+
 /* Guards against a promoted member being treated as one that is not known. */
 static void
 promoted_member_keeps_half(void **state)
@@ -225,6 +239,7 @@
         cmocka_unit_test(failing_member_is_recognized),
         cmocka_unit_test(silent_member_is_recognized),
         cmocka_unit_test(first_tries_are_spread),
+        cmocka_unit_test(try_after_loss_is_not_delayed),
         cmocka_unit_test(promoted_member_keeps_half),
     };
 
