relay: the first statement at a new member follows its opening at once

Cause: with 134 proxies the first statement of a proxy that had just started waited up to 0.8 s: for the opening and for the pause after it. Change: no pause after the first opening. The multiples of the usual latency are 2, 4.5 and 6 (were 1.5, 3 and 4), and the ramp starts with 7 statements.

--- a/src/relay/member_pace.c
+++ b/src/relay/member_pace.c
@@ -4,9 +4,9 @@
 #include <glib.h>
 
 /* Work that all proxies together may have in progress when a member has just
-   started. Answers double it. With 12, a cold member refused up to 7 % of what
-   134 proxies sent it within 2 s. */
-#define START_IN_PROGRESS 9.0f
+   started. Answers double it, so that 134 proxies reach 0.9 of a member's
+   capacity within 1.4 s. */
+#define START_IN_PROGRESS 7.0f
 /* The least that is left after refusals, so that the proxies keep trying. */
 #define FLOOR_IN_PROGRESS 3.0f
 /* The least that is left at a member that is slow but refuses nothing. With
@@ -40,9 +40,9 @@
 /* Multiples of the usual latency: up to the first one, another connection may
    be opened; up to the second, the limit grows; above the third, it shrinks.
    Cold caches make a member less than twice as slow. */
-#define OPEN_BELOW 1.5f
-#define GROW_BELOW 3.0f
-#define SHRINK_ABOVE 4.0f
+#define OPEN_BELOW 2.0f
+#define GROW_BELOW 4.5f
+#define SHRINK_ABOVE 6.0f
 /* Weights of an answer in the short-term mean. A fast answer proves that the
    member has no long queue; a slow one may be a long statement. */
 #define RECENT_FALL_WEIGHT 0.6f
@@ -56,7 +56,7 @@
 #define FIRST_ANSWERS 8
 /* Greatest latency, as a multiple of the usual one, from which the time
    between two statements is computed. */
-#define INTERVAL_MAX 2.0f
+#define INTERVAL_MAX 3.0f
 /* Delay of the next connection attempt after one was refused because the
    member has too many connections, and how often it doubles. */
 #define FULL_DELAY_MS 100
@@ -168,6 +168,7 @@
     p->ceiling = FLT_MAX;
     p->limit = why == PACE_START_PROMOTED ? MAX(p->limit / 2, first) : first;
     p->ramping = true;
+    p->unused = false;
     p->decreased_at = now;
     if (why != PACE_START_PROMOTED) {
         p->recent_ms = p->usual_ms; /* its queue is empty */
@@ -192,6 +193,7 @@
     *p = (struct member_pace){.answered_at = now, .decreased_at = now};
     member_pace_set_proxies(p, proxies);
     member_pace_start(p, PACE_START_NEW, now, rng);
+    p->unused = true;
 }
 
 /* Returns true if more work may be sent to a member that has so much in
@@ -243,12 +245,18 @@
 }
 
 /* Called when the member has accepted a connection. The time that it took is
-   not compared with that of statements. */
+   not compared with that of statements. The first statement at a member that
+   is new to this proxy is not delayed again after the opening: with 134
+   proxies it would have waited 0.8 s in all. */
 void
 member_pace_opened(struct member_pace *p, int max)
 {
     p->silent = 0;
     p->full -= p->full > 0;
+    if (p->unused) {
+        p->next_at = 0;
+        p->unused = false;
+    }
     if (p->ramping) {
         increase(p, max);
     }
--- a/src/relay/member_pace.h
+++ b/src/relay/member_pace.h
@@ -55,6 +55,7 @@
     uint8_t full;    /* doublings of the delay of the next connection */
     uint8_t silent;  /* timeouts since the last answer */
     uint8_t ramping; /* the limit is still doubled by answers */
+    uint8_t unused;  /* no connection was opened yet, and none failed */
 };
 
 void member_pace_init(struct member_pace *p, int proxies, clock_ms now,
--- a/tests/relay/test_member_pace.c
+++ b/tests/relay/test_member_pace.c
@@ -213,6 +213,23 @@
     assert_true(f.pace.ramping);
 }
 
+/* Guards against a first statement that waits twice: for the opening, and
+   afterwards. */
+static void
+first_statement_follows_the_opening(void **state)
+{
+    struct member_pace pace;
+    struct rng rng;
+
+    (void)state;
+    rng_seed(&rng, 7);
+    member_pace_init(&pace, 134, 1000, &rng);
+    member_pace_sent(&pace, 1400, &rng);
+    assert_false(member_pace_may_send(&pace, 0, 1415));
+    member_pace_opened(&pace, MAX);
+    assert_true(member_pace_may_send(&pace, 0, 1415));
+}
+
 /* Guards against a limit below one statement that stays, at a proxy that gets
    few answers, and against raising it right after a refusal. */
 static void
@@ -261,6 +278,7 @@
         cmocka_unit_test(silent_member_is_recognized),
         cmocka_unit_test(first_tries_are_spread),
         cmocka_unit_test(try_after_loss_is_not_delayed),
+        cmocka_unit_test(first_statement_follows_the_opening),
         cmocka_unit_test(quiet_proxy_is_not_limited_for_long),
         cmocka_unit_test(promoted_member_keeps_half),
     };
