relay: a returned permit does not refer to a freed configuration

The permit of an operation refers to its account in the configuration of the session's previous request. When the operation is queued for a connection, that configuration is let go.

session_set_request_account() lets the permit refer to the account in the configuration that is kept. A permit of another account is returned before.

--- a/src/relay/authorization.c
+++ b/src/relay/authorization.c
@@ -97,16 +97,24 @@
 }
 
 /* Sets the account of the request for a connection from the newest
-   configuration, which is kept as long as the request may be queued. */
+   configuration, which is kept as long as the request may be queued. A permit
+   of the same account is kept, one of another account is returned. */
 void
 session_set_request_account(struct session *s)
 {
     struct catalog *c = s->relay->config.catalog(s->relay->config.ctx);
+    const struct account *a = find_account(c, &s->key);
 
+    if (s->has_permit &&
+        (a == NULL || strcmp(a->name, s->rate_request.account->name) != 0)) {
+        exchange_drop_permit(s);
+    }
+    /* Otherwise the permit refers to a configuration that is let go. */
+    s->rate_request.account = a;
     catalog_ref(c);
     catalog_unref(s->account_catalog);
     s->account_catalog = c;
-    s->connection_request.account = find_account(c, &s->key);
+    s->connection_request.account = a;
 }
 
 /* Returns true if requests of the session run under the same account as when
--- a/tests/relay/test_rate_limits.c
+++ b/tests/relay/test_rate_limits.c
@@ -295,6 +295,51 @@
     end(&t, s);
 }
 
+/* Puts a new configuration with the same account into force, and drops the one
+   before. */
+static void
+replace_catalog(struct limited *t)
+{
+    struct catalog *c = catalog_create(t->f.catalog->version + 1);
+    const struct account_key key = account_key_of(SVIEW("secret"));
+    const struct database_route *before = catalog_route(t->f.catalog, "boats");
+    struct database_route *r = g_memdup2(before, sizeof(*before));
+    struct account *a = g_new0(struct account, 1);
+
+    r->database = g_strdup(before->database);
+    r->service = g_strdup(before->service);
+    catalog_add_route(c, r);
+    c->transaction_idle_ms = t->f.catalog->transaction_idle_ms;
+    c->has_accounts = true;
+    a->name = g_strdup("shop");
+    a->rate_milli_per_s = 1000;
+    a->burst_milli = 1000;
+    catalog_add_account(c, a);
+    catalog_add_key(c, &key, "shop");
+    catalog_unref(t->f.catalog);
+    t->f.catalog = c;
+}
+
+/* Guards against a permit that is returned to an account of a configuration
+   that has been freed since it was requested. */
+static void
+test_configuration_replaced(void **state)
+{
+    struct limited t;
+    struct session *s = begin(&t);
+
+    (void)state;
+    session_set_request_account(s); /* as of an earlier request */
+    replace_catalog(&t);
+    fixture_request(s, VERB_WRITE, "WRITE x v");
+    reply(&t, 1, 0);
+    relay_begin_shutdown(t.f.relay, t.f.now, t.f.now);
+    relay_answer_all(t.f.relay, t.f.now);
+    assert_int_equal(t.failure, FAILURE_BUSY);
+    assert_int_equal(rate_client_counters(t.client)->returned, 1);
+    end(&t, s);
+}
+
 /* Guards against a callback to a session that has ended, and against a request
    that waits for a permit beyond its timeout. */
 static void
@@ -328,6 +373,7 @@
         cmocka_unit_test(test_retries),
         cmocka_unit_test(test_returned),
         cmocka_unit_test(test_expired_in_queue),
+        cmocka_unit_test(test_configuration_replaced),
         cmocka_unit_test(test_withdrawn),
     };
 
