soak: client accounts with keys and limits

The soak did not know accounts, so that nothing checked revocation and rate limits on real processes under faults.

The stand-in of the members checks the account of each statement by its ID, the time at which it was sent against the withdrawal of its key, and the operations of each account in every window. A key listed for longer than the bound must not be refused, every caller within its limit has to be served again after the faults, and no log may contain a key. A session of a caller outlives a refusal with BUSY or ABORTED in this mode. UNAUTH counts as a promise that nothing ran.

--- a/src/relay/authorization.c
+++ b/src/relay/authorization.c
@@ -11,9 +11,25 @@
     return c->has_accounts ? catalog_account_of_key(c, key) : NULL;
 }
 
+/* Returns the account under which requests of the session run. */
+static const struct account *
+account_of_session(const struct catalog *c, const struct session *s)
+{
+#ifdef RELAY_BREAK_KEY_CHECK
+    /* The key is checked at the session's start only. */
+    if (s->account_name != NULL) {
+        return g_hash_table_lookup(c->accounts, s->account_name);
+    }
+#endif
+    return find_account(c, &s->key);
+}
+
 static bool
 is_fresh(const struct relay *r)
 {
+#ifdef RELAY_BREAK_FRESHNESS
+    return r != NULL;
+#endif
     return r->config.catalog_is_fresh == NULL ||
            r->config.catalog_is_fresh(r->config.ctx,
                                       r->config.now(r->config.ctx));
@@ -68,6 +84,10 @@
 bool
 session_authorized(struct session *s)
 {
+#ifdef RELAY_BREAK_KEY_CHECK
+    session_fix_account(s, s->relay->config.catalog(s->relay->config.ctx));
+    return true;
+#endif
     struct relay *r = s->relay;
     const struct catalog *c = r->config.catalog(r->config.ctx);
     const struct database_route *route = catalog_route(c, s->database);
@@ -103,7 +123,7 @@
 session_set_request_account(struct session *s)
 {
     struct catalog *c = s->relay->config.catalog(s->relay->config.ctx);
-    const struct account *a = find_account(c, &s->key);
+    const struct account *a = account_of_session(c, s);
 
     if (s->has_permit &&
         (a == NULL || strcmp(a->name, s->rate_request.account->name) != 0)) {
@@ -124,7 +144,7 @@
 session_keeps_request_account(const struct session *s)
 {
     const struct catalog *c = s->relay->config.catalog(s->relay->config.ctx);
-    const struct account *now = find_account(c, &s->key);
+    const struct account *now = account_of_session(c, s);
     const struct account *then = s->connection_request.account;
 
     return g_strcmp0(now != NULL ? now->name : NULL,
--- a/tests/soak/callers.c
+++ b/tests/soak/callers.c
@@ -10,7 +10,14 @@
 #define ANSWER_TIMEOUT_MS 4000
 
 /* The statement whose answer a caller waits for. */
-enum step { STEP_START, STEP_SET, STEP_BEGIN, STEP_RUN, STEP_COMMIT };
+enum step {
+    STEP_START,
+    STEP_SET,
+    STEP_BEGIN,
+    STEP_RUN,
+    STEP_COMMIT,
+    STEP_ROLLBACK /* with accounts, after a refusal */
+};
 
 enum write_outcome {
     OUTCOME_NONE,
@@ -40,12 +47,15 @@
     uint64_t newest_acked; /* newest acknowledged write */
     uint64_t acked_before_read;
     char *error;
+    guint key; /* of the session, with accounts */
+    clock_ms started_at;
 };
 
 struct callers {
     struct soak *soak;
     struct ev_loop *loop;
     struct standin_group *group;
+    struct accounts *accounts; /* NULL: callers have no keys */
     struct rng rng;
     struct caller *list;
     int count;
@@ -86,9 +96,13 @@
 static void
 send_query(struct caller *c, const char *text)
 {
-    char *line =
-        g_strdup_printf("QUERY %s-%d %s", c->name, ++c->requests, text);
+    char *id = g_strdup_printf("%s-%d", c->name, ++c->requests);
+    char *line = g_strdup_printf("QUERY %s %s", id, text);
 
+    if (c->all->accounts != NULL) {
+        accounts_sent(c->all->accounts, id, c->key);
+    }
+    g_free(id);
     send_line(c, line);
     g_free(line);
 }
@@ -182,6 +196,11 @@
     if (c->all->stopping) {
         return;
     }
+    if (c->all->accounts != NULL &&
+        accounts_key_changed(c->all->accounts, c->index, c->key)) {
+        disconnect(c);
+        return;
+    }
     c->reads = rng_below(r, 3) > 0;
     c->transaction = rng_below(r, 4) == 0;
     c->acked_before_read = c->newest_acked;
@@ -201,19 +220,35 @@
 
 /* Handles an error answer. These error codes guarantee that the statement was
    not executed; after any other error on a statement that commits, the outcome
-   is unknown. */
+   is unknown. With accounts, a session outlives a refusal with BUSY or
+   ABORTED, so that sessions are older than the changes of their keys. */
 static void
 handle_error(struct caller *c)
 {
     const bool not_run = g_str_has_prefix(c->error, "BUSY") ||
                          g_str_has_prefix(c->error, "ABORTED") ||
                          g_str_has_prefix(c->error, "LAGGING") ||
-                         g_str_has_prefix(c->error, "READONLY");
+                         g_str_has_prefix(c->error, "READONLY") ||
+                         g_str_has_prefix(c->error, "UNAUTH");
     const bool may_have_committed =
         c->step == STEP_COMMIT || (c->step == STEP_RUN && !c->transaction);
 
     record_outcome(c, not_run || !may_have_committed ? OUTCOME_NOT_RUN
                                                      : OUTCOME_UNKNOWN);
+    if (c->all->accounts != NULL && c->transaction &&
+        (c->step == STEP_RUN || c->step == STEP_COMMIT) &&
+        g_str_has_prefix(c->error, "ABORTED")) {
+        c->step = STEP_ROLLBACK;
+        send_query(c, "ROLLBACK");
+        return;
+    }
+    if (c->all->accounts != NULL &&
+        (c->step == STEP_RUN || c->step == STEP_BEGIN) &&
+        g_str_has_prefix(c->error, "BUSY")) {
+        c->step = STEP_SET;
+        start_timer(c, rng_below(&c->all->rng, THINK_MAX_MS));
+        return;
+    }
     disconnect(c);
 }
 
@@ -250,8 +285,13 @@
         record_outcome(c, OUTCOME_DONE);
         break;
     case STEP_SET:
+    case STEP_ROLLBACK:
         break;
     }
+    if (c->all->accounts != NULL &&
+        (c->step == STEP_RUN || c->step == STEP_COMMIT)) {
+        accounts_served(c->all->accounts, c->index);
+    }
     c->step = STEP_SET;
     start_timer(c, rng_below(&c->all->rng, THINK_MAX_MS));
 }
@@ -272,6 +312,10 @@
             memchr(end, '\n', in.n - (size_t)(end - in.p)) == NULL) {
             if (memmem(in.p, in.n, "ERROR ", 6) != NULL &&
                 c->step == STEP_START) {
+                if (c->all->accounts != NULL &&
+                    memmem(in.p, in.n, "ERROR UNAUTH", 12) != NULL) {
+                    accounts_refused(c->all->accounts, c->key, c->started_at);
+                }
                 disconnect(c);
             }
             return;
@@ -329,7 +373,11 @@
     c->newest_acked =
         strcmp(c->database, "primary") == 0 ? c->newest_acked : 0;
     c->step = STEP_START;
-    g_snprintf(text, sizeof(text), "STARTUP %s %s", c->database, c->name);
+    c->started_at = clock_monotonic_ms();
+    g_snprintf(text, sizeof(text), "STARTUP %s %s", c->database,
+               c->all->accounts != NULL
+                   ? accounts_key(c->all->accounts, c->index, &c->key)
+                   : c->name);
     send_line(c, text);
 }
 
@@ -390,6 +438,13 @@
     all->synchronous = true;
 }
 
+/* Makes the callers start their sessions with keys of accounts. */
+void
+callers_use_accounts(struct callers *all, struct accounts *a)
+{
+    all->accounts = a;
+}
+
 /* Makes the callers start no further operation or connection. */
 void
 callers_stop(struct callers *all)
--- a/tests/soak/operator.c
+++ b/tests/soak/operator.c
@@ -46,6 +46,7 @@
     clock_ms disturbed_at[SOAK_PROXIES];
     uint64_t incarnation[SOAK_PROXIES];
     ev_timer timer;
+    bool public_routes;
     long answers;
 };
 
@@ -210,6 +211,12 @@
     return o;
 }
 
+void
+operator_make_routes_public(struct soak_operator *o)
+{
+    o->public_routes = true;
+}
+
 void
 operator_destroy(struct soak_operator *o)
 {
@@ -255,8 +262,9 @@
                 routes,
                 ",{\"name\":\"%s\",\"host\":\"%s\",\"route_type\":"
                 "\"primary\",\"timeout_ms\":800,\"target_latency_ms\":200,"
-                "\"priority\":1,\"service\":\"%s\",\"max_staleness_ms\":0}",
-                route_name(i), route_name(i), SOAK_SERVICE);
+                "\"priority\":1,\"service\":\"%s\",\"max_staleness_ms\":0%s}",
+                route_name(i), route_name(i), SOAK_SERVICE,
+                o->public_routes ? ",\"public\":true" : "");
         }
     }
 }
--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -16,8 +16,8 @@
    recovery, and then checks what callers and members saw.
 
      soak [--late-orders] [--sync-replicas] [--config-changes]
-          [--restored-store] PROGRAM SEED SECONDS [MAX_CONNECTIONS
-   [LOG_FOLDER]]
+          [--restored-store] [--accounts] PROGRAM SEED SECONDS
+          [MAX_CONNECTIONS [LOG_FOLDER]]
 
    With --late-orders, promotions take up to 1.2 s, and the process that orders
    one is often stopped, killed, suspended or cut off from the store before it
@@ -26,6 +26,8 @@
    --config-changes, faults are few and the operator makes changes around
    them. With --restored-store, the store often loses the last seconds before
    an outage; the operator and the members write again what they wrote there.
+   With --accounts, callers have keys of accounts with limits, which the
+   operator changes while faults run; not with --restored-store.
 
    Exit status 0: no guarantee was broken. 1: at least one was. 2: wrong usage
    or no temporary folder. */
@@ -34,6 +36,7 @@
 #define READY_PORT 26001
 #define PEER_PORT 26002
 #define METRICS_PORT 26003
+#define LIMITS_PORT 26004
 #define STORE_PORT 26010
 #define ORDERS_PORT 26011
 #define MEMBER_FAULT_PROXY_PORT 26200
@@ -41,6 +44,12 @@
 #define CALLERS 24
 #define FAULT_STEP_S 0.25
 #define SETTLE_S 6
+/* With --accounts: a caller has to be served in the last PROGRESS_MS. A caller
+   gives up an answer after 4 s, and a witness that is new waits for 3 s. */
+#define SETTLE_ACCOUNTS_S 8
+#define PROGRESS_MS 3000
+/* The outage of the store with --accounts begins within this time. */
+#define LONG_OUTAGE_WITHIN_MS 2500
 /* Of the replica that is behind with --sync-replicas. */
 #define LAG_MS 1200
 /* A replica with the newest commits that stops together with the primary is
@@ -94,6 +103,7 @@
     struct standin_group *group;
     struct callers *callers;
     struct soak_operator *operator;
+    struct accounts *accounts; /* NULL without --accounts */
     struct proxy_process proxies[SOAK_PROXIES];
     guint max_connections; /* that a member accepts */
     struct fault_proxy *member_fault_proxies[SOAK_MEMBERS];
@@ -108,7 +118,9 @@
     gboolean synchronous;
     gboolean config_changes;
     gboolean restored_store;
-    clock_ms lost_ms; /* that the present outage ends with; or 0 */
+    gboolean with_accounts;
+    clock_ms long_outage_at; /* of the store; 0: not drawn yet */
+    clock_ms lost_ms;        /* that the present outage ends with; or 0 */
     clock_ms rewrite_config_at;
     clock_ms rewrite_members_at;
     clock_ms episode_at; /* when the present episode began */
@@ -244,10 +256,17 @@
     g_string_append_printf(o,
                            "],\"services\":[{\"name\":\"%s\",\"max_conns\":%u,"
                            "\"sync_replicas\":%d}],\"limits\":{\"tx_idle_ms\":"
-                           "3000}}",
+                           "3000}",
                            SOAK_SERVICE, s->max_connections, s->synchronous);
+    if (s->accounts != NULL) {
+        accounts_append(s->accounts, o);
+    }
+    g_string_append_c(o, '}');
     standin_store_put(s->store, "op", "config", o->str);
     operator_acknowledged(s->operator);
+    if (s->accounts != NULL) {
+        accounts_acknowledged(s->accounts);
+    }
     g_string_free(o, TRUE);
 }
 
@@ -257,6 +276,9 @@
 {
     s->config_version += 2;
     operator_change_routes(s->operator);
+    if (s->accounts != NULL) {
+        accounts_change(s->accounts);
+    }
     put_config(s);
 }
 
@@ -375,6 +397,16 @@
         READY_PORT, PEER_PORT, METRICS_PORT, soak_proxy_host(p->index),
         STORE_PORT, soak_host(), STORE_PORT);
 
+    if (s->accounts != NULL) {
+        char *accounts = g_strdup_printf(
+            "%s[accounts]\nstrict_revocation = true\nrevocation_ms = %d\n"
+            "rate_window_s = %d\nrate_excess = %g\nrate_slack = %d\n"
+            "[proxy]\nlimits_port = %d\n",
+            text, SOAK_REVOCATION_MS, SOAK_RATE_WINDOW_MS / 1000,
+            SOAK_RATE_EXCESS, SOAK_RATE_SLACK, LIMITS_PORT);
+        g_free(text);
+        text = accounts;
+    }
     g_snprintf(p->settings, sizeof(p->settings), "%s/n%d.ini", s->folder,
                p->index);
     g_file_set_contents(p->settings, text, -1, NULL);
@@ -453,6 +485,17 @@
     return accepted ? 200 : 409;
 }
 
+/* With --accounts, makes half of the faults longer than the time after which
+   a withdrawn key must not be used any more. */
+static clock_ms
+lengthen_fault(struct soak *s, clock_ms end)
+{
+    if (s->accounts == NULL || rng_below(&s->order_rng, 2) == 0) {
+        return end;
+    }
+    return end + SOAK_REVOCATION_MS;
+}
+
 /* Injects a fault into one proxy process or its connection to the store. */
 static void
 inject_proxy_fault(struct soak *s, struct rng *r)
@@ -472,7 +515,7 @@
         break;
     case 2:
         kill(p->pid, SIGSTOP);
-        p->sigcont_at = random_fault_end_of(r);
+        p->sigcont_at = lengthen_fault(s, random_fault_end_of(r));
         break;
     case 3:
         kill(p->pid, SIGHUP);
@@ -480,7 +523,7 @@
     default:
         fault_proxy_set_fault(p->store_fault_proxy,
                               (enum fault)(FAULT_SILENT + rng_below(r, 3)));
-        p->store_fault_end_at = random_fault_end_of(r);
+        p->store_fault_end_at = lengthen_fault(s, random_fault_end_of(r));
     }
 }
 
@@ -545,7 +588,7 @@
         else {
             standin_store_set_silent(s->store, true);
         }
-        s->store_restore_at = random_fault_end(s);
+        s->store_restore_at = lengthen_fault(s, random_fault_end(s));
         draw_loss(s);
         break;
     case 1:
@@ -659,6 +702,31 @@
     }
 }
 
+/* Changes keys and limits, and lets the store fail once in half of the runs
+   for longer than a withdrawn key may be used. */
+static void
+step_accounts(struct soak *s)
+{
+    const clock_ms now = clock_monotonic_ms();
+
+    if (s->long_outage_at == 0) {
+        s->long_outage_at =
+            rng_below(&s->order_rng, 2) == 0
+                ? CLOCK_NEVER
+                : now + (clock_ms)rng_below(&s->order_rng,
+                                            LONG_OUTAGE_WITHIN_MS);
+    }
+    if (now >= s->long_outage_at) {
+        s->long_outage_at = CLOCK_NEVER;
+        s->faults++;
+        fail_store(s, SOAK_REVOCATION_MS + 1000 +
+                          (clock_ms)rng_below(&s->order_rng, FAULT_MAX_MS));
+    }
+    if (rng_below(&s->order_rng, 2) == 0) {
+        write_config(s);
+    }
+}
+
 /* Records which processes are disturbed by a fault in progress. */
 static void
 record_disturbances(struct soak *s)
@@ -750,7 +818,15 @@
         s->settling = true;
         s->draining = -1;
         write_directory(s);
-        s->phase_end_at = clock_monotonic_ms() + (clock_ms)SETTLE_S * 1000;
+        s->phase_end_at =
+            clock_monotonic_ms() +
+            (clock_ms)(s->accounts != NULL ? SETTLE_ACCOUNTS_S : SETTLE_S) *
+                1000;
+        if (s->accounts != NULL) {
+            accounts_settle(s->accounts);
+            s->config_version += 2;
+            put_config(s);
+        }
         return;
     }
     if (s->config_changes) {
@@ -760,6 +836,9 @@
     if (s->synchronous) {
         inject_synchronous_fault(s);
     }
+    if (s->accounts != NULL) {
+        step_accounts(s);
+    }
     const uint64_t draw = rng_below(&s->rng, 20);
     s->faults += draw < 9;
     if (draw < 3) {
@@ -768,7 +847,7 @@
     else if (draw < 8) {
         inject_member_fault(s);
     }
-    else if (draw < 9) {
+    else if (draw < 9 && (s->accounts == NULL || s->store_restore_at == 0)) {
         inject_store_fault(s);
     }
 }
@@ -796,6 +875,11 @@
             soak_host(), standin_group_port(i));
     }
     s->operator= operator_create(s, s->loop, seed + 3);
+    if (s->with_accounts) {
+        s->accounts = accounts_create(s, seed + 4, CALLERS);
+        standin_group_set_accounts(s->group, s->accounts);
+        operator_make_routes_public(s->operator);
+    }
     write_directory(s);
     write_config(s);
     for (int i = 0; i < SOAK_PROXIES; i++) {
@@ -815,6 +899,9 @@
     if (s->synchronous) {
         callers_expect_synchronous(s->callers);
     }
+    if (s->accounts != NULL) {
+        callers_use_accounts(s->callers, s->accounts);
+    }
 }
 
 /* Kills the processes that this run started and frees everything. */
@@ -831,6 +918,11 @@
         }
         fault_proxy_destroy(p->store_fault_proxy);
         unlink(p->settings);
+        if (s->accounts != NULL) {
+            char *path = log_path(p);
+            accounts_check_log(s->accounts, path);
+            g_free(path);
+        }
         char *log = g_strdup_printf("%s/node%d.log", s->folder, i);
         unlink(log);
         g_free(log);
@@ -842,6 +934,9 @@
     operator_destroy(s->operator);
     standin_store_destroy(s->store);
     standin_group_destroy(s->group);
+    if (s->accounts != NULL) {
+        accounts_destroy(s->accounts);
+    }
     rmdir(s->folder);
 }
 
@@ -873,6 +968,8 @@
          "Change the configuration around few faults", NULL},
         {"restored-store", 0, 0, G_OPTION_ARG_NONE, &s.restored_store,
          "Let the store come back from an older copy", NULL},
+        {"accounts", 0, 0, G_OPTION_ARG_NONE, &s.with_accounts,
+         "Give the callers keys of accounts with limits", NULL},
         {0},
     };
     GOptionContext *context = g_option_context_new(
@@ -882,10 +979,11 @@
     g_option_context_add_main_entries(context, options, NULL);
     const bool parsed = g_option_context_parse(context, &argc, &argv, &error);
     g_option_context_free(context);
-    if (!parsed || argc < 4) {
+    if (!parsed || argc < 4 || (s.with_accounts && s.restored_store)) {
         fprintf(stderr, "soak: %s\n",
-                parsed ? "PROGRAM, SEED and SECONDS are required"
-                       : error->message);
+                !parsed    ? error->message
+                : argc < 4 ? "PROGRAM, SEED and SECONDS are required"
+                           : "--accounts excludes --restored-store");
         g_clear_error(&error);
         return 2;
     }
@@ -913,17 +1011,24 @@
     ev_timer_start(s.loop, &s.step_timer);
     ev_run(s.loop, 0);
     const long served = callers_succeeded(s.callers);
+    if (s.accounts != NULL) {
+        accounts_check_progress(s.accounts,
+                                clock_monotonic_ms() - PROGRESS_MS);
+    }
     callers_stop(s.callers);
     s.phase_end_at = clock_monotonic_ms() + 1500;
     ev_run(s.loop, 0);
     callers_check(s.callers);
     printf("seed=%llu faults=%ld ", (unsigned long long)seed, s.faults);
     callers_report(s.callers);
+    if (s.accounts != NULL) {
+        accounts_report(s.accounts);
+    }
     if (served == 0) {
         soak_violation(&s, "no statement succeeded");
     }
-    printf("probes=%ld violations=%d\n", operator_answers(s.operator),
-           s.violations);
+    const long probes = operator_answers(s.operator);
     stop_all(&s);
+    printf("probes=%ld violations=%d\n", probes, s.violations);
     return s.violations == 0 ? 0 : 1;
 }
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -19,6 +19,11 @@
 #define SOAK_MEMBERS 3
 /* Name of the database group, which settings and logs call a service. */
 #define SOAK_SERVICE "svc1"
+/* The settings of --accounts. */
+#define SOAK_REVOCATION_MS 5000
+#define SOAK_RATE_WINDOW_MS 5000
+#define SOAK_RATE_EXCESS 0.1
+#define SOAK_RATE_SLACK 20
 
 struct soak;
 
@@ -62,6 +67,27 @@
 void standin_store_discard_history(struct standin_store *st);
 void standin_store_restore(struct standin_store *st, clock_ms age_ms);
 
+/* Accounts of --accounts: the keys of the callers, the operator's changes of
+   keys and limits, and the checks of what runs under which account. */
+struct accounts;
+struct accounts *accounts_create(struct soak *s, uint64_t seed, int callers);
+void accounts_destroy(struct accounts *a);
+void accounts_change(struct accounts *a);
+void accounts_settle(struct accounts *a);
+void accounts_append(const struct accounts *a, GString *config);
+void accounts_acknowledged(struct accounts *a);
+const char *accounts_key(struct accounts *a, int caller, guint *number);
+bool accounts_key_changed(struct accounts *a, int caller, guint number);
+void accounts_sent(struct accounts *a, const char *id, guint number);
+void accounts_served(struct accounts *a, int caller);
+void accounts_refused(struct accounts *a, guint number, clock_ms sent_at);
+void accounts_check_statement(struct accounts *a, const char *account,
+                              const char *id);
+void accounts_count_operation(struct accounts *a, const char *account);
+void accounts_check_progress(struct accounts *a, clock_ms since);
+void accounts_check_log(struct accounts *a, const char *path);
+void accounts_report(const struct accounts *a);
+
 /* Stand-in for the members of the database group, with their line protocol. It
    shares nothing with fakes/group.h, which models groups that speak the
    PostgreSQL protocol. A write sets an item to a number; the numbers of an
@@ -72,6 +98,7 @@
                                            struct rng *rng,
                                            guint max_connections);
 void standin_group_destroy(struct standin_group *g);
+void standin_group_set_accounts(struct standin_group *g, struct accounts *a);
 uint16_t standin_group_port(int member);
 int standin_group_primary(const struct standin_group *g);
 bool standin_group_promote(struct standin_group *g, int member,
@@ -104,6 +131,7 @@
                                int count);
 /* No acknowledged write may be lost: commits are synchronous. */
 void callers_expect_synchronous(struct callers *all);
+void callers_use_accounts(struct callers *all, struct accounts *a);
 void callers_destroy(struct callers *all);
 void callers_stop(struct callers *all);
 void callers_check(struct callers *all);
@@ -116,6 +144,8 @@
 struct soak_operator;
 struct soak_operator *operator_create(struct soak *s, struct ev_loop *loop,
                                       uint64_t seed);
+/* Added databases need no key. */
+void operator_make_routes_public(struct soak_operator *o);
 void operator_destroy(struct soak_operator *o);
 void operator_change_routes(struct soak_operator *o);
 void operator_append_routes(const struct soak_operator *o, GString *routes);
--- a/tests/soak/standin_group.c
+++ b/tests/soak/standin_group.c
@@ -56,6 +56,8 @@
     bool busy;
     bool executes; /* a read, write or commit, rather than a short request */
     bool started;
+    char account[64]; /* named at STARTUP */
+    bool counted;     /* the open transaction has counted as an operation */
     bool closed;
     bool in_transaction;
     bool read_only;
@@ -71,6 +73,7 @@
 
 struct standin_group {
     struct soak *soak;
+    struct accounts *accounts; /* NULL without --accounts */
     struct ev_loop *loop;
     struct rng *rng;
     struct member members[SOAK_MEMBERS];
@@ -441,15 +444,32 @@
     }
 }
 
+/* Counts a statement outside a transaction, or the first one of a
+   transaction. */
+static void
+count_operation(struct conn *c)
+{
+    struct accounts *a = c->member->group->accounts;
+
+    if (a != NULL && !(c->in_transaction && c->counted)) {
+        accounts_count_operation(a, c->account);
+        c->counted = true;
+    }
+}
+
 static void
 run_statement(struct conn *c, const char *id, char **w)
 {
     struct member *m = c->member;
 
     check_session_state(c, id);
+    if (m->group->accounts != NULL) {
+        accounts_check_statement(m->group->accounts, c->account, id);
+    }
     c->executes = true;
     g_hash_table_add(m->group->begun, g_strdup(id));
     if (strcmp(w[0], "READ") == 0) {
+        count_operation(c);
         g_string_append_printf(c->reply, "DATAROW %lu\r\nCOMPLETE sig\r\n",
                                (unsigned long)newest_value(m, w[1]));
         return;
@@ -458,6 +478,7 @@
         append_error(c, "READONLY");
         return;
     }
+    count_operation(c);
     if (strcmp(w[0], "COMMIT") == 0) {
         commit(m, (const struct entry *)(void *)c->writes->data,
                c->writes->len);
@@ -547,6 +568,7 @@
             return;
         }
         c->in_transaction = true;
+        c->counted = false;
         g_array_set_size(c->writes, 0);
         g_strlcpy(c->transaction_owner, id,
                   MIN(sizeof(c->transaction_owner), strcspn(id, "-") + 1));
@@ -611,6 +633,7 @@
         }
         else {
             c->started = true;
+            g_strlcpy(c->account, w[2], sizeof(c->account));
             append_ready(c);
         }
     }
@@ -731,6 +754,13 @@
     return g;
 }
 
+/* Lets the members check the account of each statement. */
+void
+standin_group_set_accounts(struct standin_group *g, struct accounts *a)
+{
+    g->accounts = a;
+}
+
 static void
 close_connections(struct member *m)
 {
