--- a/src/node/node.h
+++ b/src/node/node.h
@@ -54,7 +54,7 @@
     int64_t rate_window_ms;
     int rate_excess_permille;
     int rate_slack;
-    const char *key; /* shared by all proxies */
+    const char *key;        /* shared by all proxies */
     bool strict_revocation; /* API keys need a recent configuration */
     int64_t revocation_ms;  /* within which a withdrawn key is refused */
     const struct node_platform *platform;
--- a/src/relay/member_pace.h
+++ b/src/relay/member_pace.h
@@ -7,8 +7,8 @@
 #include <stdbool.h>
 #include <stdint.h>
 
-/* The relay does not use this yet, see docs/design/member-pace.md; the model in
-   tests/relay does.
+/* The relay does not use this yet, see docs/design/member-pace.md; the model
+   in tests/relay does.
 
    How much work a proxy may have in progress at one member, found from the
    member's answers. Work is a statement or the opening of a connection. Every
