--- a/src/relay/exchange.c
+++ b/src/relay/exchange.c
@@ -24,43 +24,9 @@
            !session_is_answering_all(s, now);
 }
 
-/* Returns the account whose rate limit applies to the session's operations, or
-   NULL. */
-static const struct account *
-limited_account(const struct session *s)
-{
-    return s->relay->config.rate_client != NULL ? s->connection_request.account
-                                                : NULL;
-}
-
-/* Returns true if the operation has to get a permit before it is sent to a
-   member. A transaction needs one for all of its statements. */
-static bool
-needs_permit(const struct session *s)
-{
-    return limited_account(s) != NULL && !s->begun &&
-           (!s->has_permit || session_now(s) >= s->rate_request.valid_until);
-}
-
-/* Ends the wait for a permit, and returns one that was not used. */
-void
-exchange_drop_permit(struct session *s)
-{
-    struct rate_client *c = s->relay->config.rate_client;
-
-    if (s->rate_request.waiting) {
-        rate_client_withdraw(c, &s->rate_request);
-    }
-    if (s->has_permit) {
-        s->has_permit = false;
-        rate_client_return(c, s->rate_request.account->name,
-                           s->rate_request.valid_until);
-    }
-}
-
 /* Queues the request until a connection is granted. */
-static void
-submit(struct session *s)
+void
+exchange_submit(struct session *s)
 {
     const struct database_route *r = s->route;
     struct connection_request *w = &s->connection_request;
@@ -83,73 +49,6 @@
     service_submit(s->service, w);
 }
 
-static void
-on_permit(void *ctx)
-{
-    struct session *s = ctx;
-
-    s->has_permit = true;
-    s->step = STEP_IDLE;
-    if (s->pooled != NULL) {
-        exchange_proceed(s);
-        return;
-    }
-    submit(s);
-}
-
-/* The operation is beyond the account's rate limit, or no witness answers. */
-static void
-on_permit_refused(void *ctx, const char *why, int64_t retry_after_ms)
-{
-    struct session *s = ctx;
-
-    s->retry_after_ms = retry_after_ms;
-    exchange_refused(s, why);
-}
-
-/* Waits for a permit, with or without a connection. A permit that has expired
-   is replaced. */
-static void
-acquire_permit(struct session *s)
-{
-    exchange_drop_permit(s);
-    catalog_unref(s->permit_catalog);
-    s->permit_catalog = catalog_ref(s->account_catalog);
-    s->rate_request = (struct rate_request){.account = limited_account(s),
-                                            .granted = on_permit,
-                                            .refused = on_permit_refused,
-                                            .ctx = s};
-    s->step = STEP_RATE_LIMIT;
-    session_update_active(s);
-    rate_client_acquire(s->relay->config.rate_client, &s->rate_request);
-}
-
-/* Returns true if the session holds a permit of another account than the one
-   of the request. */
-static bool
-has_foreign_permit(const struct session *s)
-{
-    const struct account *a = limited_account(s);
-
-    return s->has_permit &&
-           (a == NULL || strcmp(s->rate_request.account->name, a->name) != 0);
-}
-
-/* Starts an attempt to execute the request. */
-void
-exchange_start(struct session *s)
-{
-    session_set_request_account(s);
-    if (has_foreign_permit(s)) {
-        exchange_drop_permit(s);
-    }
-    if (needs_permit(s)) {
-        acquire_permit(s);
-        return;
-    }
-    submit(s);
-}
-
 /* Queues the request again, or answers with the failure if there is no attempt
    or time left. Only for requests that have certainly not been executed, and
    for reads. */
@@ -259,7 +158,7 @@
         g_hash_table_remove_all(pooled_prepared_names(s->pooled));
     }
     if (single && failure_means_not_run(a->failure)) {
-        s->has_permit = limited_account(s) != NULL;
+        s->has_permit = session_limited_account(s) != NULL;
         s->connection_request.needs_primary =
             s->connection_request.needs_primary ||
             a->failure == FAILURE_LAGGING;
@@ -285,8 +184,8 @@
         exchange_proceed(s);
         return;
     }
-    s->has_permit =
-        limited_account(s) != NULL && failure_means_not_run(a->failure);
+    s->has_permit = session_limited_account(s) != NULL &&
+                    failure_means_not_run(a->failure);
     s->connection_request.needs_primary =
         s->connection_request.needs_primary || a->failure == FAILURE_LAGGING;
     s->step = STEP_IDLE;
@@ -351,7 +250,7 @@
         return;
     }
     if (step == STEP_RATE_LIMIT) {
-        exchange_drop_permit(s);
+        session_drop_permit(s);
     }
     s->step = STEP_IDLE;
     const bool was_begun = s->begun;
@@ -540,8 +439,9 @@
         retry(s, FAILURE_BUSY, obstacle);
         return;
     }
-    if (needs_permit(s)) {
-        acquire_permit(s); /* it has expired while the request waited */
+    if (session_needs_permit(s)) {
+        session_acquire_permit(
+            s); /* it has expired while the request waited */
         return;
     }
     if (s->step != STEP_SETUP && s->step != STEP_BEGIN) {
@@ -621,7 +521,7 @@
     }
     const bool shutting_down = session_is_answering_all(s, now);
     if (s->step == STEP_RATE_LIMIT && now >= s->deadline) {
-        exchange_drop_permit(s);
+        session_drop_permit(s);
         exchange_refused(s, "limit_unknown");
         return;
     }
@@ -630,7 +530,7 @@
             if (s->step == STEP_QUEUED) {
                 service_withdraw(s->service, &s->connection_request);
             }
-            exchange_drop_permit(s);
+            session_drop_permit(s);
             s->step = STEP_IDLE;
             session_answer_failure(s,
                                    s->transaction == TRANSACTION_OPEN
--- a/src/relay/session.c
+++ b/src/relay/session.c
@@ -65,7 +65,7 @@
     if (s->step == STEP_QUEUED) {
         service_withdraw(s->service, &s->connection_request);
     }
-    exchange_drop_permit(s);
+    session_drop_permit(s);
     session_release_link(s);
     s->step = STEP_IDLE;
     s->transaction = TRANSACTION_NONE;
@@ -141,7 +141,7 @@
                   (long long)(s->sent_at - s->arrived_at), s->member,
                   service_queue_length(s->service));
     }
-    exchange_drop_permit(s);
+    session_drop_permit(s);
     a->retry_after_ms = s->retry_after_ms;
     s->retry_after_ms = 0;
     a->state = s->transaction;
--- a/src/relay/session_internal.h
+++ b/src/relay/session_internal.h
@@ -105,9 +105,15 @@
 const struct prepared_statement *session_find_prepared(const struct session *s,
                                                        struct sview name);
 
-/* exchange.c */
+/* permit.c */
+const struct account *session_limited_account(const struct session *s);
+bool session_needs_permit(const struct session *s);
+void session_acquire_permit(struct session *s);
+void session_drop_permit(struct session *s);
 void exchange_start(struct session *s);
-void exchange_drop_permit(struct session *s);
+
+/* exchange.c */
+void exchange_submit(struct session *s);
 void exchange_proceed(struct session *s);
 void exchange_check_timeouts(struct session *s, clock_ms now);
 void exchange_granted(void *ctx, struct pooled_link *l);
