review: case 6, no proxy is left that may change a primary

Cause: the witnesses are chosen among all registered proxies, dead or alive, and only witnesses delete registrations and change primaries. Nothing is fixed.

--- a/review/testbed/testbed.py
+++ b/review/testbed/testbed.py
@@ -287,6 +287,18 @@
                                                  self.port)
         self.beat = asyncio.ensure_future(self.report())
 
+    async def crash(self):
+        """Ends for good. The platform removes the entry after three missed
+        heartbeats."""
+        self.group.bed.record.line("member %s crashes for good" % self.id)
+        self.beat.cancel()
+        self.server.close()
+        for c in list(self.connections):
+            c.writer.transport.abort()
+        self.role = "gone"
+        await asyncio.sleep(3 * HEARTBEAT_S)
+        await self.group.bed.store.put("servers", self.id, None)
+
     async def report(self):
         """Writes the heartbeat."""
         while True:
@@ -304,14 +316,11 @@
     def position(self):
         """The position that the member has applied."""
         if self.applied == 0:
-            return "%d.0" % self.term
-        term, number = self.log[self.applied - 1][:2]
-        return "%d.%d" % (max(term, self.term) if self.role == "primary"
-                          else term, number)
+            return "1.0"
+        return "%d.%d" % self.log[self.applied - 1][:2]
 
     def received(self):
-        return "%d.%d" % ((self.log[-1][0], self.log[-1][1]) if self.log
-                          else (self.term, 0))
+        return "%d.%d" % (self.log[-1][:2] if self.log else (1, 0))
 
     def apply_to(self, count):
         for entry in self.log[self.applied:count]:
@@ -487,6 +496,35 @@
         for m in self.members:
             await m.start()
 
+    def order(self, member_id):
+        """Takes a promotion order. Returns the status of the answer."""
+        for m in self.members:
+            if m.id == member_id and m.role != "gone":
+                if m is not self.primary:
+                    asyncio.get_running_loop().call_later(PROMOTE_S,
+                                                          self.promote, m)
+                return 200
+        return 409
+
+    def promote(self, member):
+        if member.role == "gone" or member is self.primary:
+            return
+        term = 1 + max(m.term for m in self.members)
+        self.bed.record.line("member %s leads in term %d" % (member.id, term))
+        self.primary = member
+        member.role = "primary"
+        member.term = term
+        member.apply_to(len(member.log))
+        asyncio.ensure_future(member.write_entry())
+        for m in self.members:
+            if m is not member and m.role == "replica":
+                common = min(len(m.log), len(member.log))
+                if m.log[:common] != member.log[:common] or common < len(m.log):
+                    m.applied, m.data = 0, {}
+                m.log = list(member.log)
+                m.term = term
+                m.apply_to(len(m.log))
+
     def replicate(self, primary):
         """Sends the primary's log to the replicas, which apply it later."""
         if primary is not self.primary:
@@ -704,33 +742,62 @@
                               "sync_replicas": 0} for g in self.groups],
                 "limits": {"tx_idle_ms": 3000}}
 
-    async def start(self, proxies=5, groups=3):
-        hosts = ["127.0.0.%d" % (11 + i) for i in range(proxies)]
+    def promotion(self, body, headers):
+        status = 409
+        for g in self.groups:
+            if g.name == body["service"]:
+                status = g.order(body["id"])
+        self.record.line("promotion of %s by %s fence=%s: %d" %
+                         (body["id"], headers.get("x-duty-holder"),
+                          headers.get("x-fence-token"), status))
+        return status, {}
+
+    async def add_proxy(self, name, zone):
+        """Starts a process on a machine with a new name and address."""
+        p = Proxy(self, name, zone, self.hosts.pop(0))
+        p.store_port = self.ports.pop()
+        await self.store.listen(p.name, "127.0.0.1", p.store_port)
+        self.proxies.append(p)
+        p.start()
+        return p
+
+    def remove_proxy(self, p):
+        """A machine is lost for good."""
+        self.record.line("machine %s is lost for good" % p.name)
+        p.end()
+        self.proxies.remove(p)
+
+    async def await_ready(self, limit_s):
+        end = now() + limit_s
+        while not all([await p.is_ready() for p in self.proxies]):
+            if now() > end:
+                return False
+            await asyncio.sleep(0.1)
+        self.record.line("all %d proxies are ready" % len(self.proxies))
+        return True
+
+    async def start(self, proxies=5, groups=3, spare=0):
+        hosts = ["127.0.0.%d" % (11 + i) for i in range(proxies + spare)]
         (self.front_port, self.ready_port, self.peer_port,
          self.metrics_port) = free_ports(hosts, 4)
-        ports = free_ports(["127.0.0.1"], proxies + 3 * groups)
+        ports = free_ports(["127.0.0.1"], proxies + spare + 3 * groups)
         self.store = Store(self.record)
-        self.store.on_promotion = lambda body, headers: (409, {})
+        self.store.on_promotion = self.promotion
         for i in range(groups):
             addresses = [("127.0.0.1", ports.pop()) for _ in range(3)]
             self.groups.append(Group(self, "db%d" % (i + 1), self.ZONES[1:4],
                                      addresses))
-        for i, host in enumerate(hosts):
-            p = Proxy(self, "front-%d" % (i + 1), self.ZONES[i], host)
-            p.store_port = ports.pop()
-            await self.store.listen(p.name, "127.0.0.1", p.store_port)
-            self.proxies.append(p)
+        self.hosts = hosts
+        self.ports = ports
         await self.store.put("op", "config", json.dumps(self.configuration()))
         for g in self.groups:
             await g.start()
-        for p in self.proxies:
-            p.start()
-        end = now() + 15
-        while not all([await p.is_ready() for p in self.proxies]):
-            if now() > end:
-                raise CannotRun("the proxies are not ready after 15 s")
-            await asyncio.sleep(0.1)
-        self.record.line("all proxies are ready")
+        numbers = {}
+        for zone in self.ZONES[:proxies]:
+            numbers[zone] = numbers.get(zone, 0) + 1
+            await self.add_proxy("front-%s-%d" % (zone, numbers[zone]), zone)
+        if not await self.await_ready(15):
+            raise CannotRun("the proxies are not ready after 15 s")
 
     def check_processes(self):
         """A process that ended by itself is a fault, except one that the case
