--- a/review/testbed/testbed.py
+++ b/review/testbed/testbed.py
@@ -278,7 +278,9 @@
         self.work_s = 0.004
         self.refuse_part = 0.0  # share of requests answered with BUSY, unrun
         self.refuse_verbs = None  # None: all
-        self.listed = True
+        self.down = False
+        self.deaf = False  # receives nothing from the primary
+        self.born = 1700000000000
         self.server = None
         self.beat = None
 
@@ -299,6 +301,31 @@
         await asyncio.sleep(3 * HEARTBEAT_S)
         await self.group.bed.store.put("servers", self.id, None)
 
+    async def stop(self):
+        """Goes dark."""
+        self.group.bed.record.line("member %s goes dark" % self.id)
+        self.down = True
+        self.beat.cancel()
+        self.server.close()
+        for c in list(self.connections):
+            c.writer.transport.abort()
+
+    async def start_again(self, empty):
+        """Comes back with its log, or empty under the same id. Is a replica if
+        another member was promoted meanwhile."""
+        self.group.bed.record.line("member %s starts again%s" %
+                                   (self.id, ", empty" if empty else ""))
+        if empty:
+            self.log, self.applied, self.data = [], 0, {}
+            self.term, self.seq = 0, 0
+            self.born += 100000
+            self.role = "replica"
+        if self is not self.group.primary:
+            self.role = "replica"
+        self.down = False
+        self.group.replicate(self.group.primary)
+        await self.start()
+
     async def report(self):
         """Writes the heartbeat."""
         while True:
@@ -311,7 +338,7 @@
             "service": self.group.name,
             "addr": "%s:%d" % (self.host, self.port), "zone": self.zone,
             "version": "v1", "slots": 2, "state": "ready", "cold_left_ms": 0,
-            "db_role": self.role, "seq": self.seq, "born": 1700000000000}))
+            "db_role": self.role, "seq": self.seq, "born": self.born}))
 
     def position(self):
         """The position that the member has applied."""
@@ -320,6 +347,8 @@
         return "%d.%d" % self.log[self.applied - 1][:2]
 
     def received(self):
+        if not self.log and self.term == 0:
+            return "-"
         return "%d.%d" % (self.log[-1][:2] if self.log else (1, 0))
 
     def apply_to(self, count):
@@ -328,7 +357,7 @@
         self.applied = max(self.applied, count)
 
     def commit(self, writes):
-        """Appends one entry for each write of a commit, all under one number."""
+        """Appends one entry for each write of a commit, all with one number."""
         number = (self.log[-1][1] if self.log else 0) + 1
         for item, data in writes:
             self.log.append((self.term, number, item, data))
@@ -475,9 +504,11 @@
                 c.writes.append(write)
             else:
                 self.commit([write])
+                await self.group.received(self, len(self.log))
         elif kind == "COMMIT":
             if c.writes:
                 self.commit(c.writes)
+                await self.group.received(self, len(self.log))
             c.clear()
         self.answer(c, query_id, text, rows=rows, signature=signature)
 
@@ -499,7 +530,7 @@
     def order(self, member_id):
         """Takes a promotion order. Returns the status of the answer."""
         for m in self.members:
-            if m.id == member_id and m.role != "gone":
+            if m.id == member_id and m.role != "gone" and not m.down:
                 if m is not self.primary:
                     asyncio.get_running_loop().call_later(PROMOTE_S,
                                                           self.promote, m)
@@ -507,8 +538,9 @@
         return 409
 
     def promote(self, member):
-        if member.role == "gone" or member is self.primary:
+        if member.role == "gone" or member.down or member is self.primary:
             return
+        self.bed.on_promotion(member)
         term = 1 + max(m.term for m in self.members)
         self.bed.record.line("member %s leads in term %d" % (member.id, term))
         self.primary = member
@@ -517,7 +549,7 @@
         member.apply_to(len(member.log))
         asyncio.ensure_future(member.write_entry())
         for m in self.members:
-            if m is not member and m.role == "replica":
+            if m is not member and m.role == "replica" and not m.down:
                 common = min(len(m.log), len(member.log))
                 if m.log[:common] != member.log[:common] or common < len(m.log):
                     m.applied, m.data = 0, {}
@@ -527,17 +559,28 @@
 
     def replicate(self, primary):
         """Sends the primary's log to the replicas, which apply it later."""
-        if primary is not self.primary:
+        if primary is not self.primary or primary.down:
             return
         count = len(primary.log)
         for m in self.members:
-            if m is not primary and m.role == "replica":
+            if (m is not primary and m.role == "replica" and not m.down and
+                    not m.deaf):
                 m.log = list(primary.log)
                 m.term = primary.term
                 asyncio.get_running_loop().call_later(
                     LAG_S, m.apply_to, count)
 
 
+    async def received(self, primary, count):
+        """Waits until a replica has received a commit, with sync_replicas."""
+        while self.bed.sync_replicas > 0:
+            if any(m is not primary and not m.down and
+                   m.log[:count] == primary.log[:count] for m in self.members):
+                return
+            await asyncio.sleep(0.005)
+            self.replicate(primary)
+
+
 class Client:
     """One client session on a proxy. Requests are answered one by one."""
 
@@ -711,6 +754,8 @@
         self.front_port = self.ready_port = 0
         self.peer_port = self.metrics_port = 0
         self.config_version = 1
+        self.sync_replicas = 0
+        self.promotion_checks = []
         self.checks = []
         self.answer_checks = []
 
@@ -718,6 +763,10 @@
         for check in self.checks:
             check(member, connection, query_id, verb, shape)
 
+    def on_promotion(self, member):
+        for check in self.promotion_checks:
+            check(member)
+
     def on_answer(self, client, query_id, text, error, rows):
         for check in self.answer_checks:
             check(client, query_id, text, error, rows)
@@ -739,7 +788,8 @@
                 routes.append(route)
         return {"version": self.config_version, "routes": routes,
                 "services": [{"name": g.name, "max_conns": 16,
-                              "sync_replicas": 0} for g in self.groups],
+                              "sync_replicas": self.sync_replicas}
+                             for g in self.groups],
                 "limits": {"tx_idle_ms": 3000}}
 
     def promotion(self, body, headers):
