--- a/src/relay/candidates.c
+++ b/src/relay/candidates.c
@@ -37,10 +37,11 @@
         if (l->state != LINK_IDLE || !link_serves(l, w->account)) {
             continue;
         }
-        if (l->settings_hash == w->settings_hash) {
+        const uint64_t hash = link_setup_settings_hash(l->setup);
+        if (hash == w->settings_hash) {
             return l;
         }
-        if (best == NULL || l->settings_hash == 0) {
+        if (best == NULL || hash == 0) {
             best = l;
         }
     }
--- a/src/relay/exchange.c
+++ b/src/relay/exchange.c
@@ -155,7 +155,7 @@
     const bool single = s->transaction == TRANSACTION_NONE;
 
     if (a->failure == FAILURE_NO_STATEMENT) {
-        g_hash_table_remove_all(pooled_prepared_names(s->pooled));
+        link_setup_forget_names(pooled_setup(s->pooled));
     }
     if (single && failure_means_not_run(a->failure)) {
         s->has_permit = session_limited_account(s) != NULL;
@@ -294,18 +294,19 @@
 static bool
 has_session_settings(const struct session *s)
 {
-    GHashTable *current = pooled_settings(s->pooled);
+    const struct link_setup *setup = pooled_setup(s->pooled);
     GHashTableIter i;
     void *name;
     void *value;
 
-    if (pooled_settings_hash(s->pooled) != s->settings_hash ||
-        g_hash_table_size(current) != g_hash_table_size(s->settings)) {
+    if (link_setup_settings_hash(setup) != s->settings_hash ||
+        g_hash_table_size(link_setup_settings(setup)) !=
+            g_hash_table_size(s->settings)) {
         return false;
     }
     g_hash_table_iter_init(&i, s->settings);
     while (g_hash_table_iter_next(&i, &name, &value)) {
-        if (g_strcmp0(g_hash_table_lookup(current, name), value) != 0) {
+        if (!link_setup_has_setting(setup, name, value)) {
             return false;
         }
     }
@@ -318,33 +319,27 @@
 send_settings(struct session *s)
 {
 #ifdef RELAY_BREAK_SETTINGS
-    pooled_set_settings_hash(s->pooled, s->settings_hash);
     return;
 #endif
-    GHashTable *current = pooled_settings(s->pooled);
+    const struct link_setup *setup = pooled_setup(s->pooled);
     GHashTableIter i;
     void *name;
     void *value;
     bool extra = false;
 
-    g_hash_table_iter_init(&i, current);
+    g_hash_table_iter_init(&i, link_setup_settings(setup));
     while (g_hash_table_iter_next(&i, &name, NULL)) {
         extra = extra || !g_hash_table_contains(s->settings, name);
     }
     if (extra) {
         send_setup_request(s, VERB_RESET, "", "");
-        g_hash_table_remove_all(current);
-        g_hash_table_remove_all(pooled_prepared_names(s->pooled));
     }
     g_hash_table_iter_init(&i, s->settings);
     while (g_hash_table_iter_next(&i, &name, &value)) {
-        const char *old = g_hash_table_lookup(current, name);
-        if (old == NULL || strcmp(old, value) != 0) {
+        if (!link_setup_has_setting(setup, name, value)) {
             send_setup_request(s, VERB_SET, name, value);
-            g_hash_table_replace(current, g_strdup(name), g_strdup(value));
         }
     }
-    pooled_set_settings_hash(s->pooled, s->settings_hash);
 }
 
 /* Returns the name of a prepared statement on member connections, to be freed
@@ -367,11 +362,10 @@
         session_find_prepared(s, s->request.name);
     char *name = member_statement_name(stmt);
 
-    if (!g_hash_table_contains(pooled_prepared_names(s->pooled), name)) {
+    if (!link_setup_has_name(pooled_setup(s->pooled), name)) {
         send_setup_request(
             s, stmt->writes ? VERB_PREPARE_WRITE : VERB_PREPARE_READ, name,
             stmt->statement_text);
-        g_hash_table_add(pooled_prepared_names(s->pooled), g_strdup(name));
     }
     g_free(name);
 }
--- a/src/relay/explain_placement.c
+++ b/src/relay/explain_placement.c
@@ -86,7 +86,7 @@
 }
 
 /* Copies a member with its links, which have neither a user nor a connection.
-   Settings and prepared statements do not matter for the choice of a link. */
+   Only the hash of the settings matters for the choice of a link. */
 static struct member *
 copy_member(const struct member *from, struct service *to)
 {
@@ -101,8 +101,7 @@
         l->account = g_strdup(l->account);
         l->codec_link = NULL;
         l->user = NULL;
-        l->settings = g_hash_table_new(g_str_hash, g_str_equal);
-        l->prepared = g_hash_table_new(g_str_hash, g_str_equal);
+        l->setup = link_setup_copy_hash(l->setup);
         g_ptr_array_add(m->links, l);
     }
     return m;
--- a/src/relay/links.c
+++ b/src/relay/links.c
@@ -76,8 +76,7 @@
     if (user != NULL) {
         user->lost(l->ctx, why);
     }
-    g_hash_table_destroy(l->settings);
-    g_hash_table_destroy(l->prepared);
+    link_setup_destroy(l->setup);
     g_free(l->account);
     g_free(l);
 }
@@ -238,6 +237,7 @@
 
     member_mark_reachable(m, now);
     l->outstanding--;
+    link_setup_answered(l->setup, a->failure);
     if (a->failure == FAILURE_BUSY) {
         mark_busy(m, now);
     }
@@ -268,6 +268,11 @@
     if (l->outstanding > 0) {
         return;
     }
+    if (!link_setup_is_known(l->setup)) {
+        link_drop(l, "settings unknown");
+        service_dispatch(s);
+        return;
+    }
     if (a->state != TRANSACTION_NONE) {
         if (l->state == LINK_ROLLING_BACK) {
             link_drop(l, "rollback failed");
@@ -319,9 +324,7 @@
     l->state = LINK_OPENING;
     l->sent_at = now;
     l->changed_at = now;
-    l->settings =
-        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
-    l->prepared = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    l->setup = link_setup_create();
     l->codec_link =
         s->codec->open(s->codec->ctx, &m->entry, l->account, &link_events, l);
     g_ptr_array_add(m->links, l);
@@ -368,6 +371,7 @@
     l->min_position = min_position != NULL ? *min_position : (struct token){0};
     l->timed = verb_runs_at_member(r->verb);
     l->lease_at_send = l->as_primary && s->lease_valid(s->ctx, s->name, now);
+    link_setup_sent(l->setup, r);
     s->codec->send(l->codec_link, r, min_position);
 }
 
@@ -471,30 +475,9 @@
                              l->member->service->resumed_at);
 }
 
-uint64_t
-pooled_settings_hash(const struct pooled_link *l)
-{
-    return l->settings_hash;
-}
-
-/* Returns the settings in effect on the connection, name -> value. The user
-   updates them after it sends SET or RESET, and then sets their hash. */
-GHashTable *
-pooled_settings(struct pooled_link *l)
-{
-    return l->settings;
-}
-
-void
-pooled_set_settings_hash(struct pooled_link *l, uint64_t hash)
-{
-    l->settings_hash = hash;
-}
-
-/* Returns the set of statement names prepared on the connection, which the
-   user updates. */
-GHashTable *
-pooled_prepared_names(struct pooled_link *l)
+/* Returns the settings and prepared statements in effect on the connection. */
+struct link_setup *
+pooled_setup(const struct pooled_link *l)
 {
-    return l->prepared;
+    return l->setup;
 }
--- a/src/relay/service.h
+++ b/src/relay/service.h
@@ -132,9 +132,6 @@
 bool pooled_is_primary(const struct pooled_link *l);
 const char *pooled_member(const struct pooled_link *l);
 int64_t pooled_silent_ms(const struct pooled_link *l, clock_ms now);
-uint64_t pooled_settings_hash(const struct pooled_link *l);
-GHashTable *pooled_settings(struct pooled_link *l);
-void pooled_set_settings_hash(struct pooled_link *l, uint64_t hash);
-GHashTable *pooled_prepared_names(struct pooled_link *l);
+struct link_setup *pooled_setup(const struct pooled_link *l);
 
 #endif
--- a/src/relay/service_internal.h
+++ b/src/relay/service_internal.h
@@ -2,6 +2,7 @@
 #define RELAY_SERVICE_INTERNAL_H
 
 #include "base/rng.h"
+#include "relay/link_setup.h"
 #include "relay/placement.h"
 #include "relay/position_samples.h"
 #include "relay/replica_lag.h"
@@ -112,9 +113,7 @@
     clock_ms changed_at;       /* last change of state */
     bool lease_at_send;        /* the lease was valid at sent_at */
     struct token min_position; /* position that the last request required */
-    GHashTable *settings;
-    uint64_t settings_hash;
-    GHashTable *prepared; /* set of names */
+    struct link_setup *setup;
     const struct pooled_user *user;
     void *ctx;
 };
--- a/src/relay/session.c
+++ b/src/relay/session.c
@@ -3,7 +3,6 @@
 #include "base/event_log.h"
 
 #include <string.h>
-#include <xxhash.h>
 
 static void
 prepared_free(void *p)
@@ -191,25 +190,6 @@
     return stmt;
 }
 
-/* Returns a hash that does not depend on the order of the settings, and is 0
-   for none. */
-static uint64_t
-hash_settings(GHashTable *settings)
-{
-    GHashTableIter i;
-    void *name;
-    void *value;
-    uint64_t hash = 0;
-
-    g_hash_table_iter_init(&i, settings);
-    while (g_hash_table_iter_next(&i, &name, &value)) {
-        char *pair = g_strconcat(name, "=", value, NULL);
-        hash += XXH64(pair, strlen(pair), 1) | 1;
-        g_free(pair);
-    }
-    return hash;
-}
-
 /* Looks up the database in the newest configuration. Returns false if it or
    its service is unknown. */
 static bool
@@ -313,7 +293,7 @@
 
     g_hash_table_replace(s->settings, g_strndup(r->name.p, r->name.n),
                          g_strndup(r->rest.p, r->rest.n));
-    s->settings_hash = hash_settings(s->settings);
+    s->settings_hash = settings_hash(s->settings);
     session_answer_success(s);
 }
 
--- a/src/relay/session_internal.h
+++ b/src/relay/session_internal.h
@@ -1,6 +1,7 @@
 #ifndef RELAY_SESSION_INTERNAL_H
 #define RELAY_SESSION_INTERNAL_H
 
+#include "relay/link_setup.h"
 #include "relay/session.h"
 
 /* Shared by authorization.c, relay.c, session.c and exchange.c only. */
--- a/tests/relay/test_session.c
+++ b/tests/relay/test_session.c
@@ -522,20 +522,27 @@
     fixture_teardown(&f);
 }
 
-/* Sends SET with a name and a value, and then a read. Returns the connection
-   on which the read was sent, after its answers. */
-static struct member_link *
-read_with_setting(struct fixture *f, struct session *s, const char *name,
-                  const char *value)
+static void
+request_set(struct session *s, const char *name, const char *value)
 {
     const struct request set = {.verb = VERB_SET,
                                 .id = SVIEW("q1"),
                                 .text = SVIEW("SET"),
                                 .name = sview_from(name),
                                 .rest = sview_from(value)};
-    const int answers = f->answers;
 
     session_request(s, &set);
+}
+
+/* Sends SET with a name and a value, and then a read. Returns the connection
+   on which the read was sent, after its answers. */
+static struct member_link *
+read_with_setting(struct fixture *f, struct session *s, const char *name,
+                  const char *value)
+{
+    const int answers = f->answers;
+
+    request_set(s, name, value);
     fixture_request(s, VERB_READ, "READ x");
     fixture_accept_all(f);
     struct member_link *l = fixture_last_used_link(f);
@@ -593,6 +600,131 @@
     }
 }
 
+/* Begins a transaction with a read, which the primary has answered. */
+static struct member_link *
+begin_with_read(struct fixture *f, struct session *s)
+{
+    fixture_request(s, VERB_BEGIN, "BEGIN");
+    fixture_request(s, VERB_READ, "READ x");
+    fixture_accept_all(f);
+    struct member_link *l = fixture_last_used_link(f);
+    const int answers = f->answers;
+    for (int i = 0; i < 8 && f->answers == answers; i++) {
+        fixture_answer(l, FAILURE_NONE, TRANSACTION_OPEN, 3, 7);
+    }
+    assert_int_equal(f->answers, answers + 1);
+    return l;
+}
+
+/* Guards against statements that run with the settings of another session,
+   after a member has refused a SET in a transaction. */
+static void
+test_refused_setting_is_not_in_effect(void **state)
+{
+    struct fixture f;
+
+    (void)state;
+    fixture_setup(&f, FRESHNESS_PRIMARY);
+    struct session *s = fixture_session(&f);
+    struct member_link *l = begin_with_read(&f, s);
+    request_set(s, "region", "north");
+    fixture_request(s, VERB_READ, "READ y");
+    assert_int_equal(count_sent(l, VERB_SET), 1);
+    fixture_answer(l, FAILURE_BUSY, TRANSACTION_OPEN, 3, 7);
+    assert_int_equal(f.failure, FAILURE_ABORTED);
+    fixture_answer(l, FAILURE_NONE, TRANSACTION_NONE, 3, 7); /* ROLLBACK */
+    fixture_request(s, VERB_ROLLBACK, "ROLLBACK");
+    fixture_advance_time(&f, 100);
+    const int reads = count_sent(l, VERB_READ);
+    assert_ptr_equal(begin_with_read(&f, s), l);
+    assert_int_equal(count_sent(l, VERB_SET), 2);
+    assert_int_equal(count_sent(l, VERB_READ), reads + 1);
+    session_end(s);
+    fixture_teardown(&f);
+}
+
+/* Guards against an EXECUTE of a statement that the member does not know,
+   after it has refused the PREPARE in a transaction. */
+static void
+test_refused_prepare_is_repeated(void **state)
+{
+    const struct request prepare = {.verb = VERB_PREPARE_READ,
+                                    .id = SVIEW("q1"),
+                                    .text = SVIEW("PREPARE s1"),
+                                    .name = SVIEW("s1"),
+                                    .rest = SVIEW("shape")};
+    const struct request execute = {.verb = VERB_EXECUTE,
+                                    .id = SVIEW("q2"),
+                                    .text = SVIEW("EXECUTE s1 x"),
+                                    .name = SVIEW("s1"),
+                                    .rest = SVIEW("x")};
+    struct fixture f;
+
+    (void)state;
+    fixture_setup(&f, FRESHNESS_PRIMARY);
+    struct session *s = fixture_session(&f);
+    session_request(s, &prepare);
+    for (int i = 1; i <= 2; i++) {
+        struct member_link *l = begin_with_read(&f, s);
+        session_request(s, &execute);
+        assert_int_equal(count_sent(l, VERB_PREPARE_READ), i);
+        assert_int_equal(count_sent(l, VERB_EXECUTE), 0);
+        fixture_answer(l, FAILURE_BUSY, TRANSACTION_OPEN, 3, 7);
+        assert_int_equal(f.failure, FAILURE_ABORTED);
+        fixture_answer(l, FAILURE_NONE, TRANSACTION_NONE, 3, 7);
+        fixture_request(s, VERB_ROLLBACK, "ROLLBACK");
+        fixture_advance_time(&f, 100);
+    }
+    session_end(s);
+    fixture_teardown(&f);
+}
+
+/* Guards against a setting that counts as in effect although its caller left
+   before the member refused it. */
+static void
+test_setting_refused_after_caller_left(void **state)
+{
+    struct fixture f;
+
+    (void)state;
+    fixture_setup(&f, FRESHNESS_PRIMARY);
+    struct session *a = fixture_session(&f);
+    struct session *b = fixture_session(&f);
+    request_set(a, "region", "north");
+    fixture_request(a, VERB_READ, "READ x");
+    fixture_accept_all(&f);
+    struct member_link *l = fixture_last_used_link(&f);
+    assert_int_equal(count_sent(l, VERB_SET), 1);
+    session_end(a);
+    fixture_answer(l, FAILURE_BUSY, TRANSACTION_NONE, 3, 7);
+    fixture_advance_time(&f, 100);
+    assert_ptr_equal(read_with_setting(&f, b, "region", "north"), l);
+    assert_int_equal(count_sent(l, VERB_SET), 2);
+    session_end(b);
+    fixture_teardown(&f);
+}
+
+/* Guards against the use of a connection whose settings are not known: the
+   member may have executed a SET that failed. */
+static void
+test_connection_with_unknown_settings_is_closed(void **state)
+{
+    struct fixture f;
+
+    (void)state;
+    fixture_setup(&f, FRESHNESS_PRIMARY);
+    struct session *s = fixture_session(&f);
+    struct member_link *l = begin_with_read(&f, s);
+    request_set(s, "region", "north");
+    fixture_request(s, VERB_READ, "READ y");
+    fixture_answer(l, FAILURE_TIMEOUT, TRANSACTION_OPEN, 3, 7);
+    assert_int_equal(f.failure, FAILURE_ABORTED);
+    fixture_answer(l, FAILURE_NONE, TRANSACTION_NONE, 3, 7);
+    assert_true(l->closed);
+    session_end(s);
+    fixture_teardown(&f);
+}
+
 /* Opens a transaction with one write, which the primary has answered. */
 static struct member_link *
 open_transaction(struct fixture *f, struct session *s)
@@ -798,6 +930,10 @@
         cmocka_unit_test(test_position_of_another_proxy),
         cmocka_unit_test(test_lagging_replica_is_not_asked_at_once),
         cmocka_unit_test(test_settings_are_compared_by_value),
+        cmocka_unit_test(test_refused_setting_is_not_in_effect),
+        cmocka_unit_test(test_refused_prepare_is_repeated),
+        cmocka_unit_test(test_setting_refused_after_caller_left),
+        cmocka_unit_test(test_connection_with_unknown_settings_is_closed),
         cmocka_unit_test(test_shutdown_ends_transactions),
         cmocka_unit_test(test_shutdown_leaves_time_for_short_statements),
         cmocka_unit_test(test_synchronous_commit_needs_the_lease),
