--- a/src/coordination/primary_change.c
+++ b/src/coordination/primary_change.c
@@ -238,6 +238,25 @@
     primary_change_enter_phase(c, c->after_demote, now);
 }
 
+/* Returns true if a candidate that is not draining has still to answer. */
+static bool
+awaits_better_candidate(const struct primary_change *c,
+                        const struct view_entry *e,
+                        const struct member_state *best, clock_ms now)
+{
+    if (!best->draining || now - c->phase_since >= SURVEY_TIMEOUT_MS) {
+        return false;
+    }
+    for (int i = 0; i < c->count; i++) {
+        const struct member_state *m = &c->members[i];
+        if (!m->answered && strcmp(m->id, e->primary) != 0 &&
+            successor_is_candidate(m, false, now)) {
+            return true;
+        }
+    }
+    return false;
+}
+
 /* Waits for a candidate that has received the demoted primary's whole log. */
 static void
 run_catch_up(struct promoter *p, struct primary_change *c,
@@ -245,7 +264,8 @@
 {
     const struct member_state *best = successor_preferred(c, e->primary, now);
 
-    if (best != NULL && !successor_is_ahead(&c->target, &best->report)) {
+    if (best != NULL && !successor_is_ahead(&c->target, &best->report) &&
+        !awaits_better_candidate(c, e, best, now)) {
         primary_change_enter_phase(c, PHASE_ORDER, now);
         return;
     }
--- a/tests/coordination/test_promoter.c
+++ b/tests/coordination/test_promoter.c
@@ -313,6 +313,67 @@
     teardown(&f);
 }
 
+/* Begins a planned switch away from m1 while m2 is draining too. m1 has
+   stepped down, and m2 is the first to answer that it has the whole log. */
+static void
+setup_leaving_replica(struct fixture *f)
+{
+    const struct member_report down = {
+        .term = 8, .received_term = 7, .received_position = 42};
+
+    setup(f, "b", false);
+    members[0].draining = true;
+    members[1].draining = true;
+    run_for(f, 50, false, 5);
+    report(f, "m1", true, 7, 39);
+    report(f, "m3", false, 7, 39);
+    run_for(f, 50, false, 5);
+    assert_int_equal(f->writes, 1);
+    accept_write(f);
+    run_for(f, 75, false, 6);
+    report(f, "m1", true, 7, 40);
+    report(f, "m2", false, 7, 40);
+    report(f, "m3", false, 7, 40);
+    run_for(f, 50, false, 6);
+    assert_int_equal(f->demotes, 1);
+    promoter_member_answered(f->promoter, "db", "m1", f->round, &down, f->now);
+    run_for(f, 50, false, 6);
+    report(f, "m2", false, 7, 42);
+    run_for(f, 50, false, 6);
+}
+
+/* Guards against promoting a member that is about to leave because it answers
+   sooner than one that stays. */
+static void
+test_switch_passes_over_a_leaving_replica(void **state)
+{
+    struct fixture f;
+
+    (void)state;
+    setup_leaving_replica(&f);
+    report(&f, "m3", false, 7, 42);
+    run_for(&f, 50, false, 6);
+    accept_order_record(&f, "m3", 0);
+    run_for(&f, 50, false, 7);
+    assert_int_equal(f.orders, 1);
+    assert_string_equal(f.ordered, "m3");
+    teardown(&f);
+}
+
+/* Guards against a switch that waits without end for a member that does not
+   answer. */
+static void
+test_leaving_replica_is_promoted_at_last(void **state)
+{
+    struct fixture f;
+
+    (void)state;
+    setup_leaving_replica(&f);
+    run_for(&f, 350, false, 6);
+    accept_order_record(&f, "m2", 0);
+    teardown(&f);
+}
+
 /* Guards against a planned switch in which the primary steps down while an
    earlier one still leads: replicas would follow that one and discard commits
    that were acknowledged in the newest term. */
@@ -1161,6 +1222,8 @@
         cmocka_unit_test(test_new_holder_gets_full_timeout),
         cmocka_unit_test(test_lost_primary_is_replaced),
         cmocka_unit_test(test_planned_switch_waits_for_the_log),
+        cmocka_unit_test(test_switch_passes_over_a_leaving_replica),
+        cmocka_unit_test(test_leaving_replica_is_promoted_at_last),
         cmocka_unit_test(test_earlier_primary_steps_down_first),
         cmocka_unit_test(test_switch_waits_for_an_earlier_primary),
         cmocka_unit_test(test_stubborn_earlier_primary_is_passed_over),
