--- a/src/coordination/primary_change.c
+++ b/src/coordination/primary_change.c
@@ -134,6 +134,7 @@
     }
     m->answered = true;
     m->report = *report;
+    successor_check_refilled(m);
     event_log(EVENT_STATE, "member_status",
               "service=%s member=%s primary=%d term=%llu received=%llu.%llu "
               "age_ms=%lld",
--- a/src/coordination/promoter.c
+++ b/src/coordination/promoter.c
@@ -98,15 +98,36 @@
     return c;
 }
 
+/* Records that a member has started again with an empty log, and which
+   position it has to reach until it holds all that it has confirmed. */
+static void
+track_restart(struct member_state *m, const struct service_member *from,
+              const struct service_state *state, clock_ms now)
+{
+    if (m->started_at == 0 ? from->started_recently
+                           : from->started_at > m->started_at) {
+        m->emptied_at = now;
+        m->emptied_position.known = false;
+    }
+    m->started_at = MAX(m->started_at, from->started_at);
+    if (m->emptied_at != 0 && !m->emptied_position.known &&
+        state->primary_position.known &&
+        state->primary_position_at >= m->emptied_at) {
+        m->emptied_position = state->primary_position;
+    }
+}
+
 /* Replaces the list of members; the state of members that stay is kept. */
 static void
-update_members(struct primary_change *c, const struct service_member *members,
-               size_t n)
+update_members(struct primary_change *c, const struct service_state *state,
+               clock_ms now)
 {
+    const struct service_member *members = state->members;
     struct member_state kept[SERVICE_MEMBERS_MAX] = {0};
     int count = 0;
 
-    for (size_t i = 0; i < n && count < SERVICE_MEMBERS_MAX; i++) {
+    for (size_t i = 0; i < state->member_count && count < SERVICE_MEMBERS_MAX;
+         i++) {
         const struct member_state *old =
             primary_change_find_member(c, members[i].id);
         struct member_state *m = &kept[count++];
@@ -118,6 +139,7 @@
         m->draining = members[i].draining;
         m->says_primary = members[i].says_primary;
         m->replaced = members[i].replaced;
+        track_restart(m, &members[i], state, now);
     }
     memcpy(c->members, kept, sizeof(kept));
     c->count = count;
@@ -503,10 +525,14 @@
     const struct view *v = agreement_view(p->agreement);
     struct primary_change *c = promoter_get_primary_change(p, service);
 
-    update_members(c, state->members, state->member_count);
+    update_members(c, state, now);
     c->sync_replicas = state->sync_replicas;
     c->newest_commit_term =
         MAX(c->newest_commit_term, state->newest_commit_term);
+    if (state->primary_position.known) {
+        token_raise(&c->newest_position, state->primary_position.term,
+                    state->primary_position.position);
+    }
     if (agreement_view_is_lost(p->agreement) && v->version > 0) {
         c->phase = PHASE_NONE;
         c->record_pending = false;
--- a/src/coordination/promoter.h
+++ b/src/coordination/promoter.h
@@ -40,6 +40,9 @@
     bool says_primary;
     bool replaced; /* another listed member has its address, and its log if it
                       has left in order */
+    int64_t started_at; /* changes when it starts again, with an empty log; 0
+                           if unknown */
+    bool started_recently; /* its log may still be empty */
 };
 
 /* What this proxy knows of a service. */
@@ -50,6 +53,10 @@
     int sync_replicas;
     /* Term of the newest commit that this proxy has seen; 0 if unknown. */
     uint64_t newest_commit_term;
+    /* A position that the primary had reached at primary_position_at (clock
+       of promoter_tick()) or later. */
+    struct token primary_position;
+    clock_ms primary_position_at;
     bool primary_unreachable; /* from this proxy */
 };
 
--- a/src/coordination/promoter_internal.h
+++ b/src/coordination/promoter_internal.h
@@ -38,6 +38,12 @@
     clock_ms queried_at;
     clock_ms excluded_until;
     clock_ms demote_sent_at;
+    int64_t started_at;
+    /* It has started again, and may have confirmed commits that it does not
+       hold any more; 0 once it is known to have received them again. */
+    clock_ms emptied_at;
+    struct token emptied_position; /* no commit that it may lack is beyond it;
+                                      known once a primary has answered */
 };
 
 /* The change of one service's primary: since when each reason for it has
@@ -81,7 +87,8 @@
     int sync_replicas;
     bool order_unknown;  /* the store may have lost an order */
     clock_ms expired_at; /* when older views had expired; 0 if not yet */
-    uint64_t newest_commit_term; /* known here; 0 if unknown */
+    uint64_t newest_commit_term;  /* known here; 0 if unknown */
+    struct token newest_position; /* of a primary, known here */
 };
 
 struct promoter {
@@ -136,6 +143,7 @@
 int64_t successor_wait_ms(const struct primary_change *c,
                           const struct view_entry *e,
                           const struct member_state *candidate);
+void successor_check_refilled(struct member_state *m);
 bool successor_orders_settled(const struct primary_change *c, clock_ms now);
 bool successor_may_adopt(const struct primary_change *c,
                          const struct member_state *m,
--- a/src/coordination/successor.c
+++ b/src/coordination/successor.c
@@ -87,10 +87,40 @@
            (e->term != 0 && m->report.received_term == e->term);
 }
 
+/* Called with each answer of a member. One that started again holds all that
+   it had confirmed once its log has reached a later position of a primary. */
+void
+successor_check_refilled(struct member_state *m)
+{
+    if (m->emptied_at != 0 && m->emptied_position.known &&
+        token_is_satisfied(&m->emptied_position, m->report.received_term,
+                           m->report.received_position)) {
+        m->emptied_at = 0;
+    }
+}
+
+#ifndef SUCCESSOR_BREAK_SYNCHRONOUS
+/* Returns true if a replica may have confirmed commits that its answer does
+   not show. */
+static bool
+may_have_confirmed_more(const struct member_state *m)
+{
+#if defined(SUCCESSOR_BREAK_LEFT)
+    return !m->answered && !(m->draining && !m->listed);
+#elif defined(SUCCESSOR_BREAK_EMPTIED)
+    return !m->answered && !m->replaced;
+#else
+    return m->answered ? m->emptied_at != 0 : !m->replaced;
+#endif
+}
+#endif
+
 /* Returns true if a member has received every commit that was acknowledged
    with sync_replicas: it has the whole log of a primary that stepped down, or
    no replica that may have confirmed a commit is ahead of it. Fewer replicas
-   than sync_replicas may be missing, since each commit is on so many. */
+   than sync_replicas may be missing, since each commit is on so many. If no
+   answer shows the newest position that is known here, a replica has lost what
+   it had confirmed. */
 static bool
 has_synchronous_commits(const struct primary_change *c,
                         const struct view_entry *e,
@@ -119,17 +149,20 @@
         if (strcmp(m->id, e->primary) == 0) {
             continue;
         }
-#ifdef SUCCESSOR_BREAK_LEFT
-        missing += !m->answered && !(m->draining && !m->listed);
-#else
-        missing += !m->answered && !m->replaced;
-#endif
+        missing += may_have_confirmed_more(m);
         if (m->answered &&
             successor_is_ahead(&m->report, &candidate->report)) {
             return false;
         }
     }
+#ifdef SUCCESSOR_BREAK_EMPTIED
     return missing < c->sync_replicas;
+#endif
+    return missing < c->sync_replicas &&
+           (!c->newest_position.known ||
+            token_is_satisfied(&c->newest_position,
+                               candidate->report.received_term,
+                               candidate->report.received_position));
 #endif
 }
 
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -32,6 +32,8 @@
 #define IDLE_TICK_INTERVAL 8
 /* Interval between updates of the lists in the store. */
 #define LIST_INTERVAL_MS 1500
+/* A member that started longer ago has received the log since. */
+#define RECENT_MEMBER_START_MS 30000
 #define LOG_FLUSH_INTERVAL_MS 1000
 
 /* Returns the time on the clock of the coordination; called by services and
@@ -128,20 +130,24 @@
                 .draining = m->entry.draining,
                 .says_primary = m->entry.says_primary,
                 .replaced = node_is_replaced(n, &r, m),
+                .started_at = m->entry.started_at,
+                .started_recently = clock_realtime_ms() - m->entry.started_at <
+                                    RECENT_MEMBER_START_MS,
             };
         }
         const struct service_limits *limits =
             g_hash_table_lookup(n->catalog->services, name);
-        clock_ms at;
-        struct token newest;
+        clock_ms at = 0;
+        struct token newest = {0};
+        const bool known =
+            service_newest_primary_position(service, &at, &newest);
         const struct service_state state = {
             .members = list,
             .member_count = count,
             .sync_replicas = limits != NULL ? limits->sync_replicas : 0,
-            .newest_commit_term =
-                service_newest_primary_position(service, &at, &newest)
-                    ? newest.term
-                    : 0,
+            .newest_commit_term = known ? newest.term : 0,
+            .primary_position = newest,
+            .primary_position_at = at,
             .primary_unreachable = service_primary_unreachable(service, now),
         };
         promoter_tick(n->promoter, name, &state, now);
--- a/tests/coordination/model_primary_change.c
+++ b/tests/coordination/model_primary_change.c
@@ -38,6 +38,7 @@
 #define MESSAGE_MS 400
 #define CONFIRM_MS 300
 #define UNREACHABLE_MS 400
+#define RECENT_START_MS 30000
 #define SERVICE "db"
 
 static const char *const proxy_names[PROXIES] = {"a", "b", "c"};
@@ -60,8 +61,12 @@
     clock_ms deaf_until; /* receives nothing */
     int64_t lag_ms;
     bool draining;
-    clock_ms unlisted_until;   /* the directory has no entry of it */
-    clock_ms sees_newer_since; /* as a replaced primary; 0 if not */
+    clock_ms unlisted_until;    /* the directory has no entry of it */
+    clock_ms sees_newer_since;  /* as a replaced primary; 0 if not */
+    int64_t started_at;         /* changes when it starts with an empty log */
+    clock_ms started_listed_at; /* when the directory shows that */
+    int refill_length;          /* until it has that, it may lack commits that
+                                   it has confirmed */
 };
 
 /* A commit that no replica has received yet. */
@@ -71,6 +76,7 @@
     int member;
     int proxy;
     uint64_t incarnation;
+    clock_ms at;
 };
 
 /* Versions of the row of the view, and of the row that says in which era the
@@ -106,6 +112,8 @@
     enum order_result result;
     struct member_report report;
     struct agreement_message *message;
+    struct token position; /* of the primary, known to the sender */
+    clock_ms position_at;
     struct view *view;
     clock_ms asked_at;
     uint64_t era; /* of the store: known by the writer, or of the answer */
@@ -132,6 +140,8 @@
     clock_ms message_at;
     clock_ms asked_at;
     uint64_t sent_version;
+    struct token primary_position; /* in the newest answer of a primary */
+    clock_ms primary_position_at;
     uint64_t era;             /* of the store, as far as it knows */
     struct row_versions rows; /* in that era */
 };
@@ -159,6 +169,7 @@
     uint64_t newest_commit_term;
     int64_t promotion_ms;
     int sync_replicas;
+    bool emptied_members; /* replicas start again with an empty log */
     uint32_t next_id;
     uint32_t acked[LOG_MAX]; /* ids of acknowledged entries */
     int acked_count;
@@ -359,7 +370,9 @@
         schedule((struct event){.kind = EVENT_MESSAGE,
                                 .at = delay(1, 4),
                                 .proxy = k,
-                                .message = m});
+                                .message = m,
+                                .position = p->primary_position,
+                                .position_at = p->primary_position_at});
     }
 }
 
@@ -569,6 +582,10 @@
     }
     switch (e->kind) {
     case EVENT_MESSAGE:
+        if (e->position_at > p->primary_position_at) {
+            p->primary_position = e->position;
+            p->primary_position_at = e->position_at;
+        }
         if (agreement_receive(p->agreement, e->message, w.now)) {
             agreement_set_applied(p->agreement,
                                   agreement_view(p->agreement)->version);
@@ -723,7 +740,8 @@
                                     .term = e.term,
                                     .member = i,
                                     .proxy = (int)(p - w.proxies),
-                                    .incarnation = p->incarnation};
+                                    .incarnation = p->incarnation,
+                                    .at = w.now};
     }
 }
 
@@ -760,7 +778,13 @@
             continue;
         }
         if (open && passes_answer_on(c) && w.acked_count < LOG_MAX) {
+            struct proxy *p = &w.proxies[c->proxy];
             w.acked[w.acked_count++] = c->id;
+            p->primary_position =
+                (struct token){.term = c->term,
+                               .position = (uint64_t)m->length,
+                               .known = true};
+            p->primary_position_at = c->at;
         }
         w.pending[i] = w.pending[--w.pending_count];
     }
@@ -806,6 +830,12 @@
             .listed = w.now >= w.members[i].unlisted_until,
             .draining = w.members[i].draining,
             .says_primary = w.members[i].primary,
+            .started_at = w.now >= w.members[i].started_listed_at
+                              ? w.members[i].started_at
+                              : 1,
+            .started_recently =
+                w.now >= w.members[i].started_listed_at &&
+                w.now - w.members[i].started_at < RECENT_START_MS,
         };
     }
     const struct service_state state = {
@@ -813,6 +843,8 @@
         .member_count = MEMBERS,
         .sync_replicas = w.sync_replicas,
         .newest_commit_term = w.newest_commit_term,
+        .primary_position = p->primary_position,
+        .primary_position_at = p->primary_position_at,
         .primary_unreachable = primary >= 0 && !answers(&w.members[primary]),
     };
     promoter_tick(p->promoter, SERVICE, &state, w.now);
@@ -840,6 +872,48 @@
     }
 }
 
+/* Returns true if a promotion is on its way. */
+static bool
+is_ordering(void)
+{
+    for (int i = 0; i < w.event_count; i++) {
+        const enum event_kind kind = w.events[i].kind;
+        if (kind == EVENT_WRITE || kind == EVENT_ORDER ||
+            kind == EVENT_PROMOTION) {
+            return true;
+        }
+    }
+    return w.stored.entries[0].ordered[0] != '\0';
+}
+
+/* A replica starts again with an empty log. It does so only while all others
+   hold what they have confirmed; the primary then often crashes. */
+static void
+empty_replica(void)
+{
+    struct member *p = newest_primary();
+    struct member *m = &w.members[rng_below(&w.rng, MEMBERS)];
+
+    for (int i = 0; i < MEMBERS; i++) {
+        const struct member *other = &w.members[i];
+        if (other->length < other->refill_length) {
+            return;
+        }
+    }
+    if (p == NULL || p == m || m->primary || !is_up(p) || is_ordering()) {
+        return; /* it could be promoted without a log */
+    }
+    m->refill_length = p->length;
+    m->length = 0;
+    m->term = 0;
+    m->started_at = w.now;
+    m->down_until = delay(50, 800);
+    m->started_listed_at = m->down_until + (clock_ms)rng_below(&w.rng, 1500);
+    if (chance(60)) {
+        p->down_until = delay(200, 3500);
+    }
+}
+
 /* Disturbs a member or a proxy; often the holder or the primary. */
 static void
 inject_fault(void)
@@ -857,6 +931,10 @@
     struct member *m = &w.members[i];
     struct proxy *p = &w.proxies[k];
     const clock_ms end = delay(200, 3500);
+    if (w.emptied_members && chance(10)) {
+        empty_replica();
+        return;
+    }
     switch (rng_below(&w.rng, 11)) {
     case 0:
         m->down_until = end;
@@ -955,7 +1033,7 @@
 }
 
 static void
-run_seed(uint64_t seed, bool restored_store)
+run_seed(uint64_t seed, bool restored_store, bool emptied_members)
 {
     for (int k = 0; k < PROXIES; k++) {
         if (w.proxies[k].agreement != NULL) {
@@ -972,10 +1050,12 @@
     w.now = 100000;
     w.newest_term = 1;
     w.promotion_ms = 100 + (int64_t)rng_below(&w.rng, 1100);
-    w.sync_replicas = chance(50);
+    w.sync_replicas = chance(50) || emptied_members;
+    w.emptied_members = emptied_members;
     for (int i = 0; i < MEMBERS; i++) {
         w.members[i].term = 1;
         w.members[i].primary = i == 0;
+        w.members[i].started_at = 1;
     }
     w.stored.version = 1;
     w.counter = 1;
@@ -1024,8 +1104,8 @@
 main(int argc, char **argv)
 {
     if (argc < 3) {
-        fprintf(stderr,
-                "usage: model_primary_change FIRST_SEED COUNT [restored]\n");
+        fprintf(stderr, "usage: model_primary_change FIRST_SEED COUNT "
+                        "[restored|emptied]\n");
         return 2;
     }
     const uint64_t first = strtoull(argv[1], NULL, 10);
@@ -1033,7 +1113,8 @@
     uint64_t failed = 0;
 
     for (uint64_t i = 0; i < count; i++) {
-        run_seed(first + i, argc > 3 && strcmp(argv[3], "restored") == 0);
+        run_seed(first + i, argc > 3 && strcmp(argv[3], "restored") == 0,
+                 argc > 3 && strcmp(argv[3], "emptied") == 0);
         failed += w.broken != NULL;
     }
     printf("seeds=%llu failed=%llu\n", (unsigned long long)count,
--- a/tests/coordination/test_promoter.c
+++ b/tests/coordination/test_promoter.c
@@ -39,6 +39,8 @@
 
 static int sync_replicas;
 static uint64_t newest_commit_term; /* known to the promoter's proxy */
+static struct token primary_position;
+static clock_ms primary_position_at;
 
 static void
 write_view(void *ctx, const struct view *next)
@@ -97,10 +99,12 @@
     f->promoter = promoter_create("b", f->agreement, &actions);
     sync_replicas = 0;
     newest_commit_term = 0;
+    primary_position.known = false;
     for (int i = 0; i < 3; i++) {
         members[i].listed = true;
         members[i].draining = false;
         members[i].replaced = false;
+        members[i].started_at = 1000;
         members[i].says_primary = i == 0;
     }
 }
@@ -146,6 +150,8 @@
         .member_count = 3,
         .sync_replicas = sync_replicas,
         .newest_commit_term = newest_commit_term,
+        .primary_position = primary_position,
+        .primary_position_at = primary_position_at,
         .primary_unreachable = unreachable,
     };
 
@@ -820,6 +826,60 @@
     teardown(&f);
 }
 
+/* Guards against the loss of commits that only a replica had confirmed which
+   has started again with an empty log since: its answer does not show them. */
+static void
+test_emptied_replica_is_missing(void **state)
+{
+    struct fixture f;
+
+    (void)state;
+    for (int refilled = 0; refilled < 2; refilled++) {
+        setup(&f, "b", true);
+        sync_replicas = 1;
+        run_for(&f, 25, true, 5);
+        members[1].started_at = 2000;
+        run_for(&f, 25, true, 5);
+        primary_position =
+            (struct token){.term = 7, .position = 20, .known = true};
+        primary_position_at = f.now;
+        run_for(&f, 25, true, 5);
+        report(&f, "m2", false, 7, refilled ? 21 : 5);
+        report(&f, "m3", false, 7, 30);
+        run_for(&f, 350, true, 5);
+        if (refilled) {
+            accept_order_record(&f, "m3", 0);
+        }
+        else {
+            assert_int_equal(f.writes, 0);
+            assert_int_equal(f.orders, 0);
+        }
+        teardown(&f);
+    }
+}
+
+/* Guards against the same loss while the directory does not show yet that the
+   replica has started again. */
+static void
+test_position_that_no_replica_has_is_awaited(void **state)
+{
+    struct fixture f;
+
+    (void)state;
+    setup_synchronous(&f);
+    primary_position =
+        (struct token){.term = 7, .position = 31, .known = true};
+    run_for(&f, 25, true, 5);
+    report(&f, "m2", false, 1, 0);
+    run_for(&f, 350, true, 5);
+    assert_int_equal(f.writes, 0);
+    assert_int_equal(f.orders, 0);
+    /* The wait ends: the members that had it may be lost. */
+    run_for(&f, 8000, true, 5);
+    accept_order_record(&f, "m3", 0);
+    teardown(&f);
+}
+
 /* Guards against the same loss when the entry of the replica has lapsed. */
 static void
 test_unlisted_replica_keeps_synchronous_commits(void **state)
@@ -1241,6 +1301,8 @@
         cmocka_unit_test(test_newest_term_is_awaited),
         cmocka_unit_test(test_deposed_primary_is_not_published),
         cmocka_unit_test(test_draining_replica_keeps_synchronous_commits),
+        cmocka_unit_test(test_emptied_replica_is_missing),
+        cmocka_unit_test(test_position_that_no_replica_has_is_awaited),
         cmocka_unit_test(test_unlisted_replica_keeps_synchronous_commits),
         cmocka_unit_test(test_missing_replica_is_awaited),
         cmocka_unit_test(test_log_of_a_member_that_left_is_awaited),
