--- a/src/coordination/agreement.c
+++ b/src/coordination/agreement.c
@@ -209,10 +209,10 @@
         }
     }
     qsort(r, (size_t)n, sizeof(*r), compare_domain_ranks);
-    a->rank = n;
+    a->witness_order = n;
     for (int i = 0; i < n; i++) {
         if (strcmp(r[i].name, a->name) == 0) {
-            a->rank = i;
+            a->witness_order = i;
         }
     }
     a->is_witness = n <= AGREEMENT_WITNESSES_MAX;
--- a/src/coordination/agreement.h
+++ b/src/coordination/agreement.h
@@ -74,8 +74,8 @@
                                  one; -1: none */
     uint64_t members_version; /* of the list of members; 0: not told */
     uint64_t registry_hash; /* of the registered proxies known to the sender */
-    /* Name hashes of proxies that the sender, a witness, has not heard from
-       for AGREEMENT_SILENT_MS. */
+    /* Name hashes of proxies that the sender has not heard from for
+       AGREEMENT_SILENT_MS: any if it is a witness, otherwise witnesses. */
     uint64_t silent[AGREEMENT_SILENT_MAX];
     int silent_count;
     bool leaving;    /* the sender no longer changes the view */
--- a/src/coordination/agreement_internal.h
+++ b/src/coordination/agreement_internal.h
@@ -54,8 +54,8 @@
     int witnesses; /* number of witnesses, including this proxy if it is one */
     int witness_peers[AGREEMENT_WITNESSES_MAX]; /* indexes in peers */
     int witness_peer_count;
-    int rank; /* place of this proxy in the order in which witnesses are
-                 chosen */
+    int witness_order; /* place of this proxy in the order in which witnesses
+                          are chosen */
     clock_ms peer_left_at;         /* own clock: a proxy has left the list */
     char retired[VIEW_NAME_BYTES]; /* the last peer that this proxy found lost
                                       without a majority of the witnesses */
--- a/src/coordination/lost_peers.c
+++ b/src/coordination/lost_peers.c
@@ -115,7 +115,8 @@
 #ifdef AGREEMENT_BREAK_RETIREMENT
     return false;
 #endif
-    const int step = CLAMP(a->rank - a->witnesses, 0, RETIREMENT_STEPS_MAX);
+    const int step =
+        CLAMP(a->witness_order - a->witnesses, 0, RETIREMENT_STEPS_MAX);
     const int64_t pause_ms = RETIREMENT_PAUSE_MS + RETIREMENT_STEP_MS * step;
 
     return now - a->store_answered_at < AGREEMENT_LEASE_MS &&
@@ -150,7 +151,7 @@
    Usually so many witnesses have to report its silence that the rest cannot
    confirm its lease. If too few witnesses are alive for that, the dead ones
    are replaced first, on the word of a live witness or, if none is left, of
-   any proxy. */
+   any proxy. Such a one is remembered, to see whether it registers again. */
 const char *
 agreement_find_lost_peer(struct agreement *a, clock_ms now)
 {
--- a/src/coordination/successor.c
+++ b/src/coordination/successor.c
@@ -5,6 +5,11 @@
 /* With sync_replicas, a promotion waits this long for replicas that may have
    confirmed commits; members stay silent or crashed for up to 7 s. */
 #define SYNCHRONOUS_LOG_WAIT_MS 8000
+/* A primary that was lost may have had this many entries that it had not sent
+   to a replica. If no more are missing, the promotion waits only until the
+   directory would show that a replica has started again. */
+#define UNSENT_ENTRIES_MAX 20
+#define RESTART_SHOWN_MS 1500
 /* Without, it waits this long if it would discard all commits of the newest
    term. A change, with 0.6 s until it begins and 0.3 s for the promotion, then
    takes 4 s at most. */
@@ -118,9 +123,7 @@
 /* Returns true if a member has received every commit that was acknowledged
    with sync_replicas: it has the whole log of a primary that stepped down, or
    no replica that may have confirmed a commit is ahead of it. Fewer replicas
-   than sync_replicas may be missing, since each commit is on so many. If no
-   answer shows the newest position that is known here, a replica has lost what
-   it had confirmed. */
+   than sync_replicas may be missing, since each commit is on so many. */
 static bool
 has_synchronous_commits(const struct primary_change *c,
                         const struct view_entry *e,
@@ -155,15 +158,31 @@
             return false;
         }
     }
-#ifdef SUCCESSOR_BREAK_EMPTIED
     return missing < c->sync_replicas;
 #endif
-    return missing < c->sync_replicas &&
-           (!c->newest_position.known ||
-            token_is_satisfied(&c->newest_position,
-                               candidate->report.received_term,
-                               candidate->report.received_position));
+}
+
+/* Returns how long a promotion waits because the candidate lacks the newest
+   position that is known here: unless the primary had not sent it to any
+   replica yet, one has lost what it had confirmed. */
+static int64_t
+missing_position_wait_ms(const struct primary_change *c,
+                         const struct member_state *candidate)
+{
+    const struct member_report *r = &candidate->report;
+
+#ifdef SUCCESSOR_BREAK_EMPTIED
+    return 0;
 #endif
+    if (!c->newest_position.known ||
+        token_is_satisfied(&c->newest_position, r->received_term,
+                           r->received_position)) {
+        return 0;
+    }
+    return r->received_position + UNSENT_ENTRIES_MAX >=
+                   c->newest_position.position
+               ? RESTART_SHOWN_MS
+               : SYNCHRONOUS_LOG_WAIT_MS;
 }
 
 /* Returns how long the promotion of a member should wait for others, which may
@@ -175,7 +194,7 @@
 {
     if (c->sync_replicas > 0) {
         return has_synchronous_commits(c, e, candidate)
-                   ? 0
+                   ? missing_position_wait_ms(c, candidate)
                    : SYNCHRONOUS_LOG_WAIT_MS;
     }
     return e->ordered[0] == '\0' &&
