--- a/tests/soak/standin_group.c
+++ b/tests/soak/standin_group.c
@@ -9,6 +9,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#define FIRST_TERM 1
 #define FIRST_MEMBER_PORT 26100
 #define REPLICATION_DELAY_MS 8
 #define PROMOTION_DELAY_MS 100
@@ -501,19 +502,25 @@
     g_string_append(c->reply, "COMPLETE sig\r\n");
 }
 
-/* Returns true if the log has reached TERM.POSITION. */
+/* Returns true if the log has reached TERM.POSITION. A replica that follows a
+   new primary may still lack entries of earlier terms, so only the entries
+   that it has received count. */
 static bool
 has_position(const struct member *m, const char *text)
 {
+    const struct entry *last =
+        m->log->len == 0 ? NULL : entry(m, m->log->len - 1);
+    const uint64_t own_term = m->primary     ? m->term
+                              : last == NULL ? FIRST_TERM
+                                             : last->term;
     char **parts = g_strsplit(text, ".", 2);
     const uint64_t term = strtoull(parts[0], NULL, 10);
     const uint64_t position =
         parts[1] == NULL ? 0 : strtoull(parts[1], NULL, 10);
-    const uint64_t own =
-        m->log->len == 0 ? 0 : entry(m, m->log->len - 1)->position;
+    const uint64_t own = last == NULL ? 0 : last->position;
 
     g_strfreev(parts);
-    return token_compare(m->term, own, term, position) >= 0;
+    return token_compare(own_term, own, term, position) >= 0;
 }
 
 /* Appends the row that answers STATUS and DEMOTE. */
@@ -736,7 +743,7 @@
         struct member *m = &g->members[i];
         m->group = g;
         m->index = i;
-        m->term = 1;
+        m->term = FIRST_TERM;
         m->primary = i == 0;
         m->log = g_array_new(FALSE, TRUE, sizeof(struct entry));
         g_queue_init(&m->conns);
