--- a/src/coordination/lost_peers.c
+++ b/src/coordination/lost_peers.c
@@ -113,8 +113,10 @@
 may_retire_witness(const struct agreement *a, clock_ms now)
 {
 #ifdef AGREEMENT_BREAK_RETIREMENT
+    (void)a;
+    (void)now;
     return false;
-#endif
+#else
     const int step =
         CLAMP(a->witness_order - a->witnesses, 0, RETIREMENT_STEPS_MAX);
     const int64_t pause_ms = RETIREMENT_PAUSE_MS + RETIREMENT_STEP_MS * step;
@@ -122,6 +124,7 @@
     return now - a->store_answered_at < AGREEMENT_LEASE_MS &&
            now >= a->retirement_paused_until &&
            (a->peer_left_at == 0 || now - a->peer_left_at >= pause_ms);
+#endif
 }
 
 /* Returns true if a peer has been silent for AGREEMENT_SILENT_MS to this proxy
--- a/src/coordination/successor.c
+++ b/src/coordination/successor.c
@@ -169,11 +169,13 @@
 missing_position_wait_ms(const struct primary_change *c,
                          const struct member_state *candidate)
 {
-    const struct member_report *r = &candidate->report;
-
 #ifdef SUCCESSOR_BREAK_EMPTIED
+    (void)c;
+    (void)candidate;
     return 0;
-#endif
+#else
+    const struct member_report *r = &candidate->report;
+
     if (!c->newest_position.known ||
         token_is_satisfied(&c->newest_position, r->received_term,
                            r->received_position)) {
@@ -183,6 +185,7 @@
                    c->newest_position.position
                ? RESTART_SHOWN_MS
                : SYNCHRONOUS_LOG_WAIT_MS;
+#endif
 }
 
 /* Returns how long the promotion of a member should wait for others, which may
