--- a/src/coordination/primary_change.c
+++ b/src/coordination/primary_change.c
@@ -239,19 +239,25 @@
     primary_change_enter_phase(c, c->after_demote, now);
 }
 
-/* Returns true if a candidate that is not draining has still to answer. */
+/* Returns true if a member that would be chosen in place of best has still to
+   answer: the one that was ordered, whose order may take effect later, or one
+   that is not draining. */
 static bool
 awaits_better_candidate(const struct primary_change *c,
                         const struct view_entry *e,
                         const struct member_state *best, clock_ms now)
 {
-    if (!best->draining || now - c->phase_since >= SURVEY_TIMEOUT_MS) {
+    if (now - c->phase_since >= SURVEY_TIMEOUT_MS) {
         return false;
     }
     for (int i = 0; i < c->count; i++) {
         const struct member_state *m = &c->members[i];
-        if (!m->answered && strcmp(m->id, e->primary) != 0 &&
-            successor_is_candidate(m, false, now)) {
+        if (m->answered || !m->listed || now < m->excluded_until) {
+            continue;
+        }
+        if (strcmp(m->id, e->ordered) == 0 ||
+            (best->draining && !m->draining &&
+             strcmp(m->id, e->primary) != 0)) {
             return true;
         }
     }
--- a/tests/coordination/test_promoter.c
+++ b/tests/coordination/test_promoter.c
@@ -826,6 +826,36 @@
     teardown(&f);
 }
 
+/* Guards against ordering another member because the one that was ordered
+   answers later: both orders would take effect, and the one that is not
+   published last. */
+static void
+test_ordered_member_is_awaited(void **state)
+{
+    const struct member_report down = {
+        .term = 8, .received_term = 7, .received_position = 40};
+    struct fixture f;
+
+    (void)state;
+    setup_after_order(&f);
+    report(&f, "m1", true, 7, 40);
+    report(&f, "m2", false, 7, 40);
+    report(&f, "m3", false, 7, 40);
+    run_for(&f, 50, false, 6);
+    assert_int_equal(f.demotes, 1);
+    promoter_member_answered(f.promoter, "db", "m1", f.round, &down, f.now);
+    run_for(&f, 50, false, 6);
+    report(&f, "m3", false, 7, 40);
+    run_for(&f, 50, false, 6);
+    assert_int_equal(f.writes, 0);
+    report(&f, "m2", false, 7, 40);
+    run_for(&f, 50, false, 6);
+    assert_int_equal(f.writes, 0);
+    assert_int_equal(f.orders, 1);
+    assert_string_equal(f.ordered, "m2");
+    teardown(&f);
+}
+
 /* Guards against the loss of commits that only a replica had confirmed which
    has started again with an empty log since: its answer does not show them. */
 static void
@@ -1307,6 +1337,7 @@
         cmocka_unit_test(test_newest_term_is_awaited),
         cmocka_unit_test(test_deposed_primary_is_not_published),
         cmocka_unit_test(test_draining_replica_keeps_synchronous_commits),
+        cmocka_unit_test(test_ordered_member_is_awaited),
         cmocka_unit_test(test_emptied_replica_is_missing),
         cmocka_unit_test(test_position_that_no_replica_has_is_awaited),
         cmocka_unit_test(test_unlisted_replica_keeps_synchronous_commits),
