--- a/src/coordination/agreement.c
+++ b/src/coordination/agreement.c
@@ -249,7 +249,7 @@
     struct peer *kept = g_new0(struct peer, AGREEMENT_PEERS_MAX);
     int count = 0;
 
-    agreement_note_list(a, peers, n, now);
+    agreement_track_departures(a, peers, n, now);
     a->registry_hash = 0;
     for (int i = 0; i < n; i++) {
         /* A sum does not depend on the order of the list. */
--- a/src/coordination/agreement_internal.h
+++ b/src/coordination/agreement_internal.h
@@ -70,8 +70,8 @@
 
 /* lost_peers.c */
 bool agreement_peer_is_silent(const struct peer *p, clock_ms now);
-void agreement_note_list(struct agreement *a,
-                         const struct agreement_peer *peers, int n,
-                         clock_ms now);
+void agreement_track_departures(struct agreement *a,
+                                const struct agreement_peer *peers, int n,
+                                clock_ms now);
 
 #endif
--- a/src/coordination/lost_peers.c
+++ b/src/coordination/lost_peers.c
@@ -1,5 +1,7 @@
 #include "coordination/agreement_internal.h"
 
+#include "base/event_log.h"
+
 #include <glib.h>
 #include <string.h>
 
@@ -7,8 +9,8 @@
    proxies that stay registered may be most of the witnesses, and then nobody
    confirms a lease or changes the view. */
 
-/* The pause between two deletions without a majority of the witnesses. A proxy
-   that is alive and reaches the store registers again within this time. */
+/* The pause between two deletions without a majority of the witnesses, so that
+   a proxy that is alive can register again before the next one. */
 #define RETIREMENT_PAUSE_MS 1000
 /* For how long this proxy deletes nothing without a majority after a proxy has
    proved to be alive: the network is at fault. */
@@ -42,8 +44,9 @@
    present one. Records departures, and whether a proxy that was found lost has
    registered again. */
 void
-agreement_note_list(struct agreement *a, const struct agreement_peer *peers,
-                    int n, clock_ms now)
+agreement_track_departures(struct agreement *a,
+                           const struct agreement_peer *peers, int n,
+                           clock_ms now)
 {
     for (int i = 0; i < a->count; i++) {
         if (!is_listed(peers, n, a->peers[i].name)) {
@@ -56,13 +59,15 @@
     const bool listed = is_listed(peers, n, a->retired);
     if (listed && a->retired_left) {
         a->retirement_paused_until = now + RETIREMENT_REFUTED_MS;
+        event_log(EVENT_STATE, "proxy_not_lost", "name=%s pause_ms=%d",
+                  a->retired, RETIREMENT_REFUTED_MS);
         a->retired[0] = '\0';
     }
     a->retired_left = !listed;
 }
 
-/* Returns true if a peer has reported that it does not hear from the proxy
-   with this name hash. */
+/* Returns true if a peer has reported the proxy with this name hash as
+   silent. */
 static bool
 reports_silent(const struct peer *p, uint64_t hash)
 {
@@ -89,8 +94,8 @@
     return true;
 }
 
-/* Returns true if so few witnesses still hear from a peer that they cannot
-   confirm its lease. */
+/* Returns true if so many witnesses report a peer as silent that the others
+   cannot confirm its lease. */
 static bool
 is_reported_lost(const struct agreement *a, const struct peer *lost,
                  clock_ms now)
--- a/src/relay/links.c
+++ b/src/relay/links.c
@@ -406,7 +406,7 @@
     l->active = false;
 }
 
-/* Gives up a link whose answer is still outstanding. The user gets no more
+/* Releases a link whose answer is still outstanding. The user gets no more
    callbacks; the link returns to the pool when the answer has arrived. */
 void
 pooled_abandon(struct pooled_link *l)
--- a/src/relay/session.c
+++ b/src/relay/session.c
@@ -36,7 +36,7 @@
     return s;
 }
 
-/* Gives up the member connection, if any. An open transaction is rolled back;
+/* Releases the member connection, if any. An open transaction is rolled back;
    an outstanding answer is discarded. */
 void
 session_release_link(struct session *s)
--- a/tests/coordination/test_agreement.c
+++ b/tests/coordination/test_agreement.c
@@ -195,8 +195,8 @@
     agreement_destroy(c);
 }
 
-/* Guards against deleting a live proxy that only one witness does not hear
-   from, and against registrations that are never deleted. */
+/* Guards against deleting a live proxy whose messages do not reach one of the
+   witnesses, and against registrations that are never deleted. */
 static void
 test_lost_proxy_is_unregistered(void **state)
 {
@@ -246,8 +246,26 @@
     }
 }
 
-/* Creates a proxy that knows a list of proxies and is confirmed by the store
-   at now. */
+/* Returns the name of the nth proxy that is, or is not, a witness. */
+static const char *
+nth_proxy(const struct agreement_peer *peers, int n, bool witness, int nth)
+{
+    struct agreement *a = agreement_create("", 1);
+    const char *name = NULL;
+
+    agreement_set_peers(a, peers, n, 0);
+    for (int i = 0; i < n && name == NULL; i++) {
+        if (agreement_is_witness(a, peers[i].name) == witness && nth-- == 0) {
+            name = peers[i].name;
+        }
+    }
+    agreement_destroy(a);
+    assert_non_null(name);
+    return name;
+}
+
+/* Creates a registered proxy that knows a list of proxies and version 1 of the
+   view. */
 static struct agreement *
 create_registered(const char *name, const struct agreement_peer *peers, int n)
 {
@@ -282,19 +300,12 @@
     struct agreement_peer peers[10];
     char names[10][8];
     clock_ms now = AGREEMENT_SILENT_MS;
-    struct agreement *any = agreement_create("", 1);
-    const char *live[2];
     int n = 10;
-    int found = 0;
 
     (void)state;
     list_proxies(peers, names, n);
-    agreement_set_peers(any, peers, n, 0);
-    for (int i = 0; i < n && found < 2; i++) {
-        if (agreement_is_witness(any, names[i])) {
-            live[found++] = names[i];
-        }
-    }
+    const char *const live[] = {nth_proxy(peers, n, true, 0),
+                                nth_proxy(peers, n, true, 1)};
     struct agreement *a = create_registered(live[0], peers, n);
     struct agreement *b = create_registered(live[1], peers, n);
     stay_in_touch(a, live[0], b, live[1], 400, now);
@@ -310,7 +321,6 @@
         now += 1600;
     }
     assert_int_equal(n, 2);
-    agreement_destroy(any);
     agreement_destroy(a);
     agreement_destroy(b);
 }
@@ -323,16 +333,11 @@
     struct agreement_peer peers[10];
     char names[10][8];
     clock_ms now = AGREEMENT_SILENT_MS;
-    struct agreement *any = agreement_create("", 1);
-    const char *live = NULL;
     int n = 10;
 
     (void)state;
     list_proxies(peers, names, n);
-    agreement_set_peers(any, peers, n, 0);
-    for (int i = 0; i < n; i++) {
-        live = agreement_is_witness(any, names[i]) ? live : names[i];
-    }
+    const char *live = nth_proxy(peers, n, false, 0);
     struct agreement *a = create_registered(live, peers, n);
     while (n > 1) {
         now += 2000;
@@ -344,7 +349,6 @@
         agreement_set_peers(a, peers, n, now);
     }
     assert_int_equal(agreement_rank(a, now), 0);
-    agreement_destroy(any);
     agreement_destroy(a);
 }
 
@@ -356,18 +360,11 @@
     struct agreement_peer peers[10];
     char names[10][8];
     const clock_ms start = AGREEMENT_SILENT_MS;
-    struct agreement *any = agreement_create("", 1);
-    const char *witness = NULL;
-    const char *other = NULL;
 
     (void)state;
     list_proxies(peers, names, 10);
-    agreement_set_peers(any, peers, 10, 0);
-    for (int i = 0; i < 10; i++) {
-        const bool is_witness = agreement_is_witness(any, names[i]);
-        witness = is_witness ? names[i] : witness;
-        other = is_witness ? other : names[i];
-    }
+    const char *witness = nth_proxy(peers, 10, true, 0);
+    const char *other = nth_proxy(peers, 10, false, 0);
     struct agreement *a = agreement_create(witness, 1);
     struct agreement *b = create_registered(other, peers, 10);
     agreement_set_peers(a, peers, 10, start);
@@ -378,7 +375,6 @@
     const char *name = agreement_find_lost_peer(a, start + 3200);
     assert_non_null(name);
     assert_true(agreement_is_witness(a, name));
-    agreement_destroy(any);
     agreement_destroy(a);
     agreement_destroy(b);
 }
--- a/tests/node/test_fetch.c
+++ b/tests/node/test_fetch.c
@@ -525,8 +525,8 @@
                     .entry.draining);
     assert_int_equal(refreshes, 0);
     assert_int_equal(proxies_refreshes, 0);
-    /* The witness hears nothing from the store any more, and another proxy
-       has registered. */
+    /* The store no longer answers the witness, and another proxy has
+       registered. */
     list_large_fleet(&f, f.with_store, 61);
     assert_false(run_until(&f, 8, 4.2));
     assert_int_equal(node_feed_hold_ms(f.without_store, 0, 0), 0);
--- a/tests/node/test_settings.c
+++ b/tests/node/test_settings.c
@@ -158,8 +158,8 @@
     assert_true(s.strict_revocation);
 }
 
-/* Guards against an invalid value that is taken for the default, which would
-   silently turn a promise off, and against an error that does not name the
+/* Guards against an invalid value that is replaced by the default, which would
+   silently disable a guarantee, and against an error that does not name the
    key. */
 static void
 test_bad_account_settings(void **state)
--- a/tests/relay/test_member_pace.c
+++ b/tests/relay/test_member_pace.c
@@ -89,7 +89,7 @@
     assert_true(member_pace_may_open(&f.pace, 0, f.now));
 }
 
-/* Guards against a member that is only cold being taken for a slow one. */
+/* Guards against treating a member that is only cold as slow. */
 static void
 cold_member_is_not_slow(void **state)
 {
@@ -135,7 +135,7 @@
     assert_true(member_pace_may_open(&f.pace, 0, f.now + 200));
 }
 
-/* Guards against fast failures being taken for a fast member. */
+/* Guards against treating a member that fails fast as a fast one. */
 static void
 failing_member_is_recognized(void **state)
 {
--- a/tests/relay/test_session.c
+++ b/tests/relay/test_session.c
@@ -616,6 +616,23 @@
     return l;
 }
 
+/* Begins a transaction in which the member answers a SET with this failure.
+   The transaction has been rolled back. */
+static struct member_link *
+fail_setting_in_transaction(struct fixture *f, struct session *s,
+                            enum failure why)
+{
+    struct member_link *l = begin_with_read(f, s);
+
+    request_set(s, "region", "north");
+    fixture_request(s, VERB_READ, "READ y");
+    assert_int_equal(count_sent(l, VERB_SET), 1);
+    fixture_answer(l, why, TRANSACTION_OPEN, 3, 7);
+    assert_int_equal(f->failure, FAILURE_ABORTED);
+    fixture_answer(l, FAILURE_NONE, TRANSACTION_NONE, 3, 7); /* ROLLBACK */
+    return l;
+}
+
 /* Guards against statements that run with the settings of another session,
    after a member has refused a SET in a transaction. */
 static void
@@ -626,13 +643,7 @@
     (void)state;
     fixture_setup(&f, FRESHNESS_PRIMARY);
     struct session *s = fixture_session(&f);
-    struct member_link *l = begin_with_read(&f, s);
-    request_set(s, "region", "north");
-    fixture_request(s, VERB_READ, "READ y");
-    assert_int_equal(count_sent(l, VERB_SET), 1);
-    fixture_answer(l, FAILURE_BUSY, TRANSACTION_OPEN, 3, 7);
-    assert_int_equal(f.failure, FAILURE_ABORTED);
-    fixture_answer(l, FAILURE_NONE, TRANSACTION_NONE, 3, 7); /* ROLLBACK */
+    struct member_link *l = fail_setting_in_transaction(&f, s, FAILURE_BUSY);
     fixture_request(s, VERB_ROLLBACK, "ROLLBACK");
     fixture_advance_time(&f, 100);
     const int reads = count_sent(l, VERB_READ);
@@ -714,12 +725,8 @@
     (void)state;
     fixture_setup(&f, FRESHNESS_PRIMARY);
     struct session *s = fixture_session(&f);
-    struct member_link *l = begin_with_read(&f, s);
-    request_set(s, "region", "north");
-    fixture_request(s, VERB_READ, "READ y");
-    fixture_answer(l, FAILURE_TIMEOUT, TRANSACTION_OPEN, 3, 7);
-    assert_int_equal(f.failure, FAILURE_ABORTED);
-    fixture_answer(l, FAILURE_NONE, TRANSACTION_NONE, 3, 7);
+    struct member_link *l =
+        fail_setting_in_transaction(&f, s, FAILURE_TIMEOUT);
     assert_true(l->closed);
     session_end(s);
     fixture_teardown(&f);
--- a/tests/soak/callers.c
+++ b/tests/soak/callers.c
@@ -381,7 +381,7 @@
     send_line(c, text);
 }
 
-/* Ends a pause, or gives up an answer that did not arrive in time. */
+/* Ends a pause, or closes a session whose answer did not arrive in time. */
 static void
 on_timer(struct ev_loop *loop, ev_timer *w, int revents)
 {
