--- a/src/node/members.c
+++ b/src/node/members.c
@@ -315,14 +315,16 @@
 }
 
 /* Maintains the lists in the store. The holder of the view does this; while it
-   is not alive or no witness, the witness whose rank is 0 does. Only lost
-   proxies are left to all, since no witness may be alive. */
+   is not alive, does not reach the store or is no witness, the witness whose
+   rank is 0 does. Only lost proxies are left to all, since no witness may be
+   alive. */
 void
 node_maintain_lists(struct node *n, clock_ms now)
 {
     const char *holder = agreement_view(n->agreement)->holder;
-    const bool holder_acts = agreement_is_witness(n->agreement, holder) &&
-                             agreement_is_alive(n->agreement, holder, now);
+    const bool holder_acts =
+        agreement_is_witness(n->agreement, holder) &&
+        agreement_can_change_view(n->agreement, holder, now);
     const bool acts = holder_acts ? strcmp(holder, n->name) == 0
                                   : agreement_rank(n->agreement, now) == 0;
 
--- a/tests/node/test_lists.c
+++ b/tests/node/test_lists.c
@@ -144,13 +144,17 @@
     return NULL;
 }
 
-/* Delivers a message from a proxy that has had none from `silent`. */
+/* Delivers a message from a proxy that has had none from `silent`, and that
+   reaches the store or not. */
 static void
-receive_from(struct fixture *f, const char *name, const char *silent)
+receive_from(struct fixture *f, const char *name, const char *silent,
+             bool store_lost)
 {
     struct agreement_message own;
-    struct agreement_message m = {
-        .incarnation = 1, .sent_at = f->now, .reply = true};
+    struct agreement_message m = {.incarnation = 1,
+                                  .sent_at = f->now,
+                                  .reply = true,
+                                  .store_lost = store_lost};
 
     agreement_compose_message(f->node->agreement, name, NULL, false, f->now,
                               &own);
@@ -188,9 +192,10 @@
 }
 
 /* Guards against registrations that nobody deletes while the holder is alive
-   but no witness: it does not learn who is lost. */
+   but no witness, so that it does not learn who is lost, or does not reach the
+   store. */
 static void
-test_holder_that_is_no_witness(void **state)
+test_holder_that_cannot_delete(void **state)
 {
     struct fixture f;
     char name[VIEW_NAME_BYTES];
@@ -205,7 +210,7 @@
     set_holder(&f, holder);
     for (int i = 0; i < PROXIES; i++) {
         if (strcmp(f.peers[i].name, lost) != 0) {
-            receive_from(&f, f.peers[i].name, lost);
+            receive_from(&f, f.peers[i].name, lost, false);
         }
     }
     node_maintain_lists(f.node, f.now);
@@ -213,10 +218,13 @@
     assert_string_equal(unregistered, lost);
     /* A holder that is a witness is left to act itself. */
     holder = find_proxy(&f, true, 0);
-    set_holder(&f,
-               strcmp(holder, name) != 0 ? holder : find_proxy(&f, true, 1));
+    holder = strcmp(holder, name) != 0 ? holder : find_proxy(&f, true, 1);
+    set_holder(&f, holder);
     node_maintain_lists(f.node, f.now);
     assert_int_equal(deletions, 1);
+    receive_from(&f, holder, lost, true);
+    node_maintain_lists(f.node, f.now);
+    assert_int_equal(deletions, 2);
     end(&f);
 }
 
@@ -247,7 +255,7 @@
 main(void)
 {
     const struct CMUnitTest tests[] = {
-        cmocka_unit_test(test_holder_that_is_no_witness),
+        cmocka_unit_test(test_holder_that_cannot_delete),
         cmocka_unit_test(test_no_witness_is_alive),
     };
 
