--- a/review/testbed-3/testbed.py
+++ b/review/testbed-3/testbed.py
@@ -170,6 +170,7 @@
         self.follows = None
         self.down = False
         self.deaf = False      # receives nothing from the primary
+        self.full_until = 0.0  # answers STATUS with BUSY: no slot is free
         self.writers = set()
         self.conns = 0
         self.seq = 0
@@ -338,6 +339,9 @@
                     after = tuple(int(x) for x in pos.split("."))
                 w = query.split(" ")
                 verb = w[0]
+                if verb == "STATUS" and now() < m.full_until:
+                    error("BUSY")
+                    continue
                 if verb == "STATUS" or verb == "DEMOTE":
                     if verb == "DEMOTE" and m.role == "primary" and \
                             int(w[1]) > m.term:
@@ -672,6 +676,44 @@
             shutil.rmtree(self.folder)
 
 
+def late_commits(bed, callers):
+    """Returns what breaks ONE: commits at an old primary after another member
+    had taken over, acknowledged to the caller."""
+    acked = {sid: at for c in callers for _, at, sid, code in c.answers
+             if code == "OK"}
+    broken = []
+    for at, term, number, member, sid in bed.group.commits:
+        newer = [t for t in bed.group.took_over if t[1] > term and t[0] < at]
+        if newer and sid in acked:
+            broken.append("ONE: %s commits %d.%d (%s) at %.3f s, acknowledged "
+                          "at %.3f s, but %s took over at %.3f s" % (
+                              member, term, number, sid, at, acked[sid],
+                              newer[0][2], newer[0][0]))
+    return broken
+
+
+def lost_commits(bed, callers):
+    """Returns the acknowledged commits that the primary does not hold."""
+    held = {sid for _, _, sid in bed.group.primary.log}
+    return [sid for c in callers for _, _, sid, code in c.answers
+            if code == "OK" and c.write and sid not in held]
+
+
+def record_traffic(bed, callers):
+    """Adds to the record what was sent, answered and run."""
+    for c in callers:
+        for sent, at, sid, code in c.answers:
+            records.append("%8.3f caller at %s: sends %s to %s, %s at %.3f" %
+                           (sent, c.proxy.name, sid, c.database, code, at))
+    for at, term, number, member, sid in bed.group.commits:
+        records.append("%8.3f member %s: commits %s as %d.%d" %
+                       (at, member, sid, term, number))
+    for at, member, pos, sid in bed.group.reads:
+        records.append("%8.3f member %s: reads %s at %d.%d" %
+                       (at, member, sid, pos[0], pos[1]))
+    records.sort(key=lambda line: float(line[:8]))
+
+
 def finish(folder, broken, ran):
     """Writes record.txt and ends the process with the verdict."""
     for b in broken:
