review: restarted proxies take an old view from one that was cut off

While the store is down, processes without a view confirm the lease of a proxy that has missed a change of primary.

--- a/review/testbed-3/testbed.py
+++ b/review/testbed-3/testbed.py
@@ -52,6 +52,8 @@
         self.changed = asyncio.Event()
         self.answer_s = 0.004
         self.tx_s = 0.008
+        self.down = False      # answers 503
+        self.rewrite = None    # (asker, key, value) -> value
 
     def put(self, table, key, value):
         """Writes a row (bytes) or, with None, deletes it."""
@@ -66,11 +68,18 @@
             self.rows[(table, key)] = (value, self.version)
         self.history.append((self.version, table, key, value))
 
+    def set_down(self, down):
+        self.down = down
+        record("store: %s" % ("down, answers 503" if down else "back"))
+        self._notify()
+
     def _notify(self):
         self.changed.set()
         self.changed = asyncio.Event()
 
-    def _row(self, table, key, value, version, deleted=False):
+    def _row(self, who, table, key, value, version, deleted=False):
+        if self.rewrite is not None and not deleted:
+            value = self.rewrite(who, key, value)
         r = {"table": table, "part": "", "key": key, "row_version": version}
         if deleted:
             r["deleted"] = True
@@ -83,14 +92,21 @@
         kw["now_ms"] = int(now() * 1000)
         return kw
 
-    async def handle(self, method, path, body, _who):
+    def for_asker(self, who):
+        async def handle(method, path, body, _fields):
+            return await self.handle(method, path, body, who)
+        return handle
+
+    async def handle(self, method, path, body, who):
+        if self.down:
+            return 503, {}
         url = urllib.parse.urlsplit(path)
         q = dict(urllib.parse.parse_qsl(url.query, keep_blank_values=True))
         if url.path == "/galenastep/rows-get":
             await asyncio.sleep(self.answer_s)
             keys = sorted(k for t, k in self.rows if t == q["table"]
                           and k >= q.get("from", ""))
-            rows = [self._row(q["table"], k, *self.rows[(q["table"], k)])
+            rows = [self._row(who, q["table"], k, *self.rows[(q["table"], k)])
                     for k in keys]
             return 200, self._body(rows=rows, has_more=False)
         if url.path == "/galenastep/rows-feed":
@@ -102,8 +118,10 @@
                     if t == q["table"] and v > after:
                         last[k] = (v, value)
                 left = end - now()
+                if self.down:
+                    return 503, {}
                 if last or left <= 0:
-                    rows = [self._row(q["table"], k, value, v, value is None)
+                    rows = [self._row(who, q["table"], k, value, v, value is None)
                             for k, (v, value) in
                             sorted(last.items(), key=lambda x: x[1][0])]
                     return 200, self._body(rows=rows)
@@ -170,6 +188,8 @@
         self.follows = None
         self.down = False
         self.deaf = False      # receives nothing from the primary
+        self.reachable = asyncio.Event()  # cleared while it is dark (silent)
+        self.reachable.set()
         self.full_until = 0.0  # answers STATUS with BUSY: no slot is free
         self.writers = set()
         self.conns = 0
@@ -208,15 +228,31 @@
     def by_id(self, mid):
         return next((m for m in self.members if m.id == mid), None)
 
+    def set_dark(self, m, seconds):
+        """Nothing reaches the member or leaves it; it goes on running."""
+        m.reachable.clear()
+        record("member %s: dark for %.1f s" % (m.id, seconds))
+
+        def back():
+            record("member %s: reachable again, %s of term %d" %
+                   (m.id, m.role, m.term))
+            m.reachable.set()
+            if m is not self.primary:
+                # It can reach the new primary from now on.
+                asyncio.get_running_loop().call_later(
+                    1.0, self._step_down, m, self.term)
+        asyncio.get_running_loop().call_later(seconds, back)
+
     async def heartbeat(self):
         while True:
             for m in self.members:
-                if not m.down:
+                if not m.down and m.reachable.is_set() and \
+                        not self.store.down:
                     self.store.put("servers", m.id, m.entry())
             await asyncio.sleep(1.2)
 
     def publish(self, m):
-        if not m.down:
+        if not m.down and m.reachable.is_set() and not self.store.down:
             self.store.put("servers", m.id, m.entry())
 
     def promote_later(self, member):
@@ -224,7 +260,7 @@
             self.promote_s, self._promote, member)
 
     def _promote(self, m):
-        if m.down or (m.role == "primary" and m is self.primary):
+        if m.down or not m.reachable.is_set() or (m.role == "primary" and m is self.primary):
             return
         old = self.primary
         self.term += 1
@@ -242,7 +278,8 @@
         if old is not m:
             # It continues until DEMOTE, or a second after it can reach the
             # new primary.
-            loop.call_later(1.0, self._step_down, old, self.term)
+            if old.reachable.is_set():
+                loop.call_later(1.0, self._step_down, old, self.term)
 
     def _step_down(self, m, below):
         if m.role == "primary" and m.term < below:
@@ -270,7 +307,8 @@
 
     def _receive(self, m):
         p = self.primary
-        if not m.down and not m.deaf and m.role == "replica":
+        if (not m.down and not m.deaf and m.role == "replica" and
+                m.reachable.is_set() and p.reachable.is_set()):
             if p.log[:len(m.log)] == m.log:
                 m.log = list(p.log)
 
@@ -315,6 +353,7 @@
 
         try:
             line = (await reader.readline()).decode().strip()
+            await m.reachable.wait()
             w = line.split(" ")
             if (len(w) < 3 or w[0] != "STARTUP" or w[1] != SERVICE or
                     (len(w) > 3 and w[3] != m.id)):
@@ -326,7 +365,9 @@
             await asyncio.sleep(0.012)
             ready()
             while True:
+                await writer.drain()
                 line = await reader.readline()
+                await m.reachable.wait()
                 if not line.endswith(b"\r\n"):
                     return
                 text = line[:-2].decode()
@@ -413,6 +454,83 @@
             writer.close()
 
 
+class PeerNetwork:
+    """The network between the proxies, for datagrams and for copies (TCP).
+    Each proxy sees every other one at an address of its own, where a relay
+    listens; the store hands out these addresses. A cut proxy exchanges nothing
+    with the others."""
+
+    def __init__(self, bed):
+        self.bed = bed
+        self.cut = set()
+        self.sockets = {}
+
+    def address(self, seen_by, i):
+        return "127.0.2.%d" % (seen_by * 16 + i + 1)
+
+    def rewrite(self, who, key, value):
+        if not key.startswith("node/") or who is None:
+            return value
+        for p in self.bed.proxies:
+            if key == "node/" + p.name and p.index != who:
+                return value.replace(p.host.encode() + b":",
+                                     self.address(who, p.index).encode() +
+                                     b":")
+        return value
+
+    def is_cut(self, i, k):
+        return i in self.cut or k in self.cut
+
+    async def start(self, n, port):
+        loop = asyncio.get_running_loop()
+        net = self
+
+        def protocol(i, k):
+            class Relay(asyncio.DatagramProtocol):
+                def datagram_received(self, data, _addr):
+                    if not net.is_cut(i, k):
+                        net.sockets[(k, i)].sendto(
+                            data, (net.bed.proxies[k].host, port))
+            return Relay
+
+        for i in range(n):
+            for k in range(n):
+                if i == k:
+                    continue
+                at = (self.address(i, k), port)
+                transport, _ = await loop.create_datagram_endpoint(
+                    protocol(i, k), local_addr=at)
+                self.sockets[(i, k)] = transport
+                await asyncio.start_server(
+                    lambda r, w, i=i, k=k: self.on_copy(r, w, i, k), *at)
+
+    async def on_copy(self, reader, writer, i, k):
+        if self.is_cut(i, k):
+            writer.transport.abort()
+            return
+        try:
+            up_reader, up_writer = await asyncio.open_connection(
+                self.bed.proxies[k].host, self.bed.peer)
+        except OSError:
+            writer.transport.abort()
+            return
+
+        async def pump(src, dst):
+            try:
+                while True:
+                    data = await src.read(65536)
+                    if not data or self.is_cut(i, k):
+                        break
+                    dst.write(data)
+                    await dst.drain()
+            except ConnectionError:
+                pass
+            finally:
+                dst.close()
+        await asyncio.gather(pump(reader, up_writer),
+                             pump(up_reader, writer))
+
+
 class Orders:
     """POST /promotion; fences are recorded and not checked."""
 
@@ -435,25 +553,38 @@
 
 
 class Relay:
-    """A TCP relay in front of a service. While held, what the client sends is
+    """A TCP relay in front of a service. While held, what both sides send is
     delivered later, as when packets are lost on the way and sent again."""
 
     def __init__(self, to_port):
         self.to_port = to_port
         self.gate = asyncio.Event()
         self.gate.set()
+        self.writers = set()
         self.on_request = None
 
     async def start(self, host, port):
         self.server = await asyncio.start_server(self.on_client, host, port)
 
     def hold(self, seconds):
+        """A cut. The proxy's keep-alive probes end a connection that is silent
+        for 3 s (1 s and two probes), so after a longer cut nothing of before is
+        delivered."""
         self.gate.clear()
-        asyncio.get_running_loop().call_later(seconds, self.gate.set)
+        loop = asyncio.get_running_loop()
+        if seconds > 3:
+            loop.call_later(seconds - 0.01, self.abort)
+        loop.call_later(seconds, self.gate.set)
+
+    def abort(self):
+        for w in self.writers:
+            w.transport.abort()
+        self.writers.clear()
 
     async def on_client(self, reader, writer):
         up_reader, up_writer = await asyncio.open_connection(
             "127.0.0.1", self.to_port)
+        self.writers |= {writer, up_writer}
 
         async def pump(src, dst, up):
             try:
@@ -463,16 +594,14 @@
                         break
                     if up and self.on_request is not None:
                         self.on_request(data)
-                    if up:
-                        await self.gate.wait()
+                    await self.gate.wait()
                     dst.write(data)
                     await dst.drain()
             except ConnectionError:
                 pass
             finally:
                 try:
-                    if up:
-                        await self.gate.wait()
+                    await self.gate.wait()
                     dst.close()
                 except ConnectionError:
                     pass
@@ -536,6 +665,13 @@
             env={"GALENASTEP_SETTINGS": path, "PATH": os.environ["PATH"]})
         record("%s: started" % self.name)
 
+    async def kill_and_restart(self, pause_s):
+        """SIGKILL, and a new start with the same settings."""
+        self.signal(signal.SIGKILL)
+        await self.process.wait()
+        await asyncio.sleep(pause_s)
+        await self.start(*self.ports)
+
     def signal(self, sig):
         if self.process.returncode is None:
             record("%s: gets %s" % (self.name, signal.Signals(sig).name))
@@ -597,8 +733,9 @@
 class Bed:
     """The deployment; use with 'async with'."""
 
-    def __init__(self, proxies):
+    def __init__(self, proxies, partitions=False):
         self.n = proxies
+        self.partitions = partitions
         self.folder = tempfile.mkdtemp(prefix="galenastep-")
         self.ids = 0
         self.tasks = []
@@ -606,11 +743,10 @@
     async def __aenter__(self):
         self.store = Store()
         ports = free_ports("127.0.0.1", 5 + 2 * self.n)
-        self.store_port, self.orders_port = ports[0], ports[1]
+        self.orders_port = ports[1]
         self.group = Group(self.store, ports[2:5])
         self.orders = Orders(self.group)
         self.servers = [
-            await serve_http(self.store.handle, "127.0.0.1", ports[0], None),
             await serve_http(self.orders.handle, "127.0.0.1", ports[1], None)]
         for m in self.group.members:
             self.servers.append(await asyncio.start_server(
@@ -633,18 +769,26 @@
             "limits": {"tx_idle_ms": 3000}}).encode())
         self.tasks.append(asyncio.create_task(self.group.heartbeat()))
         peer = free_ports("127.0.0.1", 1, socket.SOCK_DGRAM)[0]
+        self.peer = peer
         self.relays = []
         self.proxies = []
+        self.network = PeerNetwork(self)
+        if self.partitions:
+            await self.network.start(self.n, peer)
+            self.store.rewrite = self.network.rewrite
         for i in range(self.n):
-            store = Relay(self.store_port)
+            port = free_ports("127.0.0.1", 1)[0]
+            self.servers.append(await serve_http(
+                self.store.for_asker(i), "127.0.0.1", port, None))
+            store = Relay(port)
             orders = Relay(self.orders_port)
             await store.start("127.0.0.1", ports[5 + 2 * i])
             await orders.start("127.0.0.1", ports[6 + 2 * i])
             self.relays.append((store, orders))
             p = Proxy(self, i, peer)
             self.proxies.append(p)
-            await p.start(ports[5 + 2 * i], ports[6 + 2 * i])
-        self.ports = ports
+            p.ports = ports[5 + 2 * i], ports[6 + 2 * i]
+            await p.start(*p.ports)
         return self
 
     def call(self, proxy, database, interval, write):
