--- a/review/12/late_order.py
+++ b/review/12/late_order.py
@@ -10,7 +10,7 @@
 HERE = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(HERE, "..", "testbed-3"))
 from testbed import (Bed, finish, late_commits, lost_commits,  # noqa: E402
-                     now, record, record_traffic)
+                     now, record, record_traffic, run)
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 CUT_S = 1.2
@@ -68,4 +68,4 @@
     finish(HERE, broken, ran)
 
 
-asyncio.run(main())
+run(main)
--- a/review/14/forgotten_view.py
+++ b/review/14/forgotten_view.py
@@ -8,7 +8,7 @@
 HERE = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(HERE, "..", "testbed-3"))
 from testbed import (Bed, finish, late_commits, lost_commits,  # noqa: E402
-                     now, record, record_traffic)
+                     now, record, record_traffic, run)
 
 # 0: no disruption. "connected": all but the cut of the one proxy.
 TROUBLE = os.environ.get("TROUBLE", "1")
@@ -64,4 +64,4 @@
     finish(HERE, broken, ran)
 
 
-asyncio.run(main())
+run(main)
--- a/review/testbed-3/testbed.py
+++ b/review/testbed-3/testbed.py
@@ -20,6 +20,8 @@
 SERVICE = "svc1"
 T0 = time.monotonic()
 records = []
+started = []  # processes
+folders = []
 
 
 def now():
@@ -663,6 +665,7 @@
         self.process = await asyncio.create_subprocess_exec(
             PROGRAM, stdout=self.log, stderr=self.log, cwd=ROOT,
             env={"GALENASTEP_SETTINGS": path, "PATH": os.environ["PATH"]})
+        started.append(self.process)
         record("%s: started" % self.name)
 
     async def kill_and_restart(self, pause_s):
@@ -737,6 +740,7 @@
         self.n = proxies
         self.partitions = partitions
         self.folder = tempfile.mkdtemp(prefix="galenastep-")
+        folders.append(self.folder)
         self.ids = 0
         self.tasks = []
 
@@ -814,10 +818,7 @@
                 await p.process.wait()
         for s in self.servers:
             s.close()
-        if os.environ.get("KEEP"):
-            print(self.folder)
-        else:
-            shutil.rmtree(self.folder)
+        clean_up()
 
 
 def late_commits(bed, callers):
@@ -858,12 +859,48 @@
     records.sort(key=lambda line: float(line[:8]))
 
 
+def clean_up():
+    """Ends the proxies and removes the temporary folders."""
+    for p in started:
+        if p.returncode is None:
+            try:
+                p.kill()
+            except ProcessLookupError:
+                pass
+    for folder in folders:
+        shutil.rmtree(folder, ignore_errors=True)
+
+
+def run(main):
+    """Runs a case. If it cannot run, or is stopped, ends the proxies and exits
+    with 2."""
+    def give_up(why):
+        clean_up()
+        print("could not run: %s" % why)
+        sys.stdout.flush()
+        os._exit(2)
+
+    async def guarded():
+        asyncio.get_running_loop().add_signal_handler(
+            signal.SIGTERM, give_up, "stopped")
+        await main()
+
+    try:
+        if not os.access(PROGRAM, os.X_OK):
+            give_up("%s is not built" % os.path.relpath(PROGRAM, ROOT))
+        asyncio.run(guarded())
+    except Exception as e:  # a fault of the stand-ins is no verdict
+        give_up(repr(e))
+    give_up("no verdict")
+
+
 def finish(folder, broken, ran):
     """Writes record.txt and ends the process with the verdict."""
     for b in broken:
         record("BROKEN " + b)
     with open(os.path.join(folder, "record.txt"), "w") as f:
         f.write("\n".join(records) + "\n")
+    clean_up()
     print("\n".join(broken[:5]) if broken else
           ("held" if ran else "could not run"))
     sys.stdout.flush()
