coordination: an order that is under way counts as work of its holder

The promotion service received an order with fence 1 after one with fence 2.

Cause: a proxy reported the next holder's view as applied when no statement ran under an earlier one, although its own order had no answer yet. A cut held that order up; the kernel went on sending it for up to 2 s, also after the process had ended.

Change: a view is reported as applied, and the proxy unregistered, only when its orders under lower fences have been answered. A holder that takes over a change with an ordered member waits 0.6 s longer for proxies that have reported nothing. A change that it begins itself waits as before.

--- a/src/coordination/agreement.c
+++ b/src/coordination/agreement.c
@@ -13,6 +13,8 @@
    confirm a lease. Only proxies with other lists of proxies could still have
    one confirmed. */
 #define NO_QUORUM_WAIT_MS 3000
+/* By which the timers that end an order may be late. */
+#define ORDER_MARGIN_MS 100
 
 /* Creates the state of a proxy that has no view yet. */
 struct agreement *
@@ -492,14 +494,15 @@
 /* Returns true once no proxy relies on a view older than version, which came
    into force at since. This holds when every proxy has applied the version, or
    when a majority of the witnesses has and the leases that they may have
-   confirmed before have expired. Without a majority the wait is longer.
+   confirmed before expired extra_ms ago. Without a majority the wait is
+   longer.
 
    The first case counts only peers with the same list of proxies: another
    witness may have confirmed the lease of a proxy that this one does not know
    yet, or no longer knows. */
-bool
-agreement_older_views_expired(struct agreement *a, uint64_t version,
-                              clock_ms since, clock_ms now)
+static bool
+older_leases_expired(struct agreement *a, uint64_t version, clock_ms since,
+                     int64_t extra_ms, clock_ms now)
 {
     int applied = 0;
     int witnesses = a->is_witness;
@@ -531,11 +534,37 @@
 #ifdef AGREEMENT_BREAK_LEASE
         return true;
 #endif
-        return now - a->majority_since >= AGREEMENT_LEASE_MS;
+        return now - a->majority_since >= AGREEMENT_LEASE_MS + extra_ms;
     }
-    return now - since >= (witnesses > a->witnesses - agreement_quorum(a)
-                               ? NO_QUORUM_WAIT_MS
-                               : MINORITY_WAIT_MS);
+    return now - since >=
+           extra_ms + (witnesses > a->witnesses - agreement_quorum(a)
+                           ? NO_QUORUM_WAIT_MS
+                           : MINORITY_WAIT_MS);
+}
+
+/* Returns true once no proxy relies on a view older than version, which came
+   into force at since. */
+bool
+agreement_older_views_expired(struct agreement *a, uint64_t version,
+                              clock_ms since, clock_ms now)
+{
+    return older_leases_expired(a, version, since, 0, now);
+}
+
+/* Returns true once the platform receives no order that was given under a view
+   older than version. A proxy reports a version as applied only after its
+   orders of earlier holders have ended; those of a proxy that has not reported
+   it outlast its lease. */
+bool
+agreement_older_orders_expired(struct agreement *a, uint64_t version,
+                               clock_ms since, clock_ms now)
+{
+#ifdef AGREEMENT_BREAK_ORDER_LIFE
+    return agreement_older_views_expired(a, version, since, now);
+#else
+    return older_leases_expired(
+        a, version, since, AGREEMENT_ORDER_LIFE_MS + ORDER_MARGIN_MS, now);
+#endif
 }
 
 bool
--- a/src/coordination/agreement.h
+++ b/src/coordination/agreement.h
@@ -27,6 +27,9 @@
 struct agreement;
 
 #define AGREEMENT_LEASE_MS 1000
+/* An order is sent under a valid lease only. One that the platform has not
+   received after this time is dropped by its sender's kernel. */
+#define AGREEMENT_ORDER_LIFE_MS 500
 /* Versions and fences given out in one era of the store are beyond those of
    all earlier eras: the number of the era is in the upper bits. */
 #define AGREEMENT_ERA_SHIFT 32
@@ -134,6 +137,8 @@
 bool agreement_lease_is_valid(const struct agreement *a, clock_ms now);
 bool agreement_older_views_expired(struct agreement *a, uint64_t version,
                                    clock_ms since, clock_ms now);
+bool agreement_older_orders_expired(struct agreement *a, uint64_t version,
+                                    clock_ms since, clock_ms now);
 bool agreement_is_alive(const struct agreement *a, const char *name,
                         clock_ms now);
 bool agreement_can_change_view(const struct agreement *a, const char *name,
--- a/src/coordination/primary_change.c
+++ b/src/coordination/primary_change.c
@@ -337,6 +337,19 @@
     primary_change_query_members(p, c, e->primary, AWAIT_QUERY_MS, now);
 }
 
+/* Returns true once the platform receives no order of an earlier holder any
+   more. */
+static bool
+earlier_orders_expired(const struct promoter *p,
+                       const struct primary_change *c, clock_ms now)
+{
+    return c->ordered_before
+               ? agreement_older_orders_expired(p->agreement, c->claim_version,
+                                                c->started_at, now)
+               : agreement_older_views_expired(p->agreement, c->claim_version,
+                                               c->started_at, now);
+}
+
 /* Orders the promotion. Requires a valid lease, that no earlier holder can
    still order one, and that the view in force names the member as ordered. */
 static void
@@ -350,10 +363,9 @@
         query_ordered(p, c, e, now);
         return;
     }
-    /* An earlier holder may still order a promotion; the survey shows what it
-       has ordered. */
-    if (!agreement_older_views_expired(p->agreement, c->claim_version,
-                                       c->started_at, now)) {
+    /* An earlier holder may still order a promotion, or its last order may
+       still be on its way; the survey shows what has taken effect. */
+    if (!earlier_orders_expired(p, c, now)) {
         if (now - c->phase_since >= ORDER_RETRY_MS) {
             primary_change_enter_phase(c, PHASE_SURVEY, now);
         }
@@ -382,6 +394,7 @@
     }
     c->order_pending = true;
     c->order_version = c->version;
+    c->order_fence = v->fence;
     c->order_sent_at = now;
     event_log(EVENT_STATE, "promotion_ordered",
               "service=%s member=%s received=%llu.%llu fence=%llu "
@@ -391,7 +404,9 @@
               (unsigned long long)best->report.received_position,
               (unsigned long long)v->fence, (unsigned long long)v->version,
               (long long)(now - agreement_confirmed_at(p->agreement)));
-    p->actions.order(p->actions.ctx, c->service, c->new_primary, v->fence);
+    p->actions.order(p->actions.ctx, c->service, c->new_primary, v->fence,
+                     agreement_confirmed_at(p->agreement) +
+                         AGREEMENT_LEASE_MS);
 }
 
 /* Records the outcome of an order. */
@@ -474,6 +489,7 @@
     case PHASE_NONE:
         c->version = e->epoch;
         c->claim_version = agreement_view(p->agreement)->version;
+        c->ordered_before = e->ordered[0] != '\0';
         c->started_at = now;
         c->phase_since = now;
         c->awaited_since = 0;
--- a/src/coordination/promoter.c
+++ b/src/coordination/promoter.c
@@ -63,6 +63,26 @@
     return p->busy;
 }
 
+/* Returns the number of orders under a fence lower than this one that have not
+   been answered: the platform may still receive them. */
+size_t
+promoter_order_count(const struct promoter *p, uint64_t fence)
+{
+    GHashTableIter i;
+    void *value;
+    size_t n = 0;
+
+#ifdef PROMOTER_BREAK_ORDER_UNDER_WAY
+    fence = 0;
+#endif
+    g_hash_table_iter_init(&i, p->primary_changes);
+    while (g_hash_table_iter_next(&i, NULL, &value)) {
+        const struct primary_change *c = value;
+        n += c->order_pending && c->order_fence < fence;
+    }
+    return n;
+}
+
 /* Records whether the store fails to answer this proxy. If so, the other
    proxies act first. */
 void
--- a/src/coordination/promoter.h
+++ b/src/coordination/promoter.h
@@ -26,9 +26,11 @@
        Answered by promoter_member_answered() with the same round. */
     void (*query)(void *ctx, const char *service, const char *member,
                   uint64_t demote_term, uint64_t round);
-    /* Orders a promotion. Answered by promoter_order_answered(). */
+    /* Orders a promotion, unless valid_until (clock of promoter_tick()) has
+       passed when the order could be sent. Answered by
+       promoter_order_answered(). */
     void (*order)(void *ctx, const char *service, const char *member,
-                  uint64_t fence);
+                  uint64_t fence, clock_ms valid_until);
     void *ctx;
 };
 
@@ -75,6 +77,7 @@
                              enum order_result result, clock_ms now);
 void promoter_set_store_lost(struct promoter *p, bool lost);
 bool promoter_busy(const struct promoter *p);
+size_t promoter_order_count(const struct promoter *p, uint64_t fence);
 bool promoter_is_blocked(const struct promoter *p, clock_ms now);
 
 #endif
--- a/src/coordination/promoter_internal.h
+++ b/src/coordination/promoter_internal.h
@@ -59,12 +59,14 @@
                              ignored */
     uint64_t version;     /* view version at which the change began */
     uint64_t claim_version; /* view version when this proxy took it over */
+    bool ordered_before;    /* an earlier holder may have given an order */
     clock_ms started_at;
     char new_primary[MEMBER_ID_BYTES];
     /* An order without an answer, perhaps of an earlier change: the platform
        may receive it after a later one, so there is none meanwhile. */
     bool order_pending;
     uint64_t order_version; /* version of the change that it belongs to */
+    uint64_t order_fence;
     clock_ms order_sent_at;
     /* The demoted primary's log. No commit was acknowledged beyond it. */
     struct member_report target;
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -62,11 +62,12 @@
 }
 
 static void
-on_order(void *ctx, const char *service, const char *member, uint64_t fence)
+on_order(void *ctx, const char *service, const char *member, uint64_t fence,
+         clock_ms valid_until)
 {
     struct node *n = ctx;
 
-    n->platform.order(n->platform.ctx, service, member, fence);
+    n->platform.order(n->platform.ctx, service, member, fence, valid_until);
 }
 
 static void
@@ -451,6 +452,13 @@
     node_send_messages(n, true, now);
 }
 
+/* Returns the number of orders that have not been answered. */
+size_t
+node_order_count(const struct node *n)
+{
+    return promoter_order_count(n->promoter, UINT64_MAX);
+}
+
 /* Answers every request that is still in progress; see relay_answer_all(). */
 void
 node_answer_all(struct node *n)
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -21,9 +21,10 @@
     void (*write_view)(void *ctx, const struct view *next);
     /* Reads the view. Answered by node_set_view(). */
     void (*read_view)(void *ctx);
-    /* Orders a promotion. Answered by node_order_answered(). */
+    /* Orders a promotion, unless valid_until (CLOCK_BOOTTIME) has passed when
+       the order could be sent. Answered by node_order_answered(). */
     void (*order)(void *ctx, const char *service, const char *member,
-                  uint64_t fence);
+                  uint64_t fence, clock_ms valid_until);
     /* Deletes the registration of a lost proxy, unless it has changed since it
        was read. */
     void (*unregister_proxy)(void *ctx, const char *name);
@@ -83,6 +84,7 @@
 bool node_should_disconnect_callers(const struct node *n);
 void node_begin_shutdown(struct node *n, const struct shutdown_schedule *s);
 void node_answer_all(struct node *n);
+size_t node_order_count(const struct node *n);
 void node_write_metrics(const struct node *n, GString *out);
 int node_explain_route(const struct node *n, const char *query, GString *body);
 
--- a/src/node/peer_messages.c
+++ b/src/node/peer_messages.c
@@ -209,7 +209,8 @@
 }
 
 /* Reports the view as applied once no work is in progress under an earlier
-   one. Returns true if that was not reported before. */
+   one: neither statements nor orders of an earlier holder. Returns true if
+   that was not reported before. */
 bool
 node_update_applied(struct node *n)
 {
@@ -217,7 +218,8 @@
     GHashTableIter i;
     void *service;
 
-    if (n->applied == v->version) {
+    if (n->applied == v->version ||
+        promoter_order_count(n->promoter, v->fence) > 0) {
         return false;
     }
     g_hash_table_iter_init(&i, n->services);
--- a/src/node/shutdown.c
+++ b/src/node/shutdown.c
@@ -39,25 +39,25 @@
 
 /* Returns the phase that follows when so many milliseconds have passed since
    SIGTERM, or the same one. SHUTDOWN_UNREGISTERING ends with the answer of the
-   store. A proxy that still has callers when all must be closed does not
-   unregister: a statement of theirs may still run at a member, and other
-   proxies wait for a registered proxy before they use another primary. */
+   store. work is the number of callers and of promotions whose order has not
+   been answered. A proxy that still has any when all must be closed does not
+   unregister: a statement may still run at a member and an order arrive at the
+   platform, and other proxies wait for a registered proxy before they use
+   another primary. */
 enum shutdown_phase
 shutdown_next_phase(const struct shutdown_schedule *s,
-                    enum shutdown_phase phase, int64_t elapsed_ms,
-                    size_t callers)
+                    enum shutdown_phase phase, int64_t elapsed_ms, size_t work)
 {
     switch (phase) {
     case SHUTDOWN_NOTICE:
         return elapsed_ms >= s->drain_ms ? SHUTDOWN_DRAINING : phase;
     case SHUTDOWN_DRAINING:
-        if (callers == 0) {
+        if (work == 0) {
             return SHUTDOWN_UNREGISTERING;
         }
         return elapsed_ms >= s->close_ms ? SHUTDOWN_CLOSING : phase;
     case SHUTDOWN_CLOSING:
-        return callers == 0 || elapsed_ms >= s->exit_ms ? SHUTDOWN_DONE
-                                                        : phase;
+        return work == 0 || elapsed_ms >= s->exit_ms ? SHUTDOWN_DONE : phase;
     default:
         return phase;
     }
--- a/src/node/shutdown.h
+++ b/src/node/shutdown.h
@@ -34,6 +34,6 @@
 void shutdown_schedule_init(struct shutdown_schedule *s, int64_t grace_ms);
 enum shutdown_phase shutdown_next_phase(const struct shutdown_schedule *s,
                                         enum shutdown_phase phase,
-                                        int64_t elapsed_ms, size_t callers);
+                                        int64_t elapsed_ms, size_t work);
 
 #endif
--- a/tests/coordination/model_primary_change.c
+++ b/tests/coordination/model_primary_change.c
@@ -11,16 +11,20 @@
    orders, and one service of three members. It has no network; time passes in
    steps of STEP_MS.
 
-     model_primary_change FIRST_SEED COUNT [restored]
+     model_primary_change FIRST_SEED COUNT [restored|emptied|held]
 
    With restored, the store is away at times and comes back from an older copy.
+   With emptied, replicas start again with an empty log. With held, a cut often
+   holds an order up on its way; the sender's kernel drops it after
+   AGREEMENT_ORDER_LIFE_MS, or when the process ends.
    Exit status 1 if a rule was broken:
 
    ONE   a proxy uses a member after a member of a later term was promoted
    LOST  with synchronous commits, a promoted member lacks an acknowledged one;
          a commit is acknowledged once a replica has received it
    TERM  the term of a published primary goes down
-   FENCE two proxies order a promotion with the same fence
+   FENCE two proxies order a promotion with the same fence, or the platform
+         receives an order with a lower one than before
    DEAD  after the last fault, no primary serves within RECOVERY_MS */
 
 #define STEP_MS 5
@@ -89,9 +93,10 @@
 
 enum event_kind {
     EVENT_MESSAGE,
-    EVENT_QUERY,  /* arrives at the member */
-    EVENT_REPORT, /* arrives at the proxy */
-    EVENT_ORDER,  /* arrives at the platform */
+    EVENT_QUERY,     /* arrives at the member */
+    EVENT_REPORT,    /* arrives at the proxy */
+    EVENT_CONNECTED, /* an order can be sent */
+    EVENT_ORDER,     /* arrives at the platform */
     EVENT_ORDERED,
     EVENT_PROMOTION,
     EVENT_WRITE, /* of the view, arrives at the store */
@@ -108,7 +113,9 @@
     uint64_t number; /* demote_term or fence */
     uint64_t round;
     bool ok;
-    bool lost; /* its answer */
+    bool lost;            /* its answer */
+    bool held;            /* an order, by a cut */
+    clock_ms valid_until; /* of an order */
     enum order_result result;
     struct member_report report;
     struct agreement_message *message;
@@ -136,6 +143,7 @@
     clock_ms frozen_until;
     clock_ms stop_at; /* leaving until then; 0 if not */
     clock_ms store_fault_until;
+    clock_ms apart_until; /* exchanges no messages with the others */
     clock_ms tick_at;
     clock_ms message_at;
     clock_ms asked_at;
@@ -170,6 +178,8 @@
     int64_t promotion_ms;
     int sync_replicas;
     bool emptied_members; /* replicas start again with an empty log */
+    bool held_orders;
+    uint64_t newest_fence; /* that the platform has received */
     uint32_t next_id;
     uint32_t acked[LOG_MAX]; /* ids of acknowledged entries */
     int acked_count;
@@ -295,19 +305,65 @@
 }
 
 static void
-on_order(void *ctx, const char *service, const char *member, uint64_t fence)
+on_order(void *ctx, const char *service, const char *member, uint64_t fence,
+         clock_ms valid_until)
 {
     struct proxy *p = ctx;
 
     (void)service;
     check_fence(fence, (int)(p - w.proxies));
-    schedule((struct event){.kind = EVENT_ORDER,
-                            .at = delay(1, chance(10) ? 400 : 10),
-                            .proxy = (int)(p - w.proxies),
-                            .incarnation = p->incarnation,
-                            .member = index_of(member_names, MEMBERS, member),
-                            .number = fence,
-                            .lost = chance(20)});
+    schedule((struct event){
+        .kind = w.held_orders ? EVENT_CONNECTED : EVENT_ORDER,
+        .at =
+            w.held_orders ? w.now + STEP_MS : delay(1, chance(10) ? 400 : 10),
+        .proxy = (int)(p - w.proxies),
+        .incarnation = p->incarnation,
+        .member = index_of(member_names, MEMBERS, member),
+        .number = fence,
+        .lost = chance(20),
+        .valid_until = valid_until,
+    });
+}
+
+/* Sends an order whose connection is established, unless it has become
+   invalid. */
+static void
+send_order(const struct event *e)
+{
+    struct event order = *e;
+    struct event answer = *e;
+
+    order.kind = EVENT_ORDER;
+    order.held = chance(50);
+    order.at = delay(1, order.held ? 2000 : 10);
+    answer.kind = EVENT_ORDERED;
+    answer.result = ORDER_FAILED;
+    if (w.now >= e->valid_until) {
+        schedule(answer);
+    }
+    else if (order.at - w.now > AGREEMENT_ORDER_LIFE_MS) {
+        answer.at = w.now + AGREEMENT_ORDER_LIFE_MS;
+        schedule(answer);
+    }
+    else {
+        schedule(order);
+    }
+}
+
+/* Drops the orders that are held up on the way when their sender ends. */
+static void
+drop_held_orders(const struct proxy *p)
+{
+    for (int i = 0; i < w.event_count;) {
+        const struct event *e = &w.events[i];
+        if (e->kind == EVENT_ORDER && e->held &&
+            e->proxy == (int)(p - w.proxies)) {
+            w.events[i] = w.events[--w.event_count];
+        }
+        else {
+            i++;
+        }
+    }
 }
 
 static void
@@ -350,7 +406,7 @@
     for (int k = 0; k < PROXIES; k++) {
         struct agreement_message *m;
         struct service_set unreachable = {0};
-        if (k == i || chance(3)) {
+        if (k == i || chance(3) || w.now < p->apart_until) {
             continue;
         }
         const struct view *v = agreement_view(p->agreement);
@@ -376,13 +432,23 @@
     }
 }
 
-/* Adopts a view; the model's statements take no time, so it is applied at
-   once. */
+/* Reports the view as applied. The model's statements take no time, so only
+   orders of earlier holders can be in progress. */
+static void
+update_applied(struct proxy *p)
+{
+    const struct view *v = agreement_view(p->agreement);
+
+    if (promoter_order_count(p->promoter, v->fence) == 0) {
+        agreement_set_applied(p->agreement, v->version);
+    }
+}
+
 static void
 adopt(struct proxy *p, const struct view *v)
 {
     if (agreement_adopt_view(p->agreement, v)) {
-        agreement_set_applied(p->agreement, v->version);
+        update_applied(p);
         send_messages(p);
     }
 }
@@ -509,6 +575,11 @@
     const bool refused = chance(5);
     const bool up = is_up(&w.members[e->member]);
 
+    if (e->number < w.newest_fence) {
+        fail("FENCE");
+    }
+    w.newest_fence = MAX(w.newest_fence, e->number);
+
     answer.kind = EVENT_ORDERED;
     answer.result = refused ? ORDER_FAILED
                     : up    ? ORDER_DONE
@@ -568,10 +639,10 @@
 handle(struct event *e)
 {
     struct proxy *p = &w.proxies[e->proxy];
-    const bool to_proxy = e->kind == EVENT_MESSAGE ||
-                          e->kind == EVENT_REPORT ||
-                          e->kind == EVENT_ORDERED ||
-                          e->kind == EVENT_WRITTEN || e->kind == EVENT_READ;
+    const bool to_proxy =
+        e->kind == EVENT_MESSAGE || e->kind == EVENT_REPORT ||
+        e->kind == EVENT_ORDERED || e->kind == EVENT_CONNECTED ||
+        e->kind == EVENT_WRITTEN || e->kind == EVENT_READ;
 
     if (to_proxy && p->start_at == 0 && w.now < p->frozen_until) {
         return false;
@@ -582,13 +653,15 @@
     }
     switch (e->kind) {
     case EVENT_MESSAGE:
+        if (w.now < p->apart_until) {
+            break;
+        }
         if (e->position_at > p->primary_position_at) {
             p->primary_position = e->position;
             p->primary_position_at = e->position_at;
         }
         if (agreement_receive(p->agreement, e->message, w.now)) {
-            agreement_set_applied(p->agreement,
-                                  agreement_view(p->agreement)->version);
+            update_applied(p);
             send_messages(p);
         }
         break;
@@ -599,6 +672,9 @@
         promoter_member_answered(p->promoter, SERVICE, member_names[e->member],
                                  e->round, e->ok ? &e->report : NULL, w.now);
         break;
+    case EVENT_CONNECTED:
+        send_order(e);
+        break;
     case EVENT_ORDER:
         platform_order(e);
         break;
@@ -815,6 +891,7 @@
             .rows = w.rows,
         });
     }
+    update_applied(p);
     promoter_set_store_lost(p->promoter,
                             w.now < p->store_fault_until || w.restore_at != 0);
     if (w.now >= p->message_at ||
@@ -860,6 +937,7 @@
     if (p->stop_at != 0 && w.now >= p->stop_at) {
         p->start_at = w.now + 300;
         p->stop_at = 0;
+        drop_held_orders(p);
     }
     if (!runs(p)) {
         return;
@@ -935,6 +1013,12 @@
         empty_replica();
         return;
     }
+    if (w.held_orders && chance(20)) {
+        /* Cut off from all but the service that takes orders. */
+        p->apart_until = end;
+        p->store_fault_until = end;
+        return;
+    }
     switch (rng_below(&w.rng, 11)) {
     case 0:
         m->down_until = end;
@@ -954,6 +1038,7 @@
     case 5:
         if (p->start_at == 0) {
             p->start_at = w.now + 300; /* killed */
+            drop_held_orders(p);
         }
         break;
     case 6:
@@ -994,6 +1079,7 @@
         struct proxy *p = &w.proxies[k];
         p->frozen_until = MIN(p->frozen_until, w.now);
         p->store_fault_until = MIN(p->store_fault_until, w.now);
+        p->apart_until = MIN(p->apart_until, w.now);
     }
 }
 
@@ -1033,8 +1119,11 @@
 }
 
 static void
-run_seed(uint64_t seed, bool restored_store, bool emptied_members)
+run_seed(uint64_t seed, const char *mode)
 {
+    const bool restored_store = strcmp(mode, "restored") == 0;
+    const bool emptied_members = strcmp(mode, "emptied") == 0;
+
     for (int k = 0; k < PROXIES; k++) {
         if (w.proxies[k].agreement != NULL) {
             promoter_destroy(w.proxies[k].promoter);
@@ -1052,6 +1141,7 @@
     w.promotion_ms = 100 + (int64_t)rng_below(&w.rng, 1100);
     w.sync_replicas = chance(50) || emptied_members;
     w.emptied_members = emptied_members;
+    w.held_orders = strcmp(mode, "held") == 0;
     for (int i = 0; i < MEMBERS; i++) {
         w.members[i].term = 1;
         w.members[i].primary = i == 0;
@@ -1105,7 +1195,7 @@
 {
     if (argc < 3) {
         fprintf(stderr, "usage: model_primary_change FIRST_SEED COUNT "
-                        "[restored|emptied]\n");
+                        "[restored|emptied|held]\n");
         return 2;
     }
     const uint64_t first = strtoull(argv[1], NULL, 10);
@@ -1113,8 +1203,7 @@
     uint64_t failed = 0;
 
     for (uint64_t i = 0; i < count; i++) {
-        run_seed(first + i, argc > 3 && strcmp(argv[3], "restored") == 0,
-                 argc > 3 && strcmp(argv[3], "emptied") == 0);
+        run_seed(first + i, argc > 3 ? argv[3] : "");
         failed += w.broken != NULL;
     }
     printf("seeds=%llu failed=%llu\n", (unsigned long long)count,
--- a/tests/coordination/test_agreement.c
+++ b/tests/coordination/test_agreement.c
@@ -111,6 +111,41 @@
     agreement_destroy(b);
 }
 
+/* Guards against an order of an earlier holder that reaches the platform after
+   that of the next one (review/12): one that was given just before its lease
+   expired is delivered for AGREEMENT_ORDER_LIFE_MS more, unless all proxies
+   have reported that theirs have ended. */
+static void
+test_orders_outlast_leases(void **state)
+{
+    const struct view next = {.version = 2};
+    const clock_ms leases = 10010 + AGREEMENT_LEASE_MS;
+    struct agreement *a = create_proxy("a", 1);
+    struct agreement *b = create_proxy("b", 1);
+    struct agreement *c = create_proxy("c", 1);
+
+    (void)state;
+    agreement_adopt_view(a, &next);
+    agreement_set_applied(a, 2);
+    agreement_adopt_view(b, &next);
+    agreement_set_applied(b, 2);
+    exchange(a, "a", b, "b", 10010);
+    assert_false(agreement_older_orders_expired(a, 2, 10000, 10010));
+    assert_true(agreement_older_views_expired(a, 2, 10000, leases));
+    assert_false(agreement_older_orders_expired(a, 2, 10000, leases));
+    assert_false(agreement_older_orders_expired(
+        a, 2, 10000, leases + AGREEMENT_ORDER_LIFE_MS - 1));
+    assert_true(agreement_older_orders_expired(
+        a, 2, 10000, leases + (clock_ms)2 * AGREEMENT_ORDER_LIFE_MS));
+    exchange(a, "a", c, "c", leases);
+    agreement_set_applied(c, 2);
+    exchange(a, "a", c, "c", leases);
+    assert_true(agreement_older_orders_expired(a, 2, 10000, leases));
+    agreement_destroy(a);
+    agreement_destroy(b);
+    agreement_destroy(c);
+}
+
 /* Guards against a choice of witnesses that depends on the order of the list,
    and against more witnesses than the traffic is planned for. */
 static void
@@ -494,6 +529,7 @@
         cmocka_unit_test(test_restarted_witness_confirms),
         cmocka_unit_test(test_outdated_view_is_not_confirmed),
         cmocka_unit_test(test_change_waits_for_leases),
+        cmocka_unit_test(test_orders_outlast_leases),
         cmocka_unit_test(test_choice_of_witnesses),
         cmocka_unit_test(test_store_confirms_known_proxies_only),
         cmocka_unit_test(test_change_waits_for_equal_lists),
--- a/tests/coordination/test_promoter.c
+++ b/tests/coordination/test_promoter.c
@@ -19,6 +19,7 @@
     int orders;
     char ordered[MEMBER_ID_BYTES];
     uint64_t fence;
+    clock_ms valid_until; /* of the last order */
     int queries;
     int demotes;
     char demoted[MEMBER_ID_BYTES]; /* the member that was asked last */
@@ -67,12 +68,14 @@
 }
 
 static void
-order(void *ctx, const char *service, const char *member, uint64_t fence)
+order(void *ctx, const char *service, const char *member, uint64_t fence,
+      clock_ms valid_until)
 {
     struct fixture *f = ctx;
 
     (void)service;
     f->orders++;
+    f->valid_until = valid_until;
     f->fence = fence;
     g_strlcpy(f->ordered, member, sizeof(f->ordered));
 }
@@ -624,6 +627,70 @@
     teardown(&f);
 }
 
+/* Lets all members answer the last query: none leads. */
+static void
+report_replicas(struct fixture *f)
+{
+    for (int i = 0; i < 3; i++) {
+        report(f, members[i].id, false, 7, 40);
+    }
+}
+
+/* Guards against an order that the platform receives before that of an earlier
+   holder (review/12). c, which may have ordered m2, has not applied the view
+   yet; a has. */
+static void
+test_next_order_waits_for_an_earlier_one(void **state)
+{
+    const int64_t limit_ms =
+        AGREEMENT_LEASE_MS + (int64_t)3 * AGREEMENT_ORDER_LIFE_MS;
+    struct fixture f;
+    struct view v;
+
+    (void)state;
+    setup(&f, "b", true);
+    v = *agreement_view(f.agreement);
+    v.version = 6;
+    v.entries[0].epoch = 6;
+    g_strlcpy(v.entries[0].ordered, "m2", sizeof(v.entries[0].ordered));
+    agreement_adopt_view(f.agreement, &v);
+    agreement_set_applied(f.agreement, 6);
+    const clock_ms begin = f.now;
+    while (f.orders == 0 && f.now - begin < limit_ms) {
+        f.now += 25;
+        receive_from(&f, "a", false, 6);
+        receive_from(&f, "c", false, 5);
+        tick(f.promoter, "db", false, f.now);
+        promoter_end_round(f.promoter, f.now);
+        report_replicas(&f);
+    }
+    assert_int_equal(f.orders, 1);
+    assert_string_equal(f.ordered, "m2");
+    assert_true(f.now - begin >= AGREEMENT_LEASE_MS + AGREEMENT_ORDER_LIFE_MS);
+    teardown(&f);
+}
+
+/* Guards against a proxy that reports the next holder's view as applied while
+   its own order is under way (review/12). */
+static void
+test_unanswered_order_is_work_in_progress(void **state)
+{
+    struct fixture f;
+
+    (void)state;
+    setup_after_order(&f);
+    report_replicas(&f);
+    run_for(&f, 50, false, 6);
+    assert_int_equal(f.orders, 1);
+    assert_true(f.valid_until > f.now);
+    assert_true(f.valid_until <= f.now + AGREEMENT_LEASE_MS);
+    assert_int_equal(promoter_order_count(f.promoter, f.fence), 0);
+    assert_int_equal(promoter_order_count(f.promoter, f.fence + 1), 1);
+    promoter_order_answered(f.promoter, "db", ORDER_FAILED, f.now);
+    assert_int_equal(promoter_order_count(f.promoter, f.fence + 1), 0);
+    teardown(&f);
+}
+
 /* Guards against adopting a primary that an earlier order made, while a later
    order for another member has yet to take effect. */
 static void
@@ -1328,6 +1395,8 @@
         cmocka_unit_test(test_unlisted_primary_that_answers),
         cmocka_unit_test(test_blocked_holder_hands_over),
         cmocka_unit_test(test_old_primary_is_not_adopted_after_an_order),
+        cmocka_unit_test(test_next_order_waits_for_an_earlier_one),
+        cmocka_unit_test(test_unanswered_order_is_work_in_progress),
         cmocka_unit_test(test_only_the_last_order_is_adopted),
         cmocka_unit_test(test_lost_order_answer_excludes_the_old_primary),
         cmocka_unit_test(test_old_primary_is_promoted_again),
--- a/tests/coordination/test_restoration.c
+++ b/tests/coordination/test_restoration.c
@@ -51,13 +51,15 @@
 }
 
 static void
-order(void *ctx, const char *service, const char *member, uint64_t fence)
+order(void *ctx, const char *service, const char *member, uint64_t fence,
+      clock_ms valid_until)
 {
     struct fixture *f = ctx;
 
     (void)service;
     (void)member;
     (void)fence;
+    (void)valid_until;
     f->orders++;
 }
 
--- a/tests/node/test_rate_limits.c
+++ b/tests/node/test_rate_limits.c
@@ -51,12 +51,13 @@
 
 static void
 ignore_order(void *ctx, const char *service, const char *member,
-             uint64_t fence)
+             uint64_t fence, clock_ms valid_until)
 {
     (void)ctx;
     (void)service;
     (void)member;
     (void)fence;
+    (void)valid_until;
 }
 
 static void
