coordination: a process that has started again confirms no lease

Cause: a confirmation of a lease says that the sender has applied no newer view. One that has just started has forgotten what it had applied, but its message, which tells no view, counted, and so did those after it had learnt an older view from the proxy that had missed the change.

Change: a process is recovering until any answer of the store, or answers of N - majority + 1 witnesses that are not recovering, asked a second after its start or later. It has no lease meanwhile, and a message without a view confirms nothing. A change counts only what peers have reported that have answered within a lease, so that a predecessor is not counted after its successor has recovered.

Set-ups of test_agreement, test_promoter and test_restoration now confirm the view that they adopt from the store, as the node does with each answer; proxies exchange messages in both directions before their reports count.

--- a/src/coordination/agreement.c
+++ b/src/coordination/agreement.c
@@ -1,5 +1,7 @@
 #include "coordination/agreement_internal.h"
 
+#include "base/event_log.h"
+
 #include <glib.h>
 #include <stdlib.h>
 #include <string.h>
@@ -18,12 +20,14 @@
 
 /* Creates the state of a proxy that has no view yet. */
 struct agreement *
-agreement_create(const char *name, uint64_t incarnation)
+agreement_create(const char *name, uint64_t incarnation, clock_ms now)
 {
     struct agreement *a = g_new0(struct agreement, 1);
 
     g_strlcpy(a->name, name, sizeof(a->name));
     a->incarnation = incarnation;
+    a->started_at = now;
+    a->recovering = true;
     a->store_confirmed_at = -AGREEMENT_LEASE_MS;
     a->store_answered_at = -AGREEMENT_LEASE_MS;
     return a;
@@ -121,14 +125,68 @@
     a->known_to_peers = true;
 }
 
+/* Returns true while earlier processes of this proxy may have applied a newer
+   view than this one knows. */
+bool
+agreement_is_recovering(const struct agreement *a)
+{
+#ifdef AGREEMENT_BREAK_RECOVERY
+    (void)a;
+    return false;
+#else
+    return a->recovering;
+#endif
+}
+
+static void
+end_recovery(struct agreement *a, const char *source)
+{
+    if (a->recovering) {
+        event_log(EVENT_STATE, "recovered", "source=%s version=%llu", source,
+                  (unsigned long long)a->view.version);
+    }
+    a->recovering = false;
+}
+
+/* Records that the store has answered this process that it holds no view. */
+void
+agreement_confirm_no_view(struct agreement *a)
+{
+    if (!agreement_view_is_lost(a)) {
+        end_recovery(a, "store");
+    }
+}
+
+/* Ends the recovery once so many witnesses have confirmed the view that one of
+   them belongs to every majority. Only what they were asked AGREEMENT_LEASE_MS
+   after the start counts: by then, no proxy takes a message of the earlier
+   process for one of a witness that remembers. */
+static void
+check_recovery(struct agreement *a)
+{
+    const int majority = a->witnesses / 2 + 1;
+    int n = 0;
+
+    for (int i = 0; i < a->witness_peer_count; i++) {
+        n += a->peers[a->witness_peers[i]].confirmed_at >=
+             a->started_at + AGREEMENT_LEASE_MS;
+    }
+    if (n > 0 && n >= a->witnesses - majority + 1) {
+        end_recovery(a, "witnesses");
+    }
+}
+
 /* Records that the store returned version in answer to a read or write sent at
    asked_at (own clock), and whether this proxy was registered at the time. A
    proxy that changes the view waits only for the proxies that it knows, so the
-   answer confirms nothing while this proxy may be unknown to others. */
+   answer confirms nothing while this proxy may be unknown to others. All views
+   that an earlier process had applied were in the store before, so any answer
+   ends the recovery. */
 void
 agreement_confirm_by_store(struct agreement *a, uint64_t version,
                            clock_ms asked_at, bool registered)
 {
+    agreement_confirm_no_view(a);
     if (registered) {
         a->store_answered_at = MAX(a->store_answered_at, asked_at);
     }
@@ -328,7 +386,7 @@
     out->incarnation = a->incarnation;
     out->sent_at = now;
     out->catalog_age_ms = -1;
-    if (!a->view_unproven) {
+    if (!a->view_unproven && !agreement_is_recovering(a)) {
         out->applied = a->applied;
         out->version = a->view.version;
     }
@@ -417,14 +475,20 @@
         p->applied = m->applied;
     }
     const bool newer = apply_changes(a, m);
+#ifdef AGREEMENT_BREAK_RECOVERY
+    const bool has_view = true;
+#else
+    const bool has_view = m->version > 0;
+#endif
     /* The peer sent this after it had received the echoed message, and knew no
-       newer view then. */
+       newer view then. One without a view to rely on may have forgotten it. */
 #ifdef AGREEMENT_BREAK_CONFIRMATION
     p->confirmed_at = now;
 #endif
     if (m->echo_incarnation == a->incarnation && m->echo > p->confirmed_at &&
-        m->version <= a->view.version) {
+        has_view && m->version <= a->view.version) {
         p->confirmed_at = m->echo;
+        check_recovery(a);
     }
     return newer;
 }
@@ -488,9 +552,25 @@
 agreement_lease_is_valid(const struct agreement *a, clock_ms now)
 {
     return a->view.version > 0 && !a->view_unproven &&
+           !agreement_is_recovering(a) &&
            now - agreement_confirmed_at(a) < AGREEMENT_LEASE_MS;
 }
 
+/* Returns true if a peer has answered a message of the last
+   AGREEMENT_LEASE_MS. One that has not may have started again since, and
+   forgotten what it had applied. */
+static bool
+peer_answers(const struct peer *p, clock_ms now)
+{
+#ifdef AGREEMENT_BREAK_ANSWERED
+    (void)p;
+    (void)now;
+    return true;
+#else
+    return now - p->answered_at < AGREEMENT_LEASE_MS;
+#endif
+}
+
 /* Returns true once no proxy relies on a view older than version, which came
    into force at since. This holds when every proxy has applied the version, or
    when a majority of the witnesses has and the leases that they may have
@@ -504,8 +584,10 @@
 older_leases_expired(struct agreement *a, uint64_t version, clock_ms since,
                      int64_t extra_ms, clock_ms now)
 {
+    const int majority = a->witnesses / 2 + 1;
     int applied = 0;
     int witnesses = a->is_witness;
+    int answering = a->is_witness; /* of the witnesses */
 
 #ifdef AGREEMENT_BREAK_VERSION
     version = 0;
@@ -514,23 +596,28 @@
         return false;
     }
     for (int i = 0; i < a->count; i++) {
-        const bool has = a->peers[i].applied >= version;
+        const struct peer *p = &a->peers[i];
+        if (p->applied < version) {
+            continue;
+        }
+        const bool answers = peer_answers(p, now);
 #ifdef AGREEMENT_BREAK_REGISTRY
-        applied += has;
+        applied += answers;
 #else
-        applied += has && a->peers[i].registry_hash == a->registry_hash;
+        applied += answers && p->registry_hash == a->registry_hash;
 #endif
-        witnesses += has && a->peers[i].witness;
+        witnesses += p->witness;
+        answering += p->witness && answers;
     }
     if (applied == a->count) {
         return true;
     }
-    if (witnesses > a->witnesses / 2) {
-        /* A majority that has applied a later version covers this one. */
-        if (a->majority_version < version) {
-            a->majority_version = version;
-            a->majority_since = now;
-        }
+    /* A majority that has applied a later version covers this one. */
+    if (answering >= majority && a->majority_version < version) {
+        a->majority_version = version;
+        a->majority_since = now;
+    }
+    if (witnesses >= majority && a->majority_version >= version) {
 #ifdef AGREEMENT_BREAK_LEASE
         return true;
 #endif
--- a/src/coordination/agreement.h
+++ b/src/coordination/agreement.h
@@ -20,6 +20,12 @@
    is one. The traffic of the other proxies therefore does not grow with the
    fleet. Only witnesses change the view.
 
+   A proxy that has started again has forgotten which views it had applied. It
+   is recovering until it knows a view that is at least as new, and neither
+   relies on its view nor confirms the leases of others meanwhile. An answer of
+   the store shows this, or answers of so many witnesses that one of them has
+   applied every view that was in force.
+
    The store may come back from an older copy, which begins a new era. The view
    in it is then older than the one in force until a proxy that knows the newer
    one has written that again; until then the store confirms nothing, and a
@@ -68,7 +74,8 @@
     clock_ms echo;             /* sent_at of the last message received, or 0 */
     uint64_t echo_incarnation; /* incarnation of the proxy that sent it */
     uint64_t applied; /* newest view version that the sender has applied */
-    uint64_t version; /* newest view version that the sender knows */
+    uint64_t version; /* newest view version that the sender knows; 0 if it
+                         does not rely on it */
     /* Services whose primary the sender cannot reach, by index in the view
        `version`. */
     struct service_set unreachable;
@@ -96,7 +103,8 @@
     int change_count;
 };
 
-struct agreement *agreement_create(const char *name, uint64_t incarnation);
+struct agreement *agreement_create(const char *name, uint64_t incarnation,
+                                   clock_ms now);
 void agreement_destroy(struct agreement *a);
 
 void agreement_set_store_era(struct agreement *a, uint64_t era, clock_ms now);
@@ -112,6 +120,8 @@
 void agreement_set_known_to_peers(struct agreement *a);
 void agreement_confirm_by_store(struct agreement *a, uint64_t version,
                                 clock_ms asked_at, bool registered);
+void agreement_confirm_no_view(struct agreement *a);
+bool agreement_is_recovering(const struct agreement *a);
 
 /* A registered proxy. */
 struct agreement_peer {
--- a/src/coordination/agreement_internal.h
+++ b/src/coordination/agreement_internal.h
@@ -36,8 +36,11 @@
 struct agreement {
     char name[VIEW_NAME_BYTES];
     uint64_t incarnation;
-    struct view view;            /* newest one that this proxy knows */
-    uint64_t applied;            /* newest view version that it has applied */
+    clock_ms started_at; /* own clock */
+    bool recovering;     /* earlier processes of this proxy may have applied a
+                            newer view */
+    struct view view;    /* newest one that this proxy knows */
+    uint64_t applied;    /* newest view version that it has applied */
     clock_ms store_confirmed_at; /* own clock */
     clock_ms store_answered_at;  /* own clock: the store knew this proxy */
     uint64_t store_era;          /* as far as this proxy knows */
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -244,8 +244,11 @@
     const bool applied = node_update_applied(n);
     struct service_set unreachable;
     node_list_unreachable(n, now, &unreachable);
+    const bool recovered =
+        n->recovering && !agreement_is_recovering(n->agreement);
     const bool changed =
-        !service_set_equal(&unreachable, &n->sent_unreachable);
+        recovered || !service_set_equal(&unreachable, &n->sent_unreachable);
+    n->recovering = n->recovering && !recovered;
     n->sent_unreachable = unreachable;
     if (applied || changed ||
         now - n->messages_sent_at >= MESSAGE_INTERVAL_MS) {
@@ -349,7 +352,9 @@
     n->traffic = config->traffic;
     n->strict_revocation = config->strict_revocation;
     catalog_evidence_init(&n->evidence, n->incarnation, config->revocation_ms);
-    n->agreement = agreement_create(config->name, n->incarnation);
+    n->agreement =
+        agreement_create(config->name, n->incarnation, n->started_at);
+    n->recovering = true;
     n->promoter = promoter_create(config->name, n->agreement, &actions);
     n->catalog = catalog_create(0);
     n->services = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -103,6 +103,7 @@
 void node_set_known_to_peers(struct node *n);
 void node_set_view(struct node *n, const struct view *v, clock_ms asked_at,
                    bool registered);
+void node_set_no_view(struct node *n);
 void node_view_written(struct node *n, bool done);
 void node_order_answered(struct node *n, const char *service,
                          enum order_result result);
--- a/src/node/node_internal.h
+++ b/src/node/node_internal.h
@@ -91,6 +91,7 @@
     uint64_t applied; /* newest view version reported as applied */
     bool leaving;
     bool store_lost; /* this proxy cannot reach the store */
+    bool recovering; /* at the last tick */
 };
 
 /* configuration.c */
--- a/src/node/peer_messages.c
+++ b/src/node/peer_messages.c
@@ -357,6 +357,13 @@
     return strcmp(agreement_view(n->agreement)->holder, n->name) == 0;
 }
 
+/* Called when the store has answered that it holds no view. */
+void
+node_set_no_view(struct node *n)
+{
+    agreement_confirm_no_view(n->agreement);
+}
+
 /* Called with the view from the store, in answer to a read or write sent at
    asked_at. registered: the answer shows this proxy as registered. */
 void
--- a/tests/coordination/model_agreement.c
+++ b/tests/coordination/model_agreement.c
@@ -11,7 +11,11 @@
    proxies with other names. At the end the faults stop, and a change of the
    view has to come into force.
 
-   Usage: model_agreement SEED STEPS [losses] */
+   With "restarts", the list of proxies does not change. Processes are killed,
+   often many at once, and start again without their memory, at times while
+   nobody reaches the store: they learn the view from each other.
+
+   Usage: model_agreement SEED STEPS [losses|restarts] */
 
 #include "base/rng.h"
 #include "coordination/agreement.h"
@@ -38,6 +42,10 @@
 /* A process is not killed earlier than this after it has registered. By then
    the others know its row, as its next start assumes. */
 #define MIN_REGISTERED_MS 6000
+/* With restarts: the longest outage of the store, and the shortest time
+   between two. */
+#define STORE_DOWN_MAX_MS 5000
+#define STORE_UP_MS 3000
 /* A lost proxy is replaced after this time. */
 #define REPLACEMENT_MS 2000
 /* How long the run goes on without faults after losses, and how long before
@@ -88,6 +96,8 @@
     uint64_t applied_everywhere; /* no node relies on an older one */
     uint64_t list_version;
     bool losses;
+    bool restarts;
+    clock_ms store_down_until; /* with restarts */
     long lost;
     clock_ms next_loss_at; /* of a series; 0 if none */
     long retired;
@@ -179,7 +189,7 @@
 
     agreement_destroy(n->agreement);
     n->incarnation++;
-    n->agreement = agreement_create(n->name, n->incarnation);
+    n->agreement = agreement_create(n->name, n->incarnation, local_time(m, i));
     n->clock_offset = (clock_ms)1000 * (i + 1);
     n->changing = 0;
     n->register_at = n->registered ? 0 : m->now + REGISTER_MS;
@@ -188,7 +198,7 @@
     if (n->registered) {
         agreement_set_known_to_peers(n->agreement);
     }
-    if (m->stored.version > 0) {
+    if (m->stored.version > 0 && !m->restarts) {
         agreement_adopt_view(n->agreement, &m->stored);
         read_store(m, i);
         agreement_set_applied(n->agreement, m->stored.version);
@@ -464,10 +474,70 @@
     }
 }
 
+/* Kills a node, which starts again soon and reads the store once it can. */
+static void
+kill_node(struct model *m, int i)
+{
+    m->nodes[i].down_until = m->now + 100 + (clock_ms)rng_below(&m->rng, 1000);
+    m->nodes[i].frozen_until = 0;
+    m->nodes[i].applies_at = 0;
+    start_node(m, i);
+}
+
+/* Injects a random fault with restarts, or changes the view. */
+static void
+inject_restart(struct model *m)
+{
+    const int i = (int)rng_below(&m->rng, (uint64_t)m->count);
+
+    switch (rng_below(&m->rng, 9)) {
+    case 0:
+        m->nodes[i].frozen_until = m->now + (clock_ms)rng_below(&m->rng, 4000);
+        break;
+    case 1:
+    case 2:
+        kill_node(m, i);
+        break;
+    case 3:
+        for (int k = 0; k < m->count; k++) {
+            if (rng_below(&m->rng, 10) < 6) {
+                kill_node(m, k);
+            }
+        }
+        break;
+    case 4:
+        if (m->now < m->store_down_until + STORE_UP_MS) {
+            break;
+        }
+        m->store_down_until =
+            m->now + (clock_ms)rng_below(&m->rng, STORE_DOWN_MAX_MS);
+        for (int k = 0; k < m->count; k++) {
+            m->nodes[k].store_blocked_until = m->store_down_until;
+        }
+        break;
+    case 5:
+    case 6: /* one node is cut off from the others, in part or wholly */
+        for (int k = 0; k < m->count; k++) {
+            const bool whole = rng_below(&m->rng, 4) > 0;
+            m->blocked[i][k] = whole || rng_below(&m->rng, 2) == 0;
+            m->blocked[k][i] = whole || rng_below(&m->rng, 2) == 0;
+        }
+        m->blocked_until = m->now + (clock_ms)rng_below(&m->rng, 3500);
+        break;
+    default:
+        change_view(m, i);
+    }
+}
+
 /* Injects a random fault, or changes the view. */
 static void
 inject_fault(struct model *m)
 {
+    if (m->restarts) {
+        inject_restart(m);
+        return;
+    }
+
     const int i = (int)rng_below(&m->rng, (uint64_t)m->count);
     struct model_node *n = &m->nodes[i];
 
@@ -533,9 +603,11 @@
     struct model *m = g_new0(struct model, 1);
     const uint64_t seed = argc > 1 ? strtoull(argv[1], NULL, 10) : 1;
     const long steps = argc > 2 ? strtol(argv[2], NULL, 10) : 100000;
-    const long calm = argc > 3 ? CALM_MS : 0;
+    const char *mode = argc > 3 ? argv[3] : "";
 
-    m->losses = argc > 3 && strcmp(argv[3], "losses") == 0;
+    m->losses = strcmp(mode, "losses") == 0;
+    m->restarts = strcmp(mode, "restarts") == 0;
+    const long calm = m->losses || m->restarts ? CALM_MS : 0;
     rng_seed(&m->rng, seed);
     m->now = 100000;
     m->count = 3 + (int)(seed % (NODES_MAX - 2));
@@ -554,7 +626,7 @@
         if (step == steps) {
             end_faults(m);
         }
-        if (m->losses && step == steps + calm - LAST_CHANGE_MS) {
+        if (calm > 0 && step == steps + calm - LAST_CHANGE_MS) {
             request_change(m);
         }
         if (m->now >= m->blocked_until) {
--- a/tests/coordination/model_primary_change.c
+++ b/tests/coordination/model_primary_change.c
@@ -388,7 +388,7 @@
     const uint64_t incarnation = p->incarnation + 1;
     *p = (struct proxy){.incarnation = incarnation,
                         .store_fault_until = store_fault_until};
-    p->agreement = agreement_create(proxy_names[i], p->incarnation);
+    p->agreement = agreement_create(proxy_names[i], p->incarnation, w.now);
     agreement_set_peers(p->agreement, peers, PROXIES, w.now);
     agreement_set_known_to_peers(p->agreement);
     p->promoter = promoter_create(proxy_names[i], p->agreement, &actions);
--- a/tests/coordination/test_agreement.c
+++ b/tests/coordination/test_agreement.c
@@ -28,15 +28,16 @@
     agreement_receive(from, &m, now);
 }
 
-/* Creates a proxy that knows version 1 of the view. */
+/* Creates a proxy that has read version 1 of the view from the store. */
 static struct agreement *
 create_proxy(const char *name, uint64_t incarnation)
 {
     const struct view v = {.version = 1};
-    struct agreement *a = agreement_create(name, incarnation);
+    struct agreement *a = agreement_create(name, incarnation, 0);
 
     agreement_set_peers(a, three, 3, 0);
     agreement_adopt_view(a, &v);
+    agreement_confirm_by_store(a, 1, 0, false);
     agreement_set_applied(a, 1);
     return a;
 }
@@ -65,6 +66,107 @@
     agreement_destroy(c);
 }
 
+/* Starts a proxy again that reaches no store. */
+static struct agreement *
+restart_proxy(struct agreement *old, const char *name, clock_ms now)
+{
+    struct agreement *a = agreement_create(name, 2, now);
+
+    agreement_destroy(old);
+    agreement_set_peers(a, three, 3, now);
+    return a;
+}
+
+/* Guards against proxies that have forgotten a view and confirm an older one,
+   which they learn from a proxy that missed the newer one (review/14). */
+static void
+test_forgotten_view_is_not_replaced_by_an_older_one(void **state)
+{
+    const struct view next = {.version = 2};
+    struct agreement *a = create_proxy("a", 1);
+    struct agreement *b = create_proxy("b", 1);
+    struct agreement *c = create_proxy("c", 1);
+    clock_ms now = 10000;
+
+    (void)state;
+    exchange(b, "b", c, "c", now);
+    agreement_adopt_view(b, &next);
+    agreement_adopt_view(c, &next);
+    b = restart_proxy(b, "b", now);
+    c = restart_proxy(c, "c", now);
+    for (int i = 0; i < 50; i++) {
+        now += AGREEMENT_LEASE_MS / 10;
+        exchange(a, "a", b, "b", now);
+        exchange(b, "b", c, "c", now);
+        exchange(c, "c", a, "a", now);
+        assert_false(agreement_lease_is_valid(a, now));
+        assert_false(agreement_lease_is_valid(b, now));
+        assert_false(agreement_lease_is_valid(c, now));
+    }
+    assert_int_equal(agreement_view(b)->version, 1);
+    agreement_adopt_view(b, &next); /* the store is back */
+    agreement_confirm_by_store(b, 2, now, true);
+    assert_false(agreement_is_recovering(b));
+    exchange(b, "b", a, "a", now);
+    assert_int_equal(agreement_view(a)->version, 2);
+    agreement_destroy(a);
+    agreement_destroy(b);
+    agreement_destroy(c);
+}
+
+/* Guards against a fleet that cannot be restarted one by one while the store
+   is out of reach: the answers of two of three witnesses, asked a while after
+   the start, show that no newer view was applied. */
+static void
+test_recovery_by_witnesses(void **state)
+{
+    const clock_ms start = 10000;
+    const clock_ms end = start + AGREEMENT_LEASE_MS;
+    struct agreement *a = create_proxy("a", 1);
+    struct agreement *b = create_proxy("b", 1);
+    struct agreement *c = create_proxy("c", 1);
+
+    (void)state;
+    c = restart_proxy(c, "c", start);
+    exchange(c, "c", a, "a", start + 10);
+    exchange(c, "c", b, "b", start + 10);
+    assert_int_equal(agreement_view(c)->version, 1);
+    assert_true(agreement_is_recovering(c));
+    exchange(c, "c", a, "a", end);
+    assert_true(agreement_is_recovering(c));
+    exchange(c, "c", b, "b", end - 1);
+    assert_true(agreement_is_recovering(c));
+    exchange(c, "c", b, "b", end);
+    assert_false(agreement_is_recovering(c));
+    assert_true(agreement_lease_is_valid(c, end));
+    agreement_destroy(a);
+    agreement_destroy(b);
+    agreement_destroy(c);
+}
+
+/* Guards against a change that counts what a peer had applied before it
+   started again: nothing shows that it still runs. */
+static void
+test_silent_peer_has_applied_nothing(void **state)
+{
+    const struct view next = {.version = 2};
+    const clock_ms late = 10010 + AGREEMENT_LEASE_MS;
+    struct agreement *a = create_proxy("a", 1);
+    struct agreement *b = create_proxy("b", 1);
+
+    (void)state;
+    agreement_adopt_view(a, &next);
+    agreement_set_applied(a, 2);
+    agreement_adopt_view(b, &next);
+    agreement_set_applied(b, 2);
+    exchange(a, "a", b, "b", 10010);
+    assert_false(agreement_older_views_expired(a, 2, 10000, late));
+    assert_false(
+        agreement_older_views_expired(a, 2, 10000, late + AGREEMENT_LEASE_MS));
+    agreement_destroy(a);
+    agreement_destroy(b);
+}
+
 /* Guards against a lease on a view that a witness knows to be outdated. */
 static void
 test_outdated_view_is_not_confirmed(void **state)
@@ -137,6 +239,7 @@
         a, 2, 10000, leases + AGREEMENT_ORDER_LIFE_MS - 1));
     assert_true(agreement_older_orders_expired(
         a, 2, 10000, leases + (clock_ms)2 * AGREEMENT_ORDER_LIFE_MS));
+    exchange(a, "a", b, "b", leases);
     exchange(a, "a", c, "c", leases);
     agreement_set_applied(c, 2);
     exchange(a, "a", c, "c", leases);
@@ -153,8 +256,8 @@
 {
     struct agreement_peer peers[20];
     char names[20][8];
-    struct agreement *a = agreement_create("n0", 1);
-    struct agreement *b = agreement_create("n1", 1);
+    struct agreement *a = agreement_create("n0", 1, 0);
+    struct agreement *b = agreement_create("n1", 1, 0);
     int count = 0;
 
     (void)state;
@@ -223,7 +326,8 @@
     exchange(c, "c", a, "a", 10000);
     assert_false(agreement_older_views_expired(a, 1, 10000, 10100));
     agreement_set_peers(b, three, 3, 10200);
-    exchange(b, "b", a, "a", 10200);
+    exchange(a, "a", b, "b", 10200);
+    exchange(a, "a", c, "c", 10200);
     assert_true(agreement_older_views_expired(a, 1, 10000, 10300));
     agreement_destroy(a);
     agreement_destroy(b);
@@ -285,7 +389,7 @@
 static const char *
 nth_proxy(const struct agreement_peer *peers, int n, bool witness, int nth)
 {
-    struct agreement *a = agreement_create("", 1);
+    struct agreement *a = agreement_create("", 1, 0);
     const char *name = NULL;
 
     agreement_set_peers(a, peers, n, 0);
@@ -305,7 +409,7 @@
 create_registered(const char *name, const struct agreement_peer *peers, int n)
 {
     const struct view v = {.version = 1};
-    struct agreement *a = agreement_create(name, 1);
+    struct agreement *a = agreement_create(name, 1, 0);
 
     agreement_set_peers(a, peers, n, 0);
     agreement_adopt_view(a, &v);
@@ -400,7 +504,7 @@
     list_proxies(peers, names, 10);
     const char *witness = nth_proxy(peers, 10, true, 0);
     const char *other = nth_proxy(peers, 10, false, 0);
-    struct agreement *a = agreement_create(witness, 1);
+    struct agreement *a = agreement_create(witness, 1, start);
     struct agreement *b = create_registered(other, peers, 10);
     agreement_set_peers(a, peers, 10, start);
     agreement_adopt_view(a, agreement_view(b));
@@ -527,6 +631,9 @@
 {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(test_restarted_witness_confirms),
+        cmocka_unit_test(test_forgotten_view_is_not_replaced_by_an_older_one),
+        cmocka_unit_test(test_recovery_by_witnesses),
+        cmocka_unit_test(test_silent_peer_has_applied_nothing),
         cmocka_unit_test(test_outdated_view_is_not_confirmed),
         cmocka_unit_test(test_change_waits_for_leases),
         cmocka_unit_test(test_orders_outlast_leases),
--- a/tests/coordination/test_promoter.c
+++ b/tests/coordination/test_promoter.c
@@ -90,7 +90,7 @@
 
     memset(f, 0, sizeof(*f));
     f->now = 100000;
-    f->agreement = agreement_create("b", 1);
+    f->agreement = agreement_create("b", 1, f->now);
     agreement_set_peers(f->agreement, peers, 3, 0);
     g_strlcpy(v.holder, holder, sizeof(v.holder));
     g_strlcpy(v.entries[0].service, "db", sizeof(v.entries[0].service));
@@ -98,6 +98,7 @@
     v.entries[0].epoch = 5;
     v.entries[0].changing = changing;
     agreement_adopt_view(f->agreement, &v);
+    agreement_confirm_by_store(f->agreement, 5, 0, false);
     agreement_set_applied(f->agreement, 5);
     f->promoter = promoter_create("b", f->agreement, &actions);
     sync_replicas = 0;
--- a/tests/coordination/test_restoration.c
+++ b/tests/coordination/test_restoration.c
@@ -86,7 +86,7 @@
 
     memset(f, 0, sizeof(*f));
     f->now = 100000;
-    f->agreement = agreement_create("b", 1);
+    f->agreement = agreement_create("b", 1, f->now);
     agreement_set_peers(f->agreement, peers, G_N_ELEMENTS(peers), f->now);
     agreement_set_known_to_peers(f->agreement);
     f->promoter = promoter_create("b", f->agreement, &actions);
@@ -144,6 +144,7 @@
     setup(&f);
     agreement_set_store_era(f.agreement, 1, f.now);
     agreement_adopt_view(f.agreement, &v);
+    agreement_confirm_by_store(f.agreement, v.version, f.now, true);
     run_for(&f, 100, "ac", v.version);
     assert_int_equal(f.writes, 0);
     agreement_set_store_era(f.agreement, 2, f.now);
@@ -196,6 +197,7 @@
     assert_true(m.version == 0);
     restored.version = ERA_2 + 1;
     agreement_adopt_view(f.agreement, &restored);
+    agreement_confirm_by_store(f.agreement, restored.version, f.now, false);
     run_for(&f, 25, "ac", restored.version);
     assert_true(agreement_lease_is_valid(f.agreement, f.now));
     agreement_confirm_by_store(f.agreement, restored.version, f.now, true);
--- a/tests/limits/model_faults.c
+++ b/tests/limits/model_faults.c
@@ -51,7 +51,7 @@
     }
     /* Which of them are witnesses does not depend on the proxy that asks. */
     if (agreement == NULL) {
-        agreement = agreement_create("", 1);
+        agreement = agreement_create("", 1, 0);
     }
     agreement_set_peers(agreement, peers, n, 0);
     for (int k = 0; k < n && count < AGREEMENT_WITNESSES_MAX; k++) {
