soak: orders that are held up on their way

A fault proxy keeps each order for 0.1 to 1.4 s, or drops it when its connection is closed, while the process that sent it is stopped, killed or suspended and a member is often silent. The stand-in checks the order of fences, as before.

--- a/tests/soak/fault_proxy.c
+++ b/tests/soak/fault_proxy.c
@@ -21,6 +21,9 @@
     int fd;
     ev_io io;
     enum fault fault;
+    bool holding; /* FAULT_HOLD keeps bytes */
+    void (*held)(void *ctx);
+    void *held_ctx;
     struct deferred_free *deferred_free;
     GQueue connections;
 };
@@ -43,6 +46,13 @@
     const enum fault f = p->proxy->fault;
     const struct sview in = stream_input(from);
 
+    if (f == FAULT_HOLD && !from_server) {
+        if (!p->proxy->holding && in.n > 0) {
+            p->proxy->holding = true;
+            p->proxy->held(p->proxy->held_ctx);
+        }
+        return;
+    }
     if (p->silent || f == FAULT_SILENT ||
         (from_server && f == FAULT_ONE_WAY)) {
         /* The byte stream has a gap from here on, so nothing more may be
@@ -156,7 +166,22 @@
 void
 fault_proxy_set_fault(struct fault_proxy *p, enum fault f)
 {
+    const bool held = p->holding;
+
     p->fault = f;
+    p->holding = false;
+    for (GList *l = p->connections.head; held && l != NULL;) {
+        GList *next = l->next;
+        on_client_readable(l->data);
+        l = next;
+    }
+}
+
+void
+fault_proxy_on_held(struct fault_proxy *p, void (*held)(void *ctx), void *ctx)
+{
+    p->held = held;
+    p->held_ctx = ctx;
 }
 
 /* Makes all open connections silent until they close; new ones work. */
--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -15,14 +15,17 @@
    database group, injects faults for SECONDS, removes them and waits for
    recovery, and then checks what callers and members saw.
 
-     soak [--late-orders] [--sync-replicas] [--config-changes]
-          [--restored-store] [--accounts] PROGRAM SEED SECONDS
-          [MAX_CONNECTIONS [LOG_FOLDER]]
+     soak [--late-orders] [--held-orders] [--sync-replicas]
+          [--config-changes] [--restored-store] [--accounts] PROGRAM SEED
+   SECONDS [MAX_CONNECTIONS [LOG_FOLDER]]
 
    With --late-orders, promotions take up to 1.2 s, and the process that orders
    one is often stopped, killed, suspended or cut off from the store before it
-   takes effect. With --sync-replicas, commits are synchronous, members report
-   that they are draining, and no acknowledged write may be lost. With
+   takes effect. With --held-orders, orders are held up on their way, and the
+   process that has sent one is often stopped, killed or suspended meanwhile,
+   while a member does not answer. With --sync-replicas, commits are
+   synchronous, members report that they are draining, and no acknowledged
+   write may be lost. With
    --config-changes, faults are few and the operator makes changes around
    them. With --restored-store, the store often loses the last seconds before
    an outage; the operator and the members write again what they wrote there.
@@ -61,6 +64,11 @@
    that the old primary answers again. */
 #define RETURN_AFTER_ORDER_MS 250
 #define FAULT_MAX_MS 3500
+/* Of --held-orders: how long an order is held up, and how long a member is
+   silent meanwhile. */
+#define HELD_MIN_MS 100
+#define HELD_MAX_MS 1400
+#define MEMBER_SILENT_MS 800
 #define VIOLATIONS_MAX 20
 /* Of --config-changes. Longer than the time that the operator grants after the
    last fault. */
@@ -89,6 +97,8 @@
     off_t log_bytes_at_start;
     char settings[128];
     struct fault_proxy *store_fault_proxy;
+    struct fault_proxy *orders_fault_proxy;
+    clock_ms orders_held_until;  /* 0: nothing is held */
     clock_ms sigcont_at;         /* when to send SIGCONT; 0: not stopped */
     clock_ms store_fault_end_at; /* when the fault ends; 0: none is set */
 };
@@ -115,6 +125,7 @@
     ev_timer step_timer;
     struct rng order_rng; /* of the options' faults */
     gboolean late_orders;
+    gboolean held_orders;
     gboolean synchronous;
     gboolean config_changes;
     gboolean restored_store;
@@ -395,7 +406,7 @@
         p->index, p->index % SOAK_MEMBERS, soak_proxy_host(p->index),
         soak_proxy_host(p->index), CALLER_PORT, soak_proxy_host(p->index),
         READY_PORT, PEER_PORT, METRICS_PORT, soak_proxy_host(p->index),
-        STORE_PORT, soak_host(), STORE_PORT);
+        STORE_PORT, soak_proxy_host(p->index), ORDERS_PORT);
 
     if (s->accounts != NULL) {
         char *accounts = g_strdup_printf(
@@ -471,6 +482,43 @@
     return rng_below(&s->order_rng, 5) == 0;
 }
 
+/* Called when an order of a process is held up on its way: disturbs the
+   process and a member. */
+static void
+on_order_held(void *ctx)
+{
+    struct proxy_process *p = ctx;
+    struct soak *s = p->soak;
+    struct rng *r = &s->order_rng;
+    const clock_ms now = clock_monotonic_ms();
+    const int member = (int)rng_below(r, SOAK_MEMBERS);
+
+    p->orders_held_until =
+        now + HELD_MIN_MS + (clock_ms)rng_below(r, HELD_MAX_MS - HELD_MIN_MS);
+    if (rng_below(r, 2) == 0) {
+        fault_proxy_set_fault(s->member_fault_proxies[member], FAULT_SILENT);
+        s->member_fault_end_at[member] = now + MEMBER_SILENT_MS;
+    }
+    if (p->pid == 0) {
+        return;
+    }
+    switch (rng_below(r, 5)) {
+    case 0:
+        kill(p->pid, SIGKILL);
+        break;
+    case 1:
+        kill(p->pid, SIGSTOP);
+        p->sigcont_at = random_fault_end_of(r);
+        break;
+    case 2:
+    case 3:
+        kill(p->pid, SIGTERM);
+        break;
+    default:
+        break;
+    }
+}
+
 /* Takes a promotion order; answers 200, or 409 when the member is down. */
 static int
 on_promote(struct soak *s, const char *holder, const char *id, uint64_t fence)
@@ -536,7 +584,7 @@
     const int target =
         rng_below(&s->rng, 2) == 0 ? standin_group_primary(s->group) : i;
 
-    switch (rng_below(&s->rng, 6)) {
+    switch (s->held_orders ? 0 : rng_below(&s->rng, 6)) {
     case 0:
         standin_group_set_down(s->group, target, true);
         s->member_start_at[target] = random_fault_end(s);
@@ -754,6 +802,13 @@
             p->sigcont_at = 0;
             kill(p->pid, SIGCONT);
         }
+        if (p->orders_held_until != 0 && now >= p->orders_held_until) {
+            p->orders_held_until = 0;
+            fault_proxy_set_fault(p->orders_fault_proxy, FAULT_NONE);
+            if (!s->settling) {
+                fault_proxy_set_fault(p->orders_fault_proxy, FAULT_HOLD);
+            }
+        }
         if (p->store_fault_end_at != 0 && now >= p->store_fault_end_at) {
             p->store_fault_end_at = 0;
             fault_proxy_set_fault(p->store_fault_proxy, FAULT_NONE);
@@ -888,6 +943,12 @@
         p->index = i;
         p->store_fault_proxy = fault_proxy_create(
             s->loop, soak_proxy_host(i), STORE_PORT, soak_host(), STORE_PORT);
+        p->orders_fault_proxy = fault_proxy_create(
+            s->loop, soak_proxy_host(i), ORDERS_PORT, soak_host(), STORE_PORT);
+        fault_proxy_on_held(p->orders_fault_proxy, on_order_held, p);
+        if (s->held_orders) {
+            fault_proxy_set_fault(p->orders_fault_proxy, FAULT_HOLD);
+        }
         write_settings(p);
         ev_child_init(&p->child, on_child_exit, 0, 0);
         p->child.data = p;
@@ -917,6 +978,7 @@
             waitpid(p->pid, NULL, 0);
         }
         fault_proxy_destroy(p->store_fault_proxy);
+        fault_proxy_destroy(p->orders_fault_proxy);
         unlink(p->settings);
         if (s->accounts != NULL) {
             char *path = log_path(p);
@@ -962,6 +1024,8 @@
     const GOptionEntry options[] = {
         {"late-orders", 0, 0, G_OPTION_ARG_NONE, &s.late_orders,
          "Disturb the process that orders a promotion", NULL},
+        {"held-orders", 0, 0, G_OPTION_ARG_NONE, &s.held_orders,
+         "Hold orders of promotions up on their way", NULL},
         {"sync-replicas", 0, 0, G_OPTION_ARG_NONE, &s.synchronous,
          "Make commits synchronous", NULL},
         {"config-changes", 0, 0, G_OPTION_ARG_NONE, &s.config_changes,
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -35,14 +35,24 @@
 /* A TCP proxy on loopback that forwards its connections to another address and
    injects faults. FAULT_SILENT drops the bytes of both directions,
    FAULT_ONE_WAY only those sent back to the client; FAULT_REFUSE resets new
-   connections. */
+   connections; FAULT_HOLD keeps the bytes of the client until the fault ends,
+   or drops them if the client closes the connection before. */
 struct fault_proxy;
-enum fault { FAULT_NONE, FAULT_SILENT, FAULT_ONE_WAY, FAULT_REFUSE };
+enum fault {
+    FAULT_NONE,
+    FAULT_SILENT,
+    FAULT_ONE_WAY,
+    FAULT_REFUSE,
+    FAULT_HOLD
+};
 struct fault_proxy *fault_proxy_create(struct ev_loop *loop, const char *host,
                                        uint16_t port, const char *to_host,
                                        uint16_t to_port);
 void fault_proxy_destroy(struct fault_proxy *p);
 void fault_proxy_set_fault(struct fault_proxy *p, enum fault f);
+/* Sets a callback for the first bytes that FAULT_HOLD keeps. */
+void fault_proxy_on_held(struct fault_proxy *p, void (*held)(void *ctx),
+                         void *ctx);
 void fault_proxy_silence_connections(struct fault_proxy *p);
 void fault_proxy_close_connections(struct fault_proxy *p);
 
