--- a/src/coordination/agreement.c
+++ b/src/coordination/agreement.c
@@ -1,7 +1,5 @@
 #include "coordination/agreement_internal.h"
 
-#include "base/event_log.h"
-
 #include <glib.h>
 #include <stdlib.h>
 #include <string.h>
@@ -125,57 +123,6 @@
     a->known_to_peers = true;
 }
 
-/* Returns true while earlier processes of this proxy may have applied a newer
-   view than this one knows. */
-bool
-agreement_is_recovering(const struct agreement *a)
-{
-#ifdef AGREEMENT_BREAK_RECOVERY
-    (void)a;
-    return false;
-#else
-    return a->recovering;
-#endif
-}
-
-static void
-end_recovery(struct agreement *a, const char *source)
-{
-    if (a->recovering) {
-        event_log(EVENT_STATE, "recovered", "source=%s version=%llu", source,
-                  (unsigned long long)a->view.version);
-    }
-    a->recovering = false;
-}
-
-/* Records that the store has answered this process that it holds no view. */
-void
-agreement_confirm_no_view(struct agreement *a)
-{
-    if (!agreement_view_is_lost(a)) {
-        end_recovery(a, "store");
-    }
-}
-
-/* Ends the recovery once so many witnesses have confirmed the view that one of
-   them belongs to every majority. Only what they were asked AGREEMENT_LEASE_MS
-   after the start counts: by then, no proxy takes a message of the earlier
-   process for one of a witness that remembers. */
-static void
-check_recovery(struct agreement *a)
-{
-    const int majority = a->witnesses / 2 + 1;
-    int n = 0;
-
-    for (int i = 0; i < a->witness_peer_count; i++) {
-        n += a->peers[a->witness_peers[i]].confirmed_at >=
-             a->started_at + AGREEMENT_LEASE_MS;
-    }
-    if (n > 0 && n >= a->witnesses - majority + 1) {
-        end_recovery(a, "witnesses");
-    }
-}
-
 /* Records that the store returned version in answer to a read or write sent at
    asked_at (own clock), and whether this proxy was registered at the time. A
    proxy that changes the view waits only for the proxies that it knows, so the
@@ -186,7 +133,7 @@
 agreement_confirm_by_store(struct agreement *a, uint64_t version,
                            clock_ms asked_at, bool registered)
 {
-    agreement_confirm_no_view(a);
+    agreement_recover_by_store(a);
     if (registered) {
         a->store_answered_at = MAX(a->store_answered_at, asked_at);
     }
@@ -475,20 +422,15 @@
         p->applied = m->applied;
     }
     const bool newer = apply_changes(a, m);
-#ifdef AGREEMENT_BREAK_RECOVERY
-    const bool has_view = true;
-#else
-    const bool has_view = m->version > 0;
-#endif
     /* The peer sent this after it had received the echoed message, and knew no
-       newer view then. One without a view to rely on may have forgotten it. */
+       newer view then. */
 #ifdef AGREEMENT_BREAK_CONFIRMATION
     p->confirmed_at = now;
 #endif
     if (m->echo_incarnation == a->incarnation && m->echo > p->confirmed_at &&
-        has_view && m->version <= a->view.version) {
+        agreement_sender_remembers(m) && m->version <= a->view.version) {
         p->confirmed_at = m->echo;
-        check_recovery(a);
+        agreement_recover_by_witnesses(a);
     }
     return newer;
 }
--- a/src/coordination/agreement.h
+++ b/src/coordination/agreement.h
@@ -120,7 +120,7 @@
 void agreement_set_known_to_peers(struct agreement *a);
 void agreement_confirm_by_store(struct agreement *a, uint64_t version,
                                 clock_ms asked_at, bool registered);
-void agreement_confirm_no_view(struct agreement *a);
+void agreement_recover_by_store(struct agreement *a);
 bool agreement_is_recovering(const struct agreement *a);
 
 /* A registered proxy. */
--- a/src/coordination/agreement_internal.h
+++ b/src/coordination/agreement_internal.h
@@ -3,7 +3,8 @@
 
 #include "coordination/agreement.h"
 
-/* Shared by agreement.c, which decides which view is in force, and
+/* Shared by agreement.c, which decides which view is in force, recovery.c,
+   which decides when a proxy that has started again may rely on one, and
    lost_peers.c, which decides which registrations can be deleted. */
 
 /* Quorum when there are AGREEMENT_WITNESSES_MAX witnesses. The quorums of two
@@ -71,6 +72,10 @@
 int agreement_quorum(const struct agreement *a);
 bool agreement_peer_is_alive(const struct peer *p, clock_ms now);
 
+/* recovery.c */
+bool agreement_sender_remembers(const struct agreement_message *m);
+void agreement_recover_by_witnesses(struct agreement *a);
+
 /* lost_peers.c */
 bool agreement_peer_is_silent(const struct peer *p, clock_ms now);
 void agreement_track_departures(struct agreement *a,
--- a/src/node/peer_messages.c
+++ b/src/node/peer_messages.c
@@ -361,7 +361,7 @@
 void
 node_set_no_view(struct node *n)
 {
-    agreement_confirm_no_view(n->agreement);
+    agreement_recover_by_store(n->agreement);
 }
 
 /* Called with the view from the store, in answer to a read or write sent at
