--- a/tests/coordination/test_restoration.c
+++ b/tests/coordination/test_restoration.c
@@ -205,6 +205,29 @@
     teardown(&f);
 }
 
+/* The same for a proxy that has been running since before, but missed the last
+   views, as its peers have: they would confirm the older one. */
+static void
+test_older_view_gives_a_running_proxy_no_lease(void **state)
+{
+    struct fixture f;
+    const struct view first = make_view("b", 5);
+    const struct view old = make_view("b", 7);
+
+    (void)state;
+    setup(&f);
+    agreement_set_store_era(f.agreement, 1, f.now);
+    agreement_adopt_view(f.agreement, &first);
+    agreement_confirm_by_store(f.agreement, first.version, f.now, true);
+    run_for(&f, 50, "ac", first.version);
+    assert_true(agreement_lease_is_valid(f.agreement, f.now));
+    agreement_set_store_era(f.agreement, 2, f.now);
+    agreement_adopt_view(f.agreement, &old);
+    run_for(&f, 200, "ac", old.version);
+    assert_false(agreement_lease_is_valid(f.agreement, f.now));
+    teardown(&f);
+}
+
 /* What the store has confirmed before may be lost. */
 static void
 test_confirmation_of_the_earlier_era_expires(void **state)
@@ -293,6 +316,7 @@
         cmocka_unit_test(test_holder_writes_the_lost_view_again),
         cmocka_unit_test(test_holder_without_a_lease_waits),
         cmocka_unit_test(test_older_view_gives_no_lease),
+        cmocka_unit_test(test_older_view_gives_a_running_proxy_no_lease),
         cmocka_unit_test(test_confirmation_of_the_earlier_era_expires),
         cmocka_unit_test(test_lost_orders_are_awaited_before_the_survey),
         cmocka_unit_test(test_known_order_survives_a_takeover),
