soak: held orders do not disturb processes any more after the faults

Cause: in the seconds in which a run settles, the first order of each process was still held and its process stopped or killed, which could fail a run for no fault of the product (found by reading). Change: all orders pass once the run settles.

--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -16,8 +16,8 @@
    recovery, and then checks what callers and members saw.
 
      soak [--late-orders] [--held-orders] [--sync-replicas]
-          [--config-changes] [--restored-store] [--accounts] PROGRAM SEED
-   SECONDS [MAX_CONNECTIONS [LOG_FOLDER]]
+          [--config-changes] [--restored-store] [--accounts]
+          PROGRAM SEED SECONDS [MAX_CONNECTIONS [LOG_FOLDER]]
 
    With --late-orders, promotions take up to 1.2 s, and the process that orders
    one is often stopped, killed, suspended or cut off from the store before it
@@ -802,10 +802,11 @@
             p->sigcont_at = 0;
             kill(p->pid, SIGCONT);
         }
-        if (p->orders_held_until != 0 && now >= p->orders_held_until) {
+        if (s->settling ||
+            (p->orders_held_until != 0 && now >= p->orders_held_until)) {
             p->orders_held_until = 0;
             fault_proxy_set_fault(p->orders_fault_proxy, FAULT_NONE);
-            if (!s->settling) {
+            if (s->held_orders && !s->settling) {
                 fault_proxy_set_fault(p->orders_fault_proxy, FAULT_HOLD);
             }
         }
