--- a/src/base/stream.c
+++ b/src/base/stream.c
@@ -85,9 +85,6 @@
         s->callbacks->closed(s->ctx, n == 0 ? "end" : g_strerror(errno));
         return;
     }
-    if (s->finishing) {
-        return;
-    }
     if (s->in_consumed == s->in_buffer->len) {
         g_string_truncate(s->in_buffer, 0);
         s->in_consumed = 0;
@@ -238,9 +235,9 @@
 }
 
 /* Sends what is queued and then ends the connection in this direction. Input
-   is discarded from now on: closing a socket with unread input resets the
-   connection, and the peer could lose data that was sent before. Calls
-   closed() once the peer has closed its side; the owner may call
+   is still read, and the owner has to consume it: closing a socket with unread
+   input resets the connection, and the peer could lose data that was sent
+   before. Calls closed() once the peer has closed its side; the owner may call
    stream_close() at any time. Must not be called while connecting, or after
    closed(). */
 void
@@ -248,8 +245,6 @@
 {
     s->finishing = true;
     s->input_limit = 0;
-    g_string_truncate(s->in_buffer, 0);
-    s->in_consumed = 0;
     ev_io_start(s->loop, &s->read_watcher);
     if (s->error == 0 && !ev_is_active(&s->write_watcher)) {
         send_queued(s);
--- a/src/relay/session.c
+++ b/src/relay/session.c
@@ -88,6 +88,14 @@
     return s->step == STEP_IDLE && s->transaction == TRANSACTION_NONE;
 }
 
+/* Returns the state of the session's transaction, as the last answer gave it
+   unless the transaction has failed since. */
+enum transaction_state
+session_transaction_state(const struct session *s)
+{
+    return s->transaction;
+}
+
 static void
 count_latency(struct relay *r, int64_t ms)
 {
--- a/src/relay/session.h
+++ b/src/relay/session.h
@@ -66,6 +66,7 @@
                                const struct session_events *events, void *ctx);
 void session_end(struct session *s);
 bool session_is_idle(const struct session *s);
+enum transaction_state session_transaction_state(const struct session *s);
 void session_request(struct session *s, const struct request *r);
 
 #endif
--- a/tests/platform/test_frontend.c
+++ b/tests/platform/test_frontend.c
@@ -29,6 +29,7 @@
     void *ctx;
     bool pending;
     int requests;
+    enum transaction_state state;
 };
 
 static struct catalog *catalog;
@@ -97,6 +98,12 @@
     return !s->pending;
 }
 
+enum transaction_state
+session_transaction_state(const struct session *s)
+{
+    return s->state;
+}
+
 void
 session_request(struct session *s, const struct request *r)
 {
