--- a/src/base/stream.c
+++ b/src/base/stream.c
@@ -63,11 +63,28 @@
     }
 }
 
+/* Appends what one recv() gives to the input. Returns its result. */
+static ssize_t
+receive_chunk(struct stream *s)
+{
+    char buffer[READ_CHUNK_BYTES];
+    const ssize_t n = recv(s->fd, buffer, sizeof(buffer), 0);
+
+    if (n <= 0) {
+        return n;
+    }
+    if (s->in_consumed == s->in_buffer->len) {
+        g_string_truncate(s->in_buffer, 0);
+        s->in_consumed = 0;
+    }
+    g_string_append_len(s->in_buffer, buffer, n);
+    return n;
+}
+
 static void
 on_readable(struct ev_loop *loop, ev_io *w, int revents)
 {
     struct stream *s = w->data;
-    char buffer[READ_CHUNK_BYTES];
 
     (void)loop;
     (void)revents;
@@ -75,7 +92,7 @@
         s->callbacks->closed(s->ctx, g_strerror(s->error));
         return;
     }
-    const ssize_t n = recv(s->fd, buffer, sizeof(buffer), 0);
+    const ssize_t n = receive_chunk(s);
     if (n < 0 && (errno == EAGAIN || errno == EINTR)) {
         return;
     }
@@ -85,11 +102,6 @@
         s->callbacks->closed(s->ctx, n == 0 ? "end" : g_strerror(errno));
         return;
     }
-    if (s->in_consumed == s->in_buffer->len) {
-        g_string_truncate(s->in_buffer, 0);
-        s->in_consumed = 0;
-    }
-    g_string_append_len(s->in_buffer, buffer, n);
     if (s->input_limit > 0 && stream_input(s).n >= s->input_limit) {
         ev_io_stop(s->loop, &s->read_watcher);
     }
@@ -305,6 +317,16 @@
     return recv(s->fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
 }
 
+/* Reads all that has arrived into the input, up to its limit. readable() is
+   not called; a closed connection is reported from the event loop. */
+void
+stream_receive(struct stream *s)
+{
+    while ((s->input_limit == 0 || stream_input(s).n < s->input_limit) &&
+           receive_chunk(s) > 0) {
+    }
+}
+
 /* Pauses reading while so many received bytes have not been consumed, so that
    the peer has to wait. */
 void
--- a/src/base/stream.h
+++ b/src/base/stream.h
@@ -35,6 +35,7 @@
 void stream_consume(struct stream *s, size_t n);
 void stream_write(struct stream *s, const char *p, size_t n);
 size_t stream_unsent(const struct stream *s);
+void stream_receive(struct stream *s);
 bool stream_has_unread(const struct stream *s);
 void stream_set_input_limit(struct stream *s, size_t bytes);
 
--- a/tests/platform/test_frontend.c
+++ b/tests/platform/test_frontend.c
@@ -95,7 +95,7 @@
 bool
 session_is_idle(const struct session *s)
 {
-    return !s->pending;
+    return !s->pending && s->state == TRANSACTION_NONE;
 }
 
 enum transaction_state
@@ -554,6 +554,26 @@
     teardown(&f);
 }
 
+/* Guards against requests that have arrived, but were not read yet, when the
+   shutdown reaches its limit: they got no answer. */
+static void
+test_arrived_requests_are_answered_at_the_limit(void **state)
+{
+    struct fixture f;
+
+    (void)state;
+    setup(&f);
+    newest->state = TRANSACTION_OPEN;
+    frontend_drain(f.frontend);
+    answer_at_once = FAILURE_BUSY;
+    send_text(&f, "QUERY q1 READ a\r\nQUERY q2 ROLLBACK\r\n");
+    frontend_close_all(f.frontend);
+    GString *s = read_to_end(&f);
+    assert_int_equal(count_text(s, "ERROR BUSY "), 2);
+    g_string_free(s, TRUE);
+    teardown(&f);
+}
+
 int
 main(void)
 {
@@ -568,6 +588,7 @@
         cmocka_unit_test(test_key_is_refused_later),
         cmocka_unit_test(test_busy_keeps_the_connection),
         cmocka_unit_test(test_key_is_refused_during_the_stop),
+        cmocka_unit_test(test_arrived_requests_are_answered_at_the_limit),
     };
 
     return cmocka_run_group_tests(tests, NULL, NULL);
