--- a/src/relay/authorization.c
+++ b/src/relay/authorization.c
@@ -78,6 +78,35 @@
     session_answer_failure(s, why, detail);
 }
 
+/* Returns true if the session's key may be used with a configuration. It may
+   not once it identifies another account than it did first. */
+static bool
+key_is_allowed(const struct session *s, const struct catalog *c,
+               const struct database_route *route)
+{
+    const struct account *a = find_account(c, &s->key);
+
+    if (!c->has_accounts) {
+        return true;
+    }
+    if (a == NULL) {
+        return route != NULL && route->is_public;
+    }
+    return s->account_name == NULL || strcmp(a->name, s->account_name) == 0;
+}
+
+/* Returns true if the session's key may be used with the newest
+   configuration, as far as that is known. */
+bool
+session_key_is_valid(const struct session *s)
+{
+    const struct relay *r = s->relay;
+    const struct catalog *c = r->config.catalog(r->config.ctx);
+    const struct database_route *route = catalog_route(c, s->database);
+
+    return key_is_allowed(s, c, route != NULL ? route : s->route);
+}
+
 /* Returns false, after answering the request in progress, if the session's key
    does not allow it. The session may have ended then. Nothing may be waiting
    for a member's answer. */
@@ -90,12 +119,12 @@
 #endif
     struct relay *r = s->relay;
     const struct catalog *c = r->config.catalog(r->config.ctx);
-    const struct database_route *route = catalog_route(c, s->database);
-    const bool is_public = (route != NULL ? route : s->route)->is_public;
+    const struct database_route *newest = catalog_route(c, s->database);
+    const struct database_route *route = newest != NULL ? newest : s->route;
 
     /* Before the list of accounts is looked at: a newer configuration may have
        one. */
-    if (!is_public && !is_fresh(r)) {
+    if (!route->is_public && !is_fresh(r)) {
         r->counters.refused_stale++;
         refuse(s,
                s->transaction == TRANSACTION_OPEN ? FAILURE_ABORTED
@@ -103,18 +132,15 @@
                "configuration_stale");
         return false;
     }
-    if (!c->has_accounts) {
-        return true;
-    }
     session_fix_account(s, c);
-    const struct account *a = find_account(c, &s->key);
-    if (a == NULL ? is_public : strcmp(a->name, s->account_name) == 0) {
+    if (key_is_allowed(s, c, route)) {
         return true;
     }
     /* An earlier attempt of a read may have been executed, which
        FAILURE_UNAUTHORIZED would deny. */
     refuse(s, s->may_have_run ? FAILURE_TIMEOUT : FAILURE_UNAUTHORIZED,
-           a == NULL ? "API key is not valid" : "API key has changed hands");
+           find_account(c, &s->key) == NULL ? "API key is not valid"
+                                            : "API key has changed hands");
     return false;
 }
 
--- a/src/relay/session.h
+++ b/src/relay/session.h
@@ -61,6 +61,7 @@
 enum failure relay_check_key(struct relay *r, const struct catalog *c,
                              const struct database_route *route,
                              struct sview api_key);
+bool session_key_is_valid(const struct session *s);
 struct session *session_create(struct relay *r, const char *database,
                                struct sview api_key,
                                const struct session_events *events, void *ctx);
--- a/tests/relay/test_accounts.c
+++ b/tests/relay/test_accounts.c
@@ -659,6 +659,31 @@
     fixture_teardown(&f);
 }
 
+/* Guards against a session that counts as authorized although its requests are
+   refused, and the reverse. */
+static void
+test_validity_of_a_key(void **state)
+{
+    struct fixture f;
+
+    (void)state;
+    setup(&f);
+    struct session *s = fixture_session_with_key(&f, "k1");
+    assert_true(session_key_is_valid(s));
+    set_keys(&f, "", "k2", false);
+    assert_false(session_key_is_valid(s));
+    set_keys(&f, "", "k1", false);
+    assert_false(session_key_is_valid(s));
+    set_keys(&f, "", "k2", true);
+    assert_true(session_key_is_valid(s));
+    set_keys(&f, "k1", "k2", false);
+    assert_true(session_key_is_valid(s));
+    set_keys(&f, NULL, NULL, false);
+    assert_true(session_key_is_valid(s));
+    session_end(s);
+    fixture_teardown(&f);
+}
+
 int
 main(void)
 {
@@ -681,6 +706,7 @@
         cmocka_unit_test(test_removed_database),
         cmocka_unit_test(test_stale_configuration),
         cmocka_unit_test(test_check_at_the_start),
+        cmocka_unit_test(test_validity_of_a_key),
     };
 
     return cmocka_run_group_tests(tests, NULL, NULL);
