caller: a lost transaction leaves the list of running exchanges

Callers see: galenastepd may crash after a member was lost while a statement of a transaction ran, and with it all its callers lose their requests. Cause: the error that ends such a connection left the caller in front.running. It was freed 200 ms later and then used by the deadline check. Change: caller_close_after_flush() withdraws what is under way. This also gives back the member's connection at once instead of when the caller closes its side, and stops a statement behind whose Flush the caller sent Terminate. Before: test_lost_transaction_leaves_no_exchange fails (1 caller left in the list); with the same cause, AddressSanitizer reported a heap-use-after-free in on_deadline_timer() for a connection lost behind a Flush.

--- a/src/caller/caller.c
+++ b/src/caller/caller.c
@@ -105,10 +105,12 @@
 
 /* Stops handling requests and closes the connection once all queued output has
    been written and the caller has closed its side, or has not done so in time.
-   Further input is discarded. */
+   Further input is discarded. A request under way is withdrawn and an open
+   transaction rolled back at once, since the caller may take its time. */
 void
 caller_close_after_flush(struct caller *c)
 {
+    request_abandon(c);
     c->state = CALLER_CLOSING;
     ev_io_start(c->front->loop, &c->read_watcher);
     caller_flush(c);
--- a/src/caller/request.c
+++ b/src/caller/request.c
@@ -415,6 +415,8 @@
 void
 request_abandon(struct caller *c)
 {
+    const bool running = remove_from_running(c);
+
     if (c->state == CALLER_BACKOFF) {
         ev_timer_stop(c->front->loop, &c->backoff);
         return;
@@ -427,7 +429,7 @@
         return;
     }
     body_clear_expected_replies(c, NULL);
-    if (remove_from_running(c)) {
+    if (running) {
         group_cancel_statement(c->group, c->request.conn);
     }
     c->has_connection = false;
--- /dev/null
+++ b/tests/caller/test_closing.c
@@ -0,0 +1,63 @@
+#include "caller/front_fixture.h"
+
+#include "caller/caller.h"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+/* What a request gets that crosses the end of its connection or of the request
+   before it: every whole request that reached the proxy is answered or refused
+   with a true outcome, and an answer is not destroyed by a reset. */
+
+/* Runs the event loop for some milliseconds. */
+static void
+spin(struct fixture *s, unsigned ms)
+{
+    for (unsigned i = 0; i < ms; i++) {
+        ev_run(s->loop, EVRUN_NOWAIT);
+        g_usleep(1000);
+    }
+}
+
+/* Guards against a caller that stays in the list of running exchanges, and is
+   used after it was freed, when its connection is ended because the member was
+   lost within its transaction. */
+static void
+test_lost_transaction_leaves_no_exchange(void **state)
+{
+    (void)state;
+    struct fixture s;
+    struct client a;
+    GString *answer = g_string_new(NULL);
+    front_fixture_start(&s);
+    client_open(&a, &s, "filing", "none");
+
+    client_query(&a, "BEGIN");
+    client_start(&a, "SELECT fake_sleep(20000)");
+    client_start(&a, "COMMIT");
+    spin(&s, 50);
+    struct conn *any = g_queue_peek_head(&s.db->members[1].conns);
+    assert_true(host_inject_fault(any, "kill", "0", answer));
+    client_wait(&a, UINT_MAX);
+    assert_string_equal(a.errors->str, "08006 outcome=failed;");
+    assert_int_equal(g_queue_get_length(&s.front->running), 0);
+    spin(&s, 400);
+    g_string_free(answer, TRUE);
+    client_close(&a);
+    front_fixture_stop(&s);
+}
+
+/* The optional argument selects tests by a pattern. */
+int
+main(int argc, char **argv)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(test_lost_transaction_leaves_no_exchange),
+    };
+    if (argc > 1) {
+        cmocka_set_test_filter(argv[1]);
+    }
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
