caller: tell that a malformed message ends the open transaction

Callers see: FATAL 08P01 or 54000 with outcome=not_run, although statements of the transaction that is rolled back with the connection have run. Cause: the outcome was that of the message alone. Change: outcome=failed within a transaction, as for other errors that end a connection; the transaction is counted as lost. Before: test_malformed_message_ends_the_transaction fails with "08P01 outcome=not_run;".

--- a/src/caller/caller.c
+++ b/src/caller/caller.c
@@ -116,6 +116,27 @@
     caller_flush(c);
 }
 
+/* Ends the connection of a caller whose input cannot be a request. Its open
+   transaction is rolled back. */
+static void
+refuse_message(struct caller *c, enum frame_status s)
+{
+    const bool oversized = s == FRAME_TOO_LARGE;
+
+    caller_count(c, COUNTER_REFUSED_PROTOCOL);
+    if (c->has_connection) {
+        caller_count(c, COUNTER_TRANSACTION_LOST);
+    }
+    frame_put_error(c->out, "FATAL", oversized ? "54000" : "08P01",
+                    oversized ? "message is larger than max_message_bytes"
+                              : "malformed protocol message",
+                    NULL,
+                    c->has_connection ? "outcome=failed" : "outcome=not_run");
+    LOG_INFO("read", c->remote_address, "connection refused: %s message",
+             oversized ? "oversized" : "malformed");
+    caller_close_after_flush(c);
+}
+
 /* Handles start-up packets and complete requests from the input until one has
    to wait for a member. */
 void
@@ -135,15 +156,7 @@
             request_begin(c);
             continue;
         }
-        caller_count(c, COUNTER_REFUSED_PROTOCOL);
-        frame_put_error(
-            c->out, "FATAL", s == FRAME_TOO_LARGE ? "54000" : "08P01",
-            s == FRAME_TOO_LARGE ? "message is larger than max_message_bytes"
-                                 : "malformed protocol message",
-            NULL, "outcome=not_run");
-        LOG_INFO("read", c->remote_address, "connection refused: %s message",
-                 s == FRAME_TOO_LARGE ? "oversized" : "malformed");
-        caller_close_after_flush(c);
+        refuse_message(c, s);
         return;
     }
     if (c->in_consumed == c->in->len) {
--- a/tests/caller/test_closing.c
+++ b/tests/caller/test_closing.c
@@ -21,6 +21,38 @@
     }
 }
 
+/* Guards against a transaction that keeps its locks because its caller, whose
+   connection is ended for a malformed message, does not close its side; and
+   against an error that does not tell what became of the transaction. */
+static void
+test_malformed_message_ends_the_transaction(void **state)
+{
+    (void)state;
+    struct fixture s;
+    struct client a;
+    struct client b;
+    GString *out = g_string_new(NULL);
+    front_fixture_start(&s);
+    client_open(&a, &s, "filing", "none");
+    client_open(&b, &s, "filing", "none");
+
+    client_query(&a, "BEGIN");
+    client_query(&a, "UPDATE entries SET value = '7' WHERE id = 'm'");
+    g_string_append_c(out, '?');
+    frame_put_u32(out, 4);
+    client_send(&a, out);
+    client_wait(&a, UINT_MAX);
+    assert_string_equal(a.errors->str, "08P01 outcome=failed;");
+    struct caller *c =
+        g_hash_table_lookup(s.front->callers, GUINT_TO_POINTER(a.pid));
+    assert_true(c == NULL || !c->has_connection);
+    client_query(&b, "SELECT value FROM entries WHERE id = 'm'");
+    assert_null(strchr(b.types->str, 'D'));
+    client_close(&a);
+    client_close(&b);
+    front_fixture_stop(&s);
+}
+
 /* Guards against a caller that stays in the list of running exchanges, and is
    used after it was freed, when its connection is ended because the member was
    lost within its transaction. */
@@ -54,6 +86,7 @@
 main(int argc, char **argv)
 {
     const struct CMUnitTest tests[] = {
+        cmocka_unit_test(test_malformed_message_ends_the_transaction),
         cmocka_unit_test(test_lost_transaction_leaves_no_exchange),
     };
     if (argc > 1) {
