caller: handle the requests behind a cancelled one that waited

Callers see: a request sent ahead, behind one that is cancelled while it waits for a connection, gets no answer until the caller sends more. Cause: front_cancel() ended the request outside of the caller's input handling and did not go back to the input that was already read. Change: it does so as a refusal by the group does. Before: test_request_behind_cancelled_one_is_answered waits until its watchdog ends it.

--- a/src/caller/front.c
+++ b/src/caller/front.c
@@ -372,7 +372,11 @@
         request_fail(c, "57014", "canceling statement due to user request",
                      c->message_batch.sent ? "outcome=unknown"
                                            : "outcome=not_run");
-        caller_flush(c);
+        if (c->state != CALLER_CLOSING) {
+            caller_flush(c);
+            /* Requests behind this one may have been read already. */
+            ev_feed_event(f->loop, &c->read_watcher, EV_CUSTOM);
+        }
     }
     else if (c->state == CALLER_RUNNING) {
         caller_count(c, COUNTER_CANCELS);
--- a/tests/caller/test_closing.c
+++ b/tests/caller/test_closing.c
@@ -21,6 +21,54 @@
     }
 }
 
+/* Returns the types of the messages received, without ParameterStatus. The
+   result is valid until the next call. */
+static const char *
+types_of(const struct client *c)
+{
+    static char types[256];
+    size_t n = 0;
+
+    for (const char *p = c->types->str; *p != '\0'; p++) {
+        assert_true(n + 1 < sizeof(types));
+        if (*p != 'S') {
+            types[n++] = *p;
+        }
+    }
+    types[n] = '\0';
+    return types;
+}
+
+/* Guards against a request that is forgotten because the request before it was
+   cancelled while it waited. */
+static void
+test_request_behind_cancelled_one_is_answered(void **state)
+{
+    (void)state;
+    struct fixture s;
+    struct client a;
+    struct client b;
+    GString *out = g_string_new(NULL);
+    front_fixture_start(&s);
+    client_open(&a, &s, "filing", "none");
+    client_open(&b, &s, "filing", "none");
+
+    client_query(&a, "BEGIN");
+    frame_put_query(out, "UPDATE entries SET value = '7' WHERE id = 'c'");
+    frame_put_query(out, "SHOW galenastep.kind");
+    client_send(&b, out);
+    while (admission_queued(group_admission(s.groups[0]), 0) == 0) {
+        ev_run(s.loop, EVRUN_ONCE);
+    }
+    assert_true(front_cancel(s.front, b.pid, b.secret));
+    client_wait(&b, 3);
+    assert_string_equal(b.errors->str, "57014 outcome=not_run;");
+    assert_string_equal(types_of(&b), "EZTDCZ");
+    client_close(&a);
+    client_close(&b);
+    front_fixture_stop(&s);
+}
+
 /* Guards against a transaction that keeps its locks because its caller, whose
    connection is ended for a malformed message, does not close its side; and
    against an error that does not tell what became of the transaction. */
@@ -86,6 +134,7 @@
 main(int argc, char **argv)
 {
     const struct CMUnitTest tests[] = {
+        cmocka_unit_test(test_request_behind_cancelled_one_is_answered),
         cmocka_unit_test(test_malformed_message_ends_the_transaction),
         cmocka_unit_test(test_lost_transaction_leaves_no_exchange),
     };
