caller: messages behind a Flush are not forgotten

Callers see: when the messages up to Sync arrive together with a Flush, or while the request waits for a connection, they get no answer until the caller sends more; after the deadline the connection ends with 08007. So does a message of more than 64 KiB behind a Flush. If the member is lost while such messages were partly read, galenastepd crashes at the next of them, and a COMMIT before the Flush was reported as rolled back. A read that a member is too stale for waits for the deadline and has an unknown outcome. Cause: the part behind a Flush was looked for only when the socket had more to read, and reading stopped at the limit of the read-ahead. The first part was dropped from the input while its run could still be retried or refused, its class was forgotten with the next scan, and a body without Sync never ended. Change: the exchange keeps whether the member waits for more. Input behind the Flush is scanned at the start of an exchange, after each answer and after each read, but only once it is settled that the answer is not dropped; from then on the request is not retried. A dropped body is ended with a Sync. Before: all six tests fail, four with 08007 after the deadline of 5 s, test_lost_commit_before_flush_is_unknown with "08006 outcome=failed;" and test_lost_flush_drops_the_rest with a null pointer in next_prepared().

--- a/src/caller/caller.c
+++ b/src/caller/caller.c
@@ -144,8 +144,7 @@
 {
     while (c->state == CALLER_STARTUP && startup_process(c)) {
     }
-    if (c->state == CALLER_RUNNING && c->message_batch.ends_with_flush) {
-        request_continue(c);
+    while (request_may_continue(c) && request_continue(c)) {
     }
     while (c->state == CALLER_READY) {
         const enum frame_status s = message_batch_scan(c);
@@ -173,7 +172,8 @@
 static size_t
 input_limit(const struct caller *c)
 {
-    if (c->state == CALLER_READY || c->state == CALLER_STARTUP) {
+    if (c->state == CALLER_READY || c->state == CALLER_STARTUP ||
+        (c->state == CALLER_RUNNING && exchange_takes_more(c))) {
         return SIZE_MAX; /* bounded by message_batch_scan() */
     }
     return c->message_batch.bytes + CALLER_READ_BYTES;
--- a/src/caller/caller.h
+++ b/src/caller/caller.h
@@ -117,6 +117,7 @@
     bool forwarded;   /* part of the answer was sent to the caller */
     bool body_failed; /* the database returned an error */
     bool body_done;   /* the ReadyForQuery of the body has arrived */
+    bool awaits_more; /* the body so far ends with Flush */
     char tx_status;   /* from the last ReadyForQuery of the body */
     char tag[32];     /* from the last CommandComplete */
     bool keyed;       /* runs in a transaction with its request key */
@@ -192,7 +193,8 @@
 
 /* request.c */
 void request_begin(struct caller *c);
-void request_continue(struct caller *c);
+bool request_may_continue(const struct caller *c);
+bool request_continue(struct caller *c);
 void request_abandon(struct caller *c);
 void request_retry(struct caller *c, enum counter why);
 void request_retry_after_backoff(struct caller *c, enum counter why);
@@ -205,6 +207,7 @@
 void exchange_begin(struct caller *c, struct upstream_conn *u);
 void exchange_add_section(struct exchange *e, enum section s);
 GString *exchange_output(struct caller *c);
+bool exchange_takes_more(const struct caller *c);
 void exchange_continue(struct caller *c);
 bool exchange_try_preempt(struct caller *c);
 void exchange_check_deadline(struct caller *c, clock_ms now);
--- a/src/caller/exchange.c
+++ b/src/caller/exchange.c
@@ -101,6 +101,7 @@
     else {
         body_write(c, u);
     }
+    e->awaits_more = b->ends_with_flush;
     exchange_add_section(e, SECTION_BODY);
     if (needs_state_after(b, in_transaction) && !b->ends_with_flush &&
         !e->keyed) {
@@ -293,6 +294,16 @@
     return status;
 }
 
+/* Ends the body of a request that will run elsewhere. The messages that follow
+   its Flush belong to the other run. */
+static void
+end_discarded_body(struct caller *c)
+{
+    c->exchange.awaits_more = false;
+    frame_end(c->request.conn->out, frame_begin(c->request.conn->out, 'S'));
+    upstream_conn_flush(c->request.conn);
+}
+
 /* Handles the ReadyForQuery that ends the current section. After the last
    section the request ends, or is retried if its answer was dropped. */
 static void
@@ -314,6 +325,9 @@
     }
     e->current++;
     if (e->current < e->count) {
+        if (e->discarding && e->awaits_more) {
+            end_discarded_body(c);
+        }
         return;
     }
     if (e->discarding && e->tx_status != 'I') {
@@ -407,9 +421,19 @@
     c->exchange.relay_bytes_left = f->total_bytes;
 }
 
+/* Returns true if the member waits for the messages that follow a Flush. They
+   are not sent while it is open whether the answer will be dropped. */
+bool
+exchange_takes_more(const struct caller *c)
+{
+    const struct exchange *e = &c->exchange;
+
+    return e->awaits_more && !e->discarding &&
+           current_section(e) == SECTION_BODY;
+}
+
 /* Sends the messages that follow a Flush on the connection that has received
-   the first part of the request. From here on the request cannot be retried on
-   another connection. */
+   the first part of the request. */
 void
 exchange_continue(struct caller *c)
 {
@@ -417,8 +441,8 @@
     struct upstream_conn *u = c->request.conn;
     const bool in_transaction = e->tx_status == 'T' || e->tx_status == 'E';
 
-    e->forwarded = true;
     body_write(c, u);
+    e->awaits_more = c->message_batch.ends_with_flush;
     if (!c->message_batch.ends_with_flush &&
         needs_state_after(&c->message_batch, in_transaction)) {
         frame_put_query(u->out, GROUP_SQL_STATE);
@@ -489,7 +513,8 @@
     if (c->state != CALLER_CLOSING) {
         caller_flush(c);
     }
-    if (c->state == CALLER_READY && caller_input(c).n > 0) {
+    if ((c->state == CALLER_READY && caller_input(c).n > 0) ||
+        request_may_continue(c)) {
         caller_process_input(c);
     }
 }
--- a/src/caller/request.c
+++ b/src/caller/request.c
@@ -202,6 +202,11 @@
     g_queue_push_tail_link(&c->front->running, &c->running_link);
     c->in_running_list = true;
     exchange_begin(c, c->request.conn);
+    if (c->exchange.awaits_more) {
+        /* What follows the Flush may have arrived already. */
+        ev_io_start(c->front->loop, &c->read_watcher);
+        ev_feed_event(c->front->loop, &c->read_watcher, EV_CUSTOM);
+    }
 }
 
 static void
@@ -311,38 +316,48 @@
     submit_request(c);
 }
 
-/* Scans and sends the part of a request that follows a Flush. */
-void
+/* Returns true if input has arrived that follows a Flush and can be sent to
+   the member. */
+bool
+request_may_continue(const struct caller *c)
+{
+    return c->state == CALLER_RUNNING && exchange_takes_more(c) &&
+           caller_input(c).n > c->message_batch.bytes;
+}
+
+/* Scans and sends the part of a request that follows a Flush. The part before
+   it is dropped from the input, so that from here on the request cannot be
+   retried. Returns false if no further part can follow now. */
+bool
 request_continue(struct caller *c)
 {
-    const enum statement_class class = c->message_batch.class;
-    const bool ends_transaction = c->message_batch.ends_transaction;
+    struct message_batch *b = &c->message_batch;
+    const enum statement_class class = b->class;
+    const bool ends_transaction = b->ends_transaction;
 
-    if (c->message_batch.bytes > 0) {
-        c->in_consumed += c->message_batch.bytes;
-        c->message_batch.bytes = 0;
-        c->scanned_bytes = 0;
-    }
+    c->exchange.forwarded = true;
+    c->in_consumed += b->bytes;
+    b->bytes = 0;
+    ev_io_start(c->front->loop, &c->read_watcher);
     const enum frame_status s = message_batch_scan(c);
-    c->message_batch.sent = true;
+    b->sent = true;
+    b->ends_transaction = b->ends_transaction || ends_transaction;
+    if (!b->executes || class == STATEMENT_WRITE) {
+        b->class = class;
+    }
     if (s == FRAME_INCOMPLETE) {
-        c->message_batch.ends_with_flush = true;
-        return;
+        return false;
     }
-    if (s != FRAME_COMPLETE || c->message_batch.refusal_sqlstate != NULL) {
+    if (s != FRAME_COMPLETE || b->refusal_sqlstate != NULL) {
         caller_count(c, COUNTER_REFUSED_PROTOCOL);
         frame_put_error(c->out, "FATAL", "08P01",
                         "message cannot follow a Flush", NULL,
                         "outcome=unknown");
         caller_close_after_flush(c);
-        return;
-    }
-    c->message_batch.ends_transaction =
-        c->message_batch.ends_transaction || ends_transaction;
-    if (!c->message_batch.executes || class == STATEMENT_WRITE) {
-        c->message_batch.class = class;
+        return false;
     }
     exchange_continue(c);
+    return true;
 }
 
 /* Submits the request again without delay. It was not executed, was rolled
--- a/tests/caller/test_closing.c
+++ b/tests/caller/test_closing.c
@@ -4,6 +4,7 @@
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -21,6 +22,42 @@
     }
 }
 
+/* Appends Bind with one text parameter and Execute. */
+static void
+put_bind_execute(GString *out, const char *name, const char *value)
+{
+    put_bind_execute_sync(out, name, value);
+    g_string_truncate(out, out->len - FRAME_HEADER_BYTES);
+}
+
+/* Appends a read whose answer is requested with Flush. */
+static void
+put_read_flush(GString *out, const char *value)
+{
+    put_parse(out, "", "SELECT value FROM entries WHERE id = $1");
+    put_bind_execute(out, "", value);
+    frame_end(out, frame_begin(out, 'H'));
+}
+
+/* Sends a part of a buffer, without waiting for the acknowledgement of earlier
+   parts. */
+static void
+send_part(struct client *c, const GString *out, size_t from, size_t to)
+{
+    const int on = 1;
+
+    setsockopt(c->fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+    assert_int_equal(send(c->fd, out->str + from, to - from, MSG_NOSIGNAL),
+                     (ssize_t)(to - from));
+}
+
+/* Clears the record of the answers. */
+static void
+clear_record(struct client *c)
+{
+    client_send(c, g_string_new(NULL));
+}
+
 /* Returns the types of the messages received, without ParameterStatus. The
    result is valid until the next call. */
 static const char *
@@ -39,6 +76,240 @@
     return types;
 }
 
+/* Returns the number of rows with the given id. */
+static int
+count_rows(struct fixture *s, const char *id)
+{
+    struct client c;
+    char sql[96];
+
+    client_open(&c, s, "filing", NULL);
+    g_snprintf(sql, sizeof(sql), "SELECT value FROM entries WHERE id = '%s'",
+               id);
+    client_query(&c, sql);
+    const int n = strchr(c.types->str, 'D') != NULL;
+    client_close(&c);
+    return n;
+}
+
+/* Guards against a Sync behind a Flush that is not sent to the member until
+   the caller sends more, wherever the caller's bytes are cut. */
+static void
+test_request_behind_flush_is_answered(void **state)
+{
+    (void)state;
+    struct fixture s;
+    struct client a;
+    GString *out = g_string_new(NULL);
+    front_fixture_start(&s);
+    client_open(&a, &s, "filing", "none");
+    client_query(&a, "INSERT INTO entries (id, value) VALUES ('x', '7')");
+
+    put_read_flush(out, "x");
+    put_bind_execute(out, "", "x");
+    frame_end(out, frame_begin(out, 'S'));
+    frame_put_query(out, "SHOW galenastep.kind");
+    for (size_t cut = 0; cut <= out->len; cut++) {
+        clear_record(&a);
+        send_part(&a, out, 0, cut);
+        spin(&s, cut % 4);
+        send_part(&a, out, cut, out->len);
+        client_wait(&a, a.ready + 2);
+        assert_string_equal(a.errors->str, "");
+        assert_string_equal(types_of(&a), "12DC2DCZTDCZ");
+    }
+    g_string_free(out, TRUE);
+    client_close(&a);
+    front_fixture_stop(&s);
+}
+
+/* Guards against a Sync behind a Flush that is forgotten while the request
+   waits for a connection. */
+static void
+test_queued_request_behind_flush_is_answered(void **state)
+{
+    (void)state;
+    struct fixture s;
+    struct client a;
+    struct client b;
+    GString *out = g_string_new(NULL);
+    front_fixture_start(&s);
+    client_open(&a, &s, "filing", "none");
+    client_open(&b, &s, "filing", "none");
+
+    client_query(&a, "BEGIN");
+    put_parse(out, "", "UPDATE entries SET value = $1 WHERE id = 'q'");
+    put_bind_execute(out, "", "7");
+    frame_end(out, frame_begin(out, 'H'));
+    frame_end(out, frame_begin(out, 'S'));
+    client_send(&b, out);
+    while (admission_queued(group_admission(s.groups[0]), 0) == 0) {
+        ev_run(s.loop, EVRUN_ONCE);
+    }
+    client_query(&a, "COMMIT");
+    client_wait(&b, 2);
+    assert_string_equal(b.errors->str, "");
+    assert_string_equal(types_of(&b), "12CZ");
+    client_close(&a);
+    client_close(&b);
+    front_fixture_stop(&s);
+}
+
+/* Guards against a message behind a Flush that is never read because it is
+   larger than what is read ahead. */
+static void
+test_large_message_behind_flush_is_answered(void **state)
+{
+    (void)state;
+    struct fixture s;
+    struct client a;
+    char *value = g_strnfill(60000, 'v');
+    front_fixture_start(&s);
+    client_open(&a, &s, "filing", "none");
+
+    GString *out = g_string_new(NULL);
+    put_read_flush(out, "x");
+    client_send(&a, out);
+    while (strchr(a.types->str, 'C') == NULL) {
+        ev_run(s.loop, EVRUN_ONCE);
+        client_poll(&a);
+    }
+    out = g_string_new(NULL);
+    put_bind_execute(out, "", value);
+    put_bind_execute(out, "", value);
+    frame_end(out, frame_begin(out, 'S'));
+    client_send(&a, out);
+    client_wait(&a, 2);
+    assert_string_equal(a.errors->str, "");
+    assert_string_equal(types_of(&a), "2C2CZ");
+    g_free(value);
+    client_close(&a);
+    front_fixture_stop(&s);
+}
+
+/* Kills the primary, so that the connections to it are lost. */
+static void
+kill_primary(struct fixture *s)
+{
+    GString *answer = g_string_new(NULL);
+    struct conn *any = g_queue_peek_head(&s->db->members[1].conns);
+
+    assert_true(host_inject_fault(any, "kill", "0", answer));
+    g_string_free(answer, TRUE);
+    spin(s, 50);
+}
+
+/* Guards against messages that run, on another connection, although the part
+   before their Flush was lost and the caller was told so. */
+static void
+test_lost_flush_drops_the_rest(void **state)
+{
+    (void)state;
+    struct fixture s;
+    struct client a;
+    GString *out = g_string_new(NULL);
+    front_fixture_start(&s);
+    client_open(&a, &s, "filing", "none");
+
+    /* Opens the connection that becomes silent. */
+    client_query(&a, "UPDATE entries SET value = '1' WHERE id = 'other'");
+    put_parse(out, "", "UPDATE entries SET value = $1 WHERE id = 'l'");
+    put_bind_execute(out, "", "6");
+    frame_end(out, frame_begin(out, 'H'));
+    const size_t flush = out->len;
+    put_bind_execute(out, "", "7");
+    const size_t bind = out->len - FRAME_HEADER_BYTES - 5;
+    frame_end(out, frame_begin(out, 'S'));
+    frame_put_query(out, "SHOW galenastep.kind");
+    clear_record(&a);
+    front_fixture_silence_primary(&s);
+    send_part(&a, out, 0, flush);
+    spin(&s, 20);
+    send_part(&a, out, flush, bind);
+    spin(&s, 20);
+    kill_primary(&s);
+    send_part(&a, out, bind, out->len);
+    client_wait(&a, 4);
+    assert_true(g_str_has_prefix(a.errors->str, "08007 outcome=unknown;"));
+    assert_null(strchr(a.types->str, '2'));
+    assert_int_equal(count_rows(&s, "l"), 0);
+    g_string_free(out, TRUE);
+    client_close(&a);
+    front_fixture_stop(&s);
+}
+
+/* Guards against a COMMIT before a Flush that is reported as rolled back
+   because a message behind the Flush has arrived. */
+static void
+test_lost_commit_before_flush_is_unknown(void **state)
+{
+    (void)state;
+    struct fixture s;
+    struct client a;
+    GString *out = g_string_new(NULL);
+    front_fixture_start(&s);
+    client_open(&a, &s, "filing", "none");
+
+    client_query(&a, "BEGIN");
+    client_query(&a, "UPDATE entries SET value = '7' WHERE id = 'l'");
+    put_parse(out, "", "COMMIT");
+    const size_t at = frame_begin(out, 'B');
+    g_string_append_len(out, "\0\0\0\0\0\0\0", 8);
+    frame_end(out, at);
+    const size_t execute = frame_begin(out, 'E');
+    frame_put_cstring(out, "");
+    frame_put_u32(out, 0);
+    frame_end(out, execute);
+    frame_end(out, frame_begin(out, 'H'));
+    const size_t flush = out->len;
+    put_parse(out, "next", "SELECT 1");
+    clear_record(&a);
+    front_fixture_silence_primary(&s);
+    send_part(&a, out, 0, flush);
+    spin(&s, 20);
+    send_part(&a, out, flush, out->len);
+    spin(&s, 20);
+    kill_primary(&s);
+    client_wait(&a, UINT_MAX);
+    assert_string_equal(a.errors->str, "08007 outcome=unknown;");
+    g_string_free(out, TRUE);
+    client_close(&a);
+    front_fixture_stop(&s);
+}
+
+/* Guards against a Flush behind a read whose answer is dropped: the member
+   ends that run only at a Sync. No member can serve the read, since its token
+   is beyond the group's log. */
+static void
+test_dropped_answer_before_flush_is_retried(void **state)
+{
+    (void)state;
+    struct fixture s;
+    struct client a;
+    GString *out = g_string_new(NULL);
+    front_fixture_start(&s);
+    client_open(&a, &s, "filing", "v1:boats:65536:123456");
+
+    put_read_flush(out, "x");
+    const size_t flush = out->len;
+    put_bind_execute(out, "", "x");
+    frame_end(out, frame_begin(out, 'S'));
+    frame_put_query(out, "SHOW galenastep.kind");
+    clear_record(&a);
+    send_part(&a, out, 0, flush);
+    while (strchr(a.types->str, 'E') == NULL) {
+        ev_run(s.loop, EVRUN_ONCE);
+        client_poll(&a);
+    }
+    send_part(&a, out, flush, out->len);
+    client_wait(&a, 3);
+    assert_non_null(strstr(a.errors->str, " outcome=not_run;"));
+    assert_string_equal(types_of(&a), "EZTDCZ");
+    g_string_free(out, TRUE);
+    client_close(&a);
+    front_fixture_stop(&s);
+}
+
 /* Guards against a request that is forgotten because the request before it was
    cancelled while it waited. */
 static void
@@ -110,7 +381,6 @@
     (void)state;
     struct fixture s;
     struct client a;
-    GString *answer = g_string_new(NULL);
     front_fixture_start(&s);
     client_open(&a, &s, "filing", "none");
 
@@ -118,13 +388,11 @@
     client_start(&a, "SELECT fake_sleep(20000)");
     client_start(&a, "COMMIT");
     spin(&s, 50);
-    struct conn *any = g_queue_peek_head(&s.db->members[1].conns);
-    assert_true(host_inject_fault(any, "kill", "0", answer));
+    kill_primary(&s);
     client_wait(&a, UINT_MAX);
     assert_string_equal(a.errors->str, "08006 outcome=failed;");
     assert_int_equal(g_queue_get_length(&s.front->running), 0);
     spin(&s, 400);
-    g_string_free(answer, TRUE);
     client_close(&a);
     front_fixture_stop(&s);
 }
@@ -134,6 +402,12 @@
 main(int argc, char **argv)
 {
     const struct CMUnitTest tests[] = {
+        cmocka_unit_test(test_request_behind_flush_is_answered),
+        cmocka_unit_test(test_queued_request_behind_flush_is_answered),
+        cmocka_unit_test(test_large_message_behind_flush_is_answered),
+        cmocka_unit_test(test_lost_flush_drops_the_rest),
+        cmocka_unit_test(test_lost_commit_before_flush_is_unknown),
+        cmocka_unit_test(test_dropped_answer_before_flush_is_retried),
         cmocka_unit_test(test_request_behind_cancelled_one_is_answered),
         cmocka_unit_test(test_malformed_message_ends_the_transaction),
         cmocka_unit_test(test_lost_transaction_leaves_no_exchange),
