--- a/src/caller/caller.h
+++ b/src/caller/caller.h
@@ -203,12 +203,15 @@
 void request_fail(struct caller *c, const char *sqlstate, const char *message,
                   const char *outcome);
 
-/* exchange.c */
+/* exchange_send.c */
 void exchange_begin(struct caller *c, struct upstream_conn *u);
 void exchange_add_section(struct exchange *e, enum section s);
+bool exchange_needs_state_before(enum statement_class class);
+void exchange_continue(struct caller *c);
+
+/* exchange.c */
 GString *exchange_output(struct caller *c);
 bool exchange_takes_more(const struct caller *c);
-void exchange_continue(struct caller *c);
 bool exchange_try_preempt(struct caller *c);
 void exchange_check_deadline(struct caller *c, clock_ms now);
 extern const struct upstream_conn_ops exchange_ops;
--- a/src/caller/exchange.c
+++ b/src/caller/exchange.c
@@ -10,14 +10,6 @@
    whole. */
 #define EXCHANGE_MAX_BUFFERED_MESSAGE_BYTES 32768
 
-/* Appends a section. Its messages must be written to the connection in the
-   same order. */
-void
-exchange_add_section(struct exchange *e, enum section s)
-{
-    e->sections[e->count++] = s;
-}
-
 /* Returns the section whose answer is arriving. */
 static enum section
 current_section(const struct exchange *e)
@@ -25,94 +17,6 @@
     return e->sections[e->current];
 }
 
-/* Returns true for classes that are sent together with a query for the
-   member's state. They have no visible effect, so their answer can be dropped
-   if the member turns out to be out of date. */
-static bool needs_state_before(enum statement_class class)
-{
-    return class == STATEMENT_READ || class == STATEMENT_BEGIN ||
-           class == STATEMENT_BEGIN_READ_ONLY || class == STATEMENT_SHOW;
-}
-
-/* Returns true if the session's token must be raised to the member's state
-   after the message batch. */
-static bool
-needs_state_after(const struct message_batch *b, bool in_transaction)
-{
-    if (in_transaction) {
-        return b->ends_transaction;
-    }
-    return b->class == STATEMENT_READ || b->class == STATEMENT_WRITE ||
-           b->class == STATEMENT_INVALID;
-}
-
-/* Starts the exchange of a message batch: writes its messages and those of the
-   sections before and after it to the connection in one go. */
-void
-exchange_begin(struct caller *c, struct upstream_conn *u)
-{
-    struct exchange *e = &c->exchange;
-    struct message_batch *b = &c->message_batch;
-    const bool in_transaction = e->tx_status == 'T' || e->tx_status == 'E';
-    GArray *expected_replies = e->expected_replies;
-    const char tx_status = e->tx_status;
-
-    *e = (struct exchange){.expected_replies = expected_replies,
-                           .tx_status = tx_status};
-    upstream_conn_attach(u, &exchange_ops, c);
-    const int64_t limit =
-        in_transaction ? 0 : group_statement_limit(c->group, &c->request);
-    if (!in_transaction && limit == 0 && u->has_lease_timeout) {
-        /* Reset the statement_timeout that an earlier lease set on this
-           connection. */
-        u->has_lease_timeout = false;
-        u->settings_hash = CONN_SETTINGS_UNKNOWN;
-    }
-    if (!in_transaction && u->settings_hash != c->settings.hash) {
-        GString *sql = g_string_new(NULL);
-        session_settings_append_sql(&c->settings, sql);
-        frame_put_query(u->out, sql->str);
-        g_string_free(sql, TRUE);
-        u->settings_hash = c->settings.hash;
-        exchange_add_section(e, SECTION_SETTINGS);
-    }
-    if (limit > 0) {
-        GString *sql = g_string_new(NULL);
-        g_string_printf(sql, "SET statement_timeout = %lld", (long long)limit);
-        frame_put_query(u->out, sql->str);
-        g_string_free(sql, TRUE);
-        u->has_lease_timeout = true;
-        exchange_add_section(e, SECTION_SETTINGS);
-    }
-    if (keyed_applies(c)) {
-        keyed_begin(c, u);
-    }
-    if (!in_transaction && needs_state_before(b->class)) {
-        frame_put_query(u->out,
-                        c->token.known ? GROUP_SQL_STATE : GROUP_SQL_CONFIRM);
-        exchange_add_section(e, SECTION_STATE_BEFORE);
-    }
-    if (b->refusal_sqlstate != NULL) {
-        /* Call an undefined function to fail the open transaction, as the
-           refused statement would have done. Its error is replaced by the
-           refusal. */
-        frame_put_query(u->out, "SELECT galenastep_refused()");
-    }
-    else {
-        body_write(c, u);
-    }
-    e->awaits_more = b->ends_with_flush;
-    exchange_add_section(e, SECTION_BODY);
-    if (needs_state_after(b, in_transaction) && !b->ends_with_flush &&
-        !e->keyed) {
-        frame_put_query(u->out, GROUP_SQL_STATE);
-        exchange_add_section(e, SECTION_STATE_AFTER);
-    }
-    e->silence_deadline =
-        clock_monotonic_ms() + c->front->settings->kinds[c->kind].deadline_ms;
-    upstream_conn_flush(u);
-}
-
 /* Handles the answer to the state query before a read; nothing is forwarded to
    the caller before it. If the member is out of date or its state is unknown,
    the answer to the read is dropped. */
@@ -432,25 +336,6 @@
            current_section(e) == SECTION_BODY;
 }
 
-/* Sends the messages that follow a Flush on the connection that has received
-   the first part of the request. */
-void
-exchange_continue(struct caller *c)
-{
-    struct exchange *e = &c->exchange;
-    struct upstream_conn *u = c->request.conn;
-    const bool in_transaction = e->tx_status == 'T' || e->tx_status == 'E';
-
-    body_write(c, u);
-    e->awaits_more = c->message_batch.ends_with_flush;
-    if (!c->message_batch.ends_with_flush &&
-        needs_state_after(&c->message_batch, in_transaction)) {
-        frame_put_query(u->out, GROUP_SQL_STATE);
-        exchange_add_section(e, SECTION_STATE_AFTER);
-    }
-    upstream_conn_flush(u);
-}
-
 static void
 protocol_failure(struct upstream_conn *u)
 {
@@ -566,7 +451,7 @@
         request_retry(c, COUNTER_RETRY_NOT_SENT);
         return;
     }
-    if (needs_state_before(b->class) && !e->forwarded) {
+    if (exchange_needs_state_before(b->class) && !e->forwarded) {
         request_retry_after_backoff(c, e->timed_out ? COUNTER_RETRY_READ_SILENT
                                                     : COUNTER_RETRY_READ_LOST);
         return;
