caller: a statement behind a rejected setting does not run

Callers see: if the member rejects a setting of the session, such as one from the start-up packet, every statement still runs, with the settings of another session, and succeeds. Cause: settings and statement were sent together as separate queries, and an error for the first only marked the connection's settings as unknown. Change: the member's error is the answer. Reads, SHOW and BEGIN are still sent along with the settings, and their answer is dropped (outcome=failed). Other statements follow once the member has accepted the settings, which costs them a round trip whenever a connection changes to a session with other settings; they have outcome=not_run. The limit that ends with a lease is computed when the statement is sent. Before: test_statement_behind_rejected_setting_does_not_run fails: the INSERT is acknowledged.

--- a/src/caller/caller.h
+++ b/src/caller/caller.h
@@ -76,6 +76,7 @@
    ReadyForQuery. Only the answer to the body is forwarded to the caller. */
 enum section {
     SECTION_SETTINGS,     /* applies the session settings of the caller */
+    SECTION_LEASE_LIMIT,  /* limits the statement to the time of a lease */
     SECTION_STATE_BEFORE, /* queries the member's state before a read */
     SECTION_BODY,         /* the caller's own messages */
     SECTION_STATE_AFTER,  /* queries the member's state after the body */
@@ -113,15 +114,18 @@
     int current;
     GArray *expected_replies; /* of struct expected_reply; may be NULL */
     guint expected_head;
-    bool discarding;  /* drop the answer; the request will run elsewhere */
-    bool forwarded;   /* part of the answer was sent to the caller */
-    bool body_failed; /* the database returned an error */
-    bool body_done;   /* the ReadyForQuery of the body has arrived */
-    bool awaits_more; /* the body so far ends with Flush */
-    char tx_status;   /* from the last ReadyForQuery of the body */
-    char tag[32];     /* from the last CommandComplete */
-    bool keyed;       /* runs in a transaction with its request key */
-    bool replay;      /* the key exists: send the stored answer */
+    bool discarding;   /* drop the answer; the request will run elsewhere */
+    bool forwarded;    /* part of the answer was sent to the caller */
+    bool body_failed;  /* the database returned an error */
+    bool body_done;    /* the ReadyForQuery of the body has arrived */
+    bool awaits_more;  /* the body so far ends with Flush */
+    bool body_pending; /* to be sent once the settings are accepted */
+    char rejection[6]; /* SQLSTATE of a rejected setting, or empty */
+    char rejection_message[160];
+    char tx_status; /* from the last ReadyForQuery of the body */
+    char tag[32];   /* from the last CommandComplete */
+    bool keyed;     /* runs in a transaction with its request key */
+    bool replay;    /* the key exists: send the stored answer */
     bool commit_failed;
     bool preempted;            /* cancelled by the proxy, to be run again */
     bool timed_out;            /* aborted because silence_deadline passed */
@@ -207,6 +211,7 @@
 void exchange_begin(struct caller *c, struct upstream_conn *u);
 void exchange_add_section(struct exchange *e, enum section s);
 bool exchange_needs_state_before(enum statement_class class);
+void exchange_send_pending(struct caller *c);
 void exchange_continue(struct caller *c);
 
 /* exchange.c */
--- a/src/caller/exchange.c
+++ b/src/caller/exchange.c
@@ -198,6 +198,41 @@
     return status;
 }
 
+/* Handles the error for the settings of the session. The connection still has
+   those of another session, so the answer to the caller's messages, if they
+   were sent along, is dropped. */
+static void
+handle_rejected_setting(struct caller *c, const struct frame *f)
+{
+    struct exchange *e = &c->exchange;
+    const struct sview state = frame_error_field(f->body, 'C');
+    const struct sview message = frame_error_field(f->body, 'M');
+
+    c->request.conn->settings_hash = CONN_SETTINGS_UNKNOWN;
+    e->discarding = true;
+    if (e->preempted && sview_equal(state, SVIEW("57014"))) {
+        return;
+    }
+    g_snprintf(e->rejection, sizeof(e->rejection), "%.*s", (int)state.n,
+               state.p);
+    g_snprintf(e->rejection_message, sizeof(e->rejection_message), "%.*s",
+               (int)message.n, message.p);
+}
+
+/* Answers a request for which the member has rejected the settings of the
+   session with the member's error. */
+static void
+refuse_for_settings(struct caller *c)
+{
+    struct exchange *e = &c->exchange;
+
+    caller_count(c, COUNTER_FAILED_BY_DATABASE);
+    group_finish(c->group, &c->request, GROUP_RETURN_CLEAN);
+    c->has_connection = false;
+    request_fail(c, e->rejection, e->rejection_message,
+                 e->body_pending ? "outcome=not_run" : "outcome=failed");
+}
+
 /* Ends the body of a request that will run elsewhere. The messages that follow
    its Flush belong to the other run. */
 static void
@@ -234,6 +269,10 @@
         }
         return;
     }
+    if (e->body_pending && !e->discarding) {
+        exchange_send_pending(c);
+        return;
+    }
     if (e->discarding && e->tx_status != 'I') {
         frame_put_query(c->request.conn->out, "ROLLBACK");
         upstream_conn_flush(c->request.conn);
@@ -248,6 +287,10 @@
         request_end(c);
         return;
     }
+    if (e->rejection[0] != '\0') {
+        refuse_for_settings(c);
+        return;
+    }
     const struct upstream_conn *u = c->request.conn;
     const int member = u->member;
     const bool primary = member == group_primary(c->group);
@@ -297,9 +340,9 @@
         keyed_handle_commit(c, f);
     }
     else if (s == SECTION_SETTINGS && f->type == 'E') {
-        /* The member rejected a setting. Mark the connection's settings as
-           unknown, so that all of them are applied again instead of
-           leaving one out silently. */
+        handle_rejected_setting(c, f);
+    }
+    else if (s == SECTION_LEASE_LIMIT && f->type == 'E') {
         c->request.conn->settings_hash = CONN_SETTINGS_UNKNOWN;
     }
 }
@@ -447,7 +490,7 @@
         caller_close_after_flush(c);
         return;
     }
-    if (!sent_since_attach) {
+    if (!sent_since_attach || e->body_pending) {
         request_retry(c, COUNTER_RETRY_NOT_SENT);
         return;
     }
--- a/src/caller/exchange_send.c
+++ b/src/caller/exchange_send.c
@@ -31,43 +31,25 @@
            b->class == STATEMENT_INVALID;
 }
 
-/* Starts the exchange of a message batch: writes its messages and those of the
-   sections before and after it to the connection in one go. */
-void
-exchange_begin(struct caller *c, struct upstream_conn *u)
+/* Writes the messages of the caller and those of the sections before and after
+   them. The limit that ends with a lease is taken now, since time has passed
+   if the settings were waited for. */
+static void
+write_body_sections(struct caller *c, struct upstream_conn *u)
 {
     struct exchange *e = &c->exchange;
-    struct message_batch *b = &c->message_batch;
+    const struct message_batch *b = &c->message_batch;
     const bool in_transaction = e->tx_status == 'T' || e->tx_status == 'E';
-    GArray *expected_replies = e->expected_replies;
-    const char tx_status = e->tx_status;
-
-    *e = (struct exchange){.expected_replies = expected_replies,
-                           .tx_status = tx_status};
-    upstream_conn_attach(u, &exchange_ops, c);
     const int64_t limit =
         in_transaction ? 0 : group_statement_limit(c->group, &c->request);
-    if (!in_transaction && limit == 0 && u->has_lease_timeout) {
-        /* Reset the statement_timeout that an earlier lease set on this
-           connection. */
-        u->has_lease_timeout = false;
-        u->settings_hash = CONN_SETTINGS_UNKNOWN;
-    }
-    if (!in_transaction && u->settings_hash != c->settings.hash) {
-        GString *sql = g_string_new(NULL);
-        session_settings_append_sql(&c->settings, sql);
-        frame_put_query(u->out, sql->str);
-        g_string_free(sql, TRUE);
-        u->settings_hash = c->settings.hash;
-        exchange_add_section(e, SECTION_SETTINGS);
-    }
+
     if (limit > 0) {
         GString *sql = g_string_new(NULL);
         g_string_printf(sql, "SET statement_timeout = %lld", (long long)limit);
         frame_put_query(u->out, sql->str);
         g_string_free(sql, TRUE);
         u->has_lease_timeout = true;
-        exchange_add_section(e, SECTION_SETTINGS);
+        exchange_add_section(e, SECTION_LEASE_LIMIT);
     }
     if (keyed_applies(c)) {
         keyed_begin(c, u);
@@ -93,11 +75,59 @@
         frame_put_query(u->out, GROUP_SQL_STATE);
         exchange_add_section(e, SECTION_STATE_AFTER);
     }
+}
+
+/* Starts the exchange of a message batch: writes its messages and those of the
+   sections before and after it to the connection in one go. If settings have
+   to be applied first, only messages whose effect can be undone are sent along
+   with them; the others follow once the member has accepted the settings. */
+void
+exchange_begin(struct caller *c, struct upstream_conn *u)
+{
+    struct exchange *e = &c->exchange;
+    const bool in_transaction = e->tx_status == 'T' || e->tx_status == 'E';
+    GArray *expected_replies = e->expected_replies;
+    const char tx_status = e->tx_status;
+
+    *e = (struct exchange){.expected_replies = expected_replies,
+                           .tx_status = tx_status};
+    upstream_conn_attach(u, &exchange_ops, c);
+    if (!in_transaction && u->has_lease_timeout &&
+        group_statement_limit(c->group, &c->request) == 0) {
+        /* Reset the statement_timeout that an earlier lease set on this
+           connection. */
+        u->has_lease_timeout = false;
+        u->settings_hash = CONN_SETTINGS_UNKNOWN;
+    }
+    if (!in_transaction && u->settings_hash != c->settings.hash) {
+        GString *sql = g_string_new(NULL);
+        session_settings_append_sql(&c->settings, sql);
+        frame_put_query(u->out, sql->str);
+        g_string_free(sql, TRUE);
+        u->settings_hash = c->settings.hash;
+        exchange_add_section(e, SECTION_SETTINGS);
+        /* RESET ALL alone is not rejected. */
+        e->body_pending = c->settings.items != NULL &&
+                          !exchange_needs_state_before(c->message_batch.class);
+    }
+    if (!e->body_pending) {
+        write_body_sections(c, u);
+    }
     e->silence_deadline =
         clock_monotonic_ms() + c->front->settings->kinds[c->kind].deadline_ms;
     upstream_conn_flush(u);
 }
 
+/* Sends the messages of the caller after the member has accepted the settings
+   of the session. */
+void
+exchange_send_pending(struct caller *c)
+{
+    c->exchange.body_pending = false;
+    write_body_sections(c, c->request.conn);
+    upstream_conn_flush(c->request.conn);
+}
+
 /* Sends the messages that follow a Flush on the connection that has received
    the first part of the request. */
 void
--- a/tests/caller/test_closing.c
+++ b/tests/caller/test_closing.c
@@ -22,6 +22,46 @@
     }
 }
 
+/* Opens a connection and sends nothing. */
+static void
+client_connect(struct client *c, struct fixture *s)
+{
+    const struct sockaddr_in a = {
+        .sin_family = AF_INET,
+        .sin_port = htons(s->port),
+        .sin_addr.s_addr = htonl(INADDR_LOOPBACK),
+    };
+
+    *c = (struct client){.fixture = s,
+                         .fd = socket(AF_INET, SOCK_STREAM, 0),
+                         .in = g_string_new(NULL),
+                         .types = g_string_new(NULL),
+                         .errors = g_string_new(NULL)};
+    assert_int_equal(connect(c->fd, (const struct sockaddr *)&a, sizeof(a)),
+                     0);
+}
+
+/* Appends a start-up packet. name and value are a further parameter; name may
+   be NULL. */
+static void
+put_startup(GString *out, const char *name, const char *value)
+{
+    const size_t at = out->len;
+
+    frame_put_u32(out, 0);
+    frame_put_u32(out, FRAME_STARTUP_VERSION);
+    frame_put_cstring(out, "user");
+    frame_put_cstring(out, "clerk");
+    frame_put_cstring(out, "database");
+    frame_put_cstring(out, "boats");
+    if (name != NULL) {
+        frame_put_cstring(out, name);
+        frame_put_cstring(out, value);
+    }
+    g_string_append_c(out, '\0');
+    frame_end(out, at);
+}
+
 /* Appends Bind with one text parameter and Execute. */
 static void
 put_bind_execute(GString *out, const char *name, const char *value)
@@ -340,6 +380,48 @@
     front_fixture_stop(&s);
 }
 
+/* Guards against a statement that runs, with the settings of another session,
+   although the member has rejected a setting of its own session. */
+static void
+test_statement_behind_rejected_setting_does_not_run(void **state)
+{
+    (void)state;
+    struct fixture s;
+    struct client a;
+    struct client b;
+    GString *out = g_string_new(NULL);
+    front_fixture_start(&s);
+    client_open(&b, &s, "filing", "none");
+    client_query(&b, "SET work.mem = '5'");
+    client_connect(&a, &s);
+    /* A name that begins with a digit is a syntax error. */
+    put_startup(out, "9setting", "on");
+    client_send(&a, out);
+    client_wait(&a, 1);
+
+    client_query(&a, "INSERT INTO entries (id, value) VALUES ('s', '7')");
+    assert_string_equal(a.errors->str, "42601 outcome=not_run;");
+    assert_string_equal(types_of(&a), "EZ");
+    assert_int_equal(count_rows(&s, "s"), 0);
+    client_query(&a, "SELECT fake_session()");
+    assert_string_equal(a.column, "");
+    assert_non_null(strstr(a.errors->str, "42601 outcome="));
+    client_query(&a, "BEGIN");
+    assert_int_equal(a.status, 'I');
+    assert_non_null(strstr(a.errors->str, "42601 outcome="));
+    client_query(&a, "SET galenastep.request_key = 'k'");
+    client_query(&a, "INSERT INTO entries (id, value) VALUES ('s', '7')");
+    assert_string_equal(a.errors->str, "42601 outcome=not_run;");
+    assert_int_equal(count_rows(&s, "s"), 0);
+    client_query(&a, "RESET ALL");
+    client_query(&a, "INSERT INTO entries (id, value) VALUES ('s', '7')");
+    assert_string_equal(a.errors->str, "");
+    assert_int_equal(count_rows(&s, "s"), 1);
+    client_close(&a);
+    client_close(&b);
+    front_fixture_stop(&s);
+}
+
 /* Guards against a transaction that keeps its locks because its caller, whose
    connection is ended for a malformed message, does not close its side; and
    against an error that does not tell what became of the transaction. */
@@ -409,6 +491,7 @@
         cmocka_unit_test(test_lost_commit_before_flush_is_unknown),
         cmocka_unit_test(test_dropped_answer_before_flush_is_retried),
         cmocka_unit_test(test_request_behind_cancelled_one_is_answered),
+        cmocka_unit_test(test_statement_behind_rejected_setting_does_not_run),
         cmocka_unit_test(test_malformed_message_ends_the_transaction),
         cmocka_unit_test(test_lost_transaction_leaves_no_exchange),
     };
