caller: let a caller above max_callers read its refusal

Callers see: a connection reset in place of FATAL 53300 "too many callers". Cause: the connection was closed at once. Closing a socket with unread input, here the start-up packet, resets it and can destroy what was sent. Change: the connection lingers as those of other refused callers do, up to 256 at a time. Lingering connections do not count towards max_callers. Before: test_surplus_caller_reads_its_refusal fails with ECONNRESET.

--- a/src/caller/front.c
+++ b/src/caller/front.c
@@ -19,6 +19,9 @@
 /* How long a caller that has been sent everything may take to close its
    side. */
 #define FRONT_LINGER_MS 200
+/* Connections above max_callers that may linger so that their callers can read
+   the refusal. Further ones are closed at once. */
+#define FRONT_MAX_LINGERING 256
 
 /* Formats an address as host:port. */
 static void
@@ -54,6 +57,27 @@
     g_hash_table_insert(f->callers, GUINT_TO_POINTER(c->pid), c);
 }
 
+static void
+put_surplus_error(GString *out)
+{
+    frame_put_error(out, "FATAL", "53300", "too many callers", NULL,
+                    "outcome=not_run");
+}
+
+/* Refuses a connection without waiting for its caller to read the error, which
+   is lost if the start-up packet has arrived. */
+static void
+refuse_at_once(int fd)
+{
+    GString *s = g_string_new(NULL);
+
+    put_surplus_error(s);
+    const ssize_t sent = send(fd, s->str, s->len, MSG_NOSIGNAL);
+    (void)sent;
+    g_string_free(s, TRUE);
+    close(fd);
+}
+
 /* Accepts one connection. Returns false if none is pending. */
 static bool
 accept_one(struct front *f)
@@ -71,20 +95,22 @@
         }
         return false;
     }
-    if (g_hash_table_size(f->callers) >= (guint)f->settings->max_callers) {
-        GString *s = g_string_new(NULL);
-        frame_put_error(s, "FATAL", "53300", "too many callers", NULL,
-                        "outcome=not_run");
-        const ssize_t sent = send(fd, s->str, s->len, MSG_NOSIGNAL);
-        (void)sent;
-        g_string_free(s, TRUE);
-        close(fd);
+    const guint lingering = g_queue_get_length(&f->lingering);
+    const bool surplus = g_hash_table_size(f->callers) - lingering >=
+                         (guint)f->settings->max_callers;
+    if (surplus && lingering >= FRONT_MAX_LINGERING) {
+        refuse_at_once(fd);
         return true;
     }
     setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
     setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
     format_address(&a, remote_address, sizeof(remote_address));
-    register_caller(f, caller_create(f, fd, remote_address));
+    struct caller *c = caller_create(f, fd, remote_address);
+    register_caller(f, c);
+    if (surplus) {
+        put_surplus_error(c->out);
+        caller_close_after_flush(c);
+    }
     return true;
 }
 
--- a/tests/caller/test_closing.c
+++ b/tests/caller/test_closing.c
@@ -422,6 +422,42 @@
     front_fixture_stop(&s);
 }
 
+/* Guards against a refusal for too many callers that is destroyed by a reset
+   because the start-up packet was not read. */
+static void
+test_surplus_caller_reads_its_refusal(void **state)
+{
+    (void)state;
+    struct fixture s;
+    struct client a;
+    struct client b;
+    GString *out = g_string_new(NULL);
+    front_fixture_start(&s);
+    client_open(&a, &s, "filing", "none");
+    s.settings->max_callers = 1;
+
+    put_startup(out, NULL, NULL);
+    frame_put_query(out, "SELECT 1");
+    for (size_t cut = 0; cut <= out->len; cut++) {
+        client_connect(&b, &s);
+        send_part(&b, out, 0, cut);
+        spin(&s, 3);
+        if (cut < out->len) {
+            /* A reset that is already here makes this fail. */
+            send(b.fd, out->str + cut, out->len - cut, MSG_NOSIGNAL);
+        }
+        spin(&s, 3);
+        client_wait(&b, UINT_MAX);
+        assert_string_equal(b.errors->str, "53300 outcome=not_run;");
+        client_close(&b);
+    }
+    client_query(&a, "SELECT 1");
+    assert_string_equal(a.column, "1");
+    g_string_free(out, TRUE);
+    client_close(&a);
+    front_fixture_stop(&s);
+}
+
 /* Guards against a transaction that keeps its locks because its caller, whose
    connection is ended for a malformed message, does not close its side; and
    against an error that does not tell what became of the transaction. */
@@ -492,6 +528,7 @@
         cmocka_unit_test(test_dropped_answer_before_flush_is_retried),
         cmocka_unit_test(test_request_behind_cancelled_one_is_answered),
         cmocka_unit_test(test_statement_behind_rejected_setting_does_not_run),
+        cmocka_unit_test(test_surplus_caller_reads_its_refusal),
         cmocka_unit_test(test_malformed_message_ends_the_transaction),
         cmocka_unit_test(test_lost_transaction_leaves_no_exchange),
     };
