caller: a drain serves what has arrived on idle connections

Callers see: a request that is in the socket when a drain starts is refused (FATAL 57P01, outcome=not_run) although those that were read are served; a cancel request is discarded, so that its statement holds up the drain; a connection that was not accepted yet is reset. Cause: front_drain() looked at the input that was read, and closed the listening socket with connections in its queue. Change: pending connections are accepted and refused. A caller is closed only if nothing of it waits in the socket, and looked at again whenever its input has been handled, so that one which sent nothing but a Sync or an SSL request does not stay until the limit. New sessions are refused while draining. Before: the four tests whose names begin with test_drain fail: connection reset, 57P01 in place of the answers.

--- a/src/caller/caller.c
+++ b/src/caller/caller.c
@@ -116,6 +116,33 @@
     caller_flush(c);
 }
 
+/* Returns true if bytes from the caller have arrived that were not read yet.
+ */
+static bool
+has_unread(const struct caller *c)
+{
+    char byte;
+
+    return recv(c->fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
+/* Disconnects a caller during a shutdown if it has no session yet or is idle
+   between transactions, and no further input of it has arrived. */
+void
+caller_close_if_drained(struct caller *c)
+{
+    const bool idle = c->state == CALLER_READY && !c->has_connection &&
+                      caller_input(c).n == 0;
+
+    if (!c->front->draining || (c->state != CALLER_STARTUP && !idle) ||
+        has_unread(c)) {
+        return;
+    }
+    frame_put_error(c->out, "FATAL", "57P01", "the proxy is shutting down",
+                    NULL, "outcome=not_run");
+    caller_close_after_flush(c);
+}
+
 /* Ends the connection of a caller whose input cannot be a request. Its open
    transaction is rolled back. */
 static void
@@ -163,6 +190,7 @@
         g_string_truncate(c->in, 0);
         shrink_buffer(&c->in);
     }
+    caller_close_if_drained(c);
     if (c->state != CALLER_CLOSING) {
         caller_flush(c);
     }
--- a/src/caller/caller.h
+++ b/src/caller/caller.h
@@ -182,6 +182,7 @@
 void caller_flush(struct caller *c);
 void caller_process_input(struct caller *c);
 void caller_close_after_flush(struct caller *c);
+void caller_close_if_drained(struct caller *c);
 struct sview caller_input(const struct caller *c);
 void caller_count(struct caller *c, enum counter which);
 
--- a/src/caller/front.c
+++ b/src/caller/front.c
@@ -15,6 +15,9 @@
 #include <unistd.h>
 
 #define FRONT_ACCEPTS_PER_EVENT 64
+/* Accepted at most when a shutdown starts, so that new connections cannot hold
+   it up: the length of the listen queue. */
+#define FRONT_DRAIN_ACCEPTS 1024
 #define FRONT_DEADLINE_CHECK_S 0.05
 /* How long a caller that has been sent everything may take to close its
    side. */
@@ -236,11 +239,12 @@
            c->front->settings->kinds[c->kind].class == SETTINGS_CLASS_BATCH;
 }
 
-/* Starts a graceful shutdown. New callers are not accepted; idle callers are
+/* Starts a graceful shutdown. New callers are refused; idle callers are
    disconnected, the others at the end of their transaction. Queued requests
-   are still served, except those of batch kinds, which are refused with
-   outcome=not_run. drained() is called when the last caller has disconnected,
-   which may be before this function returns. */
+   and requests that have arrived are still served, except those of batch kinds
+   that wait, which are refused with outcome=not_run. drained() is called when
+   the last caller has disconnected, which may be before this function
+   returns. */
 void
 front_drain(struct front *f, void (*drained)(void *ctx), void *ctx)
 {
@@ -248,6 +252,9 @@
     f->drained = drained;
     f->drained_ctx = ctx;
     ev_io_stop(f->loop, &f->accept_watcher);
+    /* Closing the socket resets connections that have not been accepted. */
+    for (int i = 0; i < FRONT_DRAIN_ACCEPTS && accept_one(f); i++) {
+    }
     close(f->listen_fd);
     f->listen_fd = -1;
     GList *list = g_hash_table_get_values(f->callers);
@@ -259,14 +266,7 @@
             request_fail(c, "57P03", "the proxy is shutting down",
                          "outcome=not_run");
         }
-        if (c->state == CALLER_STARTUP ||
-            (c->state == CALLER_READY && !c->has_connection &&
-             caller_input(c).n == 0)) {
-            frame_put_error(c->out, "FATAL", "57P01",
-                            "the proxy is shutting down", NULL,
-                            "outcome=not_run");
-            caller_close_after_flush(c);
-        }
+        caller_close_if_drained(c);
     }
     if (list == NULL) {
         drained(ctx);
--- a/src/caller/startup.c
+++ b/src/caller/startup.c
@@ -242,6 +242,10 @@
         refuse(c, "08P01", "malformed start-up packet");
         return;
     }
+    if (c->front->draining) {
+        refuse(c, "57P01", "the proxy is shutting down");
+        return;
+    }
     c->database = find_database(s, database.n == 0 ? user : database);
     if (c->database < 0) {
         c->database = 0;
--- a/tests/caller/test_closing.c
+++ b/tests/caller/test_closing.c
@@ -22,6 +22,20 @@
     }
 }
 
+static void
+on_drained(void *ctx)
+{
+    ((struct fixture *)ctx)->drained = true;
+}
+
+static void
+await_drained(struct fixture *s)
+{
+    while (!s->drained) {
+        ev_run(s->loop, EVRUN_ONCE);
+    }
+}
+
 /* Opens a connection and sends nothing. */
 static void
 client_connect(struct client *c, struct fixture *s)
@@ -62,6 +76,18 @@
     frame_end(out, at);
 }
 
+static void
+put_cancel(GString *out, uint32_t pid, uint32_t secret)
+{
+    const size_t at = out->len;
+
+    frame_put_u32(out, 0);
+    frame_put_u32(out, FRAME_CANCEL_CODE);
+    frame_put_u32(out, pid);
+    frame_put_u32(out, secret);
+    frame_end(out, at);
+}
+
 /* Appends Bind with one text parameter and Execute. */
 static void
 put_bind_execute(GString *out, const char *name, const char *value)
@@ -253,7 +279,7 @@
 
     /* Opens the connection that becomes silent. */
     client_query(&a, "UPDATE entries SET value = '1' WHERE id = 'other'");
-    put_parse(out, "", "UPDATE entries SET value = $1 WHERE id = 'l'");
+    put_parse(out, "", "INSERT INTO entries (id, value) VALUES ('l', $1)");
     put_bind_execute(out, "", "6");
     frame_end(out, frame_begin(out, 'H'));
     const size_t flush = out->len;
@@ -458,6 +484,148 @@
     front_fixture_stop(&s);
 }
 
+/* Guards against connections that a drain resets because they were not
+   accepted yet. */
+static void
+test_drain_refuses_pending_connections(void **state)
+{
+    (void)state;
+    struct fixture s;
+    struct client a;
+    GString *out = g_string_new(NULL);
+    front_fixture_start(&s);
+
+    client_connect(&a, &s);
+    put_startup(out, NULL, NULL);
+    frame_put_query(out, "SELECT 1");
+    client_send(&a, out);
+    front_drain(s.front, on_drained, &s);
+    client_wait(&a, UINT_MAX);
+    assert_string_equal(a.errors->str, "57P01 outcome=not_run;");
+    await_drained(&s);
+    client_close(&a);
+    front_fixture_stop(&s);
+}
+
+/* Guards against a cancel request that a drain discards because it was not
+   read yet. */
+static void
+test_drain_serves_unread_cancel(void **state)
+{
+    (void)state;
+    struct fixture s;
+    struct client a;
+    struct client b;
+    GString *out = g_string_new(NULL);
+    front_fixture_start(&s);
+    client_open(&a, &s, "filing", "none");
+    client_connect(&b, &s);
+    client_start(&a, "SELECT fake_sleep(4000)");
+    spin(&s, 50);
+
+    put_cancel(out, a.pid, a.secret);
+    client_send(&b, out);
+    front_drain(s.front, on_drained, &s);
+    client_wait(&a, 2);
+    assert_true(g_str_has_prefix(a.errors->str, "57014 outcome=failed;"));
+    await_drained(&s);
+    client_close(&a);
+    client_close(&b);
+    front_fixture_stop(&s);
+}
+
+/* Sends two requests, of which first_bytes arrive before the drain begins and
+   are read before it if is_read. Checks the answers against the table. */
+static void
+check_drain(size_t first_bytes, bool is_read, bool all_before)
+{
+    struct fixture s;
+    struct client a;
+    struct client other;
+    GString *out = g_string_new(NULL);
+    front_fixture_start(&s);
+    group_set_surplus(s.groups[0], 0, 2, 0);
+    client_open(&a, &s, "filing", "none");
+    /* Holds up the drain until the effect has been looked at. */
+    client_open(&other, &s, "filing", "none");
+    client_query(&other, "BEGIN");
+
+    frame_put_query(out, "SHOW galenastep.kind");
+    frame_put_query(out, "INSERT INTO entries (id, value) VALUES ('d', '7')");
+    const size_t first = MIN(first_bytes, out->len);
+    clear_record(&a);
+    send_part(&a, out, 0, first);
+    if (is_read) {
+        spin(&s, 5);
+    }
+    front_drain(s.front, on_drained, &s);
+    if (!all_before) {
+        send(a.fd, out->str + first, out->len - first, MSG_NOSIGNAL);
+    }
+    client_wait(&a, UINT_MAX);
+    const char *types = types_of(&a);
+    /* Ends with a refusal of all that was not answered. */
+    assert_true(g_str_has_suffix(types, "E"));
+    assert_true(g_str_has_suffix(a.errors->str, "57P01 outcome=not_run;"));
+    if (first_bytes > 0) {
+        assert_true(g_str_has_prefix(types, "TDCZ"));
+    }
+    assert_true(strcmp(types, "E") == 0 || strcmp(types, "TDCZE") == 0 ||
+                strcmp(types, "TDCZCZE") == 0);
+    const bool ran = strcmp(types, "TDCZCZE") == 0;
+    client_query(&other, "SELECT value FROM entries WHERE id = 'd'");
+    assert_int_equal(strchr(other.types->str, 'D') != NULL, ran);
+    client_query(&other, "COMMIT");
+    await_drained(&s);
+    g_string_free(out, TRUE);
+    client_close(&a);
+    client_close(&other);
+    front_fixture_stop(&s);
+}
+
+/* Guards against a drain that ends an idle connection on which a request, or
+   the beginning of one, has arrived. */
+static void
+test_drain_at_every_step_of_a_request(void **state)
+{
+    static const size_t cuts[] = {0, 1, 5, 20, 26, 27, 40, SIZE_MAX};
+
+    (void)state;
+    for (size_t i = 0; i < G_N_ELEMENTS(cuts); i++) {
+        check_drain(cuts[i], false, false);
+        check_drain(cuts[i], true, false);
+    }
+    check_drain(SIZE_MAX, false, true);
+    check_drain(SIZE_MAX, true, true);
+}
+
+/* Guards against a drain that waits for a caller which has sent nothing but
+   messages that are answered without a request. */
+static void
+test_drain_ends_after_skipped_messages(void **state)
+{
+    (void)state;
+    struct fixture s;
+    struct client a;
+    GString *out = g_string_new(NULL);
+    front_fixture_start(&s);
+    client_open(&a, &s, "filing", "none");
+
+    put_bind_execute(out, "missing", "x");
+    frame_end(out, frame_begin(out, 'H'));
+    client_send(&a, out);
+    spin(&s, 5);
+    out = g_string_new(NULL);
+    frame_end(out, frame_begin(out, 'S'));
+    client_send(&a, out);
+    front_drain(s.front, on_drained, &s);
+    client_wait(&a, UINT_MAX);
+    assert_string_equal(a.types->str, "EZE");
+    await_drained(&s);
+    client_close(&a);
+    front_fixture_stop(&s);
+}
+
 /* Guards against a transaction that keeps its locks because its caller, whose
    connection is ended for a malformed message, does not close its side; and
    against an error that does not tell what became of the transaction. */
@@ -474,7 +642,7 @@
     client_open(&b, &s, "filing", "none");
 
     client_query(&a, "BEGIN");
-    client_query(&a, "UPDATE entries SET value = '7' WHERE id = 'm'");
+    client_query(&a, "INSERT INTO entries (id, value) VALUES ('m', '7')");
     g_string_append_c(out, '?');
     frame_put_u32(out, 4);
     client_send(&a, out);
@@ -529,6 +697,10 @@
         cmocka_unit_test(test_request_behind_cancelled_one_is_answered),
         cmocka_unit_test(test_statement_behind_rejected_setting_does_not_run),
         cmocka_unit_test(test_surplus_caller_reads_its_refusal),
+        cmocka_unit_test(test_drain_refuses_pending_connections),
+        cmocka_unit_test(test_drain_serves_unread_cancel),
+        cmocka_unit_test(test_drain_at_every_step_of_a_request),
+        cmocka_unit_test(test_drain_ends_after_skipped_messages),
         cmocka_unit_test(test_malformed_message_ends_the_transaction),
         cmocka_unit_test(test_lost_transaction_leaves_no_exchange),
     };
