caller: serve cancel requests on refused connections

Callers see: a cancel request has no effect while galenastepd has max_callers callers, or if it arrives just after a drain has begun; the statement goes on. Cause: input of a connection that was refused at accept() or at the start of a drain was discarded, and its first packet may be a cancel request. Change: the first packet of such a connection is looked at, wherever it is cut. All else is discarded as before. Before: test_refused_connection_can_cancel fails, the statement ends without 57014.

--- a/src/caller/caller.c
+++ b/src/caller/caller.c
@@ -138,6 +138,7 @@
         has_unread(c)) {
         return;
     }
+    c->refused_unheard = c->state == CALLER_STARTUP;
     frame_put_error(c->out, "FATAL", "57P01", "the proxy is shutting down",
                     NULL, "outcome=not_run");
     caller_close_after_flush(c);
@@ -233,8 +234,14 @@
         return;
     }
     if (c->state == CALLER_CLOSING) {
-        g_string_truncate(c->in, 0);
-        c->in_consumed = 0;
+        if (c->refused_unheard) {
+            g_string_append_len(c->in, read_buffer, n);
+            startup_process_refused(c);
+        }
+        else {
+            g_string_truncate(c->in, 0);
+            c->in_consumed = 0;
+        }
         return;
     }
     if (c->in_consumed > 0 && c->state == CALLER_READY) {
--- a/src/caller/caller.h
+++ b/src/caller/caller.h
@@ -144,7 +144,9 @@
     GString *out;
     size_t out_sent;
     enum caller_state state;
-    bool skip_to_sync; /* after an error in the extended protocol */
+    bool skip_to_sync;    /* after an error in the extended protocol */
+    bool refused_unheard; /* closing, but its first packet may be a cancel
+                             request */
     bool cancel_requested;
 
     uint32_t pid;
@@ -188,6 +190,7 @@
 
 /* startup.c */
 bool startup_process(struct caller *c);
+void startup_process_refused(struct caller *c);
 bool startup_apply_setting(struct caller *c, struct sview name,
                            struct sview value, const char **error);
 void startup_report_token(struct caller *c);
--- a/src/caller/front.c
+++ b/src/caller/front.c
@@ -112,6 +112,7 @@
     register_caller(f, c);
     if (surplus) {
         put_surplus_error(c->out);
+        c->refused_unheard = true;
         caller_close_after_flush(c);
     }
     return true;
--- a/src/caller/startup.c
+++ b/src/caller/startup.c
@@ -269,6 +269,40 @@
     send_startup_response(c);
 }
 
+/* Cancels the request that the rest of a cancel request names, here or at
+   another proxy. */
+static void
+serve_cancel(struct caller *c, struct frame_reader *r)
+{
+    const uint32_t pid = frame_read_u32(r);
+    const uint32_t secret = frame_read_u32(r);
+
+    if (!front_cancel(c->front, pid, secret) &&
+        c->front->forward_cancel != NULL) {
+        c->front->forward_cancel(c->front->forward_cancel_ctx, pid, secret);
+    }
+}
+
+/* Handles input of a caller that was refused before its first packet had
+   arrived. A cancel request is served nevertheless, since it ends work. */
+void
+startup_process_refused(struct caller *c)
+{
+    struct frame f;
+    const enum frame_status status = frame_next_startup(caller_input(c), &f);
+
+    if (status == FRAME_INCOMPLETE) {
+        return;
+    }
+    c->refused_unheard = false;
+    if (status == FRAME_COMPLETE) {
+        struct frame_reader r = {.rest = f.body};
+        if (frame_read_u32(&r) == FRAME_CANCEL_CODE) {
+            serve_cancel(c, &r);
+        }
+    }
+}
+
 /* Handles one packet of the start-up phase: an SSL or GSS request, a cancel
    request or a start-up packet. Returns true if another packet may follow. */
 bool
@@ -290,13 +324,7 @@
         g_string_append_c(c->out, 'N');
     }
     else if (code == FRAME_CANCEL_CODE) {
-        const uint32_t pid = frame_read_u32(&r);
-        const uint32_t secret = frame_read_u32(&r);
-        if (!front_cancel(c->front, pid, secret) &&
-            c->front->forward_cancel != NULL) {
-            c->front->forward_cancel(c->front->forward_cancel_ctx, pid,
-                                     secret);
-        }
+        serve_cancel(c, &r);
         caller_close_after_flush(c);
     }
     else if (code >> 16 != FRAME_STARTUP_VERSION >> 16) {
--- a/tests/caller/test_closing.c
+++ b/tests/caller/test_closing.c
@@ -484,6 +484,43 @@
     front_fixture_stop(&s);
 }
 
+/* Guards against a cancel request that is discarded because there are too many
+   callers, or because a drain began while it was on its way. */
+static void
+test_refused_connection_can_cancel(void **state)
+{
+    (void)state;
+    struct fixture s;
+    struct client a;
+    struct client b;
+    GString *out = g_string_new(NULL);
+    front_fixture_start(&s);
+    client_open(&a, &s, "filing", "none");
+
+    put_cancel(out, a.pid, a.secret);
+    for (size_t cut = 0; cut <= out->len + 1; cut++) {
+        const bool drain = cut > out->len;
+        const size_t first = drain ? 7 : cut;
+        client_start(&a, "SELECT fake_sleep(4000)");
+        spin(&s, 20);
+        s.settings->max_callers = drain ? 10 : 1;
+        client_connect(&b, &s);
+        send_part(&b, out, 0, first);
+        spin(&s, 5);
+        if (drain) {
+            front_drain(s.front, on_drained, &s);
+        }
+        send_part(&b, out, first, out->len);
+        client_wait(&a, a.ready + 1);
+        assert_true(g_str_has_prefix(a.errors->str, "57014 outcome=failed;"));
+        client_close(&b);
+    }
+    await_drained(&s);
+    g_string_free(out, TRUE);
+    client_close(&a);
+    front_fixture_stop(&s);
+}
+
 /* Guards against connections that a drain resets because they were not
    accepted yet. */
 static void
@@ -697,6 +734,7 @@
         cmocka_unit_test(test_request_behind_cancelled_one_is_answered),
         cmocka_unit_test(test_statement_behind_rejected_setting_does_not_run),
         cmocka_unit_test(test_surplus_caller_reads_its_refusal),
+        cmocka_unit_test(test_refused_connection_can_cancel),
         cmocka_unit_test(test_drain_refuses_pending_connections),
         cmocka_unit_test(test_drain_serves_unread_cancel),
         cmocka_unit_test(test_drain_at_every_step_of_a_request),
