--- a/src/caller/caller.c
+++ b/src/caller/caller.c
@@ -105,15 +105,66 @@
 
 /* Stops handling requests and closes the connection once all queued output has
    been written and the caller has closed its side, or has not done so in time.
-   Further input is discarded. */
+   Further input is discarded. A request under way is withdrawn and an open
+   transaction rolled back at once, since the caller may take its time. */
 void
 caller_close_after_flush(struct caller *c)
 {
+    request_abandon(c);
     c->state = CALLER_CLOSING;
     ev_io_start(c->front->loop, &c->read_watcher);
     caller_flush(c);
 }
 
+/* Returns true if bytes from the caller have arrived that were not read yet.
+ */
+static bool
+has_unread(const struct caller *c)
+{
+    char byte;
+
+    return recv(c->fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
+/* Disconnects a caller during a shutdown if it has no session yet or is idle
+   between transactions, and no further input of it has arrived. */
+void
+caller_close_if_drained(struct caller *c)
+{
+    const bool idle = c->state == CALLER_READY && !c->has_connection &&
+                      caller_input(c).n == 0;
+
+    if (!c->front->draining || (c->state != CALLER_STARTUP && !idle) ||
+        has_unread(c)) {
+        return;
+    }
+    c->refused_unheard = c->state == CALLER_STARTUP;
+    frame_put_error(c->out, "FATAL", "57P01", "the proxy is shutting down",
+                    NULL, "outcome=not_run");
+    caller_close_after_flush(c);
+}
+
+/* Ends the connection of a caller whose input cannot be a request. Its open
+   transaction is rolled back. */
+static void
+refuse_message(struct caller *c, enum frame_status s)
+{
+    const bool oversized = s == FRAME_TOO_LARGE;
+
+    caller_count(c, COUNTER_REFUSED_PROTOCOL);
+    if (c->has_connection) {
+        caller_count(c, COUNTER_TRANSACTION_LOST);
+    }
+    frame_put_error(c->out, "FATAL", oversized ? "54000" : "08P01",
+                    oversized ? "message is larger than max_message_bytes"
+                              : "malformed protocol message",
+                    NULL,
+                    c->has_connection ? "outcome=failed" : "outcome=not_run");
+    LOG_INFO("read", c->remote_address, "connection refused: %s message",
+             oversized ? "oversized" : "malformed");
+    caller_close_after_flush(c);
+}
+
 /* Handles start-up packets and complete requests from the input until one has
    to wait for a member. */
 void
@@ -121,8 +172,7 @@
 {
     while (c->state == CALLER_STARTUP && startup_process(c)) {
     }
-    if (c->state == CALLER_RUNNING && c->message_batch.ends_with_flush) {
-        request_continue(c);
+    while (request_may_continue(c) && request_continue(c)) {
     }
     while (c->state == CALLER_READY) {
         const enum frame_status s = message_batch_scan(c);
@@ -133,15 +183,7 @@
             request_begin(c);
             continue;
         }
-        caller_count(c, COUNTER_REFUSED_PROTOCOL);
-        frame_put_error(
-            c->out, "FATAL", s == FRAME_TOO_LARGE ? "54000" : "08P01",
-            s == FRAME_TOO_LARGE ? "message is larger than max_message_bytes"
-                                 : "malformed protocol message",
-            NULL, "outcome=not_run");
-        LOG_INFO("read", c->remote_address, "connection refused: %s message",
-                 s == FRAME_TOO_LARGE ? "oversized" : "malformed");
-        caller_close_after_flush(c);
+        refuse_message(c, s);
         return;
     }
     if (c->in_consumed == c->in->len) {
@@ -149,6 +191,7 @@
         g_string_truncate(c->in, 0);
         shrink_buffer(&c->in);
     }
+    caller_close_if_drained(c);
     if (c->state != CALLER_CLOSING) {
         caller_flush(c);
     }
@@ -158,7 +201,8 @@
 static size_t
 input_limit(const struct caller *c)
 {
-    if (c->state == CALLER_READY || c->state == CALLER_STARTUP) {
+    if (c->state == CALLER_READY || c->state == CALLER_STARTUP ||
+        (c->state == CALLER_RUNNING && exchange_takes_more(c))) {
         return SIZE_MAX; /* bounded by message_batch_scan() */
     }
     return c->message_batch.bytes + CALLER_READ_BYTES;
@@ -190,8 +234,14 @@
         return;
     }
     if (c->state == CALLER_CLOSING) {
-        g_string_truncate(c->in, 0);
-        c->in_consumed = 0;
+        if (c->refused_unheard) {
+            g_string_append_len(c->in, read_buffer, n);
+            startup_process_refused(c);
+        }
+        else {
+            g_string_truncate(c->in, 0);
+            c->in_consumed = 0;
+        }
         return;
     }
     if (c->in_consumed > 0 && c->state == CALLER_READY) {
--- a/src/caller/caller.h
+++ b/src/caller/caller.h
@@ -76,6 +76,7 @@
    ReadyForQuery. Only the answer to the body is forwarded to the caller. */
 enum section {
     SECTION_SETTINGS,     /* applies the session settings of the caller */
+    SECTION_LEASE_LIMIT,  /* limits the statement to the time of a lease */
     SECTION_STATE_BEFORE, /* queries the member's state before a read */
     SECTION_BODY,         /* the caller's own messages */
     SECTION_STATE_AFTER,  /* queries the member's state after the body */
@@ -113,14 +114,18 @@
     int current;
     GArray *expected_replies; /* of struct expected_reply; may be NULL */
     guint expected_head;
-    bool discarding;  /* drop the answer; the request will run elsewhere */
-    bool forwarded;   /* part of the answer was sent to the caller */
-    bool body_failed; /* the database returned an error */
-    bool body_done;   /* the ReadyForQuery of the body has arrived */
-    char tx_status;   /* from the last ReadyForQuery of the body */
-    char tag[32];     /* from the last CommandComplete */
-    bool keyed;       /* runs in a transaction with its request key */
-    bool replay;      /* the key exists: send the stored answer */
+    bool discarding;   /* drop the answer; the request will run elsewhere */
+    bool forwarded;    /* part of the answer was sent to the caller */
+    bool body_failed;  /* the database returned an error */
+    bool body_done;    /* the ReadyForQuery of the body has arrived */
+    bool awaits_more;  /* the body so far ends with Flush */
+    bool body_pending; /* to be sent once the settings are accepted */
+    char rejection[6]; /* SQLSTATE of a rejected setting, or empty */
+    char rejection_message[160];
+    char tx_status; /* from the last ReadyForQuery of the body */
+    char tag[32];   /* from the last CommandComplete */
+    bool keyed;     /* runs in a transaction with its request key */
+    bool replay;    /* the key exists: send the stored answer */
     bool commit_failed;
     bool preempted;            /* cancelled by the proxy, to be run again */
     bool timed_out;            /* aborted because silence_deadline passed */
@@ -139,7 +144,9 @@
     GString *out;
     size_t out_sent;
     enum caller_state state;
-    bool skip_to_sync; /* after an error in the extended protocol */
+    bool skip_to_sync;    /* after an error in the extended protocol */
+    bool refused_unheard; /* closing, but its first packet may be a cancel
+                             request */
     bool cancel_requested;
 
     uint32_t pid;
@@ -177,11 +184,13 @@
 void caller_flush(struct caller *c);
 void caller_process_input(struct caller *c);
 void caller_close_after_flush(struct caller *c);
+void caller_close_if_drained(struct caller *c);
 struct sview caller_input(const struct caller *c);
 void caller_count(struct caller *c, enum counter which);
 
 /* startup.c */
 bool startup_process(struct caller *c);
+void startup_process_refused(struct caller *c);
 bool startup_apply_setting(struct caller *c, struct sview name,
                            struct sview value, const char **error);
 void startup_report_token(struct caller *c);
@@ -192,7 +201,8 @@
 
 /* request.c */
 void request_begin(struct caller *c);
-void request_continue(struct caller *c);
+bool request_may_continue(const struct caller *c);
+bool request_continue(struct caller *c);
 void request_abandon(struct caller *c);
 void request_retry(struct caller *c, enum counter why);
 void request_retry_after_backoff(struct caller *c, enum counter why);
@@ -201,11 +211,16 @@
 void request_fail(struct caller *c, const char *sqlstate, const char *message,
                   const char *outcome);
 
-/* exchange.c */
+/* exchange_send.c */
 void exchange_begin(struct caller *c, struct upstream_conn *u);
 void exchange_add_section(struct exchange *e, enum section s);
-GString *exchange_output(struct caller *c);
+bool exchange_needs_state_before(enum statement_class class);
+void exchange_send_pending(struct caller *c);
 void exchange_continue(struct caller *c);
+
+/* exchange.c */
+GString *exchange_output(struct caller *c);
+bool exchange_takes_more(const struct caller *c);
 bool exchange_try_preempt(struct caller *c);
 void exchange_check_deadline(struct caller *c, clock_ms now);
 extern const struct upstream_conn_ops exchange_ops;
--- a/src/caller/exchange.c
+++ b/src/caller/exchange.c
@@ -10,14 +10,6 @@
    whole. */
 #define EXCHANGE_MAX_BUFFERED_MESSAGE_BYTES 32768
 
-/* Appends a section. Its messages must be written to the connection in the
-   same order. */
-void
-exchange_add_section(struct exchange *e, enum section s)
-{
-    e->sections[e->count++] = s;
-}
-
 /* Returns the section whose answer is arriving. */
 static enum section
 current_section(const struct exchange *e)
@@ -25,93 +17,6 @@
     return e->sections[e->current];
 }
 
-/* Returns true for classes that are sent together with a query for the
-   member's state. They have no visible effect, so their answer can be dropped
-   if the member turns out to be out of date. */
-static bool needs_state_before(enum statement_class class)
-{
-    return class == STATEMENT_READ || class == STATEMENT_BEGIN ||
-           class == STATEMENT_BEGIN_READ_ONLY || class == STATEMENT_SHOW;
-}
-
-/* Returns true if the session's token must be raised to the member's state
-   after the message batch. */
-static bool
-needs_state_after(const struct message_batch *b, bool in_transaction)
-{
-    if (in_transaction) {
-        return b->ends_transaction;
-    }
-    return b->class == STATEMENT_READ || b->class == STATEMENT_WRITE ||
-           b->class == STATEMENT_INVALID;
-}
-
-/* Starts the exchange of a message batch: writes its messages and those of the
-   sections before and after it to the connection in one go. */
-void
-exchange_begin(struct caller *c, struct upstream_conn *u)
-{
-    struct exchange *e = &c->exchange;
-    struct message_batch *b = &c->message_batch;
-    const bool in_transaction = e->tx_status == 'T' || e->tx_status == 'E';
-    GArray *expected_replies = e->expected_replies;
-    const char tx_status = e->tx_status;
-
-    *e = (struct exchange){.expected_replies = expected_replies,
-                           .tx_status = tx_status};
-    upstream_conn_attach(u, &exchange_ops, c);
-    const int64_t limit =
-        in_transaction ? 0 : group_statement_limit(c->group, &c->request);
-    if (!in_transaction && limit == 0 && u->has_lease_timeout) {
-        /* Reset the statement_timeout that an earlier lease set on this
-           connection. */
-        u->has_lease_timeout = false;
-        u->settings_hash = CONN_SETTINGS_UNKNOWN;
-    }
-    if (!in_transaction && u->settings_hash != c->settings.hash) {
-        GString *sql = g_string_new(NULL);
-        session_settings_append_sql(&c->settings, sql);
-        frame_put_query(u->out, sql->str);
-        g_string_free(sql, TRUE);
-        u->settings_hash = c->settings.hash;
-        exchange_add_section(e, SECTION_SETTINGS);
-    }
-    if (limit > 0) {
-        GString *sql = g_string_new(NULL);
-        g_string_printf(sql, "SET statement_timeout = %lld", (long long)limit);
-        frame_put_query(u->out, sql->str);
-        g_string_free(sql, TRUE);
-        u->has_lease_timeout = true;
-        exchange_add_section(e, SECTION_SETTINGS);
-    }
-    if (keyed_applies(c)) {
-        keyed_begin(c, u);
-    }
-    if (!in_transaction && needs_state_before(b->class)) {
-        frame_put_query(u->out,
-                        c->token.known ? GROUP_SQL_STATE : GROUP_SQL_CONFIRM);
-        exchange_add_section(e, SECTION_STATE_BEFORE);
-    }
-    if (b->refusal_sqlstate != NULL) {
-        /* Call an undefined function to fail the open transaction, as the
-           refused statement would have done. Its error is replaced by the
-           refusal. */
-        frame_put_query(u->out, "SELECT galenastep_refused()");
-    }
-    else {
-        body_write(c, u);
-    }
-    exchange_add_section(e, SECTION_BODY);
-    if (needs_state_after(b, in_transaction) && !b->ends_with_flush &&
-        !e->keyed) {
-        frame_put_query(u->out, GROUP_SQL_STATE);
-        exchange_add_section(e, SECTION_STATE_AFTER);
-    }
-    e->silence_deadline =
-        clock_monotonic_ms() + c->front->settings->kinds[c->kind].deadline_ms;
-    upstream_conn_flush(u);
-}
-
 /* Handles the answer to the state query before a read; nothing is forwarded to
    the caller before it. If the member is out of date or its state is unknown,
    the answer to the read is dropped. */
@@ -293,6 +198,51 @@
     return status;
 }
 
+/* Handles the error for the settings of the session. The connection still has
+   those of another session, so the answer to the caller's messages, if they
+   were sent along, is dropped. */
+static void
+handle_rejected_setting(struct caller *c, const struct frame *f)
+{
+    struct exchange *e = &c->exchange;
+    const struct sview state = frame_error_field(f->body, 'C');
+    const struct sview message = frame_error_field(f->body, 'M');
+
+    c->request.conn->settings_hash = CONN_SETTINGS_UNKNOWN;
+    e->discarding = true;
+    if (e->preempted && sview_equal(state, SVIEW("57014"))) {
+        return;
+    }
+    g_snprintf(e->rejection, sizeof(e->rejection), "%.*s", (int)state.n,
+               state.p);
+    g_snprintf(e->rejection_message, sizeof(e->rejection_message), "%.*s",
+               (int)message.n, message.p);
+}
+
+/* Answers a request for which the member has rejected the settings of the
+   session with the member's error. */
+static void
+refuse_for_settings(struct caller *c)
+{
+    struct exchange *e = &c->exchange;
+
+    caller_count(c, COUNTER_FAILED_BY_DATABASE);
+    group_finish(c->group, &c->request, GROUP_RETURN_CLEAN);
+    c->has_connection = false;
+    request_fail(c, e->rejection, e->rejection_message,
+                 e->body_pending ? "outcome=not_run" : "outcome=failed");
+}
+
+/* Ends the body of a request that will run elsewhere. The messages that follow
+   its Flush belong to the other run. */
+static void
+end_discarded_body(struct caller *c)
+{
+    c->exchange.awaits_more = false;
+    frame_end(c->request.conn->out, frame_begin(c->request.conn->out, 'S'));
+    upstream_conn_flush(c->request.conn);
+}
+
 /* Handles the ReadyForQuery that ends the current section. After the last
    section the request ends, or is retried if its answer was dropped. */
 static void
@@ -314,6 +264,13 @@
     }
     e->current++;
     if (e->current < e->count) {
+        if (e->discarding && e->awaits_more) {
+            end_discarded_body(c);
+        }
+        return;
+    }
+    if (e->body_pending && !e->discarding) {
+        exchange_send_pending(c);
         return;
     }
     if (e->discarding && e->tx_status != 'I') {
@@ -330,6 +287,10 @@
         request_end(c);
         return;
     }
+    if (e->rejection[0] != '\0') {
+        refuse_for_settings(c);
+        return;
+    }
     const struct upstream_conn *u = c->request.conn;
     const int member = u->member;
     const bool primary = member == group_primary(c->group);
@@ -379,9 +340,9 @@
         keyed_handle_commit(c, f);
     }
     else if (s == SECTION_SETTINGS && f->type == 'E') {
-        /* The member rejected a setting. Mark the connection's settings as
-           unknown, so that all of them are applied again instead of
-           leaving one out silently. */
+        handle_rejected_setting(c, f);
+    }
+    else if (s == SECTION_LEASE_LIMIT && f->type == 'E') {
         c->request.conn->settings_hash = CONN_SETTINGS_UNKNOWN;
     }
 }
@@ -407,24 +368,15 @@
     c->exchange.relay_bytes_left = f->total_bytes;
 }
 
-/* Sends the messages that follow a Flush on the connection that has received
-   the first part of the request. From here on the request cannot be retried on
-   another connection. */
-void
-exchange_continue(struct caller *c)
+/* Returns true if the member waits for the messages that follow a Flush. They
+   are not sent while it is open whether the answer will be dropped. */
+bool
+exchange_takes_more(const struct caller *c)
 {
-    struct exchange *e = &c->exchange;
-    struct upstream_conn *u = c->request.conn;
-    const bool in_transaction = e->tx_status == 'T' || e->tx_status == 'E';
+    const struct exchange *e = &c->exchange;
 
-    e->forwarded = true;
-    body_write(c, u);
-    if (!c->message_batch.ends_with_flush &&
-        needs_state_after(&c->message_batch, in_transaction)) {
-        frame_put_query(u->out, GROUP_SQL_STATE);
-        exchange_add_section(e, SECTION_STATE_AFTER);
-    }
-    upstream_conn_flush(u);
+    return e->awaits_more && !e->discarding &&
+           current_section(e) == SECTION_BODY;
 }
 
 static void
@@ -489,7 +441,8 @@
     if (c->state != CALLER_CLOSING) {
         caller_flush(c);
     }
-    if (c->state == CALLER_READY && caller_input(c).n > 0) {
+    if ((c->state == CALLER_READY && caller_input(c).n > 0) ||
+        request_may_continue(c)) {
         caller_process_input(c);
     }
 }
@@ -537,11 +490,11 @@
         caller_close_after_flush(c);
         return;
     }
-    if (!sent_since_attach) {
+    if (!sent_since_attach || e->body_pending) {
         request_retry(c, COUNTER_RETRY_NOT_SENT);
         return;
     }
-    if (needs_state_before(b->class) && !e->forwarded) {
+    if (exchange_needs_state_before(b->class) && !e->forwarded) {
         request_retry_after_backoff(c, e->timed_out ? COUNTER_RETRY_READ_SILENT
                                                     : COUNTER_RETRY_READ_LOST);
         return;
--- a/src/caller/front.c
+++ b/src/caller/front.c
@@ -15,10 +15,16 @@
 #include <unistd.h>
 
 #define FRONT_ACCEPTS_PER_EVENT 64
+/* Accepted at most when a shutdown starts, so that new connections cannot hold
+   it up: the length of the listen queue. */
+#define FRONT_DRAIN_ACCEPTS 1024
 #define FRONT_DEADLINE_CHECK_S 0.05
 /* How long a caller that has been sent everything may take to close its
    side. */
 #define FRONT_LINGER_MS 200
+/* Connections above max_callers that may linger so that their callers can read
+   the refusal. Further ones are closed at once. */
+#define FRONT_MAX_LINGERING 256
 
 /* Formats an address as host:port. */
 static void
@@ -54,6 +60,27 @@
     g_hash_table_insert(f->callers, GUINT_TO_POINTER(c->pid), c);
 }
 
+static void
+put_surplus_error(GString *out)
+{
+    frame_put_error(out, "FATAL", "53300", "too many callers", NULL,
+                    "outcome=not_run");
+}
+
+/* Refuses a connection without waiting for its caller to read the error, which
+   is lost if the start-up packet has arrived. */
+static void
+refuse_at_once(int fd)
+{
+    GString *s = g_string_new(NULL);
+
+    put_surplus_error(s);
+    const ssize_t sent = send(fd, s->str, s->len, MSG_NOSIGNAL);
+    (void)sent;
+    g_string_free(s, TRUE);
+    close(fd);
+}
+
 /* Accepts one connection. Returns false if none is pending. */
 static bool
 accept_one(struct front *f)
@@ -71,20 +98,23 @@
         }
         return false;
     }
-    if (g_hash_table_size(f->callers) >= (guint)f->settings->max_callers) {
-        GString *s = g_string_new(NULL);
-        frame_put_error(s, "FATAL", "53300", "too many callers", NULL,
-                        "outcome=not_run");
-        const ssize_t sent = send(fd, s->str, s->len, MSG_NOSIGNAL);
-        (void)sent;
-        g_string_free(s, TRUE);
-        close(fd);
+    const guint lingering = g_queue_get_length(&f->lingering);
+    const bool surplus = g_hash_table_size(f->callers) - lingering >=
+                         (guint)f->settings->max_callers;
+    if (surplus && lingering >= FRONT_MAX_LINGERING) {
+        refuse_at_once(fd);
         return true;
     }
     setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
     setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
     format_address(&a, remote_address, sizeof(remote_address));
-    register_caller(f, caller_create(f, fd, remote_address));
+    struct caller *c = caller_create(f, fd, remote_address);
+    register_caller(f, c);
+    if (surplus) {
+        put_surplus_error(c->out);
+        c->refused_unheard = true;
+        caller_close_after_flush(c);
+    }
     return true;
 }
 
@@ -210,11 +240,12 @@
            c->front->settings->kinds[c->kind].class == SETTINGS_CLASS_BATCH;
 }
 
-/* Starts a graceful shutdown. New callers are not accepted; idle callers are
+/* Starts a graceful shutdown. New callers are refused; idle callers are
    disconnected, the others at the end of their transaction. Queued requests
-   are still served, except those of batch kinds, which are refused with
-   outcome=not_run. drained() is called when the last caller has disconnected,
-   which may be before this function returns. */
+   and requests that have arrived are still served, except those of batch kinds
+   that wait, which are refused with outcome=not_run. drained() is called when
+   the last caller has disconnected, which may be before this function
+   returns. */
 void
 front_drain(struct front *f, void (*drained)(void *ctx), void *ctx)
 {
@@ -222,6 +253,9 @@
     f->drained = drained;
     f->drained_ctx = ctx;
     ev_io_stop(f->loop, &f->accept_watcher);
+    /* Closing the socket resets connections that have not been accepted. */
+    for (int i = 0; i < FRONT_DRAIN_ACCEPTS && accept_one(f); i++) {
+    }
     close(f->listen_fd);
     f->listen_fd = -1;
     GList *list = g_hash_table_get_values(f->callers);
@@ -233,14 +267,7 @@
             request_fail(c, "57P03", "the proxy is shutting down",
                          "outcome=not_run");
         }
-        if (c->state == CALLER_STARTUP ||
-            (c->state == CALLER_READY && !c->has_connection &&
-             caller_input(c).n == 0)) {
-            frame_put_error(c->out, "FATAL", "57P01",
-                            "the proxy is shutting down", NULL,
-                            "outcome=not_run");
-            caller_close_after_flush(c);
-        }
+        caller_close_if_drained(c);
     }
     if (list == NULL) {
         drained(ctx);
@@ -372,7 +399,11 @@
         request_fail(c, "57014", "canceling statement due to user request",
                      c->message_batch.sent ? "outcome=unknown"
                                            : "outcome=not_run");
-        caller_flush(c);
+        if (c->state != CALLER_CLOSING) {
+            caller_flush(c);
+            /* Requests behind this one may have been read already. */
+            ev_feed_event(f->loop, &c->read_watcher, EV_CUSTOM);
+        }
     }
     else if (c->state == CALLER_RUNNING) {
         caller_count(c, COUNTER_CANCELS);
