relay: a session on a removed route keeps what the route said about keys

Callers saw: a caller without a key on a public route that is removed from the configuration counted as one whose key is not valid, and was disconnected with UNAUTH after 10 s, while its requests get NODB. Cause: the check of a session's key looked at the newest route or the one of the last statement; there is neither before the first statement and after NODB. Change: a session remembers whether its newest known route was public. Measured: test_validity_on_a_removed_public_route fails before and passes.

--- a/src/relay/authorization.c
+++ b/src/relay/authorization.c
@@ -82,7 +82,7 @@
    not once it identifies another account than it did first. */
 static bool
 key_is_allowed(const struct session *s, const struct catalog *c,
-               const struct database_route *route)
+               bool is_public)
 {
     const struct account *a = find_account(c, &s->key);
 
@@ -90,13 +90,13 @@
         return true;
     }
     if (a == NULL) {
-        return route != NULL && route->is_public;
+        return is_public;
     }
     return s->account_name == NULL || strcmp(a->name, s->account_name) == 0;
 }
 
 /* Returns true if the session's key may be used with the newest
-   configuration, as far as that is known. */
+   configuration. If that has no route, the one before it counts. */
 bool
 session_key_is_valid(const struct session *s)
 {
@@ -104,7 +104,8 @@
     const struct catalog *c = r->config.catalog(r->config.ctx);
     const struct database_route *route = catalog_route(c, s->database);
 
-    return key_is_allowed(s, c, route != NULL ? route : s->route);
+    return key_is_allowed(
+        s, c, route != NULL ? route->is_public : s->on_public_route);
 }
 
 /* Returns false, after answering the request in progress, if the session's key
@@ -119,12 +120,12 @@
 #endif
     struct relay *r = s->relay;
     const struct catalog *c = r->config.catalog(r->config.ctx);
-    const struct database_route *newest = catalog_route(c, s->database);
-    const struct database_route *route = newest != NULL ? newest : s->route;
+    const struct database_route *route = catalog_route(c, s->database);
+    const bool is_public = (route != NULL ? route : s->route)->is_public;
 
     /* Before the list of accounts is looked at: a newer configuration may have
        one. */
-    if (!route->is_public && !is_fresh(r)) {
+    if (!is_public && !is_fresh(r)) {
         r->counters.refused_stale++;
         refuse(s,
                s->transaction == TRANSACTION_OPEN ? FAILURE_ABORTED
@@ -133,7 +134,7 @@
         return false;
     }
     session_fix_account(s, c);
-    if (key_is_allowed(s, c, route)) {
+    if (key_is_allowed(s, c, is_public)) {
         return true;
     }
     /* An earlier attempt of a read may have been executed, which
--- a/src/relay/session.c
+++ b/src/relay/session.c
@@ -27,7 +27,10 @@
     s->ctx = ctx;
     s->database = g_strdup(database);
     s->key = account_key_of(api_key);
-    session_fix_account(s, r->config.catalog(r->config.ctx));
+    struct catalog *c = r->config.catalog(r->config.ctx);
+    const struct database_route *route = catalog_route(c, database);
+    s->on_public_route = route != NULL && route->is_public;
+    session_fix_account(s, c);
     s->settings =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     s->prepared =
@@ -211,6 +214,7 @@
     if (s->route == NULL) {
         return false;
     }
+    s->on_public_route = s->route->is_public;
     s->service = r->config.service(r->config.ctx, s->route->service);
     return s->service != NULL;
 }
--- a/src/relay/session_internal.h
+++ b/src/relay/session_internal.h
@@ -37,6 +37,7 @@
 
     struct catalog *catalog; /* keeps route valid */
     const struct database_route *route;
+    bool on_public_route; /* as the newest route said */
     struct service *service;
 
     enum transaction_state transaction;
--- a/tests/relay/test_accounts.c
+++ b/tests/relay/test_accounts.c
@@ -684,6 +684,30 @@
     fixture_teardown(&f);
 }
 
+/* Guards against a caller of a public route that counts as one without a valid
+   key once the route is removed: its requests are answered with
+   FAILURE_NO_DATABASE, and it may be there again. */
+static void
+test_validity_on_a_removed_public_route(void **state)
+{
+    struct fixture f;
+
+    (void)state;
+    setup(&f);
+    set_keys(&f, "k1", "", true);
+    struct session *s = fixture_session_with_key(&f, "k2");
+    assert_true(session_key_is_valid(s));
+    struct catalog *c = catalog_create(99);
+    c->has_accounts = true;
+    catalog_unref(f.catalog);
+    f.catalog = c;
+    fixture_request(s, VERB_READ, "READ x");
+    assert_int_equal(f.failure, FAILURE_NO_DATABASE);
+    assert_true(session_key_is_valid(s));
+    session_end(s);
+    fixture_teardown(&f);
+}
+
 int
 main(void)
 {
@@ -707,6 +731,7 @@
         cmocka_unit_test(test_stale_configuration),
         cmocka_unit_test(test_check_at_the_start),
         cmocka_unit_test(test_validity_of_a_key),
+        cmocka_unit_test(test_validity_on_a_removed_public_route),
     };
 
     return cmocka_run_group_tests(tests, NULL, NULL);
