frontend: what the end of a connection says and answers, after the review

Callers saw, in the order of the review's findings: - a caller without a valid key that reads a few bytes now and then stayed connected for longer than 10 s, while its last answers were unread; - a caller whose key had been given back was still disconnected with UNAUTH at the end of the transaction in which it had been refused; - requests read ahead of unread answers got none when the 10 s were over; - BUSY at the end of a connection promises that nothing is kept, and a request that crosses it may belong to an operation whose commit was just answered.

--- a/src/relay/session.c
+++ b/src/relay/session.c
@@ -99,6 +99,32 @@
     return s->transaction;
 }
 
+/* Returns true if the last single statement or transaction of the session was
+   committed, or may have been. */
+bool
+session_may_have_committed(const struct session *s)
+{
+    return s->may_have_committed;
+}
+
+/* Records whether the request that is being answered has committed. */
+static void
+update_committed(struct session *s, const struct answer *a)
+{
+    const enum verb v = s->request.verb;
+    const bool commits = v == VERB_COMMIT ? s->wrote : s->writes;
+
+    if (v == VERB_BEGIN || v == VERB_BEGIN_READ) {
+        s->may_have_committed = false;
+    }
+    else if (verb_runs_at_member(v) && s->transaction == TRANSACTION_NONE) {
+        s->may_have_committed =
+            commits &&
+            (a->failure == FAILURE_NONE || a->failure == FAILURE_TIMEOUT ||
+             a->failure == FAILURE_UNKNOWN_OUTCOME);
+    }
+}
+
 static void
 count_latency(struct relay *r, int64_t ms)
 {
@@ -151,6 +177,7 @@
                   (long long)(s->sent_at - s->arrived_at), s->member,
                   service_queue_length(s->service));
     }
+    update_committed(s, a);
     session_drop_permit(s);
     a->retry_after_ms = s->retry_after_ms;
     s->retry_after_ms = 0;
--- a/src/relay/session.h
+++ b/src/relay/session.h
@@ -68,6 +68,7 @@
 void session_end(struct session *s);
 bool session_is_idle(const struct session *s);
 enum transaction_state session_transaction_state(const struct session *s);
+bool session_may_have_committed(const struct session *s);
 void session_request(struct session *s, const struct request *r);
 
 #endif
--- a/src/relay/session_internal.h
+++ b/src/relay/session_internal.h
@@ -42,7 +42,8 @@
 
     enum transaction_state transaction;
     bool read_only;
-    bool wrote;     /* a statement of the transaction was a write */
+    bool wrote;              /* a statement of the transaction was a write */
+    bool may_have_committed; /* the last single statement or transaction */
     bool begun;     /* the member has answered BEGIN on the pooled link */
     char *begin_id; /* of the caller's BEGIN, which goes to the member before
                        the first statement */
--- a/tests/platform/model_caller_end.c
+++ b/tests/platform/model_caller_end.c
@@ -43,8 +43,11 @@
     const char *rest; /* of a request that was sent in part */
     bool ended;       /* the end has arrived, and may not have been read */
     int sent_before_end;
-    bool within_request; /* at the end */
-    bool final_error;    /* an error behind the last answer */
+    bool within_request;      /* at the end */
+    char final_error[16];     /* code of an error behind the last answer */
+    char verbs[REQUESTS_MAX]; /* first letters */
+    bool wrote;               /* in the open transaction */
+    bool committed;           /* the last operation, or that is not known */
     GString *in;
     char line[64];
 };
@@ -170,8 +173,10 @@
         (c->sent > c->answered && rng_below(&w->rng, 5) > 0)) {
         return;
     }
+    const char *text = choose_request(w, c);
+    c->verbs[c->sent] = g_str_has_prefix(text, "ROLLBACK") ? '-' : text[0];
     g_snprintf(c->line, sizeof(c->line), "QUERY %s-%d %s\r\n", c->key, c->sent,
-               choose_request(w, c));
+               text);
     const size_t n = strlen(c->line);
     if (rng_below(&w->rng, 5) == 0) {
         const size_t part = 1 + rng_below(&w->rng, (uint32_t)n - 1);
@@ -210,6 +215,19 @@
     }
 }
 
+/* Returns true if what the caller is told at the end fits its session. Its
+   last operation may have been a committed write. */
+static bool
+final_error_is_true(const struct caller *c)
+{
+    return strcmp(c->final_error, "UNAUTH") == 0 ||
+           (c->state == 'I' && !c->committed &&
+            strcmp(c->final_error, "BUSY") == 0) ||
+           (c->state == 'I' && c->committed &&
+            strcmp(c->final_error, "INDOUBT") == 0) ||
+           (c->state != 'I' && strcmp(c->final_error, "ABORTED") == 0);
+}
+
 /* Checks a connection whose end has been read. */
 static void
 check_end(struct world *w, struct caller *c)
@@ -218,8 +236,8 @@
     if (c->answered < c->sent_before_end) {
         violation(w, c, "connection ended without an answer");
     }
-    else if (c->started && !c->final_error) {
-        violation(w, c, "connection ended without an error");
+    else if (c->started && !final_error_is_true(c)) {
+        violation(w, c, "connection ended without a true error");
     }
     else if (!w->closing && c->state != 'I') {
         violation(w, c, "connection ended although the session is not idle");
@@ -231,6 +249,31 @@
     close_caller(c);
 }
 
+/* Notes what the answer to a request says about the last operation. */
+static void
+note_answer(struct caller *c, char verb, char state)
+{
+    const bool ok = c->final_error[0] == '\0';
+    const bool unknown = strcmp(c->final_error, "TIMEOUT") == 0 ||
+                         strcmp(c->final_error, "INDOUBT") == 0;
+
+    if (verb == 'B') {
+        c->committed = false;
+        c->wrote = false;
+    }
+    else if (verb == 'C' && state == 'I') {
+        c->committed = c->wrote && (ok || unknown);
+    }
+    else if ((verb == 'R' || verb == 'W') && state == 'I') {
+        c->committed = verb == 'W' && (ok || unknown);
+    }
+    else if (verb == 'W' && state == 'T') {
+        c->wrote = c->wrote || ok;
+    }
+    c->state = state;
+    c->final_error[0] = '\0';
+}
+
 /* Reads the answers that have arrived. */
 static void
 receive(struct world *w, struct caller *c)
@@ -245,13 +288,15 @@
     char *end;
     while ((end = strstr(c->in->str, "\r\n")) != NULL) {
         if (g_str_has_prefix(c->in->str, "READY ")) {
-            c->state = c->in->str[strlen("READY ")];
-            c->final_error = false;
-            c->answered += c->started;
+            const char state = c->in->str[strlen("READY ")];
+            if (c->started) {
+                note_answer(c, c->verbs[c->answered++], state);
+            }
             c->started = true;
         }
-        c->final_error =
-            c->final_error || g_str_has_prefix(c->in->str, "ERROR ");
+        else if (g_str_has_prefix(c->in->str, "ERROR ")) {
+            sscanf(c->in->str, "ERROR %15s", c->final_error);
+        }
         w->refusals += g_str_has_prefix(c->in->str, "ERROR UNAUTH");
         g_string_erase(c->in, 0, end - c->in->str + 2);
     }
--- a/tests/platform/test_frontend.c
+++ b/tests/platform/test_frontend.c
@@ -38,7 +38,8 @@
 static char checked_key[64];   /* that relay_check_key() was given last */
 /* If not FAILURE_NONE, requests are answered with it at once. */
 static enum failure answer_at_once;
-static bool key_is_valid; /* result of session_key_is_valid() */
+static bool key_is_valid;       /* result of session_key_is_valid() */
+static bool may_have_committed; /* of session_may_have_committed() */
 
 struct catalog *
 node_catalog(struct node *n)
@@ -99,6 +100,13 @@
     return !s->pending && s->state == TRANSACTION_NONE;
 }
 
+bool
+session_may_have_committed(const struct session *s)
+{
+    (void)s;
+    return may_have_committed;
+}
+
 bool
 session_key_is_valid(const struct session *s)
 {
@@ -230,6 +238,7 @@
     key_check = FAILURE_NONE;
     answer_at_once = FAILURE_NONE;
     key_is_valid = true;
+    may_have_committed = false;
     const int probe = socket(AF_INET, SOCK_STREAM, 0);
     assert_int_equal(bind(probe, (struct sockaddr *)&a, sizeof(a)), 0);
     assert_int_equal(getsockname(probe, (struct sockaddr *)&a, &n), 0);
@@ -516,6 +525,7 @@
         await_requests(&f, 1);
         send_text(&f, "QUERY q2 WRITE a b\r\nQUERY q3 READ a\r\n"
                       "QUERY q4 COMMIT\r\n");
+        key_is_valid = false;
         answer_at_once = at_once ? FAILURE_UNAUTHORIZED : FAILURE_NONE;
         answer(newest, SVIEW("x"), 1);
         for (int i = 2; !at_once && i <= 4; i++) {
@@ -647,6 +657,7 @@
     send_text(&f, "QUERY q1 READ a\r\n");
     await_requests(&f, 1);
     frontend_drain(f.frontend);
+    key_is_valid = false;
     answer_at_once = FAILURE_UNAUTHORIZED;
     send_text(&f, "QUERY q2 READ a\r\nQUERY q3 READ a\r\n");
     for (int i = 0; i < 5; i++) {
@@ -706,6 +717,164 @@
     }
 }
 
+/* Guards against a caller that is told that its API key is not valid although
+   it has become valid again since the refusal. */
+static void
+test_key_that_is_valid_again_keeps_the_connection(void **state)
+{
+    struct fixture f;
+    char buffer[256];
+
+    (void)state;
+    setup(&f);
+    send_text(&f, "QUERY q1 READ a\r\n");
+    await_requests(&f, 1);
+    key_is_valid = false;
+    answer_failure(newest, FAILURE_UNAUTHORIZED, TRANSACTION_FAILED);
+    run_loop(&f);
+    key_is_valid = true;
+    send_text(&f, "QUERY q1 ROLLBACK\r\n");
+    await_requests(&f, 2);
+    newest->state = TRANSACTION_NONE;
+    answer(newest, SVIEW("x"), 0);
+    run_loop(&f);
+    assert_non_null(newest);
+    const ssize_t n = recv(f.fd, buffer, sizeof(buffer) - 1, MSG_DONTWAIT);
+    assert_true(n > 0);
+    buffer[n] = '\0';
+    assert_null(strstr(buffer, "API key is not valid"));
+    teardown(&f);
+}
+
+/* Guards against requests that have been read and get no answer because the
+   caller has had no valid key for too long while it left its answers
+   unread. */
+static void
+test_read_requests_are_answered_before_the_end(void **state)
+{
+    struct fixture f;
+    char *row = g_strnfill(LARGE_ROW_BYTES, 'x');
+
+    (void)state;
+    setup(&f);
+    send_text(&f, "QUERY q1 READ a\r\n");
+    await_requests(&f, 1);
+    send_text(&f, "QUERY q2 READ a\r\nQUERY q3 READ a\r\n");
+    run_loop(&f);
+    run_loop(&f);
+    answer_at_once = FAILURE_UNAUTHORIZED;
+    key_is_valid = false;
+    answer(newest, sview_from(row), LARGE_ROWS);
+    for (int i = 0; i < WAIT_MAX_STEPS && newest != NULL; i++) {
+        run_loop(&f);
+    }
+    GString *s = read_to_end(&f);
+    assert_int_equal(count_text(s, "READY "), 3);
+    g_string_free(s, TRUE);
+    g_free(row);
+    teardown(&f);
+}
+
+/* Guards against an error at the end that denies what may be kept, or blames
+   the wrong thing. */
+static void
+test_error_at_the_end_is_true(void **state)
+{
+    static const struct {
+        enum transaction_state state;
+        bool committed;
+        bool busy;
+        const char *error;
+    } cases[] = {
+        {TRANSACTION_NONE, false, false, "ERROR BUSY shutting down\r\n"},
+        {TRANSACTION_NONE, true, false, "ERROR INDOUBT shutting down\r\n"},
+        {TRANSACTION_OPEN, false, false, "ERROR ABORTED shutting down\r\n"},
+        {TRANSACTION_FAILED, false, false, "ERROR ABORTED shutting down\r\n"},
+        {TRANSACTION_NONE, false, true, "ERROR INDOUBT shutting down\r\n"},
+        {TRANSACTION_OPEN, false, true, "ERROR INDOUBT shutting down\r\n"},
+    };
+
+    (void)state;
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        struct fixture f;
+        setup(&f);
+        newest->state = cases[i].state;
+        may_have_committed = cases[i].committed;
+        if (cases[i].busy) {
+            send_text(&f, "QUERY q1 WRITE a b\r\n");
+            await_requests(&f, 1);
+        }
+        frontend_close_all(f.frontend);
+        GString *s = read_to_end(&f);
+        assert_string_equal(s->str, cases[i].error);
+        g_string_free(s, TRUE);
+        teardown(&f);
+    }
+}
+
+/* Guards against input behind the end that is not consumed, or not counted
+   before there is much of it. */
+static void
+test_requests_behind_the_end_are_counted(void **state)
+{
+    struct fixture f;
+    GString *metrics = g_string_new(NULL);
+    char *text = g_strnfill(LARGE_ROW_BYTES, 'x');
+
+    (void)state;
+    setup(&f);
+    frontend_drain(f.frontend);
+    send_text(&f, "QUERY q1 READ a\r\nTERMINATE\r\nQUERY q2 READ b\r\n");
+    run_loop(&f);
+    for (size_t sent = 0; sent < LARGE_ROW_BYTES;) {
+        const ssize_t n = send(f.fd, text + sent, LARGE_ROW_BYTES - sent,
+                               MSG_DONTWAIT | MSG_NOSIGNAL);
+        sent += n > 0 ? (size_t)n : 0;
+        run_loop(&f);
+    }
+    send_text(&f, "\r\n");
+    run_loop(&f);
+    send_text(&f, "QUERY q3 READ c\r\n");
+    run_loop(&f);
+    frontend_write_metrics(f.frontend, metrics);
+    assert_non_null(
+        strstr(metrics->str, "callers_ended_total{reason=\"drain\"} 1\n"));
+    assert_non_null(
+        strstr(metrics->str,
+               "callers_ended_in_transaction_total{reason=\"drain\"} 0\n"));
+    assert_non_null(strstr(metrics->str,
+                           "requests_discarded_total{reason=\"drain\"} 2\n"));
+    g_string_free(metrics, TRUE);
+    g_free(text);
+    teardown(&f);
+}
+
+/* Guards against a connection that stays because its caller does not read its
+   last answers. */
+static void
+test_lingering_ends(void **state)
+{
+    struct fixture f;
+    char *row = g_strnfill(LARGE_ROW_BYTES, 'x');
+    char buffer[1000];
+
+    (void)state;
+    setup(&f);
+    send_text(&f, "QUERY q1 READ a\r\n");
+    await_requests(&f, 1);
+    answer(newest, sview_from(row), LARGE_ROWS);
+    frontend_close_all(f.frontend);
+    for (int i = 0;
+         i < WAIT_MAX_STEPS && frontend_caller_count(f.frontend) > 0; i++) {
+        const ssize_t n = recv(f.fd, buffer, sizeof(buffer), MSG_DONTWAIT);
+        assert_true(n > 0);
+        run_loop(&f);
+    }
+    assert_int_equal(frontend_caller_count(f.frontend), 0);
+    g_free(row);
+    teardown(&f);
+}
+
 int
 main(void)
 {
@@ -721,10 +890,15 @@
         cmocka_unit_test(test_refused_key_does_not_end_a_transaction),
         cmocka_unit_test(test_caller_without_a_key_is_disconnected),
         cmocka_unit_test(test_request_outlasts_the_time_without_a_key),
+        cmocka_unit_test(test_key_that_is_valid_again_keeps_the_connection),
+        cmocka_unit_test(test_read_requests_are_answered_before_the_end),
         cmocka_unit_test(test_busy_keeps_the_connection),
         cmocka_unit_test(test_key_is_refused_during_the_stop),
         cmocka_unit_test(test_arrived_requests_are_answered_at_the_limit),
         cmocka_unit_test(test_request_that_crosses_the_end_is_refused),
+        cmocka_unit_test(test_error_at_the_end_is_true),
+        cmocka_unit_test(test_requests_behind_the_end_are_counted),
+        cmocka_unit_test(test_lingering_ends),
     };
 
     return cmocka_run_group_tests(tests, NULL, NULL);
