relay: refuse waiting requests when their key is withdrawn

What callers see: a request whose key a new configuration withdraws waits for a connection, for a permit of the rate limit, or for a member's answer to settings or BEGIN, at most until its deadline, and is refused only then. Cause: the key is checked when a request arrives and before something is sent for it, not while it waits. Change: when a configuration comes into force, the relay looks at the active sessions and refuses the requests that wait with a key that is not valid any more. A statement that has been sent to a member is not refused. An answer to settings or BEGIN is not awaited; a transaction that the member begins is rolled back. Tests: test_withdrawn_while_waiting, test_waiting_without_a_refusal_of_the_key (relay_test_accounts), test_key_withdrawn_while_waiting (relay_test_rate_limits) and node_test_configuration failed with an empty relay_configuration_changed().

--- a/src/node/configuration.c
+++ b/src/node/configuration.c
@@ -145,4 +145,5 @@
     node_update_shares(n);
     node_update_members(n);
     node_apply_view(n);
+    relay_configuration_changed(n->relay);
 }
--- a/src/relay/authorization.c
+++ b/src/relay/authorization.c
@@ -3,7 +3,9 @@
 #include <string.h>
 
 /* Decides whether a caller may use a database: by its API key, the newest
-   configuration and how recent that is. A public route needs no key. */
+   configuration and how recent that is. A public route needs no key. The key
+   is checked before each thing that is sent for it, and while a request waits,
+   when a configuration comes into force. */
 
 static const struct account *
 find_account(const struct catalog *c, const struct account_key *key)
@@ -68,14 +70,50 @@
     }
 }
 
-/* Ends the request in progress, none of which has been sent. */
+/* Returns NULL if the session's key allows its requests in a configuration
+   with accounts, otherwise why not. */
+static const char *
+find_key_obstacle(const struct session *s, const struct catalog *c,
+                  bool is_public)
+{
+    const struct account *a = find_account(c, &s->key);
+
+    if (a == NULL) {
+        return is_public ? NULL : "API key is not valid";
+    }
+    return s->account_name == NULL || strcmp(a->name, s->account_name) == 0
+               ? NULL
+               : "API key has changed hands";
+}
+
+/* Returns true if the session's database needs no key. The route of an open
+   transaction counts once the database has been removed. */
+static bool
+needs_no_key(const struct session *s, const struct catalog *c)
+{
+    const struct database_route *route = catalog_route(c, s->database);
+
+    return (route != NULL ? route : s->route)->is_public;
+}
+
+/* Answers the request in progress, whose key the newest configuration does not
+   allow. Unless that is fresh, a newer one may allow it. */
 static void
-refuse(struct session *s, enum failure why, const char *detail)
+refuse_key(struct session *s, bool fresh, const char *why)
 {
-    /* Otherwise the connection counts as waiting for an answer, and the
-       transaction on it is not rolled back. */
-    s->step = STEP_IDLE;
-    session_answer_failure(s, why, detail);
+    if (!fresh) {
+        s->relay->counters.refused_stale++;
+        session_answer_failure(s,
+                               s->transaction == TRANSACTION_OPEN
+                                   ? FAILURE_ABORTED
+                                   : FAILURE_BUSY,
+                               "configuration_stale");
+        return;
+    }
+    /* An earlier attempt of a read may have been executed, which
+       FAILURE_UNAUTHORIZED would deny. */
+    session_answer_failure(
+        s, s->may_have_run ? FAILURE_TIMEOUT : FAILURE_UNAUTHORIZED, why);
 }
 
 /* Returns false, after answering the request in progress, if the session's key
@@ -90,34 +128,50 @@
 #endif
     struct relay *r = s->relay;
     const struct catalog *c = r->config.catalog(r->config.ctx);
-    const struct database_route *route = catalog_route(c, s->database);
-    const bool is_public = (route != NULL ? route : s->route)->is_public;
-
+    const bool is_public = needs_no_key(s, c);
     /* Before the list of accounts is looked at: a newer configuration may have
        one. */
-    if (!is_public && !is_fresh(r)) {
-        r->counters.refused_stale++;
-        refuse(s,
-               s->transaction == TRANSACTION_OPEN ? FAILURE_ABORTED
-                                                  : FAILURE_BUSY,
-               "configuration_stale");
-        return false;
-    }
-    if (!c->has_accounts) {
-        return true;
+    const bool fresh = is_public || is_fresh(r);
+    const char *obstacle = NULL;
+
+    if (fresh && c->has_accounts) {
+        session_fix_account(s, c);
+        obstacle = find_key_obstacle(s, c, is_public);
     }
-    session_fix_account(s, c);
-    const struct account *a = find_account(c, &s->key);
-    if (a == NULL ? is_public : strcmp(a->name, s->account_name) == 0) {
+    if (fresh && obstacle == NULL) {
         return true;
     }
-    /* An earlier attempt of a read may have been executed, which
-       FAILURE_UNAUTHORIZED would deny. */
-    refuse(s, s->may_have_run ? FAILURE_TIMEOUT : FAILURE_UNAUTHORIZED,
-           a == NULL ? "API key is not valid" : "API key has changed hands");
+    /* Otherwise the connection counts as waiting for an answer, and the
+       transaction on it is not rolled back. */
+    s->step = STEP_IDLE;
+    refuse_key(s, fresh, obstacle);
     return false;
 }
 
+/* Refuses the request in progress if the newest configuration does not allow
+   its key any more and it has not been sent to a member. The answers to
+   settings, prepared statements and BEGIN are not awaited. */
+void
+session_refuse_withdrawn(struct session *s)
+{
+    struct relay *r = s->relay;
+    const struct catalog *c = r->config.catalog(r->config.ctx);
+
+    if (s->step == STEP_IDLE || s->step == STEP_STATEMENT ||
+        !c->has_accounts) {
+        return;
+    }
+    const bool is_public = needs_no_key(s, c);
+    const char *obstacle = find_key_obstacle(s, c, is_public);
+    if (obstacle == NULL) {
+        return;
+    }
+    if (s->step == STEP_QUEUED) {
+        service_withdraw(s->service, &s->connection_request);
+    }
+    refuse_key(s, is_public || is_fresh(r), obstacle);
+}
+
 /* Returns the account under which the session's requests run. On a public
    route a key counts only while it is known to be valid. */
 static const struct account *
--- a/src/relay/relay.c
+++ b/src/relay/relay.c
@@ -59,6 +59,22 @@
     }
 }
 
+/* Called when a configuration has come into force. Refuses the requests that
+   wait although their keys do not allow them any more. An answer may end any
+   session, as in relay_tick(). */
+void
+relay_configuration_changed(struct relay *r)
+{
+#ifdef RELAY_BREAK_WITHDRAWN_WAIT
+    return;
+#endif
+    for (guint i = r->active.length; i > 0 && r->active.length > 0; i--) {
+        GList *first = g_queue_pop_head_link(&r->active);
+        g_queue_push_tail_link(&r->active, first);
+        session_refuse_withdrawn(first->data);
+    }
+}
+
 /* Prepares for the end of the process. From end_transactions_at on, a
    statement of an open transaction is executed only if its timeout passes
    before answer_all_at; otherwise the transaction is rolled back. At
--- a/src/relay/session.h
+++ b/src/relay/session.h
@@ -52,6 +52,7 @@
 struct relay *relay_create(const struct relay_config *config);
 void relay_destroy(struct relay *r);
 void relay_tick(struct relay *r, clock_ms now);
+void relay_configuration_changed(struct relay *r);
 void relay_begin_shutdown(struct relay *r, clock_ms end_transactions_at,
                           clock_ms answer_all_at);
 void relay_answer_all(struct relay *r, clock_ms now);
--- a/src/relay/session_internal.h
+++ b/src/relay/session_internal.h
@@ -94,6 +94,7 @@
 /* authorization.c */
 void session_fix_account(struct session *s, const struct catalog *c);
 bool session_authorized(struct session *s);
+void session_refuse_withdrawn(struct session *s);
 void session_set_request_account(struct session *s);
 bool session_keeps_request_account(const struct session *s);
 
--- a/tests/relay/test_accounts.c
+++ b/tests/relay/test_accounts.c
@@ -361,6 +361,97 @@
     fixture_teardown(&f);
 }
 
+/* Guards against a request that waits for a connection, for the answer to
+   settings or for the answer to BEGIN until its deadline, although its key was
+   withdrawn: a member that does not answer would delay the refusal. ROLLBACK
+   is then executed, and a transaction that the member begins is rolled back.
+ */
+static void
+test_withdrawn_while_waiting(void **state)
+{
+    static const enum step steps[] = {STEP_QUEUED, STEP_SETUP, STEP_BEGIN};
+
+    for (size_t i = 0; i < G_N_ELEMENTS(steps); i++) {
+        struct fixture f;
+        (void)state;
+        setup(&f);
+        struct session *s = fixture_session_with_key(&f, "k1");
+        if (steps[i] == STEP_SETUP) {
+            fixture_request(s, VERB_SET, "SET x v");
+        }
+        fixture_request(s, VERB_BEGIN, "BEGIN");
+        fixture_request(s, VERB_WRITE, "WRITE x v");
+        if (steps[i] != STEP_QUEUED) {
+            fixture_accept_all(&f);
+        }
+        assert_int_equal(s->step, steps[i]);
+        const int answers = f.answers;
+        const int sent = count_sent(&f);
+        relay_configuration_changed(f.relay);
+        assert_int_equal(f.answers, answers);
+        set_keys(&f, "", "k2", false);
+        relay_configuration_changed(f.relay);
+        assert_refused(&f, answers + 1, FAILURE_UNAUTHORIZED, sent);
+        assert_int_equal(f.state, TRANSACTION_FAILED);
+        assert_int_equal(service_queue_length(f.service), 0);
+        fixture_request(s, VERB_ROLLBACK, "ROLLBACK");
+        assert_refused(&f, answers + 2, FAILURE_NONE, sent);
+        assert_int_equal(f.state, TRANSACTION_NONE);
+        assert_true(session_is_idle(s));
+        if (steps[i] == STEP_BEGIN) {
+            struct member_link *l = fixture_last_used_link(&f);
+            fixture_answer(l, FAILURE_NONE, TRANSACTION_OPEN, 3, 7);
+            assert_rolled_back(l);
+        }
+        session_end(s);
+        fixture_teardown(&f);
+    }
+}
+
+/* Guards against the refusal of a request that a member may be executing: its
+   answer is passed to the caller. */
+static void
+test_withdrawn_at_the_member(void **state)
+{
+    struct fixture f;
+
+    (void)state;
+    setup(&f);
+    struct session *s = fixture_session_with_key(&f, "k1");
+    fixture_request(s, VERB_WRITE, "WRITE x v");
+    fixture_accept_all(&f);
+    set_keys(&f, "", "k2", false);
+    relay_configuration_changed(f.relay);
+    assert_int_equal(f.answers, 0);
+    fixture_answer(fixture_last_used_link(&f), FAILURE_NONE, TRANSACTION_NONE,
+                   3, 7);
+    assert_int_equal(f.answers, 1);
+    assert_int_equal(f.failure, FAILURE_NONE);
+    session_end(s);
+    fixture_teardown(&f);
+}
+
+/* Guards against "API key is not valid" while the configuration may lack the
+   newest keys, and against the refusal of a request on a public route. */
+static void
+test_waiting_without_a_refusal_of_the_key(void **state)
+{
+    for (int is_public = 0; is_public < 2; is_public++) {
+        struct fixture f;
+        (void)state;
+        setup(&f);
+        struct session *s = fixture_session_with_key(&f, "k1");
+        fixture_request(s, VERB_WRITE, "WRITE x v");
+        f.catalog_stale = true;
+        set_keys(&f, "", "k2", is_public);
+        relay_configuration_changed(f.relay);
+        assert_int_equal(f.answers, !is_public);
+        assert_int_equal(f.failure, is_public ? FAILURE_NONE : FAILURE_BUSY);
+        session_end(s);
+        fixture_teardown(&f);
+    }
+}
+
 /* Guards against a retry with a key that was withdrawn during the first
    attempt. A read may have been executed by that attempt, so the answer must
    not say that nothing ran; the next request is refused. */
@@ -672,6 +763,9 @@
         cmocka_unit_test(test_queued_request),
         cmocka_unit_test(test_queue_of_many_requests),
         cmocka_unit_test(test_withdrawn_during_preparation),
+        cmocka_unit_test(test_withdrawn_while_waiting),
+        cmocka_unit_test(test_withdrawn_at_the_member),
+        cmocka_unit_test(test_waiting_without_a_refusal_of_the_key),
         cmocka_unit_test(test_retried_read),
         cmocka_unit_test(test_retried_write),
         cmocka_unit_test(test_moved_key),
--- a/tests/relay/test_rate_limits.c
+++ b/tests/relay/test_rate_limits.c
@@ -185,6 +185,32 @@
     }
 }
 
+/* Guards against an operation that waits for a permit although its key was
+   withdrawn, and against the use of a permit that arrives later. */
+static void
+test_key_withdrawn_while_waiting(void **state)
+{
+    struct limited t;
+    struct session *s = begin(&t);
+
+    (void)state;
+    fixture_request(s, VERB_WRITE, "WRITE x v");
+    rate_client_flush(t.client);
+    assert_int_equal(rate_client_waiting(t.client), 1);
+    catalog_unref(t.f.catalog);
+    t.f.catalog = catalog_create(2);
+    t.f.catalog->has_accounts = true;
+    relay_configuration_changed(t.f.relay);
+    assert_int_equal(t.answers, 1);
+    assert_int_equal(t.failure, FAILURE_UNAUTHORIZED);
+    assert_int_equal(rate_client_waiting(t.client), 0);
+    reply(&t, 1, 0);
+    fixture_accept_all(&t.f);
+    assert_null(fixture_last_used_link(&t.f));
+    assert_int_equal(t.answers, 1);
+    end(&t, s);
+}
+
 /* Guards against a transaction that counts more than once, or as none if it
    has only a COMMIT. */
 static void
@@ -369,6 +395,7 @@
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(test_permit_first),
         cmocka_unit_test(test_refused),
+        cmocka_unit_test(test_key_withdrawn_while_waiting),
         cmocka_unit_test(test_transaction),
         cmocka_unit_test(test_retries),
         cmocka_unit_test(test_returned),
