relay: refuse a retry whose key is withdrawn without queueing it

What callers see: a request is tried again after its member refused it or lost the connection, or a read has had no answer for 300 ms. If its key was withdrawn during the first attempt, it waits for a connection, at most until its deadline, before it is refused. The connection is opened for it without account. Cause: the key was checked only once the connection was granted. Change: it is checked before the request is queued again. Test: test_retry_does_not_wait (relay_test_accounts) failed before.

--- a/src/relay/exchange.c
+++ b/src/relay/exchange.c
@@ -59,6 +59,9 @@
         session_answer_failure(s, why, detail);
         return;
     }
+    if (!session_authorized(s)) {
+        return;
+    }
     s->relay->counters.retried++;
     event_log(EVENT_REQUEST, "statement_retried",
               "id=%.*s database=%s service=%s why=%s detail=\"%s\" "
--- a/tests/relay/test_accounts.c
+++ b/tests/relay/test_accounts.c
@@ -506,6 +506,36 @@
     fixture_teardown(&f);
 }
 
+/* Guards against a retried request that waits for a connection although its
+   key was withdrawn during the first attempt: no connection is opened for it.
+ */
+static void
+test_retry_does_not_wait(void **state)
+{
+    for (int writes = 0; writes < 2; writes++) {
+        struct fixture f;
+        (void)state;
+        setup(&f);
+        struct session *s = fixture_session_with_key(&f, "k1");
+        fixture_request(s, writes ? VERB_WRITE : VERB_READ, "x");
+        fixture_accept_all(&f);
+        struct member_link *l = fixture_last_used_link(&f);
+        const int links = f.link_count;
+        set_keys(&f, "", "k2", false);
+        if (writes) {
+            fixture_answer(l, FAILURE_BUSY, TRANSACTION_NONE, 3, 7);
+        }
+        else {
+            l->events->closed(l->ctx, "reset");
+        }
+        assert_refused(&f, 1, writes ? FAILURE_UNAUTHORIZED : FAILURE_TIMEOUT,
+                       1);
+        assert_int_equal(f.link_count, links);
+        session_end(s);
+        fixture_teardown(&f);
+    }
+}
+
 /* Guards against a session that continues under another account's name, with
    an idle connection, a queued request, and an open transaction. */
 static void
@@ -768,6 +798,7 @@
         cmocka_unit_test(test_waiting_without_a_refusal_of_the_key),
         cmocka_unit_test(test_retried_read),
         cmocka_unit_test(test_retried_write),
+        cmocka_unit_test(test_retry_does_not_wait),
         cmocka_unit_test(test_moved_key),
         cmocka_unit_test(test_public_route),
         cmocka_unit_test(test_key_withdrawn_on_public_route),
