relay: let waiting requests follow the account of their session

What callers see: on a public route, an operation that waits for a permit of its account is refused with rate_limited or limit_unknown after a new configuration has removed the account or withdrawn the key, although it needs no permit any more. One that waits for a connection waits for one of the account that it has lost, and then again. Cause: the account of a request is fixed when it starts to wait, and looked at again only once a connection is granted. Change: when a configuration comes into force, requests whose account is not that of their session any more start to wait anew, and return their permit. This is not counted as an attempt. Test: test_account_lost_while_waiting (relay_test_rate_limits) failed before.

--- a/src/relay/authorization.c
+++ b/src/relay/authorization.c
@@ -150,8 +150,9 @@
 
 /* Refuses the request in progress if the newest configuration does not allow
    its key any more and it has not been sent to a member. The answers to
-   settings, prepared statements and BEGIN are not awaited. */
-void
+   settings, prepared statements and BEGIN are not awaited. Returns true if the
+   request was answered; the session may have ended then. */
+bool
 session_refuse_withdrawn(struct session *s)
 {
     struct relay *r = s->relay;
@@ -159,17 +160,18 @@
 
     if (s->step == STEP_IDLE || s->step == STEP_STATEMENT ||
         !c->has_accounts) {
-        return;
+        return false;
     }
     const bool is_public = needs_no_key(s, c);
     const char *obstacle = find_key_obstacle(s, c, is_public);
     if (obstacle == NULL) {
-        return;
+        return false;
     }
     if (s->step == STEP_QUEUED) {
         service_withdraw(s->service, &s->connection_request);
     }
     refuse_key(s, is_public || is_fresh(r), obstacle);
+    return true;
 }
 
 /* Returns the account under which the session's requests run. On a public
--- a/src/relay/permit.c
+++ b/src/relay/permit.c
@@ -106,3 +106,25 @@
     }
     exchange_submit(s);
 }
+
+/* Called when a configuration has come into force. A request that waits for a
+   permit or a connection of an account that its session has lost, as on a
+   public route, starts to wait anew. */
+void
+exchange_follow_account(struct session *s)
+{
+    if ((s->step != STEP_QUEUED && s->step != STEP_RATE_LIMIT) ||
+        session_keeps_request_account(s)) {
+        return;
+    }
+    if (s->step == STEP_QUEUED) {
+        service_withdraw(s->service, &s->connection_request);
+        s->attempts--;
+    }
+    else if (s->pooled != NULL) {
+        session_release_link(s);
+        s->attempts--;
+    }
+    session_drop_permit(s);
+    exchange_start(s);
+}
--- a/src/relay/relay.c
+++ b/src/relay/relay.c
@@ -60,8 +60,9 @@
 }
 
 /* Called when a configuration has come into force. Refuses the requests that
-   wait although their keys do not allow them any more. An answer may end any
-   session, as in relay_tick(). */
+   wait although their keys do not allow them any more, and queues those anew
+   whose account has changed. An answer may end any session, as in
+   relay_tick(). */
 void
 relay_configuration_changed(struct relay *r)
 {
@@ -71,7 +72,9 @@
     for (guint i = r->active.length; i > 0 && r->active.length > 0; i--) {
         GList *first = g_queue_pop_head_link(&r->active);
         g_queue_push_tail_link(&r->active, first);
-        session_refuse_withdrawn(first->data);
+        if (!session_refuse_withdrawn(first->data)) {
+            exchange_follow_account(first->data);
+        }
     }
 }
 
--- a/src/relay/session_internal.h
+++ b/src/relay/session_internal.h
@@ -94,7 +94,7 @@
 /* authorization.c */
 void session_fix_account(struct session *s, const struct catalog *c);
 bool session_authorized(struct session *s);
-void session_refuse_withdrawn(struct session *s);
+bool session_refuse_withdrawn(struct session *s);
 void session_set_request_account(struct session *s);
 bool session_keeps_request_account(const struct session *s);
 
@@ -113,6 +113,7 @@
 void session_acquire_permit(struct session *s);
 void session_drop_permit(struct session *s);
 void exchange_start(struct session *s);
+void exchange_follow_account(struct session *s);
 
 /* exchange.c */
 void exchange_submit(struct session *s);
--- a/tests/relay/test_rate_limits.c
+++ b/tests/relay/test_rate_limits.c
@@ -211,6 +211,47 @@
     end(&t, s);
 }
 
+/* Guards against a refusal on a public route for the limit of an account that
+   the session has lost: the operation does without a permit, and returns one
+   that it has got already. */
+static void
+test_account_lost_while_waiting(void **state)
+{
+    for (int queued = 0; queued < 2; queued++) {
+        struct limited t;
+        struct session *s = begin(&t);
+        (void)state;
+        struct catalog *c = catalog_create(2);
+        struct database_route *r =
+            g_memdup2(catalog_route(t.f.catalog, "boats"), sizeof(*r));
+        r->database = g_strdup("boats");
+        r->service = g_strdup("db");
+        r->is_public = true;
+        catalog_add_route(c, r);
+        c->has_accounts = true;
+        fixture_request(s, VERB_WRITE, "WRITE x v");
+        rate_client_flush(t.client);
+        if (queued) {
+            reply(&t, 1, 0);
+        }
+        catalog_unref(t.f.catalog);
+        t.f.catalog = c;
+        relay_configuration_changed(t.f.relay);
+        assert_int_equal(t.answers, 0);
+        assert_int_equal(rate_client_waiting(t.client), 0);
+        assert_int_equal(rate_client_counters(t.client)->returned, queued);
+        if (!queued) {
+            reply(&t, 0, 0); /* the witness does not know the account */
+        }
+        fixture_accept_all(&t.f);
+        fixture_answer(fixture_last_used_link(&t.f), FAILURE_NONE,
+                       TRANSACTION_NONE, 3, 7);
+        assert_int_equal(t.answers, 1);
+        assert_int_equal(t.failure, FAILURE_NONE);
+        end(&t, s);
+    }
+}
+
 /* Guards against a transaction that counts more than once, or as none if it
    has only a COMMIT. */
 static void
@@ -396,6 +437,7 @@
         cmocka_unit_test(test_permit_first),
         cmocka_unit_test(test_refused),
         cmocka_unit_test(test_key_withdrawn_while_waiting),
+        cmocka_unit_test(test_account_lost_while_waiting),
         cmocka_unit_test(test_transaction),
         cmocka_unit_test(test_retries),
         cmocka_unit_test(test_returned),
