tests: node_test_lists looks for a port that is free for TCP

Cause: the test looked for a free UDP port, which the node binds for TCP too. Beside 79,000 connections in TIME_WAIT, 157 of 300 free UDP ports were in use for TCP. Change: it looks for a free TCP port, like the other tests of the node. What it checks is unchanged.

--- a/tests/node/test_lists.c
+++ b/tests/node/test_lists.c
@@ -68,13 +68,14 @@
     (void)text;
 }
 
-/* Returns a UDP port that is free. */
+/* Returns a port that is free. The node binds it for UDP and TCP; for TCP, the
+   connections of other processes hold many ports for a while. */
 static uint16_t
 free_port(void)
 {
     struct sockaddr_in at = {.sin_family = AF_INET};
     socklen_t size = sizeof(at);
-    const int fd = socket(AF_INET, SOCK_DGRAM, 0);
+    const int fd = socket(AF_INET, SOCK_STREAM, 0);
 
     assert_int_equal(bind(fd, (struct sockaddr *)&at, sizeof(at)), 0);
     assert_int_equal(getsockname(fd, (struct sockaddr *)&at, &size), 0);
