relay: do not keep connections for withdrawn requests

What callers see: after a new configuration has withdrawn the key of waiting requests, a request of another account waits 100 ms longer where this proxy may have no more connections to a member. Cause: a connection that has just been opened is not closed for another account, since a request of its own may still wait for it. Change: a connection whose request was withdrawn while it was being opened need not be kept. Test: test_connections_of_withdrawn_requests (relay_test_accounts) failed before.

--- a/src/relay/candidates.c
+++ b/src/relay/candidates.c
@@ -59,7 +59,7 @@
     for (guint k = 0; k < m->links->len; k++) {
         struct pooled_link *l = m->links->pdata[k];
         if (l->state != LINK_IDLE ||
-            (!l->was_granted && now - l->changed_at < UNUSED_KEPT_MS)) {
+            (!l->evictable && now - l->changed_at < UNUSED_KEPT_MS)) {
             continue;
         }
         if (longest == NULL || l->changed_at < longest->changed_at) {
--- a/src/relay/dispatch.c
+++ b/src/relay/dispatch.c
@@ -43,7 +43,7 @@
 {
     service_queue_remove(s, w, true);
     l->state = LINK_GRANTED;
-    l->was_granted = true;
+    l->evictable = true;
     l->as_primary = primary;
     l->epoch = s->epoch;
     l->active = true;
--- a/src/relay/queue.c
+++ b/src/relay/queue.c
@@ -176,10 +176,32 @@
     service_dispatch(s);
 }
 
+/* Called when a request does not wait for a connection any more that is being
+   opened for it. Another account that needs one closes it as soon as it is
+   open. */
+static void
+give_up_opening(const struct service *s, const struct connection_request *w)
+{
+    for (guint i = 0; i < s->members->len; i++) {
+        const struct member *m = s->members->pdata[i];
+        for (guint k = 0; m == w->needs_opening && k < m->links->len; k++) {
+            struct pooled_link *l = m->links->pdata[k];
+            if (l->state == LINK_OPENING && !l->evictable &&
+                link_serves(l, w->account)) {
+                l->evictable = true;
+                return;
+            }
+        }
+    }
+}
+
 /* Removes a request from the queue. Neither granted() nor refused() is
    called. */
 void
 service_withdraw(struct service *s, struct connection_request *w)
 {
+    if (w->queued) {
+        give_up_opening(s, w);
+    }
     service_queue_remove(s, w, false);
 }
--- a/src/relay/service_internal.h
+++ b/src/relay/service_internal.h
@@ -103,9 +103,10 @@
     enum link_state state;
     bool as_primary; /* granted as a connection to the primary */
     uint64_t epoch;  /* of the primary when the link was granted */
-    bool was_granted;
-    bool rested;     /* the transaction has waited for a statement */
-    bool active;     /* counts towards the member's limit of statements */
+    bool evictable; /* need not be kept for a request that waits for it: it was
+                       granted, or that request was withdrawn */
+    bool rested;    /* the transaction has waited for a statement */
+    bool active;    /* counts towards the member's limit of statements */
     int outstanding; /* requests without an answer */
     bool timed;      /* the outstanding request is a statement, whose time
                         counts in mean_statement_us */
--- a/tests/relay/test_accounts.c
+++ b/tests/relay/test_accounts.c
@@ -408,6 +408,46 @@
     }
 }
 
+/* Guards against a connection that is kept for requests of a withdrawn key,
+   while a request of another account needs one and no more may be open. */
+static void
+test_connections_of_withdrawn_requests(void **state)
+{
+    const struct connection_limits limits = {
+        .working = 3, .total = 3, .accounts = true};
+    const struct token position = {.term = 3, .position = 1, .known = true};
+    struct session *cedar[3];
+    struct fixture f;
+
+    (void)state;
+    setup(&f);
+    service_set_connection_limits(f.service, &limits);
+    for (int i = 0; i < 3; i++) {
+        cedar[i] = fixture_session_with_key(&f, "k1");
+        fixture_request(cedar[i], VERB_WRITE, "WRITE x v");
+    }
+    assert_int_equal(f.link_count, 3);
+    set_keys(&f, "", "k2", false);
+    relay_configuration_changed(f.relay);
+    assert_int_equal(f.answers, 3);
+    struct session *oak = fixture_session_with_key(&f, "k2");
+    fixture_request(oak, VERB_WRITE, "WRITE x v");
+    assert_int_equal(f.link_count, 3);
+    for (int i = 0; i < 3; i++) {
+        struct member_link *l = fixture_link(&f, i);
+        l->events->opened(l->ctx, &position);
+    }
+    assert_int_equal(f.link_count, 4);
+    struct member_link *l = fixture_link(&f, 3);
+    l->events->opened(l->ctx, &position);
+    assert_ptr_equal(fixture_last_used_link(&f), l);
+    for (int i = 0; i < 3; i++) {
+        session_end(cedar[i]);
+    }
+    session_end(oak);
+    fixture_teardown(&f);
+}
+
 /* Guards against the refusal of a request that a member may be executing: its
    answer is passed to the caller. */
 static void
@@ -794,6 +834,7 @@
         cmocka_unit_test(test_queue_of_many_requests),
         cmocka_unit_test(test_withdrawn_during_preparation),
         cmocka_unit_test(test_withdrawn_while_waiting),
+        cmocka_unit_test(test_connections_of_withdrawn_requests),
         cmocka_unit_test(test_withdrawn_at_the_member),
         cmocka_unit_test(test_waiting_without_a_refusal_of_the_key),
         cmocka_unit_test(test_retried_read),
