--- a/tests/soak/accounts.c
+++ b/tests/soak/accounts.c
@@ -11,8 +11,9 @@
 #define HIGH_BURST 500
 #define LOW_RATE 10
 #define LOW_BURST 5
-/* A caller goes on using a key for this long after it was withdrawn. */
-#define KEEP_KEY_MS (SOAK_REVOCATION_MS + 2500)
+/* By default, a caller goes on using a key for this long after it was
+   withdrawn. */
+#define KEEP_KEY_MS ((clock_ms)SOAK_REVOCATION_MS + 2500)
 /* Begins every key, so that a key that was logged is found. */
 #define KEY_PREFIX "soak-key-"
 /* Marks a time that has not come yet. */
@@ -54,6 +55,7 @@
     struct soak *soak;
     struct rng rng;
     int callers;
+    clock_ms keep_key_ms;
     struct caller_keys *list;
     guint keys;
     GPtrArray *owners;            /* every array of owners, to be freed */
@@ -128,6 +130,15 @@
     c->has_used = true;
 }
 
+/* Lowers or raises the limit of account 1. */
+void
+accounts_change_rate(struct accounts *a)
+{
+    const bool low = last_period(a->limits[1])->rate == LOW_RATE;
+
+    set_limit(a, 1, low ? HIGH_RATE : LOW_RATE, low ? HIGH_BURST : LOW_BURST);
+}
+
 /* Changes the key of one caller, and sometimes a limit. The caller then writes
    the configuration. */
 void
@@ -159,9 +170,44 @@
         }
     }
     if (rng_below(&a->rng, 6) == 0) {
-        const bool low = last_period(a->limits[1])->rate == LOW_RATE;
-        set_limit(a, 1, low ? HIGH_RATE : LOW_RATE,
-                  low ? HIGH_BURST : LOW_BURST);
+        accounts_change_rate(a);
+    }
+}
+
+/* Sets how long callers go on using withdrawn keys. */
+void
+accounts_keep_keys(struct accounts *a, clock_ms for_ms)
+{
+    a->keep_key_ms = for_ms;
+}
+
+/* Withdraws the key of a random caller, or all keys of its account. */
+void
+accounts_withdraw(struct accounts *a, bool whole_account)
+{
+    const int n = (int)rng_below(&a->rng, (uint64_t)a->callers);
+    const int account = last_period(a->list[n].newest.owners)->account;
+
+    a->changes++;
+    for (int i = 0; i < a->callers; i++) {
+        const struct period *owner = last_period(a->list[i].newest.owners);
+        if (is_open(owner) &&
+            (whole_account ? owner->account == account : i == n)) {
+            withdraw_key(a, i);
+        }
+    }
+}
+
+/* Gives new keys to about half of the callers that have none listed. */
+void
+accounts_return_keys(struct accounts *a)
+{
+    a->changes++;
+    for (int i = 0; i < a->callers; i++) {
+        if (!is_open(last_period(a->list[i].newest.owners)) &&
+            rng_below(&a->rng, 2) == 0) {
+            give_key(a, i, (int)rng_below(&a->rng, ACCOUNTS));
+        }
     }
 }
 
@@ -232,12 +278,12 @@
 
 /* Returns the key that a caller uses at present. */
 static const struct key *
-key_in_use(struct caller_keys *c)
+key_in_use(const struct accounts *a, struct caller_keys *c)
 {
     if (c->has_used) {
         const struct period *last = last_period(c->used.owners);
         if (last->ended_at == NOT_YET ||
-            clock_monotonic_ms() < last->ended_at + KEEP_KEY_MS) {
+            clock_monotonic_ms() < last->ended_at + a->keep_key_ms) {
             return &c->used;
         }
         c->has_used = false;
@@ -251,7 +297,7 @@
 accounts_key(struct accounts *a, int caller, guint *number)
 {
     static char text[40];
-    const struct key *k = key_in_use(&a->list[caller]);
+    const struct key *k = key_in_use(a, &a->list[caller]);
 
     *number = k->number;
     g_snprintf(text, sizeof(text), KEY_PREFIX "%u", k->number);
@@ -262,7 +308,7 @@
 bool
 accounts_key_changed(struct accounts *a, int caller, guint number)
 {
-    return key_in_use(&a->list[caller])->number != number;
+    return key_in_use(a, &a->list[caller])->number != number;
 }
 
 /* Records that a caller sends a statement in a session of a key. */
@@ -459,6 +505,7 @@
 
     a->soak = s;
     a->callers = callers;
+    a->keep_key_ms = KEEP_KEY_MS;
     rng_seed(&a->rng, seed);
     a->list = g_new0(struct caller_keys, (gsize)callers);
     a->owners = g_ptr_array_new_with_free_func((GDestroyNotify)g_array_unref);
--- a/tests/soak/callers.c
+++ b/tests/soak/callers.c
@@ -7,7 +7,9 @@
 #include <string.h>
 
 #define THINK_MAX_MS 40
+#define THINK_AFTER_ERROR_MAX_MS 200 /* with long transactions */
 #define ANSWER_TIMEOUT_MS 4000
+#define FURTHER_READS_MAX 6 /* in a long transaction */
 
 /* The statement whose answer a caller waits for. */
 enum step {
@@ -16,7 +18,7 @@
     STEP_BEGIN,
     STEP_RUN,
     STEP_COMMIT,
-    STEP_ROLLBACK /* with accounts, after a refusal */
+    STEP_ROLLBACK /* with accounts, after an error */
 };
 
 enum write_outcome {
@@ -40,7 +42,13 @@
     bool transaction;
     bool reads;
     bool outstanding;
+    char state; /* of the last READY; 0 before STARTUP is answered */
+    int proxy;  /* that the connection goes to */
     int requests;
+    int further_reads; /* in the present transaction */
+    char id[24];       /* of the last request */
+    char text[32];     /* and its text */
+    clock_ms sent_at;
     uint64_t write_number; /* number of the current or last write */
     GArray *outcomes;      /* of enum write_outcome, by write number */
     uint64_t newest_read;  /* newest value read on this connection */
@@ -55,16 +63,20 @@
     struct soak *soak;
     struct ev_loop *loop;
     struct standin_group *group;
+    struct unanswered *unanswered;
     struct accounts *accounts; /* NULL: callers have no keys */
     struct rng rng;
     struct caller *list;
     int count;
     bool stopping;
     bool synchronous; /* no acknowledged write may be discarded */
+    bool long_transactions;
     long writes_done;
     long writes_not_run;
     long writes_unknown;
     long reads;
+    long rollbacks;
+    long refused; /* transactions, because the key had become invalid */
     struct deferred_free *deferred_free;
 };
 
@@ -85,6 +97,7 @@
     char *line = g_strdup_printf("%s\r\n", text);
 
     c->outstanding = true;
+    c->sent_at = clock_monotonic_ms();
     g_free(c->error);
     c->error = NULL;
     stream_write(c->stream, line, strlen(line));
@@ -96,13 +109,13 @@
 static void
 send_query(struct caller *c, const char *text)
 {
-    char *id = g_strdup_printf("%s-%d", c->name, ++c->requests);
-    char *line = g_strdup_printf("QUERY %s %s", id, text);
+    g_snprintf(c->id, sizeof(c->id), "%s-%d", c->name, ++c->requests);
+    g_strlcpy(c->text, text, sizeof(c->text));
+    char *line = g_strdup_printf("QUERY %s %s", c->id, text);
 
     if (c->all->accounts != NULL) {
-        accounts_sent(c->all->accounts, id, c->key);
+        accounts_sent(c->all->accounts, c->id, c->key);
     }
-    g_free(id);
     send_line(c, line);
     g_free(line);
 }
@@ -156,12 +169,22 @@
         (c->step == STEP_COMMIT || (c->step == STEP_RUN && !c->transaction))) {
         record_outcome(c, OUTCOME_UNKNOWN);
     }
-    else if (c->outstanding && c->step == STEP_RUN) {
+    else if (c->step == STEP_RUN) {
         record_outcome(c, OUTCOME_NOT_RUN);
     }
     disconnect(c);
 }
 
+static struct unanswered_request
+outstanding_request(const struct caller *c)
+{
+    return (struct unanswered_request){.proxy = c->proxy,
+                                       .id = c->id,
+                                       .text = c->text,
+                                       .state = c->state,
+                                       .sent_at = c->sent_at};
+}
+
 /* Checks that a value which was read includes the write that was acknowledged
    before the read began, and all values read before. */
 static void
@@ -202,7 +225,11 @@
         return;
     }
     c->reads = rng_below(r, 3) > 0;
-    c->transaction = rng_below(r, 4) == 0;
+    c->transaction =
+        c->all->long_transactions ? rng_below(r, 4) > 0 : rng_below(r, 4) == 0;
+    c->further_reads = c->all->long_transactions
+                           ? (int)rng_below(r, FURTHER_READS_MAX + 1)
+                           : 0;
     c->acked_before_read = c->newest_acked;
     if (!c->reads) {
         c->write_number++;
@@ -218,10 +245,40 @@
     send_query(c, text);
 }
 
+/* Ends a failed operation; another one begins later. */
+static void
+pause_after_error(struct caller *c)
+{
+    c->step = STEP_SET;
+    start_timer(c, rng_below(&c->all->rng, c->all->long_transactions
+                                               ? THINK_AFTER_ERROR_MAX_MS
+                                               : THINK_MAX_MS));
+}
+
+/* With accounts, goes on with the session after an error, so that sessions are
+   older than the changes of their keys. As clients do, ends a transaction that
+   has failed, and closes the session after any other operation that ends
+   outside state I and after an error in response to SET. */
+static void
+continue_after_error(struct caller *c)
+{
+    if (c->step == STEP_SET || c->step == STEP_ROLLBACK) {
+        disconnect(c);
+    }
+    else if (c->state != 'I') {
+        c->step = STEP_ROLLBACK;
+        c->all->rollbacks++;
+        c->all->refused += g_str_has_prefix(c->error, "UNAUTH");
+        send_query(c, "ROLLBACK");
+    }
+    else {
+        pause_after_error(c);
+    }
+}
+
 /* Handles an error answer. These error codes guarantee that the statement was
    not executed; after any other error on a statement that commits, the outcome
-   is unknown. With accounts, a session outlives a refusal with BUSY or
-   ABORTED, so that sessions are older than the changes of their keys. */
+   is unknown. */
 static void
 handle_error(struct caller *c)
 {
@@ -233,25 +290,33 @@
     const bool may_have_committed =
         c->step == STEP_COMMIT || (c->step == STEP_RUN && !c->transaction);
 
-    record_outcome(c, not_run || !may_have_committed ? OUTCOME_NOT_RUN
-                                                     : OUTCOME_UNKNOWN);
-    if (c->all->accounts != NULL && c->transaction &&
-        (c->step == STEP_RUN || c->step == STEP_COMMIT) &&
-        g_str_has_prefix(c->error, "ABORTED")) {
-        c->step = STEP_ROLLBACK;
-        send_query(c, "ROLLBACK");
-        return;
+    if (c->step != STEP_SET && c->step != STEP_ROLLBACK) {
+        record_outcome(c, not_run || !may_have_committed ? OUTCOME_NOT_RUN
+                                                         : OUTCOME_UNKNOWN);
     }
-    if (c->all->accounts != NULL &&
-        (c->step == STEP_RUN || c->step == STEP_BEGIN) &&
-        g_str_has_prefix(c->error, "BUSY")) {
-        c->step = STEP_SET;
-        start_timer(c, rng_below(&c->all->rng, THINK_MAX_MS));
+    if (c->all->accounts != NULL) {
+        continue_after_error(c);
         return;
     }
     disconnect(c);
 }
 
+/* Sends the next statement of a transaction whose first one has succeeded. */
+static void
+continue_transaction(struct caller *c)
+{
+    char text[32];
+
+    if (c->further_reads > 0) {
+        c->further_reads--;
+        g_snprintf(text, sizeof(text), "READ %s", c->item);
+        send_query(c, text);
+        return;
+    }
+    c->step = STEP_COMMIT;
+    send_query(c, "COMMIT");
+}
+
 /* Sends the next statement of the operation, or ends it. */
 static void
 handle_success(struct caller *c, uint64_t value, bool has_value)
@@ -274,9 +339,12 @@
         if (has_value) {
             check_read(c, value);
         }
+        if (c->transaction && c->all->long_transactions) {
+            start_timer(c, rng_below(&c->all->rng, THINK_MAX_MS));
+            return;
+        }
         if (c->transaction) {
-            c->step = STEP_COMMIT;
-            send_query(c, "COMMIT");
+            continue_transaction(c);
             return;
         }
         record_outcome(c, OUTCOME_DONE);
@@ -284,8 +352,10 @@
     case STEP_COMMIT:
         record_outcome(c, OUTCOME_DONE);
         break;
-    case STEP_SET:
     case STEP_ROLLBACK:
+        pause_after_error(c);
+        return;
+    case STEP_SET:
         break;
     }
     if (c->all->accounts != NULL &&
@@ -333,8 +403,9 @@
             has_value = true;
         }
         c->error = error != NULL ? g_strdup(error + strlen("ERROR ")) : NULL;
-        g_free(text);
         c->outstanding = false;
+        c->state = strstr(text, "READY ")[strlen("READY ")];
+        g_free(text);
         if (c->error != NULL) {
             handle_error(c);
         }
@@ -347,8 +418,14 @@
 static void
 on_closed(void *ctx, const char *why)
 {
+    struct caller *c = ctx;
+
     (void)why;
-    handle_lost_connection(ctx);
+    if (c->outstanding) {
+        const struct unanswered_request r = outstanding_request(c);
+        unanswered_closed(c->all->unanswered, &r);
+    }
+    handle_lost_connection(c);
 }
 
 static const struct stream_callbacks caller_events = {.readable = on_readable,
@@ -358,10 +435,10 @@
 static void
 reconnect(struct caller *c)
 {
-    const int proxy = (int)rng_below(&c->all->rng, SOAK_PROXIES);
     char text[64];
 
-    c->stream = stream_connect(c->all->loop, soak_proxy_host(proxy),
+    c->proxy = (int)rng_below(&c->all->rng, SOAK_PROXIES);
+    c->stream = stream_connect(c->all->loop, soak_proxy_host(c->proxy),
                                soak_proxy_port(), &caller_events, c);
     if (c->stream == NULL) {
         start_timer(c, 100);
@@ -373,6 +450,9 @@
     c->newest_acked =
         strcmp(c->database, "primary") == 0 ? c->newest_acked : 0;
     c->step = STEP_START;
+    c->state = '\0';
+    g_strlcpy(c->id, c->name, sizeof(c->id));
+    g_strlcpy(c->text, "STARTUP", sizeof(c->text));
     c->started_at = clock_monotonic_ms();
     g_snprintf(text, sizeof(text), "STARTUP %s %s", c->database,
                c->all->accounts != NULL
@@ -395,8 +475,13 @@
         }
     }
     else if (c->outstanding) {
+        const struct unanswered_request r = outstanding_request(c);
+        unanswered_given_up(c->all->unanswered, &r);
         handle_lost_connection(c);
     }
+    else if (c->step == STEP_RUN) {
+        continue_transaction(c);
+    }
     else {
         start_operation(c);
     }
@@ -406,7 +491,7 @@
    use the three routes (databases) in turn. */
 struct callers *
 callers_create(struct soak *s, struct ev_loop *loop, struct standin_group *g,
-               uint64_t seed, int count)
+               struct unanswered *u, uint64_t seed, int count)
 {
     static const char *const databases[] = {"primary", "bounded", "own"};
     struct callers *all = g_new0(struct callers, 1);
@@ -414,6 +499,7 @@
     all->soak = s;
     all->loop = loop;
     all->group = g;
+    all->unanswered = u;
     all->count = count;
     all->list = g_new0(struct caller, (gsize)count);
     rng_seed(&all->rng, seed);
@@ -445,6 +531,12 @@
     all->accounts = a;
 }
 
+void
+callers_use_long_transactions(struct callers *all)
+{
+    all->long_transactions = true;
+}
+
 /* Makes the callers start no further operation or connection. */
 void
 callers_stop(struct callers *all)
@@ -485,13 +577,15 @@
     }
 }
 
-/* Prints the numbers of writes by outcome, and of reads. */
+/* Prints the numbers of writes by outcome, of reads, and of transactions that
+   were rolled back after an error. */
 void
 callers_report(const struct callers *all)
 {
-    printf("writes_done=%ld not_run=%ld unknown=%ld reads=%ld\n",
+    printf("writes_done=%ld not_run=%ld unknown=%ld reads=%ld "
+           "rollbacks=%ld refused=%ld\n",
            all->writes_done, all->writes_not_run, all->writes_unknown,
-           all->reads);
+           all->reads, all->rollbacks, all->refused);
 }
 
 /* Returns how many writes and reads have succeeded. */
--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -16,7 +16,7 @@
    recovery, and then checks what callers and members saw.
 
      soak [--late-orders] [--held-orders] [--sync-replicas]
-          [--config-changes] [--restored-store] [--accounts]
+          [--config-changes] [--restored-store] [--accounts] [--withdrawals]
           PROGRAM SEED SECONDS [MAX_CONNECTIONS [LOG_FOLDER]]
 
    With --late-orders, promotions take up to 1.2 s, and the process that orders
@@ -30,7 +30,13 @@
    them. With --restored-store, the store often loses the last seconds before
    an outage; the operator and the members write again what they wrote there.
    With --accounts, callers have keys of accounts with limits, which the
-   operator changes while faults run; not with --restored-store.
+   operator changes while faults run; not with --restored-store. With
+   --withdrawals, which includes --accounts, there are no faults: keys are
+   withdrawn and returned in quick succession beside other changes, SIGHUP and
+   SIGTERM, while callers are in long transactions.
+
+   In all runs a process that is not disturbed by a fault must answer what
+   callers send; see unanswered.c.
 
    Exit status 0: no guarantee was broken. 1: at least one was. 2: wrong usage
    or no temporary folder. */
@@ -80,6 +86,14 @@
 #define EPISODE_MS 14000
 #define EPISODE_CHANGES 7
 #define EPISODE_STEP_S 0.05
+/* Of --withdrawals. Callers use a withdrawn key for longer than the processes
+   wait between two readings of the configuration. */
+#define WITHDRAWALS_STEP_S 0.01
+#define KEEP_WITHDRAWN_KEY_MS 1000
+/* There is a primary about 3 s after the start, and again some time after each
+   stop. */
+#define FIRST_STOP_MS 4000
+#define STOP_GAP_MS 1500
 
 /* Depth of the arrays in an odd entry of the directory. */
 #define ODD_NESTING_LEVELS 40000
@@ -113,7 +127,9 @@
     struct standin_group *group;
     struct callers *callers;
     struct soak_operator *operator;
-    struct accounts *accounts; /* NULL without --accounts */
+    struct accounts *accounts;       /* NULL without --accounts */
+    struct withdrawals *withdrawals; /* NULL without --withdrawals */
+    struct unanswered *unanswered;
     struct proxy_process proxies[SOAK_PROXIES];
     guint max_connections; /* that a member accepts */
     struct fault_proxy *member_fault_proxies[SOAK_MEMBERS];
@@ -130,6 +146,10 @@
     gboolean config_changes;
     gboolean restored_store;
     gboolean with_accounts;
+    gboolean with_withdrawals;
+    bool route_hidden;        /* the last one of those that callers use */
+    guint listed_connections; /* in the configuration */
+    clock_ms next_stop_at;
     clock_ms long_outage_at; /* of the store; 0: not drawn yet */
     clock_ms lost_ms;        /* that the present outage ends with; or 0 */
     clock_ms rewrite_config_at;
@@ -255,7 +275,7 @@
     GString *o = g_string_new(NULL);
 
     g_string_printf(o, "{\"version\":%d,\"routes\":[", s->config_version);
-    for (int i = 0; i < 3; i++) {
+    for (int i = 0; i < (s->route_hidden ? 2 : 3); i++) {
         g_string_append_printf(
             o,
             "%s{\"name\":\"r%d\",\"host\":\"%s\",\"route_type\":\"%s\","
@@ -268,7 +288,8 @@
                            "],\"services\":[{\"name\":\"%s\",\"max_conns\":%u,"
                            "\"sync_replicas\":%d}],\"limits\":{\"tx_idle_ms\":"
                            "3000}",
-                           SOAK_SERVICE, s->max_connections, s->synchronous);
+                           SOAK_SERVICE, s->listed_connections,
+                           s->synchronous);
     if (s->accounts != NULL) {
         accounts_append(s->accounts, o);
     }
@@ -281,6 +302,15 @@
     g_string_free(o, TRUE);
 }
 
+/* Sends a signal to a process that is running. */
+static void
+send_signal(struct proxy_process *p, int signal)
+{
+    p->leaving = p->leaving || signal == SIGTERM;
+    unanswered_signalled(p->soak->unanswered, p->index, signal);
+    kill(p->pid, signal);
+}
+
 /* Writes a configuration with a new version. */
 static void
 write_config(struct soak *s)
@@ -367,6 +397,7 @@
     p->pid = 0;
     p->sigcont_at = 0;
     operator_process_ended(p->soak->operator, p->index);
+    unanswered_process_ended(p->soak->unanswered, p->index);
     if (WIFSIGNALED(status) && WTERMSIG(status) != SIGKILL &&
         !ended_while_loading(p, status)) {
         soak_violation(p->soak, "proxy %d was terminated by signal %d",
@@ -402,11 +433,11 @@
         "listen = %s:%d\nready_listen = %s:%d\npeer_port = %d\n"
         "metrics_port = %d\n[peers]\nkey = galenastep-soak-0123456789abcdef0\n"
         "[store]\naddress = %s:%d\n[orders]\n"
-        "address = %s:%d\n[limits]\ngrace_ms = 3000\n",
+        "address = %s:%d\n[limits]\ngrace_ms = %d\n",
         p->index, p->index % SOAK_MEMBERS, soak_proxy_host(p->index),
         soak_proxy_host(p->index), CALLER_PORT, soak_proxy_host(p->index),
         READY_PORT, PEER_PORT, METRICS_PORT, soak_proxy_host(p->index),
-        STORE_PORT, soak_proxy_host(p->index), ORDERS_PORT);
+        STORE_PORT, soak_proxy_host(p->index), ORDERS_PORT, SOAK_GRACE_MS);
 
     if (s->accounts != NULL) {
         char *accounts = g_strdup_printf(
@@ -458,13 +489,13 @@
     if (p->pid != 0) {
         switch (rng_below(&s->order_rng, 6)) {
         case 0:
-            kill(p->pid, SIGTERM);
+            send_signal(p, SIGTERM);
             break;
         case 1:
-            kill(p->pid, SIGKILL);
+            send_signal(p, SIGKILL);
             break;
         case 2:
-            kill(p->pid, SIGSTOP);
+            send_signal(p, SIGSTOP);
             p->sigcont_at =
                 now + 1000 + (clock_ms)rng_below(&s->order_rng, FAULT_MAX_MS);
             break;
@@ -504,15 +535,15 @@
     }
     switch (rng_below(r, 5)) {
     case 0:
-        kill(p->pid, SIGKILL);
+        send_signal(p, SIGKILL);
         break;
     case 1:
-        kill(p->pid, SIGSTOP);
+        send_signal(p, SIGSTOP);
         p->sigcont_at = random_fault_end_of(r);
         break;
     case 2:
     case 3:
-        kill(p->pid, SIGTERM);
+        send_signal(p, SIGTERM);
         break;
     default:
         break;
@@ -556,17 +587,17 @@
     operator_disturbed(s->operator, p->index);
     switch (rng_below(r, 5)) {
     case 0:
-        kill(p->pid, SIGKILL);
+        send_signal(p, SIGKILL);
         break;
     case 1:
-        kill(p->pid, SIGTERM);
+        send_signal(p, SIGTERM);
         break;
     case 2:
-        kill(p->pid, SIGSTOP);
+        send_signal(p, SIGSTOP);
         p->sigcont_at = lengthen_fault(s, random_fault_end_of(r));
         break;
     case 3:
-        kill(p->pid, SIGHUP);
+        send_signal(p, SIGHUP);
         break;
     default:
         fault_proxy_set_fault(p->store_fault_proxy,
@@ -775,6 +806,73 @@
     }
 }
 
+/* Stops a process, unless the last stop was a short time ago. */
+static void
+stop_process(struct proxy_process *p)
+{
+    struct soak *s = p->soak;
+    const clock_ms now = clock_monotonic_ms();
+
+    if (now >= s->next_stop_at && p->pid != 0 && !p->leaving) {
+        s->next_stop_at = now + STOP_GAP_MS;
+        s->faults++;
+        operator_disturbed(s->operator, p->index);
+        send_signal(p, SIGTERM);
+    }
+}
+
+/* Does one piece of the planned work of --withdrawals. */
+static void
+apply_withdrawal(struct soak *s, enum withdrawal_kind kind)
+{
+    struct proxy_process *p =
+        &s->proxies[rng_below(&s->order_rng, SOAK_PROXIES)];
+
+    switch (kind) {
+    case RELOAD:
+        if (p->pid != 0) {
+            send_signal(p, SIGHUP);
+        }
+        return;
+    case STOP:
+        stop_process(p);
+        return;
+    case WITHDRAW_KEY:
+    case WITHDRAW_ACCOUNT:
+        accounts_withdraw(s->accounts, kind == WITHDRAW_ACCOUNT);
+        break;
+    case RETURN_KEYS:
+        accounts_return_keys(s->accounts);
+        break;
+    case CHANGE_RATE:
+        accounts_change_rate(s->accounts);
+        break;
+    case CHANGE_ROUTES:
+        operator_change_routes(s->operator);
+        break;
+    case TOGGLE_ROUTE:
+        s->route_hidden = !s->route_hidden;
+        break;
+    default:
+        s->listed_connections =
+            s->listed_connections == s->max_connections
+                ? s->max_connections - s->max_connections / 4
+                : s->max_connections;
+    }
+    s->config_version += 1 + (int)rng_below(&s->order_rng, 3);
+    put_config(s);
+}
+
+static void
+step_withdrawals(struct soak *s)
+{
+    enum withdrawal_kind kind;
+
+    while (withdrawals_next(s->withdrawals, &kind)) {
+        apply_withdrawal(s, kind);
+    }
+}
+
 /* Records which processes are disturbed by a fault in progress. */
 static void
 record_disturbances(struct soak *s)
@@ -800,7 +898,7 @@
         struct proxy_process *p = &s->proxies[i];
         if (p->sigcont_at != 0 && now >= p->sigcont_at) {
             p->sigcont_at = 0;
-            kill(p->pid, SIGCONT);
+            send_signal(p, SIGCONT);
         }
         if (s->settling ||
             (p->orders_held_until != 0 && now >= p->orders_held_until)) {
@@ -878,6 +976,8 @@
             clock_monotonic_ms() +
             (clock_ms)(s->accounts != NULL ? SETTLE_ACCOUNTS_S : SETTLE_S) *
                 1000;
+        s->route_hidden = false;
+        s->listed_connections = s->max_connections;
         if (s->accounts != NULL) {
             accounts_settle(s->accounts);
             s->config_version += 2;
@@ -889,6 +989,10 @@
         step_episode(s);
         return;
     }
+    if (s->withdrawals != NULL) {
+        step_withdrawals(s);
+        return;
+    }
     if (s->synchronous) {
         inject_synchronous_fault(s);
     }
@@ -930,12 +1034,18 @@
             s->loop, soak_host(), (uint16_t)(MEMBER_FAULT_PROXY_PORT + i),
             soak_host(), standin_group_port(i));
     }
+    s->unanswered = unanswered_create(s, s->group);
     s->operator= operator_create(s, s->loop, seed + 3);
     if (s->with_accounts) {
         s->accounts = accounts_create(s, seed + 4, CALLERS);
         standin_group_set_accounts(s->group, s->accounts);
         operator_make_routes_public(s->operator);
     }
+    if (s->with_withdrawals) {
+        s->withdrawals = withdrawals_create(seed + 5);
+        s->next_stop_at = clock_monotonic_ms() + FIRST_STOP_MS;
+        accounts_keep_keys(s->accounts, KEEP_WITHDRAWN_KEY_MS);
+    }
     write_directory(s);
     write_config(s);
     for (int i = 0; i < SOAK_PROXIES; i++) {
@@ -957,13 +1067,17 @@
         p->restart_timer.data = p;
         start_proxy(p);
     }
-    s->callers = callers_create(s, s->loop, s->group, seed + 1, CALLERS);
+    s->callers =
+        callers_create(s, s->loop, s->group, s->unanswered, seed + 1, CALLERS);
     if (s->synchronous) {
         callers_expect_synchronous(s->callers);
     }
     if (s->accounts != NULL) {
         callers_use_accounts(s->callers, s->accounts);
     }
+    if (s->withdrawals != NULL) {
+        callers_use_long_transactions(s->callers);
+    }
 }
 
 /* Kills the processes that this run started and frees everything. */
@@ -1000,6 +1114,10 @@
     if (s->accounts != NULL) {
         accounts_destroy(s->accounts);
     }
+    if (s->withdrawals != NULL) {
+        withdrawals_destroy(s->withdrawals);
+    }
+    unanswered_destroy(s->unanswered);
     rmdir(s->folder);
 }
 
@@ -1035,6 +1153,8 @@
          "Let the store come back from an older copy", NULL},
         {"accounts", 0, 0, G_OPTION_ARG_NONE, &s.with_accounts,
          "Give the callers keys of accounts with limits", NULL},
+        {"withdrawals", 0, 0, G_OPTION_ARG_NONE, &s.with_withdrawals,
+         "Withdraw keys in series, beside other planned work", NULL},
         {0},
     };
     GOptionContext *context = g_option_context_new(
@@ -1044,6 +1164,7 @@
     g_option_context_add_main_entries(context, options, NULL);
     const bool parsed = g_option_context_parse(context, &argc, &argv, &error);
     g_option_context_free(context);
+    s.with_accounts = s.with_accounts || s.with_withdrawals;
     if (!parsed || argc < 4 || (s.with_accounts && s.restored_store)) {
         fprintf(stderr, "soak: %s\n",
                 !parsed    ? error->message
@@ -1057,6 +1178,7 @@
     choose_network();
     s.program = argv[1];
     s.max_connections = argc > 4 ? (guint)atoi(argv[4]) : MAX_CONNECTIONS;
+    s.listed_connections = s.max_connections;
     s.log_folder = argc > 5 ? argv[5] : NULL;
     s.loop = ev_default_loop(EVFLAG_AUTO);
     s.phase_end_at = clock_monotonic_ms() + seconds * 1000;
@@ -1071,7 +1193,9 @@
     start_all(&s, seed);
     s.episode_at = -EPISODE_MS;
     ev_timer_init(&s.step_timer, on_step, 2.0,
-                  s.config_changes ? EPISODE_STEP_S : FAULT_STEP_S);
+                  s.config_changes     ? EPISODE_STEP_S
+                  : s.with_withdrawals ? WITHDRAWALS_STEP_S
+                                       : FAULT_STEP_S);
     s.step_timer.data = &s;
     ev_timer_start(s.loop, &s.step_timer);
     ev_run(s.loop, 0);
@@ -1084,8 +1208,10 @@
     s.phase_end_at = clock_monotonic_ms() + 1500;
     ev_run(s.loop, 0);
     callers_check(s.callers);
+    unanswered_check(s.unanswered);
     printf("seed=%llu faults=%ld ", (unsigned long long)seed, s.faults);
     callers_report(s.callers);
+    unanswered_report(s.unanswered);
     if (s.accounts != NULL) {
         accounts_report(s.accounts);
     }
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -24,6 +24,8 @@
 #define SOAK_RATE_WINDOW_MS 5000
 #define SOAK_RATE_EXCESS 0.1
 #define SOAK_RATE_SLACK 20
+/* Of the processes, after SIGTERM. */
+#define SOAK_GRACE_MS 3000
 
 struct soak;
 
@@ -83,6 +85,10 @@
 struct accounts *accounts_create(struct soak *s, uint64_t seed, int callers);
 void accounts_destroy(struct accounts *a);
 void accounts_change(struct accounts *a);
+void accounts_keep_keys(struct accounts *a, clock_ms for_ms);
+void accounts_withdraw(struct accounts *a, bool whole_account);
+void accounts_return_keys(struct accounts *a);
+void accounts_change_rate(struct accounts *a);
 void accounts_settle(struct accounts *a);
 void accounts_append(const struct accounts *a, GString *config);
 void accounts_acknowledged(struct accounts *a);
@@ -133,15 +139,57 @@
    entries must be rewritten. */
 extern void (*standin_group_on_role_change)(struct soak *s);
 
+/* Requests whose connections end, or that are given up, before they are
+   answered. state is that of the session when the request was sent, or 0 for
+   STARTUP. */
+struct unanswered;
+struct unanswered_request {
+    int proxy;
+    const char *id;
+    const char *text;
+    char state;
+    clock_ms sent_at;
+};
+struct unanswered *unanswered_create(struct soak *s, struct standin_group *g);
+void unanswered_destroy(struct unanswered *u);
+void unanswered_signalled(struct unanswered *u, int proxy, int signal);
+void unanswered_process_ended(struct unanswered *u, int proxy);
+void unanswered_closed(struct unanswered *u,
+                       const struct unanswered_request *r);
+void unanswered_given_up(struct unanswered *u,
+                         const struct unanswered_request *r);
+void unanswered_check(const struct unanswered *u);
+void unanswered_report(const struct unanswered *u);
+
+/* Planned work of --withdrawals, in series that overlap. */
+enum withdrawal_kind {
+    WITHDRAW_KEY,
+    WITHDRAW_ACCOUNT, /* all keys of one account */
+    RETURN_KEYS,      /* under new numbers */
+    CHANGE_RATE,
+    CHANGE_ROUTES,
+    TOGGLE_ROUTE, /* that callers use */
+    CHANGE_CONNECTIONS,
+    RELOAD,
+    STOP,
+    WITHDRAWAL_KINDS
+};
+struct withdrawals;
+struct withdrawals *withdrawals_create(uint64_t seed);
+void withdrawals_destroy(struct withdrawals *w);
+bool withdrawals_next(struct withdrawals *w, enum withdrawal_kind *kind);
+
 /* Callers that read and write through the proxies and check the answers. Each
    has one item that no other caller writes. */
 struct callers;
 struct callers *callers_create(struct soak *s, struct ev_loop *loop,
-                               struct standin_group *g, uint64_t seed,
-                               int count);
+                               struct standin_group *g, struct unanswered *u,
+                               uint64_t seed, int count);
 /* No acknowledged write may be lost: commits are synchronous. */
 void callers_expect_synchronous(struct callers *all);
 void callers_use_accounts(struct callers *all, struct accounts *a);
+/* Most operations are transactions with several statements and pauses. */
+void callers_use_long_transactions(struct callers *all);
 void callers_destroy(struct callers *all);
 void callers_stop(struct callers *all);
 void callers_check(struct callers *all);
