--- a/tests/soak/callers.c
+++ b/tests/soak/callers.c
@@ -176,7 +176,7 @@
 }
 
 static struct unanswered_request
-outstanding_request(const struct caller *c)
+last_request(const struct caller *c)
 {
     return (struct unanswered_request){.proxy = c->proxy,
                                        .id = c->id,
@@ -257,8 +257,9 @@
 
 /* With accounts, goes on with the session after an error, so that sessions are
    older than the changes of their keys. As clients do, ends a transaction that
-   has failed, and closes the session after any other operation that ends
-   outside state I and after an error in response to SET. */
+   has failed, sometimes after a pause, and closes the session after any other
+   operation that ends outside state I and after an error in response to SET.
+ */
 static void
 continue_after_error(struct caller *c)
 {
@@ -269,6 +270,10 @@
         c->step = STEP_ROLLBACK;
         c->all->rollbacks++;
         c->all->refused += g_str_has_prefix(c->error, "UNAUTH");
+        if (c->all->long_transactions && rng_below(&c->all->rng, 2) == 0) {
+            start_timer(c, rng_below(&c->all->rng, THINK_AFTER_ERROR_MAX_MS));
+            return;
+        }
         send_query(c, "ROLLBACK");
     }
     else {
@@ -421,10 +426,13 @@
     struct caller *c = ctx;
 
     (void)why;
+    const struct unanswered_request r = last_request(c);
     if (c->outstanding) {
-        const struct unanswered_request r = outstanding_request(c);
         unanswered_closed(c->all->unanswered, &r);
     }
+    else if (c->state != 'I') {
+        unanswered_closed_in_transaction(c->all->unanswered, &r);
+    }
     handle_lost_connection(c);
 }
 
@@ -475,13 +483,16 @@
         }
     }
     else if (c->outstanding) {
-        const struct unanswered_request r = outstanding_request(c);
+        const struct unanswered_request r = last_request(c);
         unanswered_given_up(c->all->unanswered, &r);
         handle_lost_connection(c);
     }
     else if (c->step == STEP_RUN) {
         continue_transaction(c);
     }
+    else if (c->step == STEP_ROLLBACK) {
+        send_query(c, "ROLLBACK");
+    }
     else {
         start_operation(c);
     }
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -140,7 +140,7 @@
 extern void (*standin_group_on_role_change)(struct soak *s);
 
 /* Requests whose connections end, or that are given up, before they are
-   answered. state is that of the session when the request was sent, or 0 for
+   answered, or outside state I. state is that of the last READY, or 0 during
    STARTUP. */
 struct unanswered;
 struct unanswered_request {
@@ -156,6 +156,8 @@
 void unanswered_process_ended(struct unanswered *u, int proxy);
 void unanswered_closed(struct unanswered *u,
                        const struct unanswered_request *r);
+void unanswered_closed_in_transaction(struct unanswered *u,
+                                      const struct unanswered_request *r);
 void unanswered_given_up(struct unanswered *u,
                          const struct unanswered_request *r);
 void unanswered_check(const struct unanswered *u);
--- a/tests/soak/unanswered.c
+++ b/tests/soak/unanswered.c
@@ -97,10 +97,10 @@
     const clock_ms now = clock_monotonic_ms();
 
     soak_violation(u->soak,
-                   "proxy %d, %s: %s %lld ms after \"%s\" was sent in state "
-                   "%c, %s, %s",
+                   "proxy %d, %s: %s %lld ms after \"%s\" was sent, state %c, "
+                   "%s, %s",
                    r->proxy, r->id, what, (long long)(now - r->sent_at),
-                   r->text, r->state,
+                   r->text, r->state == '\0' ? '-' : r->state,
                    standin_group_has_begun(u->group, r->id)
                        ? "run by a member"
                        : "not run by a member",
@@ -132,6 +132,20 @@
     report_violation(u, r, "closed without an answer");
 }
 
+/* Called when a connection has ended during a pause in state T or E; state is
+   that of the answer to the last request. Pauses are much shorter than the
+   time after which an idle transaction may be ended. */
+void
+unanswered_closed_in_transaction(struct unanswered *u,
+                                 const struct unanswered_request *r)
+{
+    if (is_excused(&u->processes[r->proxy], r)) {
+        u->excused++;
+        return;
+    }
+    report_violation(u, r, "closed in a transaction");
+}
+
 /* Called when a caller gives up a request. Its connection is still open, and
    the timeout of the statement is long over. */
 void
