--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -94,6 +94,8 @@
    makes it take much longer. */
 #define FIRST_STOP_MS 5000
 #define STOP_GAP_MS 1500
+/* A service without members, listed while a route leads to it. */
+#define EMPTY_SERVICE "svc2"
 
 /* Depth of the arrays in an odd entry of the directory. */
 #define ODD_NESTING_LEVELS 40000
@@ -148,6 +150,7 @@
     gboolean with_accounts;
     gboolean with_withdrawals;
     bool route_hidden;        /* the last one of those that callers use */
+    bool route_moved;         /* the same one, to a service without members */
     guint listed_connections; /* in the configuration */
     clock_ms next_stop_at;
     clock_ms long_outage_at; /* of the store; 0: not drawn yet */
@@ -281,15 +284,20 @@
             "%s{\"name\":\"r%d\",\"host\":\"%s\",\"route_type\":\"%s\","
             "\"timeout_ms\":800,\"target_latency_ms\":200,\"priority\":1,"
             "\"service\":\"%s\",\"max_staleness_ms\":1500}",
-            i > 0 ? "," : "", i, types[i][0], types[i][1], SOAK_SERVICE);
+            i > 0 ? "," : "", i, types[i][0], types[i][1],
+            i == 2 && s->route_moved ? EMPTY_SERVICE : SOAK_SERVICE);
     }
     operator_append_routes(s->operator, o);
     g_string_append_printf(o,
                            "],\"services\":[{\"name\":\"%s\",\"max_conns\":%u,"
-                           "\"sync_replicas\":%d}],\"limits\":{\"tx_idle_ms\":"
-                           "3000}",
+                           "\"sync_replicas\":%d}",
                            SOAK_SERVICE, s->listed_connections,
                            s->synchronous);
+    if (s->route_moved) {
+        g_string_append(o, ",{\"name\":\"" EMPTY_SERVICE
+                           "\",\"max_conns\":8,\"sync_replicas\":0}");
+    }
+    g_string_append(o, "],\"limits\":{\"tx_idle_ms\":3000}");
     if (s->accounts != NULL) {
         accounts_append(s->accounts, o);
     }
@@ -853,6 +861,9 @@
     case TOGGLE_ROUTE:
         s->route_hidden = !s->route_hidden;
         break;
+    case MOVE_ROUTE:
+        s->route_moved = !s->route_moved;
+        break;
     default:
         s->listed_connections =
             s->listed_connections == s->max_connections
@@ -977,6 +988,7 @@
             (clock_ms)(s->accounts != NULL ? SETTLE_ACCOUNTS_S : SETTLE_S) *
                 1000;
         s->route_hidden = false;
+        s->route_moved = false;
         s->listed_connections = s->max_connections;
         if (s->accounts != NULL) {
             accounts_settle(s->accounts);
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -171,6 +171,7 @@
     CHANGE_RATE,
     CHANGE_ROUTES,
     TOGGLE_ROUTE, /* that callers use */
+    MOVE_ROUTE,   /* to another service, and back */
     CHANGE_CONNECTIONS,
     RELOAD,
     STOP,
--- a/tests/soak/withdrawals.c
+++ b/tests/soak/withdrawals.c
@@ -9,9 +9,10 @@
 
 /* How often each kind is drawn. */
 static const int weights[WITHDRAWAL_KINDS] = {
-    [WITHDRAW_KEY] = 5,       [WITHDRAW_ACCOUNT] = 2, [RETURN_KEYS] = 4,
-    [CHANGE_RATE] = 1,        [CHANGE_ROUTES] = 1,    [TOGGLE_ROUTE] = 1,
-    [CHANGE_CONNECTIONS] = 1, [RELOAD] = 1,           [STOP] = 2,
+    [WITHDRAW_KEY] = 5, [WITHDRAW_ACCOUNT] = 2,   [RETURN_KEYS] = 4,
+    [CHANGE_RATE] = 1,  [CHANGE_ROUTES] = 1,      [TOGGLE_ROUTE] = 1,
+    [MOVE_ROUTE] = 1,   [CHANGE_CONNECTIONS] = 1, [RELOAD] = 1,
+    [STOP] = 2,
 };
 
 struct planned {
