--- a/tests/soak/callers.c
+++ b/tests/soak/callers.c
@@ -42,8 +42,9 @@
     bool transaction;
     bool reads;
     bool outstanding;
-    char state; /* of the last READY; 0 before STARTUP is answered */
-    int proxy;  /* that the connection goes to */
+    bool sent_ahead; /* a SET in the packet of the outstanding ROLLBACK */
+    char state;      /* of the last READY; 0 before STARTUP is answered */
+    int proxy;       /* that the connection goes to */
     int requests;
     int further_reads; /* in the present transaction */
     char id[24];       /* of the last request */
@@ -157,6 +158,7 @@
     stream_close(c->stream);
     c->stream = NULL;
     c->outstanding = false;
+    c->sent_ahead = false;
     start_timer(c, 20 + rng_below(&c->all->rng, 100));
 }
 
@@ -245,6 +247,24 @@
     send_query(c, text);
 }
 
+/* Ends a transaction that has failed; with long transactions, often sends the
+   next request in the same packet. */
+static void
+send_rollback(struct caller *c)
+{
+    if (!c->all->long_transactions || rng_below(&c->all->rng, 4) > 0) {
+        send_query(c, "ROLLBACK");
+        return;
+    }
+    char *text = g_strdup_printf("ROLLBACK\r\nQUERY %s-%d SET who %s", c->name,
+                                 c->requests + 2, c->name);
+    send_query(c, text);
+    g_free(text);
+    g_strlcpy(c->text, "ROLLBACK and SET", sizeof(c->text));
+    c->requests++;
+    c->sent_ahead = true;
+}
+
 /* Ends a failed operation; another one begins later. */
 static void
 pause_after_error(struct caller *c)
@@ -274,7 +294,7 @@
             start_timer(c, rng_below(&c->all->rng, THINK_AFTER_ERROR_MAX_MS));
             return;
         }
-        send_query(c, "ROLLBACK");
+        send_rollback(c);
     }
     else {
         pause_after_error(c);
@@ -358,6 +378,13 @@
         record_outcome(c, OUTCOME_DONE);
         break;
     case STEP_ROLLBACK:
+        if (c->sent_ahead) {
+            c->sent_ahead = false;
+            c->outstanding = true;
+            c->state = 'E'; /* when the request was sent */
+            c->step = STEP_SET;
+            return;
+        }
         pause_after_error(c);
         return;
     case STEP_SET:
@@ -491,7 +518,7 @@
         continue_transaction(c);
     }
     else if (c->step == STEP_ROLLBACK) {
-        send_query(c, "ROLLBACK");
+        send_rollback(c);
     }
     else {
         start_operation(c);
