--- a/tests/soak/callers.c
+++ b/tests/soak/callers.c
@@ -162,16 +162,53 @@
     start_timer(c, 20 + rng_below(&c->all->rng, 100));
 }
 
+/* Returns true if an error guarantees that the statement was not executed. */
+static bool
+is_promise(const char *error)
+{
+    static const char *const codes[] = {"BUSY", "ABORTED", "LAGGING",
+                                        "READONLY", "UNAUTH"};
+
+    for (size_t i = 0; i < G_N_ELEMENTS(codes); i++) {
+        if (g_str_has_prefix(error, codes[i])) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Returns the text behind ERROR in a complete line that has arrived, or NULL;
+   to be freed by the caller. */
+static char *
+received_error(const struct caller *c)
+{
+    const struct sview in = stream_input(c->stream);
+    const char *error = memmem(in.p, in.n, "ERROR ", 6);
+    const char *end = error == NULL
+                          ? NULL
+                          : memchr(error, '\n', in.n - (size_t)(error - in.p));
+
+    return end == NULL ? NULL
+                       : g_strndup(error + strlen("ERROR "),
+                                   (gsize)(end - error) - strlen("ERROR "));
+}
+
 /* Handles a lost connection or answer. A commit or single write that was sent
-   may have been executed, so its outcome is unknown. */
+   may have been executed, so its outcome is unknown, unless an error that
+   goes before the end of the connection says otherwise. */
 static void
 handle_lost_connection(struct caller *c)
 {
-    if (c->outstanding &&
-        (c->step == STEP_COMMIT || (c->step == STEP_RUN && !c->transaction))) {
+    const bool commits =
+        c->step == STEP_COMMIT || (c->step == STEP_RUN && !c->transaction);
+    char *error = received_error(c);
+    const bool not_run = error != NULL && is_promise(error);
+
+    g_free(error);
+    if (c->outstanding && commits && !not_run) {
         record_outcome(c, OUTCOME_UNKNOWN);
     }
-    else if (c->step == STEP_RUN) {
+    else if (c->step == STEP_RUN || c->step == STEP_COMMIT) {
         record_outcome(c, OUTCOME_NOT_RUN);
     }
     disconnect(c);
@@ -301,17 +338,12 @@
     }
 }
 
-/* Handles an error answer. These error codes guarantee that the statement was
-   not executed; after any other error on a statement that commits, the outcome
-   is unknown. */
+/* Handles an error answer. After an error on a statement that commits, and
+   that is no promise, the outcome is unknown. */
 static void
 handle_error(struct caller *c)
 {
-    const bool not_run = g_str_has_prefix(c->error, "BUSY") ||
-                         g_str_has_prefix(c->error, "ABORTED") ||
-                         g_str_has_prefix(c->error, "LAGGING") ||
-                         g_str_has_prefix(c->error, "READONLY") ||
-                         g_str_has_prefix(c->error, "UNAUTH");
+    const bool not_run = is_promise(c->error);
     const bool may_have_committed =
         c->step == STEP_COMMIT || (c->step == STEP_RUN && !c->transaction);
 
@@ -398,8 +430,27 @@
     start_timer(c, rng_below(&c->all->rng, THINK_MAX_MS));
 }
 
+/* Handles the end of a connection by the process. */
+static void
+connection_ended(struct caller *c)
+{
+    struct unanswered_request r = last_request(c);
+    char *error = received_error(c);
+
+    r.refused = error != NULL;
+    g_free(error);
+    if (c->outstanding) {
+        unanswered_closed(c->all->unanswered, &r);
+    }
+    else if (c->state != 'I') {
+        unanswered_closed_in_transaction(c->all->unanswered, &r);
+    }
+    handle_lost_connection(c);
+}
+
 /* Handles the answers that have arrived completely, up to their READY line. An
-   error before the session has started has no READY line. */
+   error before the session has started has no READY line, and neither has one
+   that announces the end of the connection. */
 static void
 on_readable(void *ctx)
 {
@@ -412,14 +463,18 @@
         const char *end = memmem(in.p, in.n, "READY ", 6);
         if (end == NULL ||
             memchr(end, '\n', in.n - (size_t)(end - in.p)) == NULL) {
-            if (memmem(in.p, in.n, "ERROR ", 6) != NULL &&
-                c->step == STEP_START) {
+            char *refusal = received_error(c);
+            if (refusal != NULL && c->step == STEP_START) {
                 if (c->all->accounts != NULL &&
-                    memmem(in.p, in.n, "ERROR UNAUTH", 12) != NULL) {
+                    g_str_has_prefix(refusal, "UNAUTH")) {
                     accounts_refused(c->all->accounts, c->key, c->started_at);
                 }
                 disconnect(c);
             }
+            else if (refusal != NULL && !c->outstanding) {
+                connection_ended(c);
+            }
+            g_free(refusal);
             return;
         }
         const size_t n = (size_t)((const char *)memchr(
@@ -450,17 +505,8 @@
 static void
 on_closed(void *ctx, const char *why)
 {
-    struct caller *c = ctx;
-
     (void)why;
-    const struct unanswered_request r = last_request(c);
-    if (c->outstanding) {
-        unanswered_closed(c->all->unanswered, &r);
-    }
-    else if (c->state != 'I') {
-        unanswered_closed_in_transaction(c->all->unanswered, &r);
-    }
-    handle_lost_connection(c);
+    connection_ended(ctx);
 }
 
 static const struct stream_callbacks caller_events = {.readable = on_readable,
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -148,6 +148,7 @@
     const char *id;
     const char *text;
     char state;
+    bool refused; /* an error without READY goes before the end */
     clock_ms sent_at;
 };
 struct unanswered *unanswered_create(struct soak *s, struct standin_group *g);
--- a/tests/soak/unanswered.c
+++ b/tests/soak/unanswered.c
@@ -24,6 +24,7 @@
     struct standin_group *group;
     struct process processes[SOAK_PROXIES];
     GPtrArray *crossed; /* IDs of requests; no member may have run them */
+    long refused;       /* how many of them */
     long startups;
     long excused;
 };
@@ -123,6 +124,7 @@
         clock_monotonic_ms() - r->sent_at <= LOSS_SLACK_MS) {
         if (r->state == 'I') {
             g_ptr_array_add(u->crossed, g_strdup(r->id));
+            u->refused += r->refused;
         }
         else {
             u->startups++;
@@ -172,11 +174,13 @@
     }
 }
 
-/* Prints how many requests crossed the end of their connections, and how many
-   were lost with processes that a fault had disturbed. */
+/* Prints how many requests crossed the end of their connections, how many of
+   these have an error that went before it for an answer, and how many were
+   lost with processes that a fault had disturbed. */
 void
 unanswered_report(const struct unanswered *u)
 {
-    printf("crossed=%u startups_crossed=%ld lost_by_faults=%ld\n",
-           u->crossed->len, u->startups, u->excused);
+    printf("crossed=%u crossed_refused=%ld startups_crossed=%ld "
+           "lost_by_faults=%ld\n",
+           u->crossed->len, u->refused, u->startups, u->excused);
 }
