--- a/Makefile
+++ b/Makefile
@@ -33,17 +33,19 @@
 
 # Runs the soak test on the build with sanitizers, for SECONDS with each of
 # SEEDS seeds, beginning with SEED. Members accept MAX_CONNECTIONS connections;
-# with 4 of them, proxies open connections on demand.
+# with 4 of them, proxies open connections on demand. OPTIONS are those of the
+# soak test, for example --withdrawals.
 SEED ?= 1
 SEEDS ?= 50
 SECONDS ?= 15
 MAX_CONNECTIONS ?= 16
+OPTIONS ?=
 soak: packages
 	@test -f $(BUILD)-check/build.ninja || meson setup $(BUILD)-check \
 	    --buildtype=debugoptimized -Db_sanitize=address,undefined
 	@ninja -C $(BUILD)-check
 	@scripts/soak.sh $(BUILD)-check $(SEED) $(SEEDS) $(SECONDS) \
-	    $(MAX_CONNECTIONS)
+	    $(MAX_CONNECTIONS) $(OPTIONS)
 
 capacity: all
 	@scripts/capacity.sh $(BUILD)
--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -3,20 +3,21 @@
 # seeds, four at a time, and prints the result of each seed. Exits with 1 if any
 # seed failed.
 #
-#   soak.sh BUILD FIRST_SEED COUNT SECONDS [MAX_CONNECTIONS]
+#   soak.sh BUILD FIRST_SEED COUNT SECONDS [MAX_CONNECTIONS [OPTION...]]
 set -eu
 build=$1
 first_seed=$2
 count=$3
 seconds=$4
 max_connections=${5:-16}
+shift $(($# < 5 ? $# : 5))
 dir=$(mktemp -d)
 trap 'rm -rf "$dir"' EXIT
 # Runs copies, because a build during a long run replaces the programs.
 cp "$build/tests/soak/soak" "$build/platform/galenastep-platform" "$dir/"
 seq "$first_seed" $((first_seed + count - 1)) |
     xargs -P 4 -I SEED sh -c "
-        '$dir/soak' '$dir/galenastep-platform' \
+        '$dir/soak' $* '$dir/galenastep-platform' \
             SEED $seconds $max_connections >'$dir/SEED' 2>&1 || echo SEED >>'$dir/failed'"
 grep -h -E '^seed=|^VIOLATION' "$dir"/[0-9]* || true
 if [ -e "$dir/failed" ]; then
