--- a/tests/soak/callers.c
+++ b/tests/soak/callers.c
@@ -7,7 +7,9 @@
 #include <string.h>
 
 #define THINK_MAX_MS 40
+#define THINK_AFTER_ERROR_MAX_MS 200 /* with long transactions */
 #define ANSWER_TIMEOUT_MS 4000
+#define FURTHER_READS_MAX 6 /* in a long transaction */
 
 /* The statement whose answer a caller waits for. */
 enum step {
@@ -16,7 +18,7 @@
     STEP_BEGIN,
     STEP_RUN,
     STEP_COMMIT,
-    STEP_ROLLBACK /* with accounts, after a refusal */
+    STEP_ROLLBACK /* with accounts, after an error */
 };
 
 enum write_outcome {
@@ -40,7 +42,14 @@
     bool transaction;
     bool reads;
     bool outstanding;
+    bool sent_ahead; /* a SET in the packet of the outstanding ROLLBACK */
+    char state;      /* of the last READY; 0 before STARTUP is answered */
+    int proxy;       /* that the connection goes to */
     int requests;
+    int further_reads; /* in the present transaction */
+    char id[24];       /* of the last request */
+    char text[32];     /* and its text */
+    clock_ms sent_at;
     uint64_t write_number; /* number of the current or last write */
     GArray *outcomes;      /* of enum write_outcome, by write number */
     uint64_t newest_read;  /* newest value read on this connection */
@@ -55,16 +64,20 @@
     struct soak *soak;
     struct ev_loop *loop;
     struct standin_group *group;
+    struct unanswered *unanswered;
     struct accounts *accounts; /* NULL: callers have no keys */
     struct rng rng;
     struct caller *list;
     int count;
     bool stopping;
     bool synchronous; /* no acknowledged write may be discarded */
+    bool long_transactions;
     long writes_done;
     long writes_not_run;
     long writes_unknown;
     long reads;
+    long rollbacks;
+    long refused; /* transactions, because the key had become invalid */
     struct deferred_free *deferred_free;
 };
 
@@ -85,6 +98,7 @@
     char *line = g_strdup_printf("%s\r\n", text);
 
     c->outstanding = true;
+    c->sent_at = clock_monotonic_ms();
     g_free(c->error);
     c->error = NULL;
     stream_write(c->stream, line, strlen(line));
@@ -96,13 +110,13 @@
 static void
 send_query(struct caller *c, const char *text)
 {
-    char *id = g_strdup_printf("%s-%d", c->name, ++c->requests);
-    char *line = g_strdup_printf("QUERY %s %s", id, text);
+    g_snprintf(c->id, sizeof(c->id), "%s-%d", c->name, ++c->requests);
+    g_strlcpy(c->text, text, sizeof(c->text));
+    char *line = g_strdup_printf("QUERY %s %s", c->id, text);
 
     if (c->all->accounts != NULL) {
-        accounts_sent(c->all->accounts, id, c->key);
+        accounts_sent(c->all->accounts, c->id, c->key);
     }
-    g_free(id);
     send_line(c, line);
     g_free(line);
 }
@@ -144,24 +158,72 @@
     stream_close(c->stream);
     c->stream = NULL;
     c->outstanding = false;
+    c->sent_ahead = false;
     start_timer(c, 20 + rng_below(&c->all->rng, 100));
 }
 
+/* Returns true if an error guarantees that the statement was not executed. */
+static bool
+is_promise(const char *error)
+{
+    static const char *const codes[] = {"BUSY", "ABORTED", "LAGGING",
+                                        "READONLY", "UNAUTH"};
+
+    for (size_t i = 0; i < G_N_ELEMENTS(codes); i++) {
+        if (g_str_has_prefix(error, codes[i])) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Returns the text behind ERROR in a complete line that has arrived, or NULL;
+   to be freed by the caller. */
+static char *
+received_error(const struct caller *c)
+{
+    const struct sview in = stream_input(c->stream);
+    const char *error = memmem(in.p, in.n, "ERROR ", 6);
+    const char *end = error == NULL
+                          ? NULL
+                          : memchr(error, '\n', in.n - (size_t)(error - in.p));
+
+    return end == NULL ? NULL
+                       : g_strndup(error + strlen("ERROR "),
+                                   (gsize)(end - error) - strlen("ERROR "));
+}
+
 /* Handles a lost connection or answer. A commit or single write that was sent
-   may have been executed, so its outcome is unknown. */
+   may have been executed, so its outcome is unknown, unless an error that
+   goes before the end of the connection says otherwise. */
 static void
 handle_lost_connection(struct caller *c)
 {
-    if (c->outstanding &&
-        (c->step == STEP_COMMIT || (c->step == STEP_RUN && !c->transaction))) {
+    const bool commits =
+        c->step == STEP_COMMIT || (c->step == STEP_RUN && !c->transaction);
+    char *error = received_error(c);
+    const bool not_run = error != NULL && is_promise(error);
+
+    g_free(error);
+    if (c->outstanding && commits && !not_run) {
         record_outcome(c, OUTCOME_UNKNOWN);
     }
-    else if (c->outstanding && c->step == STEP_RUN) {
+    else if (c->step == STEP_RUN || c->step == STEP_COMMIT) {
         record_outcome(c, OUTCOME_NOT_RUN);
     }
     disconnect(c);
 }
 
+static struct unanswered_request
+last_request(const struct caller *c)
+{
+    return (struct unanswered_request){.proxy = c->proxy,
+                                       .id = c->id,
+                                       .text = c->text,
+                                       .state = c->state,
+                                       .sent_at = c->sent_at};
+}
+
 /* Checks that a value which was read includes the write that was acknowledged
    before the read began, and all values read before. */
 static void
@@ -202,7 +264,11 @@
         return;
     }
     c->reads = rng_below(r, 3) > 0;
-    c->transaction = rng_below(r, 4) == 0;
+    c->transaction =
+        c->all->long_transactions ? rng_below(r, 4) > 0 : rng_below(r, 4) == 0;
+    c->further_reads = c->all->long_transactions
+                           ? (int)rng_below(r, FURTHER_READS_MAX + 1)
+                           : 0;
     c->acked_before_read = c->newest_acked;
     if (!c->reads) {
         c->write_number++;
@@ -218,40 +284,96 @@
     send_query(c, text);
 }
 
-/* Handles an error answer. These error codes guarantee that the statement was
-   not executed; after any other error on a statement that commits, the outcome
-   is unknown. With accounts, a session outlives a refusal with BUSY or
-   ABORTED, so that sessions are older than the changes of their keys. */
+/* Ends a transaction that has failed; with long transactions, often sends the
+   next request in the same packet. */
+static void
+send_rollback(struct caller *c)
+{
+    if (!c->all->long_transactions || rng_below(&c->all->rng, 4) > 0) {
+        send_query(c, "ROLLBACK");
+        return;
+    }
+    char *text = g_strdup_printf("ROLLBACK\r\nQUERY %s-%d SET who %s", c->name,
+                                 c->requests + 2, c->name);
+    send_query(c, text);
+    g_free(text);
+    g_strlcpy(c->text, "ROLLBACK and SET", sizeof(c->text));
+    c->requests++;
+    c->sent_ahead = true;
+}
+
+/* Ends a failed operation; another one begins later. */
+static void
+pause_after_error(struct caller *c)
+{
+    c->step = STEP_SET;
+    start_timer(c, rng_below(&c->all->rng, c->all->long_transactions
+                                               ? THINK_AFTER_ERROR_MAX_MS
+                                               : THINK_MAX_MS));
+}
+
+/* With accounts, goes on with the session after an error, so that sessions are
+   older than the changes of their keys. As clients do, ends a transaction that
+   has failed, sometimes after a pause, and closes the session after any other
+   operation that ends outside state I and after an error in response to SET.
+ */
+static void
+continue_after_error(struct caller *c)
+{
+    if (c->step == STEP_SET || c->step == STEP_ROLLBACK) {
+        disconnect(c);
+    }
+    else if (c->state != 'I') {
+        c->step = STEP_ROLLBACK;
+        c->all->rollbacks++;
+        c->all->refused += g_str_has_prefix(c->error, "UNAUTH");
+        if (c->all->long_transactions && rng_below(&c->all->rng, 2) == 0) {
+            start_timer(c, rng_below(&c->all->rng, THINK_AFTER_ERROR_MAX_MS));
+            return;
+        }
+        send_rollback(c);
+    }
+    else {
+        pause_after_error(c);
+    }
+}
+
+/* Handles an error answer. After an error on a statement that commits, and
+   that is no promise, the outcome is unknown. */
 static void
 handle_error(struct caller *c)
 {
-    const bool not_run = g_str_has_prefix(c->error, "BUSY") ||
-                         g_str_has_prefix(c->error, "ABORTED") ||
-                         g_str_has_prefix(c->error, "LAGGING") ||
-                         g_str_has_prefix(c->error, "READONLY") ||
-                         g_str_has_prefix(c->error, "UNAUTH");
+    const bool not_run = is_promise(c->error);
     const bool may_have_committed =
         c->step == STEP_COMMIT || (c->step == STEP_RUN && !c->transaction);
 
-    record_outcome(c, not_run || !may_have_committed ? OUTCOME_NOT_RUN
-                                                     : OUTCOME_UNKNOWN);
-    if (c->all->accounts != NULL && c->transaction &&
-        (c->step == STEP_RUN || c->step == STEP_COMMIT) &&
-        g_str_has_prefix(c->error, "ABORTED")) {
-        c->step = STEP_ROLLBACK;
-        send_query(c, "ROLLBACK");
-        return;
+    if (c->step != STEP_SET && c->step != STEP_ROLLBACK) {
+        record_outcome(c, not_run || !may_have_committed ? OUTCOME_NOT_RUN
+                                                         : OUTCOME_UNKNOWN);
     }
-    if (c->all->accounts != NULL &&
-        (c->step == STEP_RUN || c->step == STEP_BEGIN) &&
-        g_str_has_prefix(c->error, "BUSY")) {
-        c->step = STEP_SET;
-        start_timer(c, rng_below(&c->all->rng, THINK_MAX_MS));
+    if (c->all->accounts != NULL) {
+        continue_after_error(c);
         return;
     }
     disconnect(c);
 }
 
+/* Sends the next statement of a transaction whose first one has succeeded. */
+static void
+continue_transaction(struct caller *c)
+{
+    char text[32];
+
+    if (c->further_reads > 0) {
+        c->further_reads--;
+        g_snprintf(text, sizeof(text), "READ %s", c->item);
+        send_query(c, text);
+        return;
+    }
+    c->step = STEP_COMMIT;
+    send_query(c, "COMMIT");
+}
+
 /* Sends the next statement of the operation, or ends it. */
 static void
 handle_success(struct caller *c, uint64_t value, bool has_value)
@@ -274,9 +396,12 @@
         if (has_value) {
             check_read(c, value);
         }
+        if (c->transaction && c->all->long_transactions) {
+            start_timer(c, rng_below(&c->all->rng, THINK_MAX_MS));
+            return;
+        }
         if (c->transaction) {
-            c->step = STEP_COMMIT;
-            send_query(c, "COMMIT");
+            continue_transaction(c);
             return;
         }
         record_outcome(c, OUTCOME_DONE);
@@ -284,8 +409,17 @@
     case STEP_COMMIT:
         record_outcome(c, OUTCOME_DONE);
         break;
-    case STEP_SET:
     case STEP_ROLLBACK:
+        if (c->sent_ahead) {
+            c->sent_ahead = false;
+            c->outstanding = true;
+            c->state = 'E'; /* when the request was sent */
+            c->step = STEP_SET;
+            return;
+        }
+        pause_after_error(c);
+        return;
+    case STEP_SET:
         break;
     }
     if (c->all->accounts != NULL &&
@@ -296,8 +430,27 @@
     start_timer(c, rng_below(&c->all->rng, THINK_MAX_MS));
 }
 
+/* Handles the end of a connection by the process. */
+static void
+connection_ended(struct caller *c)
+{
+    struct unanswered_request r = last_request(c);
+    char *error = received_error(c);
+
+    r.refused = error != NULL;
+    g_free(error);
+    if (c->outstanding) {
+        unanswered_closed(c->all->unanswered, &r);
+    }
+    else if (c->state != 'I') {
+        unanswered_closed_in_transaction(c->all->unanswered, &r);
+    }
+    handle_lost_connection(c);
+}
+
 /* Handles the answers that have arrived completely, up to their READY line. An
-   error before the session has started has no READY line. */
+   error before the session has started has no READY line, and neither has one
+   that announces the end of the connection. */
 static void
 on_readable(void *ctx)
 {
@@ -310,14 +463,18 @@
         const char *end = memmem(in.p, in.n, "READY ", 6);
         if (end == NULL ||
             memchr(end, '\n', in.n - (size_t)(end - in.p)) == NULL) {
-            if (memmem(in.p, in.n, "ERROR ", 6) != NULL &&
-                c->step == STEP_START) {
+            char *refusal = received_error(c);
+            if (refusal != NULL && c->step == STEP_START) {
                 if (c->all->accounts != NULL &&
-                    memmem(in.p, in.n, "ERROR UNAUTH", 12) != NULL) {
+                    g_str_has_prefix(refusal, "UNAUTH")) {
                     accounts_refused(c->all->accounts, c->key, c->started_at);
                 }
                 disconnect(c);
             }
+            else if (refusal != NULL && !c->outstanding) {
+                connection_ended(c);
+            }
+            g_free(refusal);
             return;
         }
         const size_t n = (size_t)((const char *)memchr(
@@ -333,8 +490,9 @@
             has_value = true;
         }
         c->error = error != NULL ? g_strdup(error + strlen("ERROR ")) : NULL;
-        g_free(text);
         c->outstanding = false;
+        c->state = strstr(text, "READY ")[strlen("READY ")];
+        g_free(text);
         if (c->error != NULL) {
             handle_error(c);
         }
@@ -348,7 +506,7 @@
 on_closed(void *ctx, const char *why)
 {
     (void)why;
-    handle_lost_connection(ctx);
+    connection_ended(ctx);
 }
 
 static const struct stream_callbacks caller_events = {.readable = on_readable,
@@ -358,10 +516,10 @@
 static void
 reconnect(struct caller *c)
 {
-    const int proxy = (int)rng_below(&c->all->rng, SOAK_PROXIES);
     char text[64];
 
-    c->stream = stream_connect(c->all->loop, soak_proxy_host(proxy),
+    c->proxy = (int)rng_below(&c->all->rng, SOAK_PROXIES);
+    c->stream = stream_connect(c->all->loop, soak_proxy_host(c->proxy),
                                soak_proxy_port(), &caller_events, c);
     if (c->stream == NULL) {
         start_timer(c, 100);
@@ -373,6 +531,9 @@
     c->newest_acked =
         strcmp(c->database, "primary") == 0 ? c->newest_acked : 0;
     c->step = STEP_START;
+    c->state = '\0';
+    g_strlcpy(c->id, c->name, sizeof(c->id));
+    g_strlcpy(c->text, "STARTUP", sizeof(c->text));
     c->started_at = clock_monotonic_ms();
     g_snprintf(text, sizeof(text), "STARTUP %s %s", c->database,
                c->all->accounts != NULL
@@ -395,8 +556,16 @@
         }
     }
     else if (c->outstanding) {
+        const struct unanswered_request r = last_request(c);
+        unanswered_given_up(c->all->unanswered, &r);
         handle_lost_connection(c);
     }
+    else if (c->step == STEP_RUN) {
+        continue_transaction(c);
+    }
+    else if (c->step == STEP_ROLLBACK) {
+        send_rollback(c);
+    }
     else {
         start_operation(c);
     }
@@ -406,7 +575,7 @@
    use the three routes (databases) in turn. */
 struct callers *
 callers_create(struct soak *s, struct ev_loop *loop, struct standin_group *g,
-               uint64_t seed, int count)
+               struct unanswered *u, uint64_t seed, int count)
 {
     static const char *const databases[] = {"primary", "bounded", "own"};
     struct callers *all = g_new0(struct callers, 1);
@@ -414,6 +583,7 @@
     all->soak = s;
     all->loop = loop;
     all->group = g;
+    all->unanswered = u;
     all->count = count;
     all->list = g_new0(struct caller, (gsize)count);
     rng_seed(&all->rng, seed);
@@ -445,6 +615,12 @@
     all->accounts = a;
 }
 
+void
+callers_use_long_transactions(struct callers *all)
+{
+    all->long_transactions = true;
+}
+
 /* Makes the callers start no further operation or connection. */
 void
 callers_stop(struct callers *all)
@@ -485,13 +661,15 @@
     }
 }
 
-/* Prints the numbers of writes by outcome, and of reads. */
+/* Prints the numbers of writes by outcome, of reads, and of transactions that
+   were rolled back after an error. */
 void
 callers_report(const struct callers *all)
 {
-    printf("writes_done=%ld not_run=%ld unknown=%ld reads=%ld\n",
+    printf("writes_done=%ld not_run=%ld unknown=%ld reads=%ld "
+           "rollbacks=%ld refused=%ld\n",
            all->writes_done, all->writes_not_run, all->writes_unknown,
-           all->reads);
+           all->reads, all->rollbacks, all->refused);
 }
 
 /* Returns how many writes and reads have succeeded. */
